Add the workspace, base, twirp and platform packages and the design page

Cause: nothing existed; every other part needs result codes, a clock, an operator wire and the platform's services before it can be written.

Change: CMake workspace with format and lint rules; base (codes, results, clock, events, token bucket, RCU cell, hashing); twirp (router, listener, client over cpp-httplib); platform (table, object store, instance list, workers, instance control, each as Twirp client or in memory, with faults and a capacity model); runOnce() for operator calls with a request id; programs for proofs and measurements; docs/design.md.

Ruled out: gRPC for the operator wire, as it brings a second HTTP stack; reading back the writer token alone to resolve a lost answer, as a delayed first try could still be applied - the same conditional transaction is sent again instead.

Conclusion: the packages above these can be built side by side against the headers.

--- /dev/null
+++ b/cmake/ChicorywickDependencies.cmake
@@ -0,0 +1,14 @@
+# All libraries come from Debian packages; tools/setup installs them.
+find_package(Threads REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(glog REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
+pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_library(HTTPLIB_LIBRARY NAMES cpp-httplib REQUIRED)
+
+add_library(chicorywick_httplib INTERFACE)
+target_link_libraries(chicorywick_httplib INTERFACE ${HTTPLIB_LIBRARY} Threads::Threads)
--- /dev/null
+++ b/evidence/prove/main.cpp
@@ -0,0 +1,98 @@
+#include "evidence/prove/proof.h"
+
+#include <glog/logging.h>
+#include <popt.h>
+
+#include <algorithm>
+#include <iostream>
+#include <string>
+
+namespace chicorywick::prove {
+
+namespace {
+
+constexpr int kExitViolation = 1;
+constexpr int kExitUsage = 2;
+
+struct Arguments
+{
+    int list = 0;
+    long seed = 1;
+    int runs = 0;
+    int verbose = 0;
+    std::string name;
+};
+
+bool parse(int argc, const char **argv, Arguments &arguments)
+{
+    const poptOption options[] = {
+            {"list", 'l', POPT_ARG_NONE, &arguments.list, 0, "List the proofs", nullptr},
+            {"seed", 's', POPT_ARG_LONG, &arguments.seed, 0, "Seed of the first run", "N"},
+            {"runs", 'r', POPT_ARG_INT, &arguments.runs, 0, "Number of runs", "N"},
+            {"verbose", 'v', POPT_ARG_NONE, &arguments.verbose, 0, "Write log lines", nullptr},
+            POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("prove", argc, argv, options, 0);
+    poptSetOtherOptionHelp(context, "[--list] NAME [--seed N] [--runs N]");
+    const int status = poptGetNextOpt(context);
+    if (status < -1) {
+        std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(status) << '\n';
+        poptFreeContext(context);
+        return false;
+    }
+    if (const char *name = poptGetArg(context))
+        arguments.name = name;
+    poptFreeContext(context);
+    return true;
+}
+
+int runProof(const Proof &proof, const Arguments &arguments)
+{
+    const int runs = arguments.runs > 0 ? arguments.runs : proof.defaultRuns;
+    int violations = 0;
+    for (int i = 0; i < runs; ++i) {
+        const std::uint64_t seed = static_cast<std::uint64_t>(arguments.seed) + i;
+        const std::string violation = proof.run(seed);
+        if (violation.empty())
+            continue;
+        ++violations;
+        std::cout << "violation at seed " << seed << ":\n"
+                  << violation << '\n'
+                  << "replay: tools/prove " << proof.name << " --seed " << seed << " --runs 1\n";
+    }
+    std::cout << proof.name << ": " << runs << " runs, " << violations << " violations, seed "
+              << arguments.seed << std::endl;
+    return violations == 0 ? 0 : kExitViolation;
+}
+
+} // namespace
+
+int runMain(int argc, const char **argv)
+{
+    Arguments arguments;
+    if (!parse(argc, argv, arguments))
+        return kExitUsage;
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = arguments.verbose != 0 ? google::INFO : google::FATAL;
+    const std::vector<Proof> proofs = allProofs();
+    if (arguments.list != 0) {
+        for (const Proof &proof : proofs)
+            std::cout << proof.name << "\t" << proof.description << '\n';
+        return 0;
+    }
+    const auto found = std::find_if(proofs.begin(), proofs.end(), [&](const Proof &proof) {
+        return proof.name == arguments.name;
+    });
+    if (found == proofs.end()) {
+        std::cerr << "no proof named '" << arguments.name << "'; see --list\n";
+        return kExitUsage;
+    }
+    return runProof(*found, arguments);
+}
+
+} // namespace chicorywick::prove
+
+int main(int argc, char **argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    return chicorywick::prove::runMain(argc, const_cast<const char **>(argv));
+}
--- /dev/null
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace chicorywick::base {
+
+/// @brief Numbered log events; docs/log-events.md lists them.
+enum class Event : int {
+    // 1xxx: life cycle
+    DaemonStarted = 1001,
+    DaemonDraining = 1002,
+    DaemonStopped = 1003,
+    ListenerOpened = 1004,
+    SettingsRefused = 1005,
+
+    // 2xxx: operator calls
+    OperatorCallAccepted = 2001,
+    OperatorCallRefused = 2002,
+
+    // 3xxx: platform
+    PlatformUnreachable = 3001,
+    PlatformRecovered = 3002,
+    CommitOutcomeResolved = 3003,
+
+    // 4xxx: serving
+    RequestRefused = 4001,
+    RequestOutcomeUnknown = 4002,
+    UpstreamEjected = 4003,
+    UpstreamReinstated = 4004,
+    UpstreamLeaving = 4005,
+    RoutingPublished = 4006,
+
+    // 5xxx: fleet
+    GrantTaken = 5001,
+    GrantReturned = 5002,
+    GrantRefused = 5003,
+    InstanceMoved = 5004,
+    InstanceStep = 5005,
+    InstanceHeld = 5006,
+    WaveStarted = 5007,
+    WaveFinished = 5008,
+    WaveHalted = 5009,
+    WaveWaiting = 5010,
+
+    // 6xxx: jobs
+    JobAccepted = 6001,
+    JobStarted = 6002,
+    JobFinished = 6003,
+    JobAttemptLost = 6004,
+    JobFateUnknown = 6005,
+    WorkerQuarantined = 6006,
+    JobPreempted = 6007,
+    JobThrottled = 6008,
+
+    // 7xxx: cluster and configuration
+    MemberJoined = 7001,
+    MemberSuspected = 7002,
+    MemberDead = 7003,
+    ConfigApplied = 7004,
+    ConfigRefused = 7005,
+    PeerMessageRefused = 7006,
+    OwnershipTaken = 7007,
+    ConfigFromPeers = 7008,
+};
+
+enum class Severity { Info, Warning, Error };
+
+/// @brief The catalogue row of an event.
+struct EventInfo
+{
+    Event event;
+    Severity severity;
+    std::string_view name;
+    std::string_view text;
+};
+
+/// @brief All events in ascending order.
+std::span<const EventInfo> allEvents();
+
+/// @brief The catalogue row of an event.
+const EventInfo &eventInfo(Event event);
+
+/// @brief One key and value of a log line.
+struct LogField
+{
+    std::string_view key;
+    std::string value;
+};
+
+/// @brief The text of a log line: number, name, then key=value fields, quoted where needed.
+std::string formatEvent(Event event, std::initializer_list<LogField> fields);
+
+/// @brief Writes one line to the log.
+void logEvent(Event event, std::initializer_list<LogField> fields = {});
+
+} // namespace chicorywick::base
--- /dev/null
+++ b/packages/base/include/chicorywick/base/token_bucket.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chicorywick/base/clock.h>
+
+#include <mutex>
+
+namespace chicorywick::base {
+
+/// @brief Rate and burst of a token bucket.
+struct TokenBucketLimits
+{
+    double tokensPerSecond = 1;
+    double burst = 1;
+
+    bool operator==(const TokenBucketLimits &) const = default;
+};
+
+/// @brief A thread-safe token bucket; starts full.
+class TokenBucket
+{
+public:
+    explicit TokenBucket(TokenBucketLimits limits)
+        : limits_(limits)
+        , tokens_(limits.burst)
+    {}
+
+    /// @brief Takes the tokens if all are there.
+    bool tryTake(TimePoint now, double tokens = 1);
+
+    /// @brief Adds tokens beside the steady rate, up to the burst.
+    void deposit(double tokens);
+
+    /// @brief The tokens available at a time.
+    double available(TimePoint now);
+
+private:
+    void refill(TimePoint now);
+
+    TokenBucketLimits limits_;
+    std::mutex mutex_;
+    double tokens_;
+    TimePoint last_{};
+};
+
+} // namespace chicorywick::base
--- /dev/null
+++ b/packages/base/src/code.cpp
@@ -0,0 +1,135 @@
+#include <chicorywick/base/code.h>
+
+#include <algorithm>
+#include <array>
+
+namespace chicorywick::base {
+
+namespace {
+
+constexpr auto kCodes = std::to_array<CodeInfo>({
+        {Code::SettingsUnreadable, "settings-unreadable", "internal", 500,
+         "the settings file cannot be read or is not JSON"},
+        {Code::SettingsInvalid, "settings-invalid", "invalid_argument", 400,
+         "one or more settings have an invalid value"},
+        {Code::ListenerUnavailable, "listener-unavailable", "internal", 500,
+         "a listener cannot be bound to its address"},
+        {Code::MalformedInput, "malformed-input", "malformed", 400,
+         "the request body or message cannot be parsed"},
+        {Code::InvalidArgument, "invalid-argument", "invalid_argument", 400,
+         "a field has an invalid value"},
+        {Code::InputTooLarge, "input-too-large", "resource_exhausted", 413,
+         "the request exceeds a size limit"},
+        {Code::NotFound, "not-found", "not_found", 404, "the named object does not exist"},
+        {Code::AlreadyExists, "already-exists", "already_exists", 409,
+         "an object of that name exists"},
+        {Code::Unauthenticated, "unauthenticated", "unauthenticated", 401,
+         "the operator token is missing or wrong"},
+        {Code::VersionConflict, "version-conflict", "aborted", 409,
+         "the object changed since it was read"},
+        {Code::UnknownMethod, "unknown-method", "bad_route", 404,
+         "there is no such service or method"},
+        {Code::RequestIdReused, "request-id-reused", "failed_precondition", 412,
+         "the request id was used for a different call"},
+        {Code::PlatformUnavailable, "platform-unavailable", "unavailable", 503,
+         "the platform did not carry out the operation"},
+        {Code::PlatformUnknownOutcome, "platform-unknown-outcome", "unknown", 504,
+         "the platform may or may not have carried out the operation"},
+        {Code::TableConflict, "table-conflict", "aborted", 409,
+         "a row of the transaction has another version"},
+        {Code::TableTransactionTooLarge, "table-transaction-too-large", "invalid_argument", 413,
+         "a row or transaction exceeds the table's limits"},
+        {Code::ObjectNotFound, "object-not-found", "not_found", 404,
+         "the object store has no object of that name"},
+        {Code::StaleFence, "stale-fence", "aborted", 409, "a newer fencing token has been seen"},
+        {Code::PlatformMalformedResponse, "platform-malformed-response", "internal", 502,
+         "the platform's response cannot be parsed"},
+        {Code::RateLimited, "rate-limited", "resource_exhausted", 429,
+         "the local rate limit for the platform is exhausted"},
+        {Code::NoUpstream, "no-upstream", "unavailable", 503,
+         "no upstream of the service accepts work"},
+        {Code::QueueFull, "queue-full", "resource_exhausted", 503,
+         "the request queue of the service is full"},
+        {Code::DeadlineExceeded, "deadline-exceeded", "deadline_exceeded", 503,
+         "the request cannot start before its deadline"},
+        {Code::UpstreamUnreachable, "upstream-unreachable", "unavailable", 502,
+         "no connection to an upstream could be opened"},
+        {Code::UpstreamRefused, "upstream-refused", "unavailable", 503,
+         "the upstream refused the request without running it"},
+        {Code::UpstreamOutcomeUnknown, "upstream-outcome-unknown", "unknown", 504,
+         "the request was sent and no response arrived"},
+        {Code::UpstreamTruncated, "upstream-truncated", "unknown", 502,
+         "the upstream's response ended early"},
+        {Code::IdempotencyInFlight, "idempotency-in-flight", "aborted", 409,
+         "a request with the same idempotency key is in flight"},
+        {Code::IdempotencyKeyReused, "idempotency-key-reused", "failed_precondition", 422,
+         "the idempotency key was used for a different request"},
+        {Code::IdempotencyStoreUnavailable, "idempotency-store-unavailable", "unavailable", 503,
+         "the idempotency key cannot be recorded"},
+        {Code::ShuttingDown, "shutting-down", "unavailable", 503,
+         "the entry instance is shutting down"},
+        {Code::UnknownService, "unknown-service", "not_found", 404,
+         "no such service is configured"},
+        {Code::ResponseTooLarge, "response-too-large", "resource_exhausted", 502,
+         "the upstream's response exceeds the size limit"},
+        {Code::CallerLimitExceeded, "caller-limit-exceeded", "resource_exhausted", 429,
+         "the caller holds its full share of the queue"},
+        {Code::BudgetExhausted, "budget-exhausted", "failed_precondition", 412,
+         "the availability budget permits no further disruption"},
+        {Code::InstanceInOtherPool, "instance-in-other-pool", "failed_precondition", 412,
+         "the instance belongs to another pool"},
+        {Code::InvalidTransition, "invalid-transition", "failed_precondition", 412,
+         "the operation is not allowed in the current state"},
+        {Code::WaveNotActive, "wave-not-active", "failed_precondition", 412,
+         "the maintenance wave has ended"},
+        {Code::WaveHalted, "wave-halted", "failed_precondition", 412,
+         "the maintenance wave was halted by its failure rate"},
+        {Code::PoolNotEmpty, "pool-not-empty", "failed_precondition", 412,
+         "the pool still has instances"},
+        {Code::InstanceBusy, "instance-busy", "failed_precondition", 412,
+         "the instance is under maintenance"},
+        {Code::StaleGrant, "stale-grant", "aborted", 409, "the disruption grant is no longer held"},
+        {Code::JobNotAccepted, "job-not-accepted", "unavailable", 503, "the job was not recorded"},
+        {Code::JobAlreadyFinished, "job-already-finished", "failed_precondition", 412,
+         "the job has already finished"},
+        {Code::StaleAttempt, "stale-attempt", "aborted", 409, "a newer attempt of the job exists"},
+        {Code::QuotaExceeded, "quota-exceeded", "resource_exhausted", 429,
+         "the team's quota is exhausted"},
+        {Code::NoWorkerFits, "no-worker-fits", "failed_precondition", 412,
+         "no worker has the requested resources"},
+        {Code::JobFateUnknown, "job-fate-unknown", "unknown", 500,
+         "a non-idempotent job's last attempt has an unknown outcome"},
+        {Code::JobCannotRun, "job-cannot-run", "failed_precondition", 412,
+         "the job failed on several healthy workers"},
+        {Code::ConfigRejected, "config-rejected", "invalid_argument", 400,
+         "the configuration change is invalid"},
+        {Code::ConfigVersionConflict, "config-version-conflict", "aborted", 409,
+         "the configuration changed since it was read"},
+        {Code::PeerMessageRefused, "peer-message-refused", "invalid_argument", 400,
+         "a message of another entry instance was refused"},
+        {Code::ConfigStale, "config-stale", "unavailable", 503,
+         "the configuration in force could not be refreshed"},
+        {Code::UsageError, "usage-error", "invalid_argument", 400,
+         "the command line cannot be understood"},
+        {Code::ServerUnreachable, "server-unreachable", "unavailable", 503,
+         "no entry instance answered"},
+        {Code::WaitTimedOut, "wait-timed-out", "deadline_exceeded", 504,
+         "the condition waited for did not occur in time"},
+        {Code::OutputError, "output-error", "internal", 500, "the output cannot be written"},
+});
+
+} // namespace
+
+std::span<const CodeInfo> allCodes()
+{
+    return kCodes;
+}
+
+const CodeInfo &codeInfo(Code code)
+{
+    const auto *found = std::find_if(kCodes.begin(), kCodes.end(),
+                                     [code](const CodeInfo &info) { return info.code == code; });
+    return found != kCodes.end() ? *found : kCodes.front();
+}
+
+} // namespace chicorywick::base
--- /dev/null
+++ b/packages/base/src/log_event.cpp
@@ -0,0 +1,148 @@
+#include <chicorywick/base/log_event.h>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+
+namespace chicorywick::base {
+
+namespace {
+
+constexpr auto kEvents = std::to_array<EventInfo>({
+        {Event::DaemonStarted, Severity::Info, "daemon.started", "all listeners are open"},
+        {Event::DaemonDraining, Severity::Info, "daemon.draining",
+         "a stop was requested; readiness fails and requests in flight finish"},
+        {Event::DaemonStopped, Severity::Info, "daemon.stopped", "the process exits"},
+        {Event::ListenerOpened, Severity::Info, "listener.opened",
+         "a listener accepts connections"},
+        {Event::SettingsRefused, Severity::Error, "settings.refused", "the settings are invalid"},
+        {Event::OperatorCallAccepted, Severity::Info, "operator.accepted",
+         "an operator call was carried out"},
+        {Event::OperatorCallRefused, Severity::Warning, "operator.refused",
+         "an operator call was refused"},
+        {Event::PlatformUnreachable, Severity::Warning, "platform.unreachable",
+         "a platform service stopped answering"},
+        {Event::PlatformRecovered, Severity::Info, "platform.recovered",
+         "a platform service answers again"},
+        {Event::CommitOutcomeResolved, Severity::Info, "platform.commit-resolved",
+         "the outcome of a commit whose answer was lost is known"},
+        {Event::RequestRefused, Severity::Warning, "request.refused",
+         "a caller's request was refused without running"},
+        {Event::RequestOutcomeUnknown, Severity::Warning, "request.unknown",
+         "a request was sent and its outcome is not known"},
+        {Event::UpstreamEjected, Severity::Warning, "upstream.ejected",
+         "an upstream was taken out of routing after failures"},
+        {Event::UpstreamReinstated, Severity::Info, "upstream.reinstated",
+         "an ejected upstream is routed to again"},
+        {Event::UpstreamLeaving, Severity::Info, "upstream.leaving",
+         "an upstream gets no new work"},
+        {Event::RoutingPublished, Severity::Info, "routing.published",
+         "a new routing snapshot is in use"},
+        {Event::GrantTaken, Severity::Info, "grant.taken",
+         "a disruption of an instance was granted"},
+        {Event::GrantReturned, Severity::Info, "grant.returned",
+         "the instance is healthy and its grant was returned"},
+        {Event::GrantRefused, Severity::Info, "grant.refused",
+         "the budget permits no further disruption"},
+        {Event::InstanceMoved, Severity::Info, "instance.moved", "an instance moved between pools"},
+        {Event::InstanceStep, Severity::Info, "instance.step",
+         "an instance entered the next maintenance state"},
+        {Event::InstanceHeld, Severity::Warning, "instance.held",
+         "an instance failed verification and is held"},
+        {Event::WaveStarted, Severity::Info, "wave.started", "a maintenance wave started"},
+        {Event::WaveFinished, Severity::Info, "wave.finished", "a maintenance wave ended"},
+        {Event::WaveHalted, Severity::Error, "wave.halted",
+         "a maintenance wave stopped because of its failure rate"},
+        {Event::WaveWaiting, Severity::Info, "wave.waiting", "a maintenance wave waits"},
+        {Event::JobAccepted, Severity::Info, "job.accepted", "a job is recorded"},
+        {Event::JobStarted, Severity::Info, "job.started", "an attempt of a job started"},
+        {Event::JobFinished, Severity::Info, "job.finished", "a job ended"},
+        {Event::JobAttemptLost, Severity::Warning, "job.attempt-lost",
+         "an attempt ended without a result"},
+        {Event::JobFateUnknown, Severity::Error, "job.fate-unknown",
+         "a non-idempotent job's attempt has an unknown outcome"},
+        {Event::WorkerQuarantined, Severity::Warning, "worker.quarantined",
+         "a worker that fails its tasks gets no more"},
+        {Event::JobPreempted, Severity::Info, "job.preempted",
+         "a task was checkpointed to make room for urgent work"},
+        {Event::JobThrottled, Severity::Warning, "job.throttled",
+         "a task that exceeds its resources was throttled"},
+        {Event::MemberJoined, Severity::Info, "member.joined", "an entry instance joined"},
+        {Event::MemberSuspected, Severity::Warning, "member.suspected",
+         "an entry instance does not answer"},
+        {Event::MemberDead, Severity::Warning, "member.dead",
+         "an entry instance was declared dead"},
+        {Event::ConfigApplied, Severity::Info, "config.applied",
+         "a configuration version is in force"},
+        {Event::ConfigRefused, Severity::Warning, "config.refused",
+         "a configuration change was refused"},
+        {Event::PeerMessageRefused, Severity::Warning, "peer.refused",
+         "a message of another entry instance was refused"},
+        {Event::OwnershipTaken, Severity::Info, "ownership.taken",
+         "this daemon drives an object now"},
+        {Event::ConfigFromPeers, Severity::Warning, "config.from-peers",
+         "the configuration came from peers because the platform is unreachable"},
+});
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+std::string quoted(std::string_view value)
+{
+    std::string text = "\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            text += '\\';
+        text += (c == '\n' || c == '\r') ? ' ' : c;
+    }
+    return text + '"';
+}
+
+} // namespace
+
+std::span<const EventInfo> allEvents()
+{
+    return kEvents;
+}
+
+const EventInfo &eventInfo(Event event)
+{
+    const auto *found =
+            std::find_if(kEvents.begin(), kEvents.end(),
+                         [event](const EventInfo &info) { return info.event == event; });
+    return found != kEvents.end() ? *found : kEvents.front();
+}
+
+std::string formatEvent(Event event, std::initializer_list<LogField> fields)
+{
+    std::string line = "CW" + std::to_string(static_cast<int>(event)) + ' ';
+    line += eventInfo(event).name;
+    for (const LogField &field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        line += needsQuotes(field.value) ? quoted(field.value) : field.value;
+    }
+    return line;
+}
+
+void logEvent(Event event, std::initializer_list<LogField> fields)
+{
+    const std::string line = formatEvent(event, fields);
+    switch (eventInfo(event).severity) {
+    case Severity::Info:
+        LOG(INFO) << line;
+        break;
+    case Severity::Warning:
+        LOG(WARNING) << line;
+        break;
+    case Severity::Error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+} // namespace chicorywick::base
--- /dev/null
+++ b/packages/base/src/token_bucket.cpp
@@ -0,0 +1,40 @@
+#include <chicorywick/base/token_bucket.h>
+
+#include <algorithm>
+
+namespace chicorywick::base {
+
+bool TokenBucket::tryTake(TimePoint now, double tokens)
+{
+    const std::lock_guard lock(mutex_);
+    refill(now);
+    if (tokens_ < tokens)
+        return false;
+    tokens_ -= tokens;
+    return true;
+}
+
+void TokenBucket::deposit(double tokens)
+{
+    const std::lock_guard lock(mutex_);
+    tokens_ = std::min(limits_.burst, tokens_ + tokens);
+}
+
+double TokenBucket::available(TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    refill(now);
+    return tokens_;
+}
+
+// A clock that steps back adds nothing; the bucket then refills from the earlier time on.
+void TokenBucket::refill(TimePoint now)
+{
+    if (last_ != TimePoint{} && now > last_) {
+        const double seconds = std::chrono::duration<double>(now - last_).count();
+        tokens_ = std::min(limits_.burst, tokens_ + seconds * limits_.tokensPerSecond);
+    }
+    last_ = now;
+}
+
+} // namespace chicorywick::base
--- /dev/null
+++ b/packages/platform/include/chicorywick/platform/instance_list.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chicorywick/base/clock.h>
+#include <chicorywick/platform/table.h>
+
+namespace chicorywick::platform {
+
+enum class InstanceKind { Entry, Upstream, Worker };
+
+/// @brief Resources of a worker or a task.
+struct Capacity
+{
+    std::uint32_t cpuMillis = 0;
+    std::uint32_t memoryMib = 0;
+    std::uint32_t accelerators = 0;
+
+    bool operator==(const Capacity &) const = default;
+};
+
+/// @brief An instance as the platform's list shows it.
+struct ListedInstance
+{
+    std::string id;
+    InstanceKind kind = InstanceKind::Upstream;
+    std::string address;
+    std::string zone;
+    std::string rack;
+    std::string service;
+    bool leaving = false;
+    Capacity capacity;
+
+    bool operator==(const ListedInstance &) const = default;
+};
+
+/// @brief The list as observed by the platform at a time that lies some seconds back.
+struct InstanceListing
+{
+    std::vector<ListedInstance> instances;
+    base::TimePoint observedAt;
+
+    bool operator==(const InstanceListing &) const = default;
+};
+
+/// @brief The platform's lagging list of live and leaving instances.
+class InstanceList
+{
+public:
+    explicit InstanceList(twirp::Client client)
+        : backend_(std::move(client))
+    {}
+    explicit InstanceList(MemoryAccess memory)
+        : backend_(std::move(memory))
+    {}
+
+    base::Result<InstanceListing> list() const;
+
+private:
+    std::variant<twirp::Client, MemoryAccess> backend_;
+};
+
+} // namespace chicorywick::platform
--- /dev/null
+++ b/packages/platform/include/chicorywick/platform/platform_server.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <chicorywick/platform/memory_platform.h>
+#include <chicorywick/twirp/router.h>
+
+namespace chicorywick::platform {
+
+/// @brief Twirp handlers that serve an in-memory platform to one availability zone.
+twirp::Router makePlatformRouter(const std::shared_ptr<MemoryPlatform> &platform,
+                                 const std::string &zone);
+
+} // namespace chicorywick::platform
--- /dev/null
+++ b/packages/platform/src/instance_list.cpp
@@ -0,0 +1,26 @@
+#include "wire_conversion.h"
+
+#include <chicorywick/base/overloaded.h>
+#include <chicorywick/platform/instance_list.h>
+#include <chicorywick/platform/memory_platform.h>
+
+namespace chicorywick::platform {
+
+base::Result<InstanceListing> InstanceList::list() const
+{
+    using Outcome = base::Result<InstanceListing>;
+    return std::visit(base::Overloaded{[](const twirp::Client &client) -> Outcome {
+                                           BOOST_OUTCOME_TRY(
+                                                   response,
+                                                   client.call<v1::ListInstancesResponse>(
+                                                           "chicorywick.v1.InstanceListService",
+                                                           "List", v1::ListInstancesRequest()));
+                                           return fromWire(response);
+                                       },
+                                       [](const MemoryAccess &memory) -> Outcome {
+                                           return memory.platform->listInstances(memory.zone);
+                                       }},
+                      backend_);
+}
+
+} // namespace chicorywick::platform
--- /dev/null
+++ b/packages/platform/src/platform_test.cpp
@@ -0,0 +1,177 @@
+#include <chicorywick/platform/platform_server.h>
+#include <chicorywick/twirp/listener.h>
+
+#include <doctest/doctest.h>
+
+namespace chicorywick::platform {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+    std::shared_ptr<base::ManualTime> time = std::make_shared<base::ManualTime>();
+    std::shared_ptr<MemoryPlatform> platform = std::make_shared<MemoryPlatform>(
+            MemoryPlatformOptions{.clock = base::Clock(time), .seed = 7});
+    Table table{MemoryAccess{platform, "z1"}};
+
+    Fixture()
+    {
+        platform->addInstance({.id = "w1",
+                               .kind = InstanceKind::Worker,
+                               .zone = "z1",
+                               .rack = "r1",
+                               .capacity = {1000, 1000, 0}});
+    }
+};
+
+Transaction putIfAbsent(const std::string &key, const std::string &writer)
+{
+    return {.writer = writer, .conditions = {{key, 0}}, .puts = {{key, writer}}, .deletes = {}};
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a transaction is applied whole or not at all")
+{
+    REQUIRE(table.commit(putIfAbsent("a", "t1")).has_value());
+    Transaction both = putIfAbsent("a", "t2");
+    both.puts.push_back({"b", "x"});
+    CHECK(table.commit(both).error().code == base::Code::TableConflict);
+    CHECK_FALSE(table.get("b").value().has_value());
+    CHECK(table.get("a").value()->writer == "t1");
+}
+
+// Guards against reporting a failure for a write whose answer was lost after it took effect.
+TEST_CASE_FIXTURE(Fixture, "a lost answer is resolved by repeating the transaction")
+{
+    platform->setFaults({.table = {.loseAnswer = 0.4}});
+    int resolved = 0;
+    for (int i = 0; i < 50; ++i) {
+        time->advance(1s);
+        const std::string key = "key-" + std::to_string(i);
+        const auto result = commitResolved(table, putIfAbsent(key, "writer-" + key), 20);
+        resolved += result.has_value() ? 1 : 0;
+    }
+    platform->setFaults({});
+    CHECK(resolved == 50);
+    CHECK(table.scanAll("key-", 100).value().size() == 50);
+}
+
+// Guards against a delayed first try that takes effect beside the second one.
+TEST_CASE_FIXTURE(Fixture, "a late commit cannot overwrite a row that was put since")
+{
+    platform->setFaults({.table = {.lateCommit = 1}});
+    CHECK(table.commit(putIfAbsent("a", "late")).error().code
+          == base::Code::PlatformUnknownOutcome);
+    platform->setFaults({});
+    const auto second = table.commit(putIfAbsent("a", "second"));
+    const std::string winner = table.get("a").value()->writer;
+    for (int i = 0; i < 50; ++i) {
+        time->advance(100ms);
+        CHECK(table.get("a").value()->writer == winner);
+    }
+    CHECK((winner == "second") == second.has_value());
+}
+
+TEST_CASE_FIXTURE(Fixture, "an outage and a cut zone are certain failures")
+{
+    platform->setFaults({.table = {.down = true}});
+    CHECK(table.commit(putIfAbsent("a", "t")).error().code == base::Code::PlatformUnavailable);
+    platform->setFaults({.cutZones = {"z1"}});
+    CHECK(table.get("a").error().code == base::Code::PlatformUnavailable);
+    CHECK(Table(MemoryAccess{platform, "z2"}).get("a").has_value());
+}
+
+TEST_CASE_FIXTURE(Fixture, "the table refuses writes beyond its capacity")
+{
+    int applied = 0;
+    for (int i = 0; i < 1000; ++i)
+        applied += table.commit(putIfAbsent("k" + std::to_string(i), "w")).has_value() ? 1 : 0;
+    CHECK(applied == 100);
+    CHECK(platform->counters().tableOverloads == 900);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a task ends by itself when its lease expires")
+{
+    platform->setTaskBehaviour([](const TaskStart &) { return TaskBehaviour{.runTime = 10s}; });
+    const Workers workers(MemoryAccess{platform, "z1"});
+    REQUIRE(workers.start({.worker = "w1", .task = "t", .fence = 1, .lease = 2s}).has_value());
+    time->advance(1s);
+    REQUIRE(workers.renew({"w1", "t", 1}, 2s).has_value());
+    time->advance(1500ms);
+    CHECK(workers.tasks("w1").value().front().state == TaskState::Running);
+    time->advance(1s);
+    CHECK(workers.tasks("w1").value().front().state == TaskState::LeaseExpired);
+    CHECK(workers.renew({"w1", "t", 1}, 2s).error().code == base::Code::InvalidTransition);
+}
+
+// Guards against a paused daemon that starts an attempt after a newer one.
+TEST_CASE_FIXTURE(Fixture, "a worker refuses a lower fencing token and repeats a start only once")
+{
+    const Workers workers(MemoryAccess{platform, "z1"});
+    const TaskStart start{.worker = "w1", .task = "t", .fence = 2, .lease = 2s};
+    REQUIRE(workers.start(start).has_value());
+    REQUIRE(workers.start(start).has_value());
+    TaskStart old = start;
+    old.fence = 1;
+    CHECK(workers.start(old).error().code == base::Code::StaleFence);
+    CHECK(platform->taskRuns().size() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an instance drains, reboots once per token and returns")
+{
+    const InstanceControl control(MemoryAccess{platform, "z1"});
+    const InstanceList list(MemoryAccess{platform, "z1"});
+    REQUIRE(control.drain("w1", 3).has_value());
+    CHECK(control.drain("w1", 2).error().code == base::Code::StaleFence);
+    time->advance(3s);
+    CHECK(control.status("w1").value().phase == InstancePhase::Drained);
+    CHECK(list.list().value().instances.front().leaving);
+    REQUIRE(control.reboot("w1", 3).has_value());
+    time->advance(2s);
+    REQUIRE(control.reboot("w1", 3).has_value());
+    CHECK(control.status("w1").value().phase == InstancePhase::Up);
+    CHECK(control.status("w1").value().boots == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the instance list lags")
+{
+    const InstanceList list(MemoryAccess{platform, "z1"});
+    CHECK(list.list().value().instances.size() == 1);
+    platform->failInstance("w1");
+    CHECK(list.list().value().instances.size() == 1);
+    time->advance(3s);
+    CHECK(list.list().value().instances.empty());
+}
+
+// Guards against the two forms of the platform drifting apart.
+TEST_CASE_FIXTURE(Fixture, "the platform behaves the same over Twirp")
+{
+    auto listener = twirp::Listener::open({}, makePlatformRouter(platform, "z1"));
+    REQUIRE(listener.has_value());
+    twirp::ClientOptions options;
+    options.port = listener.value()->port();
+    const twirp::Client client(options);
+
+    const Table remote(client);
+    REQUIRE(remote.commit(putIfAbsent("a", "t1")).has_value());
+    CHECK(remote.commit(putIfAbsent("a", "t2")).error().code == base::Code::TableConflict);
+    CHECK(remote.get("a").value() == table.get("a").value());
+    CHECK(remote.scan("", "", 10).value() == table.scan("", "", 10).value());
+    CHECK(InstanceList(client).list().value()
+          == InstanceList(MemoryAccess{platform, "z1"}).list().value());
+    const ObjectStore objects(client);
+    REQUIRE(objects.put("o/1", std::string("\0x", 2)).has_value());
+    CHECK(objects.get("o/1").value().size() == 2);
+    CHECK(objects.get("o/2").error().code == base::Code::ObjectNotFound);
+    const Workers workers(client);
+    REQUIRE(workers.start({.worker = "w1", .task = "t", .fence = 1, .lease = 2s}).has_value());
+    CHECK(workers.tasks("w1").value() == Workers(MemoryAccess{platform, "z1"}).tasks("w1").value());
+    const InstanceControl control(client);
+    CHECK(control.status("w1").value().inFlight == 1);
+    CHECK(control.status("w9").error().code == base::Code::NotFound);
+}
+
+} // namespace chicorywick::platform
