Compile against cpp-httplib with the macros it was built with

Cause: Debian builds libcpp-httplib with OpenSSL, zlib and Brotli support. Without the same macros the classes Request, ClientImpl and Client have another size and layout in our objects than in the library. A program that creates an httplib::Request and passes it to ClientImpl aborts with 'free(): invalid pointer'. Change: take the compile options from the library's pkg-config file. Ruled out: header-only use; the Debian package ships the split header.

--- a/cmake/ChicorywickDependencies.cmake
+++ b/cmake/ChicorywickDependencies.cmake
@@ -9,6 +9,10 @@
 pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 find_library(HTTPLIB_LIBRARY NAMES cpp-httplib REQUIRED)
+pkg_check_modules(HTTPLIB REQUIRED cpp-httplib)
 
+# The layout of the library's classes depends on the macros with which Debian built it (Cflags in
+# its .pc file); without them, Request, ClientImpl and Client differ from those in the library.
 add_library(chicorywick_httplib INTERFACE)
 target_link_libraries(chicorywick_httplib INTERFACE ${HTTPLIB_LIBRARY} Threads::Threads)
+target_compile_options(chicorywick_httplib INTERFACE ${HTTPLIB_CFLAGS})
