Add the listener for callers and the idempotency store

Cause: callers' requests had no path to the upstreams. Change: CallerProxy accepts connections on its own epoll loop, so that a connection between requests holds no thread, and uses cpp-httplib to read requests and write responses. Upstream connections use cpp-httplib's client functions on a stream that counts bytes, so that each attempt knows what was sent and received. IdempotencyStore claims keys by conditional writes that share transactions. Ruled out: cpp-httplib's own accept loop and client sockets. The server stops streamed responses when it closes, holds a thread per idle connection, and its backlog is 5; the client cannot tell whether a byte was sent. Header values are percent-decoded by the library, which lets an encoded line break become a real one, so '%' is escaped on the way in.

--- /dev/null
+++ b/packages/serving/src/caller_proxy_test.cpp
@@ -0,0 +1,179 @@
+#include <chicorywick/platform/memory_platform.h>
+#include <chicorywick/serving/caller_proxy.h>
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace chicorywick;
+using namespace chicorywick::serving;
+
+namespace {
+
+/// @brief An upstream on loopback that answers by path and counts what it ran.
+struct Upstream
+{
+    Upstream()
+    {
+        const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
+            ++ran;
+            lastRequest = request;
+            response.set_header("X-Echo", request.get_header_value("X-Echo"));
+            response.set_header("X-Encoded", "a%0d%0aX-Injected: 1");
+            response.set_content(request.method + request.target + request.body, "text/plain");
+        };
+        server.Get("/shop/large", [](const httplib::Request &, httplib::Response &response) {
+            response.set_content(std::string(3'000'000, 'x'), "text/plain");
+        });
+        server.Get("/shop/.*", handler);
+        server.Post("/shop/.*", handler);
+        server.Delete("/shop/.*", handler);
+        port = server.bind_to_any_port("127.0.0.1");
+        thread = std::thread([this] { server.listen_after_bind(); });
+        while (!server.is_running())
+            std::this_thread::yield();
+    }
+    ~Upstream()
+    {
+        server.stop();
+        thread.join();
+    }
+
+    httplib::Server server;
+    std::thread thread;
+    int port = 0;
+    std::atomic<int> ran = 0;
+    httplib::Request lastRequest;
+};
+
+struct Fixture
+{
+    explicit Fixture(CallerProxyOptions options = {})
+    {
+        RoutingTable table;
+        table.localZone = "a";
+        table.services["shop"].upstreams.push_back(
+                {.target = {.id = "u1", .host = "127.0.0.1", .port = upstream.port, .zone = "a"}});
+        dispatcher->update(table);
+        proxy = std::move(CallerProxy::open(options, dispatcher, store).value());
+        client = std::make_unique<httplib::Client>("127.0.0.1", proxy->port());
+        client->set_keep_alive(true);
+        client->set_url_encode(false);
+    }
+
+    Upstream upstream;
+    std::shared_ptr<platform::MemoryPlatform> memory = std::make_shared<platform::MemoryPlatform>();
+    std::shared_ptr<Dispatcher> dispatcher = std::make_shared<Dispatcher>(base::Clock(), 1);
+    std::shared_ptr<IdempotencyStore> store = std::make_shared<IdempotencyStore>(
+            platform::Table(platform::MemoryAccess{memory, "a"}),
+            platform::ObjectStore(platform::MemoryAccess{memory, "a"}), base::Clock());
+    std::unique_ptr<CallerProxy> proxy;
+    std::unique_ptr<httplib::Client> client;
+};
+
+std::string outcome(const httplib::Result &result)
+{
+    return result ? result->get_header_value("X-Request-Outcome")
+                  : "no response: " + httplib::to_string(result.error());
+}
+
+} // namespace
+
+TEST_CASE("a request is forwarded whole and its response passed on whole")
+{
+    Fixture fixture;
+    const auto result = fixture.client->Post("/shop/a%20b?x=%41", {{"X-Echo", "50%"}}, "body",
+                                             "application/x-www-form-urlencoded");
+    CHECK(outcome(result) == "completed");
+    CHECK(result->body == "POST/shop/a%20b?x=%41body");
+    CHECK(result->get_header_value("X-Echo") == "50%");
+    CHECK(fixture.upstream.lastRequest.has_header("X-Request-Deadline-Ms"));
+    CHECK(fixture.upstream.ran == 1);
+}
+
+TEST_CASE("an encoded line break in a header does not become a real one")
+{
+    Fixture fixture;
+    const auto result = fixture.client->Get("/shop/x");
+    REQUIRE(result);
+    CHECK_FALSE(result->has_header("X-Injected"));
+}
+
+TEST_CASE("a large response of known length is streamed whole")
+{
+    Fixture fixture;
+    const auto result = fixture.client->Get("/shop/large");
+    CHECK(outcome(result) == "completed");
+    CHECK((result->body == std::string(3'000'000, 'x')));
+    CHECK(fixture.dispatcher->inFlight() == 0);
+}
+
+TEST_CASE("HEAD has the headers of GET and no body")
+{
+    Fixture fixture;
+    const auto result = fixture.client->Head("/shop/large");
+    CHECK(outcome(result) == "completed");
+    CHECK(result->get_header_value("Content-Length") == "3000000");
+}
+
+TEST_CASE("malformed input gets a numbered error and is not run")
+{
+    Fixture fixture;
+    const auto deadline = fixture.client->Get("/shop/x", {{"X-Request-Deadline-Ms", "soon"}});
+    CHECK(outcome(deadline) == "not-run");
+    CHECK(deadline->get_header_value("X-Result-Code") == "2002");
+    const auto keyless = fixture.client->Post("/shop/x", {{"Idempotency-Key", "k"}}, "b", "t/x");
+    CHECK(outcome(keyless) == "not-run");
+    const auto large = fixture.client->Post("/shop/x", std::string(2'000'000, 'b'), "t/x");
+    CHECK((!large || large->get_header_value("X-Result-Code") == "2003"));
+    const auto unknown = fixture.client->Get("/nothing/x");
+    CHECK(outcome(unknown) == "not-run");
+    CHECK(unknown->get_header_value("X-Result-Code") == "4012");
+    CHECK(fixture.upstream.ran == 0);
+}
+
+TEST_CASE("a repeat with the same key gets the stored response")
+{
+    Fixture fixture;
+    const httplib::Headers headers{{"X-Caller", "c"}, {"Idempotency-Key", "k1"}, {"X-Echo", "e"}};
+    const auto first = fixture.client->Post("/shop/pay", headers, "1", "t/x");
+    const auto second = fixture.client->Post("/shop/pay", headers, "1", "t/x");
+    CHECK(outcome(first) == "completed");
+    CHECK(outcome(second) == "completed");
+    CHECK(second->body == first->body);
+    CHECK(second->get_header_value("X-Echo") == "e");
+    CHECK(fixture.upstream.ran == 1);
+    const auto other = fixture.client->Post("/shop/pay", headers, "2", "t/x");
+    CHECK(other->status == 422);
+    CHECK(outcome(other) == "not-run");
+}
+
+TEST_CASE("a request with a key is not sent while the table is down")
+{
+    Fixture fixture;
+    platform::FaultPlan faults;
+    faults.table.down = true;
+    fixture.memory->setFaults(faults);
+    const httplib::Headers headers{{"X-Caller", "c"}, {"Idempotency-Key", "k1"}};
+    const auto refused = fixture.client->Post("/shop/pay", headers, "1", "t/x");
+    CHECK(outcome(refused) == "not-run");
+    CHECK(refused->get_header_value("X-Result-Code") == "4010");
+    CHECK(fixture.upstream.ran == 0);
+    fixture.memory->setFaults({});
+    CHECK(outcome(fixture.client->Post("/shop/pay", headers, "1", "t/x")) == "completed");
+}
+
+TEST_CASE("a draining proxy rejects requests on kept-alive connections as not-run")
+{
+    Fixture fixture;
+    CHECK(outcome(fixture.client->Get("/shop/x")) == "completed");
+    fixture.proxy->beginDrain();
+    const auto result = fixture.client->Get("/shop/x");
+    CHECK(outcome(result) == "not-run");
+    CHECK(result->get_header_value("Connection") == "close");
+    CHECK(result->get_header_value("X-Result-Code") == "4011");
+    fixture.proxy->stop();
+    CHECK(fixture.upstream.ran == 1);
+}
--- /dev/null
+++ b/packages/serving/src/caller_server.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "connection_server.h"
+#include "request_session.h"
+
+#include <httplib.h>
+
+namespace chicorywick::serving {
+
+/// @brief Reads requests and writes responses with cpp-httplib on connections that are managed
+/// here.
+class CallerServer : public httplib::Server
+{
+public:
+    explicit CallerServer(std::shared_ptr<ProxyContext> context);
+
+    /// @brief Serves one request; false if the connection must be closed.
+    bool serveOne(CallerConnection &connection);
+
+private:
+    void prepare(httplib::Request &request) const;
+    HandlerResponse handleHead(const httplib::Request &request, httplib::Response &response);
+    void handleBody(const httplib::Request &request, httplib::Response &response,
+                    const httplib::ContentReader &reader);
+    void handleError(const httplib::Request &request, httplib::Response &response);
+
+    std::shared_ptr<ProxyContext> context_;
+};
+
+} // namespace chicorywick::serving
--- /dev/null
+++ b/packages/serving/src/request_forwarding.cpp
@@ -0,0 +1,205 @@
+#include "header_rules.h"
+#include "request_session.h"
+
+#include <chicorywick/base/overloaded.h>
+
+#include <algorithm>
+
+namespace chicorywick::serving {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+base::Duration since(SteadyTime start)
+{
+    return std::chrono::duration_cast<base::Duration>(steady_clock::now() - start);
+}
+
+bool isRefusal(const ResponseHead &head)
+{
+    const auto outcome = head.headers.find(kOutcomeHeader);
+    return head.status == 503 && outcome != head.headers.end() && outcome->second == "not-run";
+}
+
+} // namespace
+
+AdmissionRequest RequestSession::admission() const
+{
+    return AdmissionRequest{.service = request_.service,
+                            .caller = request_.caller,
+                            .requestClass = request_.requestClass,
+                            .deadline = admissionDeadline_,
+                            .excludedUpstreams = triedUpstreams_,
+                            .isRetry = !triedUpstreams_.empty()};
+}
+
+// A request with a key goes on without its caller, so that a repeat finds the response.
+ExchangeLimits RequestSession::limits()
+{
+    return ExchangeLimits{.deadline = deadline_,
+                          .callerSocket = isKeyed() ? -1 : callerSocket_,
+                          .mayHold = [this](std::size_t bytes) { return held_.take(bytes); }};
+}
+
+OutgoingRequest RequestSession::outgoingRequest() const
+{
+    OutgoingRequest outgoing;
+    outgoing.method = request_.method;
+    outgoing.target = request_.target;
+    outgoing.headers = request_.headers;
+    outgoing.body = body_;
+    const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - steady_clock::now());
+    outgoing.headers.erase("X-Request-Deadline-Ms");
+    outgoing.headers.emplace("X-Request-Deadline-Ms",
+                             std::to_string(std::max<std::int64_t>(1, left.count())));
+    outgoing.headers.emplace("Via", "1.1 chicorywick");
+    if (!body_.empty() && outgoing.headers.count("Content-Type") == 0)
+        outgoing.headers.emplace("Content-Type", "application/octet-stream");
+    return outgoing;
+}
+
+CallerReply RequestSession::rejection(const base::Error &error)
+{
+    const RequestOutcome outcome = mayHaveRun_ ? RequestOutcome::Unknown : RequestOutcome::NotRun;
+    CallerReply reply = errorReply(error, outcome);
+    return reply.status == 503 || reply.status == 429 ? withRetryAfter(
+                   std::move(reply), context_->dispatcher->retryAfter(request_.service))
+                                                      : reply;
+}
+
+CallerReply RequestSession::failureReply(Fate fate)
+{
+    switch (fate) {
+    case Fate::Refused:
+        return rejection(base::makeError(base::Code::UpstreamRefused));
+    case Fate::NoResponse:
+        return rejection(base::makeError(base::Code::UpstreamOutcomeUnknown));
+    case Fate::Truncated:
+        return rejection(base::makeError(base::Code::UpstreamTruncated));
+    case Fate::TooLarge:
+        return rejection(base::makeError(base::Code::ResponseTooLarge));
+    case Fate::NotSent:
+    case Fate::Completed:
+        break;
+    }
+    return rejection(base::makeError(isPastDeadline() ? base::Code::DeadlineExceeded
+                                                      : base::Code::UpstreamUnreachable));
+}
+
+// Only a request that did not run, or one that may run twice, is sent again.
+bool RequestSession::mayRetry(Fate fate, int attempts)
+{
+    const bool didNotRun = fate == Fate::NotSent || fate == Fate::Refused;
+    const bool isRepeatable = request_.isIdempotent && !isKeyed()
+                              && (fate == Fate::NoResponse || fate == Fate::Truncated);
+    if (!didNotRun && !isRepeatable)
+        return false;
+    if (attempts >= context_->options.maxAttempts || isPastDeadline() || isCallerGone())
+        return false;
+    if (!context_->dispatcher->tryRetry(request_.service))
+        return false;
+    ++context_->counters.retries;
+    return true;
+}
+
+CallerReply RequestSession::forward()
+{
+    std::optional<CallerReply> failure;
+    for (int attempts = 1;; ++attempts) {
+        auto permit = context_->dispatcher->acquire(admission());
+        if (!permit)
+            return failure ? std::move(*failure) : rejection(permit.error());
+        if (isKeyed() && !claim_) {
+            if (auto refusal = takeClaim())
+                return std::move(*refusal);
+        }
+        triedUpstreams_.push_back(permit.value().upstream().id);
+        CallerReply reply;
+        const Verdict verdict = attempt(std::move(permit.value()), reply);
+        if (verdict.fate == Fate::Completed)
+            return reply;
+        mayHaveRun_ =
+                mayHaveRun_ || (verdict.fate != Fate::NotSent && verdict.fate != Fate::Refused);
+        failure = failureReply(verdict.fate);
+        if (verdict.outcome == AttemptOutcome::Cancelled)
+            ++context_->counters.callersGone;
+        if (!mayRetry(verdict.fate, attempts))
+            return std::move(*failure);
+    }
+}
+
+Verdict RequestSession::attempt(Permit permit, CallerReply &reply)
+{
+    attemptStart_ = steady_clock::now();
+    ExchangeFacts facts;
+    if (isPastDeadline() || (!isKeyed() && isCallerGone())) {
+        permit.finish(AttemptOutcome::Cancelled, {});
+        return {Fate::NotSent, AttemptOutcome::Cancelled};
+    }
+    auto connection = context_->pool.take(permit.upstream(), request_.isIdempotent && !isKeyed());
+    if (!connection) {
+        ExchangeLimits connecting = limits();
+        connecting.deadline = std::min(deadline_, attemptStart_ + context_->options.connectTimeout);
+        FileDescriptor socket = connectTo(permit.upstream(), connecting, facts);
+        if (socket.isOpen())
+            connection = std::make_unique<UpstreamConnection>(std::move(socket));
+    }
+    const Verdict verdict = connection ? readResponse(permit, std::move(connection), reply, facts)
+                                       : classify(facts);
+    permit.finish(verdict.outcome, since(attemptStart_));
+    return verdict;
+}
+
+Verdict RequestSession::readResponse(Permit &permit, std::unique_ptr<UpstreamConnection> connection,
+                                     CallerReply &reply, ExchangeFacts &facts)
+{
+    const CallerProxyOptions &options = context_->options;
+    ResponseHead head = connection->exchange(outgoingRequest(), limits(), facts);
+    std::string body = std::move(head.chunkedBody);
+    if (facts.headComplete && head.contentLength.value_or(0) > 0) {
+        const std::size_t limit =
+                isKeyed() ? options.maxHeldResponseBytes : options.maxBufferedResponseBytes;
+        if (*head.contentLength > limit || !held_.take(*head.contentLength)) {
+            reply = completedReply(head, {});
+            reply.streamedLength = head.contentLength;
+            beginStreaming(permit, std::move(connection), facts);
+            return {Fate::Completed, AttemptOutcome::Succeeded};
+        }
+        body.resize(*head.contentLength);
+        std::size_t done = 0;
+        while (done < body.size()) {
+            const std::size_t count =
+                    connection->readBody(body.data() + done, body.size() - done, facts);
+            if (count == 0)
+                break;
+            done += count;
+        }
+    }
+    facts.refusedByUpstream = facts.headComplete && isRefusal(head);
+    const Verdict verdict = classify(facts);
+    if (verdict.fate == Fate::Completed)
+        reply = completedReply(head, std::move(body));
+    if (verdict.fate == Fate::Completed || verdict.fate == Fate::Refused)
+        context_->pool.giveBack(permit.upstream(), std::move(connection));
+    return verdict;
+}
+
+CallerReply RequestSession::completedReply(const ResponseHead &head, std::string body) const
+{
+    CallerReply reply;
+    reply.status = head.status;
+    reply.outcome = RequestOutcome::Completed;
+    reply.headers = endToEndHeaders(head.headers);
+    reply.headers.emplace("Via", "1.1 chicorywick");
+    reply.body = std::move(body);
+    reply.isBodyless = head.isBodyless;
+    // The length of what a GET would have returned is part of the response to HEAD and of 304.
+    const auto length = head.headers.find("Content-Length");
+    if (head.isBodyless && head.status != 204 && length != head.headers.end())
+        reply.headers.emplace("Content-Length", length->second);
+    return reply;
+}
+
+} // namespace chicorywick::serving
--- /dev/null
+++ b/packages/serving/src/request_session.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "caller_reply.h"
+#include "caller_request.h"
+#include "proxy_context.h"
+
+#include <optional>
+
+namespace chicorywick::serving {
+
+/// @brief One request of a caller, from its head to the last byte of the response.
+///
+/// The session keeps itself alive by shared ownership: the content provider of a streamed response
+/// holds it until the response has been written.
+class RequestSession : public std::enable_shared_from_this<RequestSession>
+{
+public:
+    RequestSession(std::shared_ptr<ProxyContext> context, int callerSocket);
+    ~RequestSession();
+
+    /// @brief Checks the head; a request that is refused has its reply after this call.
+    void readHead(const httplib::Request &request);
+    bool hasReply() const { return reply_.has_value(); }
+    bool hasBody() const { return request_.hasBody; }
+    const CallerRequest &request() const { return request_; }
+
+    /// @brief Adds a part of the body; false if the body is too large.
+    bool appendBody(const char *data, std::size_t size);
+    /// @brief Rejects the request, of which nothing has been sent, and closes the connection.
+    void reject(const base::Error &error);
+    /// @brief Forwards the request and decides the reply.
+    void run();
+
+    /// @brief Hands the reply over to the library.
+    void writeTo(httplib::Response &response);
+    /// @brief Corrects the headers that the library adds.
+    void finishHeaders(httplib::Response &response) const;
+    bool mustClose() const { return mustClose_; }
+    /// @brief When the response must have been written.
+    SteadyTime writeDeadline() const;
+
+private:
+    CallerReply serve();
+    CallerReply serveKeyed();
+    CallerReply forward();
+    std::optional<CallerReply> takeClaim();
+    Verdict attempt(Permit permit, CallerReply &reply);
+    Verdict readResponse(Permit &permit, std::unique_ptr<UpstreamConnection> connection,
+                         CallerReply &reply, ExchangeFacts &facts);
+    void beginStreaming(Permit &permit, std::unique_ptr<UpstreamConnection> connection,
+                        const ExchangeFacts &facts);
+    bool streamPart(httplib::DataSink &sink);
+    void endStreaming();
+    bool mayRetry(Fate fate, int attempts);
+    CallerReply failureReply(Fate fate);
+    CallerReply rejection(const base::Error &error);
+    CallerReply completedReply(const ResponseHead &head, std::string body) const;
+    OutgoingRequest outgoingRequest() const;
+    AdmissionRequest admission() const;
+    ExchangeLimits limits();
+    bool isKeyed() const { return !request_.idempotencyKey.empty(); }
+    bool isPastDeadline() const { return std::chrono::steady_clock::now() >= deadline_; }
+    bool isCallerGone() const;
+    void settleClaim(const CallerReply &reply);
+    void count(const CallerReply &reply);
+
+    std::shared_ptr<ProxyContext> context_;
+    int callerSocket_;
+    CallerRequest request_;
+    std::string body_;
+    std::optional<CallerReply> reply_;
+    bool mustClose_ = false;
+    SteadyTime deadline_{};
+    base::TimePoint admissionDeadline_{};
+
+    std::vector<std::string> triedUpstreams_;
+    /// An attempt was sent and its fate is not known.
+    bool mayHaveRun_ = false;
+    ClaimFree claimFree_;
+    std::optional<Claim> claim_;
+
+    HeldBytes held_;
+    std::optional<Permit> streamPermit_;
+    std::unique_ptr<UpstreamConnection> streamConnection_;
+    ExchangeFacts streamFacts_;
+    SteadyTime attemptStart_{};
+};
+
+} // namespace chicorywick::serving
