Add the fleet package: aggregates, repository, wave driver and services

Cause: pools, instances and maintenance waves exist only as proto files.

Change: Instance, Pool, AvailabilityBudget and MaintenanceWave are value types that return the changed value or the rule that forbids the change. FleetRepository reads rows and FleetChange builds conditional transactions. WaveDriver::step() takes each wave forward; every state is written before the command that belongs to it, so another driver can repeat the command. Fences are even; the odd value above a fence is the token of a driver that undrains without the table. The unhealthy members are recorded in the pool row, so that a grant decided on an older observation conflicts.

A wave's list is kept in immutable wave-plan rows of 400 entries, with one progress bit per entry in the wave row, so that the wave row stays small at any size: below 1 KB for a new wave over 1200 instances (test).

Ruled out: keeping all ids in the wave row, which would rewrite tens of KB at every step; keeping progress in the instance rows only, which needs a scan of the whole fleet at every step.

An instance that does not drain by its deadline is returned to service and reported as skipped, because a reboot would cut off work in flight.

--- /dev/null
+++ b/packages/fleet/include/chicorywick/fleet/availability_budget.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "chicorywick/v1/fleet.pb.h"
+
+#include <chicorywick/base/result.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chicorywick::fleet {
+
+/// @brief Longest instance, pool or wave name and longest failure domain name. With these, a pool
+/// row with all grants and unhealthy members stays below the table's 64 KB.
+constexpr std::size_t kMaxNameLength = 48;
+constexpr std::size_t kMaxDomainLength = 32;
+
+/// @brief Largest limit of any budget; bounds the grants in a pool row.
+constexpr std::uint32_t kMaxUnavailable = 128;
+
+/// @brief Refuses a name that is empty, too long or has characters other than letters, digits,
+/// '.', '_' and '-'.
+base::Result<void> checkName(const std::string &what, const std::string &name,
+                             std::size_t maxLength = kMaxNameLength);
+
+/// @brief An instance and its failure domains.
+struct PlacedInstance
+{
+    std::string id;
+    std::string rack;
+    std::string zone;
+
+    auto operator<=>(const PlacedInstance &) const = default;
+};
+
+/// @brief Largest number of unavailable instances.
+struct MaxCount
+{
+    std::uint32_t instances = 0;
+
+    bool operator==(const MaxCount &) const = default;
+};
+
+/// @brief Largest share of unavailable instances, rounded down to whole instances.
+struct MaxPercent
+{
+    std::uint32_t percent = 0;
+
+    bool operator==(const MaxPercent &) const = default;
+};
+
+/// @brief How many instances of a pool may be unavailable at once, and in how many failure domains.
+class AvailabilityBudget
+{
+public:
+    /// @brief A budget that permits no disruption.
+    AvailabilityBudget() = default;
+
+    static base::Result<AvailabilityBudget> fromProto(const v1::Budget &budget);
+    v1::Budget toProto() const;
+
+    /// @brief Unavailable instances permitted in a pool of a size.
+    std::uint32_t limit(std::uint32_t memberCount) const;
+
+    /// @brief Why this set of unavailable instances exceeds the budget; empty if it does not.
+    std::string excess(const std::vector<PlacedInstance> &unavailable,
+                       std::uint32_t memberCount) const;
+
+    bool operator==(const AvailabilityBudget &) const = default;
+
+private:
+    std::variant<MaxCount, MaxPercent> limit_;
+    std::uint32_t maxRacks_ = 0;
+    std::uint32_t maxZones_ = 0;
+};
+
+} // namespace chicorywick::fleet
--- /dev/null
+++ b/packages/fleet/src/wave_driver_test.cpp
@@ -0,0 +1,147 @@
+#include "fleet_fixture.h"
+
+#include <doctest/doctest.h>
+
+namespace chicorywick::fleet {
+
+using namespace std::chrono_literals;
+
+// Guards against a wave that leaves instances out, reboots one twice or keeps a grant.
+TEST_CASE_FIXTURE(FleetFixture, "a wave reboots every member once and gives all grants back")
+{
+    createPool("p", 2);
+    addInstances("p", 9);
+    createWave("w", "p");
+    REQUIRE(runUntilEnd("w", 300s));
+
+    const WaveData wave = repository.wave("w").value().value.data();
+    CHECK(wave.state == WaveState::Completed);
+    CHECK(wave.done == 9);
+    CHECK(repository.pool("p").value().value.data().grants.empty());
+    const std::vector<Stored<Instance>> instances = repository.instances().value();
+    for (const Stored<Instance> &instance : instances) {
+        CHECK(instance.value.isInService());
+        CHECK(control.status(instance.value.data().place.id).value().boots == 1);
+    }
+}
+
+// Guards against an instance that fails verification and blocks or hides.
+TEST_CASE_FIXTURE(FleetFixture, "an instance that does not boot is held, reported and released")
+{
+    createPool("p", 2);
+    addInstances("p", 4);
+    platform->setRebootFails("i2", true);
+    createWave("w", "p");
+    REQUIRE(runUntilEnd("w", 1h));
+    const WaveData wave = repository.wave("w").value().value.data();
+    CHECK(wave.done == 3);
+    CHECK(wave.held == std::vector<std::string>{"i2"});
+    CHECK(repository.pool("p").value().value.findGrant("i2") != nullptr);
+
+    v1::ReleaseInstanceRequest release;
+    release.set_request_id("release-1");
+    release.set_id("i2");
+    CHECK(call("FleetService", "ReleaseInstance", release).status == 412);
+    platform->setRebootFails("i2", false);
+    platform->restoreInstance("i2");
+    time->advance(10s);
+    release.set_request_id("release-2");
+    CHECK(call("FleetService", "ReleaseInstance", release).status == 200);
+    CHECK(repository.pool("p").value().value.findGrant("i2") == nullptr);
+}
+
+// Guards against a wave that continues through a run of failures.
+TEST_CASE_FIXTURE(FleetFixture, "a wave halts at its failure limit and continues when resumed")
+{
+    createPool("p", 2);
+    addInstances("p", 8);
+    platform->setRebootFails("i0", true);
+    platform->setRebootFails("i1", true);
+    createWave("w", "p", 2);
+    runUntil(1h, [&] { return wave("w").state == WaveState::Halted; });
+    CHECK(wave("w").state == WaveState::Halted);
+    CHECK(wave("w").reason == "halted after 2 failures");
+    CHECK(wave("w").done == 0);
+    CHECK(callWave("ResumeWave", "w").status == 200);
+    runFor(60s);
+    CHECK(wave("w").reason.find("2 granted, 0 failed") != std::string::npos);
+    platform->restoreInstance("i0");
+    time->advance(10s);
+    v1::ReleaseInstanceRequest release;
+    release.set_id("i0");
+    CHECK(callNew("FleetService", "ReleaseInstance", release).status == 200);
+    REQUIRE(runUntilEnd("w", 1h));
+    CHECK(wave("w").done == 6);
+}
+
+// Guards against an abort that leaves instances drained or reboots further ones.
+TEST_CASE_FIXTURE(FleetFixture, "an aborted wave returns drained instances to service")
+{
+    createPool("p", 3);
+    addInstances("p", 6);
+    createWave("w", "p");
+    driver.step(clock.now());
+    driver.step(clock.now());
+    CHECK(wave("w").active.size() == 3);
+    CHECK(callWave("AbortWave", "w").status == 200);
+    REQUIRE(runUntilEnd("w", 300s));
+    CHECK(wave("w").state == WaveState::Aborted);
+    CHECK(wave("w").skipped.size() == 3);
+    CHECK(platform->instancesInService().size() == 6);
+}
+
+// Guards against disruptions while the table cannot record them.
+TEST_CASE_FIXTURE(FleetFixture, "without the table, drained instances go back to service")
+{
+    createPool("p", 3);
+    addInstances("p", 6);
+    createWave("w", "p");
+    driver.step(clock.now());
+    driver.step(clock.now());
+    CHECK(platform->instancesInService().size() == 3);
+    platform->setFaults({.table = {.down = true}});
+    runFor(60s);
+    CHECK(platform->instancesInService().size() == 6);
+    platform->setFaults({});
+    REQUIRE(runUntilEnd("w", 600s));
+    CHECK(wave("w").done == 6);
+    for (int i = 0; i < 6; ++i)
+        CHECK(control.status("i" + std::to_string(i)).value().boots == 1);
+}
+
+// Guards against polling that writes: a waiting wave must not load the table.
+TEST_CASE_FIXTURE(FleetFixture, "a wave that waits for its budget writes nothing")
+{
+    createPool("p", 1);
+    addInstances("p", 5);
+    platform->failInstance("i3");
+    platform->failInstance("i4");
+    time->advance(10s);
+    createWave("w", "p");
+    runFor(30s);
+    CHECK(wave("w").reason.find("2 instances unavailable, the limit is 1") != std::string::npos);
+    const std::uint64_t before = platform->counters().tableWrites;
+    runFor(300s);
+    CHECK(platform->counters().tableWrites == before);
+    platform->restoreInstance("i3");
+    platform->restoreInstance("i4");
+    CHECK(runUntilEnd("w", 600s));
+}
+
+// Guards against a whole-fleet wave that does not fit the table's rows and transactions.
+TEST_CASE_FIXTURE(FleetFixture, "a wave over 1200 instances fits and gives an expected end")
+{
+    createPool("big", 100);
+    addInstances("big", 1200);
+    createWave("w", "big");
+    CHECK(table.get("wave/w").value()->value.size() < 1024);
+    runUntil(600s, [&] { return wave("w").done >= 100; });
+    v1::GetWaveRequest get;
+    get.set_id("w");
+    v1::Wave answer;
+    REQUIRE(answer.ParseFromString(call("WaveService", "GetWave", get).body));
+    CHECK(answer.expected_end_ms() > base::toMillis(clock.now()));
+    CHECK(table.get("wave/w").value()->value.size() < 8 * 1024);
+}
+
+} // namespace chicorywick::fleet
