Add the jobs package: aggregate, repository, driver and services

Cause: accepted jobs need placement, leases and exactly one recorded end, and the daemon needs the interface of the package.

Change: immutable aggregate Job, JobRepository with grouped conditional writes, pure decisions for attempts, placement, scheduling, worker health and learned sizes, JobDriver::step() and the handlers of JobService.

Ruled out: a row write for each lease renewal. The row promises a longer horizon, and the driver renews the worker's lease within it without a write.

--- /dev/null
+++ b/packages/jobs/include/chicorywick/jobs/job_repository.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <chicorywick/base/token_bucket.h>
+#include <chicorywick/jobs/job.h>
+#include <chicorywick/platform/object_store.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace chicorywick::jobs {
+
+/// @brief Called with the name of a platform call just before it is made; lets a proof interleave
+/// drivers between single calls.
+using CallHook = std::function<void(const char *call)>;
+
+/// @brief A job as its row holds it.
+struct StoredJob
+{
+    Job job;
+    std::uint64_t version = 0;
+    std::string writer;
+
+    bool operator==(const StoredJob &) const = default;
+};
+
+struct JobPage
+{
+    std::vector<StoredJob> jobs;
+    /// Key to continue after; empty at the end.
+    std::string next;
+};
+
+/// @brief A new value of a job and the row version that it replaces (0: a new row).
+struct JobChange
+{
+    Job job;
+    std::uint64_t version = 0;
+};
+
+/// @brief Quarantine state of a worker.
+struct WorkerRecord
+{
+    std::string id;
+    bool quarantined = false;
+    std::string reason;
+    base::TimePoint since{};
+    std::vector<std::string> failedJobs;
+
+    bool operator==(const WorkerRecord &) const = default;
+};
+
+struct StoredWorker
+{
+    WorkerRecord worker;
+    std::uint64_t version = 0;
+};
+
+/// @brief What became of one change of a grouped write.
+enum class WriteOutcome { Written, Conflict, NotWritten, Unknown };
+
+struct WriteResult
+{
+    WriteOutcome outcome = WriteOutcome::NotWritten;
+    std::uint64_t version = 0;
+    std::string writer;
+};
+
+/// @brief Payloads up to this size are kept in the row, larger ones in the object store.
+constexpr std::size_t kMaxInlinePayload = 4UL * 1024;
+
+/// @brief Changes per transaction: each takes a condition and a put of the table's 100 operations.
+constexpr std::size_t kMaxGroupedChanges = 40;
+
+/// @brief Reads and writes the rows job/<pool>/<id> and worker/<id>.
+class JobRepository
+{
+public:
+    JobRepository(platform::Table table, platform::ObjectStore objects, CallHook beforeCall = {});
+
+    base::Result<std::optional<StoredJob>> get(const std::string &key) const;
+    /// @brief One page of the jobs of a pool, or of all pools if it is empty.
+    base::Result<JobPage> scan(const std::string &pool, const std::string &after,
+                               std::uint32_t limit) const;
+
+    /// @brief Moves a large payload to the object store and names the object in the result.
+    base::Result<JobSpec> storePayload(JobSpec spec) const;
+    base::Result<std::string> loadPayload(const JobSpec &spec) const;
+
+    /// @brief Writes the changes in groups, paced by the bucket; a conflict affects only its job.
+    std::vector<WriteResult> write(const std::vector<JobChange> &changes, const base::Clock &clock,
+                                   base::TokenBucket &budget) const;
+    /// @brief Deletes finished rows; a lost answer is harmless, since the next scan shows the rows.
+    void removeFinished(const std::vector<std::pair<std::string, std::uint64_t>> &rows) const;
+
+    base::Result<std::vector<StoredWorker>> workers() const;
+    base::Result<std::optional<StoredWorker>> worker(const std::string &id) const;
+    base::Result<std::uint64_t> writeWorker(const WorkerRecord &worker,
+                                            std::uint64_t version) const;
+
+    /// @brief The pool of each instance, from the fleet's rows.
+    base::Result<std::map<std::string, std::string>> instancePools() const;
+
+    const platform::Table &table() const { return table_; }
+
+private:
+    void announce(const char *call) const;
+    /// Commits one group; on a conflict the rows that lost the race are dropped and the others
+    /// tried once more.
+    void writeGroup(const std::vector<JobChange> &changes, std::size_t first, std::size_t last,
+                    std::vector<WriteResult> &results) const;
+    std::vector<std::size_t> unchanged(const std::vector<JobChange> &changes,
+                                       const std::vector<std::size_t> &group,
+                                       std::vector<WriteResult> &results) const;
+
+    platform::Table table_;
+    platform::ObjectStore objects_;
+    CallHook beforeCall_;
+};
+
+/// @brief The condition and the put of a change, added to a transaction.
+void addChange(platform::Transaction &transaction, const JobChange &change);
+
+void addChange(platform::Transaction &transaction, const WorkerRecord &worker,
+               std::uint64_t version);
+
+} // namespace chicorywick::jobs
--- /dev/null
+++ b/packages/jobs/src/driver_core.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "job_cache.h"
+#include "worker_fleet.h"
+
+#include <chicorywick/base/backoff.h>
+#include <chicorywick/jobs/job_driver.h>
+#include <chicorywick/jobs/usage_model.h>
+#include <chicorywick/jobs/worker_health.h>
+
+namespace chicorywick::jobs {
+
+/// @brief What a driver remembers of an attempt beside its row.
+struct AttemptNotes
+{
+    std::uint64_t attempt = 0;
+    base::TimePoint renewedAt{};
+    base::TimePoint overSince{};
+    base::TimePoint sampledAt{};
+    bool isThrottled = false;
+    bool isPreempted = false;
+    bool isJudged = false;
+};
+
+/// @brief An attempt that this driver planned and whose start it certainly did not send.
+///
+/// The writer token tells its row from one that another driver wrote for the same attempt number.
+struct UnsentStart
+{
+    std::string writer;
+    base::TimePoint until;
+};
+
+/// @brief A change of an active attempt, to be applied to the row as it is then.
+struct AttemptChange
+{
+    std::string key;
+    std::uint64_t attempt = 0;
+    std::optional<AttemptEnd> end;
+    bool confirmRunning = false;
+    std::optional<base::TimePoint> extendTo;
+};
+
+/// @brief A job chosen to start on a worker.
+struct PlannedStart
+{
+    std::string key;
+    std::string worker;
+    Expectation expected;
+};
+
+/// @brief The parts of a driver's step; each does a bounded amount of work.
+class JobDriver::Core
+{
+public:
+    Core(const JobPlatform &platform, JobDriverOptions options);
+
+    void setPools(std::vector<std::string> pools);
+    void setQuotas(const std::vector<TeamQuota> &quotas);
+    JobStepReport step(base::TimePoint now);
+
+private:
+    // driver_refresh.cpp
+    void refreshFleet();
+    void refreshRecords();
+    void refreshJobs();
+    bool scanPool(const std::string &pool);
+    void removeFinished();
+    void noteTable(bool answered);
+    bool isTableUsable() const;
+
+    // driver_attempts.cpp
+    std::vector<AttemptChange> observeAttempts();
+    std::vector<std::string>
+    workersToPoll(const std::map<std::string, std::vector<std::string>> &byWorker) const;
+    void observeWorker(const std::string &worker, const std::vector<std::string> &keys,
+                       std::vector<AttemptChange> &changes, std::size_t &failedPolls);
+    void observeAttempt(const StoredJob &stored, const std::string &key,
+                        AttemptObservation observation, std::vector<AttemptChange> &changes);
+    void judgeOutcome(const Job &job, const std::string &key, AttemptNotes &notes,
+                      AttemptObservation &observation);
+    void noteUsage(const Job &job, AttemptNotes &notes, AttemptObservation &observation);
+    void sendCommand(const Job &job, const std::string &key, TaskCommand command,
+                     AttemptNotes &notes);
+    AttemptNotes &notesOf(const std::string &key, std::uint64_t attempt);
+    bool isUnsent(const StoredJob &stored, const std::string &key) const;
+    void quarantineSuspects();
+
+    // driver_writes.cpp
+    void applyChanges(std::vector<AttemptChange> changes);
+    std::optional<JobChange> freshChange(const AttemptChange &change);
+    void takeResults(const std::vector<JobChange> &changes,
+                     const std::vector<WriteResult> &results);
+
+    // driver_placement.cpp
+    void placeQueued();
+    void placePool(const std::string &pool, TeamShares &shares, std::size_t limit,
+                   std::vector<PlannedStart> &starts);
+    TeamShares currentShares() const;
+    std::vector<WorkerView> viewsOf(const std::string &pool) const;
+    void preemptFor(const QueueEntry &entry, const std::string &key, const std::string &pool,
+                    const std::vector<WorkerView> &views);
+    void holdRoom(const Job &job, const platform::Capacity &wanted,
+                  std::vector<WorkerView> &views) const;
+
+    // driver_starts.cpp
+    void startPlanned(const std::vector<PlannedStart> &starts);
+    void sendStart(const Job &job, const std::string &key, const std::string &payload,
+                   const std::string &writer, std::vector<AttemptChange> &refused);
+
+    base::TimePoint now() const { return options_.clock.now(); }
+    void announce(const char *call) const;
+
+    JobPlatform platform_;
+    JobDriverOptions options_;
+    JobRepository repository_;
+    base::Rng rng_;
+    std::vector<std::string> pools_;
+    std::map<std::string, TeamQuota> quotas_;
+
+    JobCache cache_;
+    WorkerFleet fleet_;
+    UsageModel usage_;
+    WorkerHealth health_;
+    std::map<std::string, AttemptNotes> notes_;
+    std::map<std::string, UnsentStart> unsent_;
+    std::map<std::string, base::TimePoint> preempting_;
+    std::map<std::string, base::TimePoint> nextPoll_;
+    std::vector<std::pair<std::string, std::uint64_t>> expired_;
+
+    std::map<std::string, base::TimePoint> nextScan_;
+    base::TimePoint nextListing_{};
+    base::TimePoint nextRecords_{};
+    base::Backoff tableBackoff_;
+    base::TimePoint tableRetryAt_{};
+    bool tableDown_ = false;
+    JobStepReport report_;
+};
+
+} // namespace chicorywick::jobs
--- /dev/null
+++ b/packages/jobs/src/driver_placement.cpp
@@ -0,0 +1,227 @@
+#include "driver_core.h"
+
+#include <chicorywick/base/log_event.h>
+
+#include <algorithm>
+
+namespace chicorywick::jobs {
+
+namespace {
+
+// Queue entries looked at for each start that the step may make.
+constexpr std::size_t kCandidatesPerStart = 4;
+constexpr std::size_t kMaxPreemptionsPerStep = 16;
+// How long the checkpoints for an urgent job may take before others are chosen.
+constexpr base::Duration kPreemptionTime = std::chrono::seconds(4);
+// A job that has found no room for so long gets a worker of its own as it empties.
+constexpr base::Duration kHoldAfter = std::chrono::minutes(5);
+
+void add(platform::Capacity &to, const platform::Capacity &amount)
+{
+    to.cpuMillis += amount.cpuMillis;
+    to.memoryMib += amount.memoryMib;
+    to.accelerators += amount.accelerators;
+}
+
+bool isAtLeast(const platform::Capacity &left, const platform::Capacity &right)
+{
+    return left.cpuMillis >= right.cpuMillis && left.memoryMib >= right.memoryMib
+           && left.accelerators >= right.accelerators;
+}
+
+using Spreads = std::map<std::string, KindSpread>;
+
+void addTo(KindSpread &spread, const WorkerView &worker)
+{
+    ++spread.racks[worker.rack];
+    ++spread.zones[worker.zone];
+    ++spread.total;
+}
+
+Spreads spreadsOf(const JobCache::Jobs &jobs, const std::vector<WorkerView> &views)
+{
+    std::map<std::string, const WorkerView *> byId;
+    for (const WorkerView &view : views)
+        byId.emplace(view.id, &view);
+    Spreads spreads;
+    for (const auto &[key, stored] : jobs) {
+        const auto found = byId.find(stored.job.worker());
+        if (isActive(stored.job.state()) && found != byId.end())
+            addTo(spreads[stored.job.spec().kind], *found->second);
+    }
+    return spreads;
+}
+
+} // namespace
+
+TeamShares JobDriver::Core::currentShares() const
+{
+    TeamShares shares;
+    shares.quotas = quotas_;
+    for (const auto &[pool, jobs] : cache_.pools()) {
+        for (const auto &[key, stored] : jobs) {
+            if (isActive(stored.job.state()))
+                shares.add(stored.job.spec().team, stored.job.reserved());
+        }
+    }
+    return shares;
+}
+
+std::vector<WorkerView> JobDriver::Core::viewsOf(const std::string &pool) const
+{
+    std::vector<WorkerView> views = fleet_.placeable(pool, now());
+    std::map<std::string, platform::Capacity> reserved;
+    for (const auto &[name, jobs] : cache_.pools()) {
+        for (const auto &[key, stored] : jobs) {
+            if (isActive(stored.job.state()))
+                add(reserved[stored.job.worker()], stored.job.reserved());
+        }
+    }
+    for (WorkerView &view : views) {
+        const auto found = reserved.find(view.id);
+        if (found != reserved.end())
+            view.reserved = found->second;
+    }
+    return views;
+}
+
+void JobDriver::Core::placeQueued()
+{
+    if (tableDown_)
+        return;
+    const double available = options_.writeBudget->available(now());
+    std::size_t limit =
+            std::min(options_.maxStartsPerStep, static_cast<std::size_t>(std::max(0.0, available)));
+    std::vector<PlannedStart> starts;
+    TeamShares shares = currentShares();
+    // Rotation keeps the first pools from using up every step's starts.
+    const std::size_t offset = pools_.empty() ? 0 : rng_.below(pools_.size());
+    for (std::size_t i = 0; i < pools_.size() && starts.size() < limit; ++i)
+        placePool(pools_[(i + offset) % pools_.size()], shares, limit, starts);
+    startPlanned(starts);
+}
+
+void JobDriver::Core::placePool(const std::string &pool, TeamShares &shares, std::size_t limit,
+                                std::vector<PlannedStart> &starts)
+{
+    const auto found = cache_.pools().find(pool);
+    if (found == cache_.pools().end())
+        return;
+    const base::TimePoint time = now();
+    std::vector<const std::pair<const std::string, StoredJob> *> jobs;
+    std::vector<QueueEntry> queue;
+    for (const auto &entry : found->second) {
+        const Job &job = entry.second.job;
+        if (job.state() != JobState::Queued || time < job.queuedAt() + retryDelay(job))
+            continue;
+        queue.push_back({.job = jobs.size(),
+                         .team = job.spec().team,
+                         .jobClass = job.spec().jobClass,
+                         .wanted = usage_.expect(job.spec()).resources,
+                         .acceptedAt = job.acceptedAt()});
+        jobs.push_back(&entry);
+    }
+    if (queue.empty())
+        return;
+    std::vector<WorkerView> views = viewsOf(pool);
+    Spreads spreads = spreadsOf(found->second, views);
+    std::optional<platform::Capacity> tooLarge;
+    std::size_t preemptions = 0;
+    for (const QueueEntry &entry :
+         orderQueue(queue, shares, time, (limit - starts.size()) * kCandidatesPerStart)) {
+        if (starts.size() >= limit)
+            return;
+        const Job &job = jobs[entry.job]->second.job;
+        const std::string &key = jobs[entry.job]->first;
+        if (!shares.allows(entry.team, entry.wanted))
+            continue;
+        const bool isUrgent = entry.jobClass == JobClass::Urgent;
+        if (!isUrgent && tooLarge && isAtLeast(entry.wanted, *tooLarge))
+            continue;
+        const bool hasWaited = time - job.queuedAt() >= kHoldAfter;
+        KindSpread &spread = spreads[job.spec().kind];
+        const auto worker = pickWorker({.wanted = entry.wanted,
+                                        .avoidedWorkers = job.failedWorkers(),
+                                        .spread = &spread,
+                                        .mayUseHeld = isUrgent || hasWaited},
+                                       views);
+        if (worker) {
+            add(views[*worker].reserved, entry.wanted);
+            addTo(spread, views[*worker]);
+            shares.add(entry.team, entry.wanted);
+            starts.push_back({key, views[*worker].id, usage_.expect(job.spec())});
+        } else if (isUrgent && preemptions < kMaxPreemptionsPerStep) {
+            ++preemptions;
+            preemptFor(entry, key, pool, views);
+        } else {
+            tooLarge = entry.wanted;
+            if (hasWaited)
+                holdRoom(job, entry.wanted, views);
+        }
+    }
+}
+
+void JobDriver::Core::holdRoom(const Job &job, const platform::Capacity &wanted,
+                               std::vector<WorkerView> &views) const
+{
+    const bool isHeld = std::any_of(views.begin(), views.end(),
+                                    [](const WorkerView &view) { return view.isHeld; });
+    if (isHeld)
+        return;
+    WorkerView *best = nullptr;
+    for (WorkerView &view : views) {
+        WorkerView empty = view;
+        empty.reserved = {};
+        const auto &failed = job.failedWorkers();
+        const bool isAvoided = std::find(failed.begin(), failed.end(), view.id) != failed.end();
+        if (isAvoided || !fits(wanted, empty))
+            continue;
+        if (best == nullptr || view.reserved.cpuMillis < best->reserved.cpuMillis)
+            best = &view;
+    }
+    if (best != nullptr)
+        best->isHeld = true;
+}
+
+void JobDriver::Core::preemptFor(const QueueEntry &entry, const std::string &key,
+                                 const std::string &pool, const std::vector<WorkerView> &views)
+{
+    const auto waiting = preempting_.find(key);
+    if (waiting != preempting_.end() && waiting->second > now())
+        return;
+    std::map<std::string, std::size_t> positions;
+    for (std::size_t i = 0; i < views.size(); ++i)
+        positions.emplace(views[i].id, i);
+    std::vector<PreemptionCandidate> candidates;
+    for (const auto &[jobKey, stored] : cache_.pools().at(pool)) {
+        const Job &job = stored.job;
+        const auto worker = positions.find(job.worker());
+        const auto notes = notes_.find(jobKey);
+        const bool isEnding = notes != notes_.end() && notes->second.attempt == job.attempt()
+                              && notes->second.isPreempted;
+        if (!isActive(job.state()) || worker == positions.end() || isEnding)
+            continue;
+        if (job.spec().jobClass == JobClass::Urgent || !job.isResumable())
+            continue;
+        candidates.push_back({.job = jobKey,
+                              .worker = worker->second,
+                              .reserved = job.reserved(),
+                              .jobClass = job.spec().jobClass,
+                              .startedAt = job.startedAt()});
+    }
+    const auto chosen = pickPreemption(entry.wanted, views, candidates);
+    if (chosen.empty())
+        return;
+    preempting_[key] = now() + kPreemptionTime;
+    for (const std::size_t index : chosen) {
+        const std::string &victim = candidates[index].job;
+        const StoredJob *stored = cache_.find(victim);
+        AttemptNotes &notes = notesOf(victim, stored->job.attempt());
+        notes.isPreempted = true;
+        ++report_.preempted;
+        base::logEvent(base::Event::JobPreempted, {{"job", victim}, {"for", key}});
+        sendCommand(stored->job, victim, TaskCommand::Checkpoint, notes);
+    }
+}
+
+} // namespace chicorywick::jobs
--- /dev/null
+++ b/packages/jobs/src/placement.cpp
@@ -0,0 +1,128 @@
+#include <chicorywick/jobs/placement.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace chicorywick::jobs {
+
+namespace {
+
+// Weights of the placement score, in shares of a worker. Free room decides first; spreading over
+// racks and zones outweighs a small difference in room, and accelerators are kept for jobs that
+// need them.
+constexpr double kRackWeight = 0.3;
+constexpr double kZoneWeight = 0.2;
+constexpr double kAcceleratorWeight = 1.0;
+// A worker on which the job has failed before is the last choice.
+constexpr double kAvoidedWeight = 10.0;
+
+double shareLeft(std::uint32_t capacity, std::uint32_t reserved, std::uint32_t wanted)
+{
+    if (capacity == 0)
+        return 0;
+    return static_cast<double>(capacity - reserved - wanted) / capacity;
+}
+
+double spreadPenalty(const KindSpread *spread, const WorkerView &worker)
+{
+    if (spread == nullptr || spread->total == 0)
+        return 0;
+    const auto share = [spread](const std::map<std::string, std::uint32_t> &counts,
+                                const std::string &domain) {
+        const auto found = counts.find(domain);
+        return found == counts.end() ? 0.0 : static_cast<double>(found->second) / spread->total;
+    };
+    return kRackWeight * share(spread->racks, worker.rack)
+           + kZoneWeight * share(spread->zones, worker.zone);
+}
+
+double score(const PlacementRequest &request, const WorkerView &worker)
+{
+    const platform::Capacity &wanted = request.wanted;
+    const double left = std::max(
+            shareLeft(worker.capacity.cpuMillis, worker.reserved.cpuMillis, wanted.cpuMillis),
+            shareLeft(worker.capacity.memoryMib, worker.reserved.memoryMib, wanted.memoryMib));
+    const bool wastesAccelerators = wanted.accelerators == 0 && worker.capacity.accelerators > 0;
+    const bool isAvoided =
+            std::find(request.avoidedWorkers.begin(), request.avoidedWorkers.end(), worker.id)
+            != request.avoidedWorkers.end();
+    return left + spreadPenalty(request.spread, worker)
+           + (wastesAccelerators ? kAcceleratorWeight : 0) + (isAvoided ? kAvoidedWeight : 0);
+}
+
+void subtract(platform::Capacity &from, const platform::Capacity &amount)
+{
+    from.cpuMillis -= std::min(from.cpuMillis, amount.cpuMillis);
+    from.memoryMib -= std::min(from.memoryMib, amount.memoryMib);
+    from.accelerators -= std::min(from.accelerators, amount.accelerators);
+}
+
+// Archive work goes first, then the attempt that started last, because it loses least.
+bool isCheaper(const PreemptionCandidate &left, const PreemptionCandidate &right)
+{
+    const bool leftArchive = left.jobClass == JobClass::Archive;
+    const bool rightArchive = right.jobClass == JobClass::Archive;
+    if (leftArchive != rightArchive)
+        return leftArchive;
+    return left.startedAt > right.startedAt;
+}
+
+} // namespace
+
+bool fits(const platform::Capacity &wanted, const WorkerView &worker)
+{
+    const auto hasRoom = [](std::uint32_t capacity, std::uint32_t reserved, std::uint32_t more) {
+        return reserved <= capacity && more <= capacity - reserved;
+    };
+    return hasRoom(worker.capacity.cpuMillis, worker.reserved.cpuMillis, wanted.cpuMillis)
+           && hasRoom(worker.capacity.memoryMib, worker.reserved.memoryMib, wanted.memoryMib)
+           && hasRoom(worker.capacity.accelerators, worker.reserved.accelerators,
+                      wanted.accelerators);
+}
+
+std::optional<std::size_t> pickWorker(const PlacementRequest &request,
+                                      std::span<const WorkerView> workers)
+{
+    std::optional<std::size_t> best;
+    double bestScore = std::numeric_limits<double>::max();
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if ((workers[i].isHeld && !request.mayUseHeld) || !fits(request.wanted, workers[i]))
+            continue;
+        const double value = score(request, workers[i]);
+        if (value < bestScore) {
+            best = i;
+            bestScore = value;
+        }
+    }
+    return best;
+}
+
+std::vector<std::size_t> pickPreemption(const platform::Capacity &wanted,
+                                        std::span<const WorkerView> workers,
+                                        std::span<const PreemptionCandidate> candidates)
+{
+    std::vector<std::vector<std::size_t>> byWorker(workers.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        byWorker[candidates[i].worker].push_back(i);
+    std::vector<std::size_t> best;
+    for (std::size_t w = 0; w < workers.size(); ++w) {
+        std::vector<std::size_t> &order = byWorker[w];
+        std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+            return isCheaper(candidates[left], candidates[right]);
+        });
+        WorkerView view = workers[w];
+        std::vector<std::size_t> chosen;
+        for (const std::size_t index : order) {
+            if (fits(wanted, view))
+                break;
+            subtract(view.reserved, candidates[index].reserved);
+            chosen.push_back(index);
+        }
+        const bool isBetter = best.empty() || chosen.size() < best.size();
+        if (!chosen.empty() && fits(wanted, view) && isBetter)
+            best = std::move(chosen);
+    }
+    return best;
+}
+
+} // namespace chicorywick::jobs
--- /dev/null
+++ b/packages/jobs/src/worker_health.cpp
@@ -0,0 +1,148 @@
+#include <chicorywick/jobs/worker_health.h>
+
+#include <algorithm>
+
+namespace chicorywick::jobs {
+
+namespace {
+
+constexpr std::size_t kMaxWorkers = 20'000;
+constexpr std::size_t kMaxKinds = 4096;
+constexpr std::size_t kMaxWorkersPerKind = 32;
+constexpr std::size_t kMaxFailures = 16;
+
+// Three jobs that are certain to run elsewhere, or more that are less certain.
+constexpr double kSuspectWeight = 2.5;
+constexpr std::size_t kSuspectJobs = 3;
+// The share assumed for a kind without a record on other workers.
+constexpr double kUnknownShare = 0.5;
+
+constexpr std::size_t kCannotRunWorkers = 3;
+constexpr base::Duration kHealthyFor = std::chrono::hours(1);
+
+template <typename Map>
+void evictOldest(Map &map, std::size_t bound)
+{
+    if (map.size() < bound)
+        return;
+    const auto oldest = std::min_element(map.begin(), map.end(), [](const auto &a, const auto &b) {
+        return a.second.changedAt < b.second.changedAt;
+    });
+    map.erase(oldest);
+}
+
+void note(std::map<std::string, base::TimePoint> &times, const std::string &worker,
+          base::TimePoint now)
+{
+    if (times.size() >= kMaxWorkersPerKind && !times.contains(worker)) {
+        const auto oldest =
+                std::min_element(times.begin(), times.end(),
+                                 [](const auto &a, const auto &b) { return a.second < b.second; });
+        times.erase(oldest);
+    }
+    times[worker] = now;
+}
+
+} // namespace
+
+WorkerHealth::Record &WorkerHealth::touchWorker(const std::string &worker, base::TimePoint now)
+{
+    if (!workers_.contains(worker))
+        evictOldest(workers_, kMaxWorkers);
+    Record &record = workers_[worker];
+    record.changedAt = now;
+    return record;
+}
+
+WorkerHealth::KindRecord &WorkerHealth::touchKind(const std::string &kind, base::TimePoint now)
+{
+    if (!kinds_.contains(kind))
+        evictOldest(kinds_, kMaxKinds);
+    KindRecord &record = kinds_[kind];
+    record.changedAt = now;
+    return record;
+}
+
+void WorkerHealth::recordSuccess(const std::string &worker, const std::string &kind,
+                                 base::TimePoint now)
+{
+    Record &record = touchWorker(worker, now);
+    record.failures.clear();
+    record.succeededAt = now;
+    KindRecord &kindRecord = touchKind(kind, now);
+    note(kindRecord.succeeded, worker, now);
+    kindRecord.failed.erase(worker);
+}
+
+void WorkerHealth::recordFailure(const std::string &worker, const std::string &kind,
+                                 const std::string &job, base::TimePoint now)
+{
+    Record &record = touchWorker(worker, now);
+    std::erase_if(record.failures, [&](const Failure &failure) { return failure.job == job; });
+    record.failures.push_back({job, kind, now});
+    if (record.failures.size() > kMaxFailures)
+        record.failures.pop_front();
+    note(touchKind(kind, now).failed, worker, now);
+}
+
+double WorkerHealth::successShare(const std::string &kind, const std::string &exceptWorker) const
+{
+    const auto found = kinds_.find(kind);
+    if (found == kinds_.end())
+        return kUnknownShare;
+    const auto count = [&](const std::map<std::string, base::TimePoint> &times) {
+        return static_cast<double>(times.size() - times.count(exceptWorker));
+    };
+    const double succeeded = count(found->second.succeeded);
+    const double failed = count(found->second.failed);
+    // One virtual success and failure keep a single observation from deciding.
+    return (succeeded + 1) / (succeeded + failed + 2);
+}
+
+bool WorkerHealth::isSuspect(const std::string &worker) const
+{
+    const auto found = workers_.find(worker);
+    if (found == workers_.end() || found->second.failures.size() < kSuspectJobs)
+        return false;
+    double weight = 0;
+    for (const Failure &failure : found->second.failures)
+        weight += successShare(failure.kind, worker);
+    return weight >= kSuspectWeight;
+}
+
+std::vector<std::string> WorkerHealth::failedJobs(const std::string &worker) const
+{
+    std::vector<std::string> jobs;
+    const auto found = workers_.find(worker);
+    if (found == workers_.end())
+        return jobs;
+    for (const Failure &failure : found->second.failures)
+        jobs.push_back(failure.job);
+    return jobs;
+}
+
+void WorkerHealth::forget(const std::string &worker)
+{
+    const auto found = workers_.find(worker);
+    if (found != workers_.end())
+        found->second.failures.clear();
+}
+
+bool WorkerHealth::cannotRun(const std::vector<std::string> &failedWorkers,
+                             const std::string &worker, base::TimePoint now) const
+{
+    std::set<std::string> healthy;
+    const auto consider = [&](const std::string &id) {
+        const auto found = workers_.find(id);
+        if (found == workers_.end() || isSuspect(id))
+            return;
+        const base::TimePoint succeeded = found->second.succeededAt;
+        if (succeeded != base::TimePoint{} && now - succeeded <= kHealthyFor)
+            healthy.insert(id);
+    };
+    std::for_each(failedWorkers.begin(), failedWorkers.end(), consider);
+    consider(worker);
+    return healthy.size() >= kCannotRunWorkers;
+}
+
+} // namespace chicorywick::jobs
