--- a/packages/cli/src/wave_commands.cpp
+++ b/packages/cli/src/wave_commands.cpp
@@ -19,14 +19,14 @@
 
 TextTable table(const google::protobuf::RepeatedPtrField<v1::Wave> &waves)
 {
-    TextTable table{{"WAVE", "POOL", "STATE", "PENDING", "ACTIVE", "DONE", "HELD", "EXPECTED END",
+    TextTable table{{"WAVE", "POOL", "STATE", "TOTAL", "ACTIVE", "DONE", "HELD", "EXPECTED END",
                      "VERSION", "REASON"},
                     {}};
     for (const v1::Wave &wave : waves) {
         const v1::WaveRow &row = wave.row();
         table.rows.push_back({row.id(), row.pool(), stateText(row.state()),
-                              std::to_string(row.pending_size()), std::to_string(row.active_size()),
-                              std::to_string(row.done_size()), std::to_string(row.held_size()),
+                              std::to_string(row.total()), std::to_string(row.active_size()),
+                              std::to_string(row.done()), std::to_string(row.held_size()),
                               formatTime(wave.expected_end_ms()), std::to_string(wave.version()),
                               row.reason().empty() ? "-" : row.reason()});
     }
@@ -95,10 +95,10 @@
 WaitStep toStep(const v1::Wave &wave)
 {
     const v1::WaveRow &row = wave.row();
-    const int all = row.pending_size() + row.active_size() + row.done_size() + row.held_size();
     std::ostringstream progress;
-    progress << row.id() << ": " << stateText(row.state()) << ", " << row.done_size() << " of "
-             << all << " done, " << row.active_size() << " active, " << row.held_size() << " held";
+    progress << row.id() << ": " << stateText(row.state()) << ", " << row.done() << " of "
+             << row.total() << " done, " << row.active_size() << " active, " << row.held_size()
+             << " held";
     if (!row.reason().empty())
         progress << ", " << row.reason();
     return {.ended = hasEnded(row.state()),
