Report each finished request of the proxy to a hook

Cause: metrics and the burn report need to know how each request ended for its caller. Change: CallerProxyOptions::onFinished gets service, outcome, status and latency; a streamed response is reported after its last byte, as unknown if it was cut off. Ruled out: reading the counters, which have neither service nor latency. Conclusion: the daemon can count outcomes as callers see them.

--- a/packages/serving/include/chicorywick/serving/caller_proxy.h
+++ b/packages/serving/include/chicorywick/serving/caller_proxy.h
@@ -6,11 +6,25 @@
 #include <chicorywick/serving/idempotency_store.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace chicorywick::serving {
 
+/// @brief A request as its caller saw it end.
+struct FinishedRequest
+{
+    std::string service;
+    /// Value of X-Request-Outcome; "unknown" also for a response that was cut off while it was
+    /// passed on.
+    std::string outcome;
+    int status = 0;
+    base::Duration latency{};
+
+    bool operator==(const FinishedRequest &) const = default;
+};
+
 /// @brief Address and limits of the listener for callers.
 struct CallerProxyOptions
 {
@@ -39,6 +53,8 @@
     /// Time for writing a response after the request's deadline.
     base::Duration writeGrace = std::chrono::seconds(2);
     int maxAttempts = 3;
+    /// Called on the request's thread at the end of each request, for metrics; must not block.
+    std::function<void(const FinishedRequest &)> onFinished;
 };
 
 /// @brief Counters of a listener for callers since it was opened.
--- a/packages/serving/src/request_session.cpp
+++ b/packages/serving/src/request_session.cpp
@@ -93,6 +93,20 @@
     if (reply.outcome == RequestOutcome::Unknown)
         base::logEvent(base::Event::RequestOutcomeUnknown,
                        {{"service", request_.service}, {"caller", request_.caller}});
+    if (!reply.streamedLength)
+        notifyFinished(reply.outcome, reply.status);
+}
+
+// The end of a streamed response is known only after its last byte.
+void RequestSession::notifyFinished(RequestOutcome outcome, int status) const
+{
+    if (!context_->options.onFinished)
+        return;
+    context_->options.onFinished({.service = request_.service,
+                                  .outcome = std::string(outcomeName(outcome)),
+                                  .status = status,
+                                  .latency = std::chrono::duration_cast<base::Duration>(
+                                          std::chrono::steady_clock::now() - startedAt_)});
 }
 
 void RequestSession::writeTo(httplib::Response &response)
@@ -173,6 +187,8 @@
     if (verdict.fate == Fate::Completed)
         context_->pool.giveBack(streamPermit_->upstream(), std::move(streamConnection_));
     streamConnection_.reset();
+    const bool isWhole = verdict.fate == Fate::Completed || isWriteFailure;
+    notifyFinished(isWhole ? RequestOutcome::Completed : RequestOutcome::Unknown, reply_->status);
     streamPermit_->finish(isWriteFailure ? AttemptOutcome::Cancelled : verdict.outcome,
                           std::chrono::duration_cast<base::Duration>(
                                   std::chrono::steady_clock::now() - attemptStart_));
--- a/packages/serving/src/request_session.h
+++ b/packages/serving/src/request_session.h
@@ -63,6 +63,7 @@
     bool isCallerGone() const;
     void settleClaim(const CallerReply &reply);
     void count(const CallerReply &reply);
+    void notifyFinished(RequestOutcome outcome, int status) const;
 
     std::shared_ptr<ProxyContext> context_;
     int callerSocket_;
@@ -70,6 +71,7 @@
     std::string body_;
     std::optional<CallerReply> reply_;
     bool mustClose_ = false;
+    SteadyTime startedAt_ = std::chrono::steady_clock::now();
     SteadyTime deadline_{};
     base::TimePoint admissionDeadline_{};
 
