Add the cluster package: configuration store, membership and ownership

Cause: daemons need a common configuration, a view of each other and a division of work without a coordination service. Change: ConfigStore keeps one row per item and per version and commits a change under the head's version; ConfigApplier never lowers its version and takes changes from the table or from peers. Membership is a SWIM-like pure state machine with zone-local probes and hashed links between zones; PeerAgent adds configuration and hints; PeerNode runs both over ZeroMQ. Ownership divides objects by rendezvous hashing; TablePacer holds a daemon's share of the table and ramps up after an outage. ConfigDelta carries its base version and part numbers, Ping its target, so that a process that took over an address does not answer for its predecessor. runOnce() now reads the operation row again when prepare() refuses a call: a delayed first commit of the same call could land between the first read and prepare(), which then reported a conflict for a call that had been carried out. A change of one item in a configuration of 500 costs 3 reads and 4 row writes. Ruled out: a push of the whole configuration per change, and cross-zone probes by every member.

--- /dev/null
+++ b/packages/cluster/include/chicorywick/cluster/peer_agent.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <chicorywick/cluster/config_applier.h>
+#include <chicorywick/cluster/membership.h>
+
+#include <deque>
+#include <functional>
+
+namespace chicorywick::cluster {
+
+/// @brief Bounds of what peers exchange beside membership.
+struct PeerAgentOptions
+{
+    std::string deployment;
+    MembershipOptions membership;
+    /// Receivers of a relayed message or a configuration change per member, and as many links.
+    std::size_t relayFanout = 3;
+    /// Receivers of a load report, members of the own zone first.
+    std::size_t loadFanout = 8;
+    /// Changes within this time are sent as one.
+    base::Duration configPushInterval = std::chrono::milliseconds(50);
+    /// Shortest time between two requests for a newer configuration.
+    base::Duration configPullInterval = std::chrono::milliseconds(300);
+    std::size_t maxRemembered = 4096;
+    /// Status queries sent per tick, so that a survey of many members starts no burst.
+    std::size_t surveyBatch = 32;
+};
+
+/// @brief Receivers of the hints that the daemon uses; empty ones are skipped.
+struct PeerCallbacks
+{
+    std::function<void(const MemberIdentity &from, const v1::LoadReport &)> onLoad;
+    std::function<void(const v1::DrainNotice &)> onDrain;
+    std::function<void(const v1::BurnSummary &)> onBurn;
+    std::function<void(const ConfigApplier &)> onConfig;
+    std::function<void(const MemberEvent &)> onMember;
+};
+
+/// @brief What a member last said of its configuration.
+struct MemberConfig
+{
+    v1::ConfigDigest digest;
+    base::TimePoint heardAt;
+};
+
+/// @brief Membership, configuration spread and relayed hints of one daemon; a pure state machine.
+class PeerAgent
+{
+public:
+    PeerAgent(MemberIdentity self, std::uint64_t incarnation, PeerAgentOptions options,
+              std::uint64_t seed, PeerCallbacks callbacks = {});
+
+    std::vector<Outgoing> tick(base::TimePoint now);
+    std::vector<Outgoing> receive(const v1::PeerMessage &message, base::TimePoint now);
+    std::vector<Outgoing> leave(base::TimePoint now);
+
+    /// @brief Takes a change that was read from the table.
+    void applyFromTable(const v1::ConfigDelta &delta, base::TimePoint now);
+
+    std::vector<Outgoing> sendLoad(const v1::LoadReport &report);
+    std::vector<Outgoing> spread(const v1::DrainNotice &notice);
+    std::vector<Outgoing> spread(const v1::BurnSummary &summary);
+
+    /// @brief Starts asking every member for the version that it has in force.
+    void startSurvey();
+    bool isSurveyDone() const { return surveyQueue_.empty(); }
+    const std::map<std::string, MemberConfig> &memberConfigs() const { return memberConfigs_; }
+
+    Membership &membership() { return membership_; }
+    const Membership &membership() const { return membership_; }
+    ConfigApplier &config() { return config_; }
+    const ConfigApplier &config() const { return config_; }
+
+private:
+    void finish(std::vector<Outgoing> &out);
+    void addTo(std::vector<Outgoing> &out, const MemberIdentity &target, v1::PeerMessage message);
+    std::vector<Outgoing> originate(v1::PeerMessage message);
+    void passOn(const v1::PeerMessage &message, const std::string &except,
+                std::vector<Outgoing> &out);
+    bool isFirstSight(const v1::Relay &relay);
+    void onConfigBody(const v1::PeerMessage &message, base::TimePoint now,
+                      std::vector<Outgoing> &out);
+    void comparePeerConfig(const v1::PeerMessage &message, base::TimePoint now,
+                           std::vector<Outgoing> &out);
+    void pushConfig(base::TimePoint now, std::vector<Outgoing> &out);
+    void continueSurvey(std::vector<Outgoing> &out);
+    void dispatchHint(const v1::PeerMessage &message, std::vector<Outgoing> &out);
+    void reportMembers();
+    void forgetGoneMembers();
+
+    PeerAgentOptions options_;
+    PeerCallbacks callbacks_;
+    Membership membership_;
+    ConfigApplier config_;
+    std::uint64_t pushedVersion_ = 0;
+    base::TimePoint nextPush_{};
+    base::TimePoint nextPull_{};
+    std::uint64_t nextRelay_ = 1;
+    std::set<std::string> seen_;
+    std::deque<std::string> seenOrder_;
+    std::map<std::string, MemberConfig> memberConfigs_;
+    std::vector<MemberIdentity> surveyQueue_;
+};
+
+} // namespace chicorywick::cluster
--- /dev/null
+++ b/packages/cluster/include/chicorywick/cluster/peer_node.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <chicorywick/cluster/config_follower.h>
+#include <chicorywick/cluster/ownership.h>
+#include <chicorywick/cluster/peer_agent.h>
+#include <chicorywick/cluster/peer_transport.h>
+#include <chicorywick/platform/instance_list.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace chicorywick::cluster {
+
+/// @brief Settings of a peer node.
+struct PeerNodeOptions
+{
+    /// The id in the platform's instance list.
+    std::string id;
+    std::string zone;
+    PeerTransportOptions transport;
+    /// Address that peers connect to; empty uses the listening address.
+    std::string advertisedAddress;
+    PeerAgentOptions agent;
+    ConfigFollowerOptions follower;
+    base::Duration listInterval = std::chrono::seconds(2);
+    base::Duration settleTime = std::chrono::seconds(2);
+};
+
+/// @brief The platform's services that a node reads; absent ones are not used.
+struct PeerNodePlatform
+{
+    std::optional<ConfigStore> config;
+    std::optional<platform::InstanceList> instances;
+};
+
+/// @brief A consistent view of the members.
+struct MembersView
+{
+    MemberIdentity self;
+    std::uint64_t incarnation = 0;
+    std::vector<Member> members;
+    /// Listed by the platform, but never heard from.
+    std::vector<MemberIdentity> unconfirmed;
+    /// Age of the platform's list, or nothing before its first answer.
+    std::optional<base::TimePoint> listObservedAt;
+};
+
+/// @brief Runs the peer agent over ZeroMQ on one thread, and reads of the platform on another.
+///
+/// Callbacks run on the node's threads without a lock; they must not block for long.
+class PeerNode
+{
+public:
+    static base::Result<std::unique_ptr<PeerNode>> start(PeerNodeOptions options,
+                                                         PeerNodePlatform platform,
+                                                         base::Clock clock,
+                                                         const PeerCallbacks &callbacks = {});
+
+    /// @brief Announces the departure and ends both threads.
+    ~PeerNode();
+    PeerNode(const PeerNode &) = delete;
+    PeerNode &operator=(const PeerNode &) = delete;
+
+    const std::string &address() const { return self_.address; }
+    MembersView members() const;
+    PeerTraffic traffic() const { return transport_->traffic(); }
+    Ownership &ownership() { return ownership_; }
+    TablePacer &pacer() { return pacer_; }
+    bool isPlatformReachable() const { return platformReachable_; }
+
+    std::uint64_t configVersion() const;
+    std::vector<v1::ConfigItem> configItems() const;
+    v1::ConfigDigest configDigest() const;
+
+    /// @brief Reads the table at once, after this daemon has accepted a change.
+    void refreshConfig();
+
+    /// @brief Asks all members for their version and waits for the answers up to a bound.
+    v1::ConfigStatusResponse surveyConfig(base::Duration wait);
+
+    void sendLoad(const v1::LoadReport &report);
+    void spreadDrain(const v1::DrainNotice &notice);
+    void spreadBurn(const v1::BurnSummary &summary);
+
+private:
+    PeerNode(PeerNodeOptions options, PeerNodePlatform platform, base::Clock clock,
+             const PeerCallbacks &callbacks, std::unique_ptr<PeerTransport> transport);
+
+    PeerCallbacks deferred(const PeerCallbacks &callbacks);
+    void runPeers();
+    void runPlatform();
+    void readList(base::TimePoint now);
+    void post(std::vector<Outgoing> outgoing);
+    void send(const std::vector<Outgoing> &outgoing);
+    void updateOwnership(base::TimePoint now);
+    void runDeferred();
+    v1::ConfigStatusResponse statusSince(base::TimePoint start) const;
+
+    PeerNodeOptions options_;
+    PeerNodePlatform platform_;
+    base::Clock clock_;
+    std::unique_ptr<PeerTransport> transport_;
+    MemberIdentity self_;
+    Ownership ownership_;
+    TablePacer pacer_;
+    mutable std::mutex mutex_;
+    std::vector<std::function<void()>> deferred_;
+    PeerAgent agent_;
+    std::vector<Outgoing> posted_;
+    std::optional<base::TimePoint> listObservedAt_;
+    std::mutex platformMutex_;
+    std::condition_variable platformWake_;
+    bool refreshWanted_ = false;
+    std::atomic<bool> platformReachable_ = false;
+    std::atomic<bool> stopping_ = false;
+    std::thread peerThread_;
+    std::thread platformThread_;
+};
+
+} // namespace chicorywick::cluster
--- /dev/null
+++ b/packages/cluster/include/chicorywick/cluster/table_pacer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chicorywick/base/backoff.h>
+#include <chicorywick/base/clock.h>
+#include <chicorywick/base/rng.h>
+#include <chicorywick/base/token_bucket.h>
+
+#include <mutex>
+
+namespace chicorywick::cluster {
+
+/// @brief The table's capacity and the part of it that all daemons together may use.
+struct TablePacerOptions
+{
+    double readsPerSecond = 2000;
+    double writesPerSecond = 400;
+    double share = 1.0 / 3;
+    /// Seconds of rate that may be used at once.
+    double burstSeconds = 0.5;
+    base::BackoffPolicy backoff{.initial = std::chrono::milliseconds(200),
+                                .maximum = std::chrono::seconds(4)};
+    /// After an outage the rate grows from a tenth to the full share over this time.
+    base::Duration rampTime = std::chrono::seconds(10);
+};
+
+/// @brief Paces one daemon's use of the table, so that its return starts no stampede; thread-safe.
+class TablePacer
+{
+public:
+    TablePacer(TablePacerOptions options, std::uint64_t seed);
+
+    /// @brief Sets among how many daemons the share is divided.
+    void setMembers(std::size_t members);
+
+    /// @brief Takes a permission for reads or writes, or says how long to wait before asking again.
+    base::Duration reserveReads(base::TimePoint now, double reads = 1);
+    base::Duration reserveWrites(base::TimePoint now, double writes = 1);
+
+    /// @brief Reports whether the table answered.
+    void noteAnswer(base::TimePoint now);
+    void noteUnavailable(base::TimePoint now);
+
+private:
+    struct Lane
+    {
+        double rate = 0;
+        double tokens = 0;
+        base::TimePoint last{};
+    };
+
+    base::Duration reserve(Lane &lane, base::TimePoint now, double cost);
+    double rampFactor(base::TimePoint now) const;
+
+    TablePacerOptions options_;
+    std::mutex mutex_;
+    base::Rng rng_;
+    base::Backoff backoff_;
+    std::size_t members_ = 1;
+    Lane reads_;
+    Lane writes_;
+    bool isOut_ = false;
+    base::TimePoint blockedUntil_{};
+    base::TimePoint recoveredAt_{};
+};
+
+} // namespace chicorywick::cluster
--- /dev/null
+++ b/packages/cluster/src/config_service.cpp
@@ -0,0 +1,84 @@
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/cluster/config_service.h>
+
+namespace chicorywick::cluster {
+
+namespace {
+
+constexpr const char *kService = "chicorywick.v1.ConfigService";
+
+std::string authorOf(const twirp::CallContext &context)
+{
+    return context.operatorName.empty() ? "unnamed" : context.operatorName;
+}
+
+base::Result<v1::ConfigChange> report(const std::string &method, const twirp::CallContext &context,
+                                      const ConfigServicePorts &ports,
+                                      base::Result<v1::ConfigChange> change, bool isDryRun)
+{
+    if (!change) {
+        base::logEvent(base::Event::ConfigRefused, {{"method", method},
+                                                    {"operator", authorOf(context)},
+                                                    {"reason", change.error().message}});
+        return change;
+    }
+    if (isDryRun)
+        return change;
+    base::logEvent(base::Event::OperatorCallAccepted,
+                   {{"method", method},
+                    {"operator", authorOf(context)},
+                    {"version", std::to_string(change.value().version())}});
+    if (ports.onAccepted)
+        ports.onAccepted();
+    return change;
+}
+
+void addChanges(twirp::Router &router, const ConfigStore &store, const ConfigServicePorts &ports)
+{
+    router.add<v1::PutConfigRequest, v1::ConfigChange>(
+            kService, "PutConfig",
+            [store, ports](const twirp::CallContext &context, const v1::PutConfigRequest &request) {
+                return report("PutConfig", context, ports, store.put(request, authorOf(context)),
+                              request.dry_run());
+            });
+    router.add<v1::RollBackConfigRequest, v1::ConfigChange>(
+            kService, "RollBackConfig",
+            [store, ports](const twirp::CallContext &context,
+                           const v1::RollBackConfigRequest &request) {
+                return report("RollBackConfig", context, ports,
+                              store.rollBack(request, authorOf(context)), false);
+            });
+}
+
+} // namespace
+
+void addConfigServices(twirp::Router &router, const ConfigStore &store, ConfigServicePorts ports)
+{
+    addChanges(router, store, ports);
+    router.add<v1::GetConfigRequest, v1::Config>(
+            kService, "GetConfig",
+            [store](const twirp::CallContext &, const v1::GetConfigRequest &) {
+                return store.read();
+            });
+    router.add<v1::ConfigHistoryRequest, v1::ConfigHistoryResponse>(
+            kService, "ConfigHistory",
+            [store](const twirp::CallContext &, const v1::ConfigHistoryRequest &request) {
+                return store.history(request);
+            });
+    router.add<v1::ConfigStatusRequest, v1::ConfigStatusResponse>(
+            kService, "ConfigStatus",
+            [store, ports = std::move(ports)](
+                    const twirp::CallContext &,
+                    const v1::ConfigStatusRequest &) -> base::Result<v1::ConfigStatusResponse> {
+                v1::ConfigStatusResponse response;
+                if (ports.status)
+                    response = ports.status();
+                // Without the table the newest version that a peer holds is the best answer.
+                const auto head = store.headVersion();
+                if (head)
+                    response.set_head_version(std::max(head.value(), response.head_version()));
+                return response;
+            });
+}
+
+} // namespace chicorywick::cluster
--- /dev/null
+++ b/packages/cluster/src/config_test.cpp
@@ -0,0 +1,192 @@
+#include <chicorywick/cluster/config_applier.h>
+#include <chicorywick/cluster/config_service.h>
+#include <chicorywick/cluster/config_validation.h>
+#include <chicorywick/platform/memory_platform.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace chicorywick::cluster {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+v1::ConfigItem teamItem(const std::string &name, std::uint32_t weight)
+{
+    v1::ConfigItem item;
+    item.set_name("team/" + name);
+    item.mutable_team()->set_weight(weight);
+    return item;
+}
+
+v1::PutConfigRequest change(const std::string &id, std::uint64_t expected,
+                            const std::vector<v1::ConfigItem> &items)
+{
+    v1::PutConfigRequest request;
+    request.set_request_id(id);
+    request.set_expected_version(expected);
+    for (const v1::ConfigItem &item : items)
+        *request.add_items() = item;
+    return request;
+}
+
+struct Store
+{
+    std::shared_ptr<base::ManualTime> time = std::make_shared<base::ManualTime>();
+    base::Clock clock{time};
+    std::shared_ptr<platform::MemoryPlatform> platform = std::make_shared<platform::MemoryPlatform>(
+            platform::MemoryPlatformOptions{.clock = clock, .seed = 5});
+    ConfigStore store{platform::Table(platform::MemoryAccess{platform, "z1"}), clock};
+
+    std::uint64_t put(std::uint64_t expected, const std::vector<v1::ConfigItem> &items)
+    {
+        time->advance(1s);
+        const auto done = store.put(change("c" + std::to_string(expected), expected, items), "op");
+        REQUIRE(done.has_value());
+        return done.value().version();
+    }
+};
+
+} // namespace
+
+// Guards against an operator who corrects one fault only to hear of the next.
+TEST_CASE("a refused change names every fault with its item, field, value and range")
+{
+    v1::ConfigItem service;
+    service.set_name("service/counter");
+    service.mutable_service()->set_slots_per_upstream(5000);
+    const auto refused = validateConfig({service, teamItem("a", 0), teamItem("Bad Name", 1)});
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().code == base::Code::ConfigRejected);
+    const std::string &text = refused.error().message;
+    CHECK(text.find("service/counter: service.slots_per_upstream is 5000, allowed is 1 to 1024")
+          != std::string::npos);
+    CHECK(text.find("service.queue_limit is 0") != std::string::npos);
+    CHECK(text.find("team/a: team.weight is 0, allowed is 1 to 1000") != std::string::npos);
+    CHECK(text.find("'team/Bad Name'") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Store, "a conflicting change is refused with the difference")
+{
+    put(0, {teamItem("a", 1)});
+    put(1, {teamItem("a", 7)});
+    const auto late = store.put(change("late", 1, {teamItem("a", 9)}), "other");
+    REQUIRE(late.has_error());
+    CHECK(late.error().code == base::Code::ConfigVersionConflict);
+    CHECK(late.error().message.find("version 2 by op: team/a: team.weight 1 -> 7")
+          != std::string::npos);
+    CHECK(store.headVersion().value() == 2);
+}
+
+TEST_CASE_FIXTURE(Store, "a roll-back is a new version with the old values")
+{
+    put(0, {teamItem("a", 1)});
+    put(1, {teamItem("a", 7), teamItem("b", 2)});
+    v1::RollBackConfigRequest request;
+    request.set_request_id("back");
+    request.set_expected_version(2);
+    request.set_to_version(1);
+    const auto back = store.rollBack(request, "op");
+    REQUIRE(back.has_value());
+    CHECK(back.value().version() == 3);
+    CHECK(back.value().rolls_back_to() == 1);
+    const v1::Config config = store.read().value();
+    REQUIRE(config.items_size() == 1);
+    CHECK(config.items(0).team().weight() == 1);
+    v1::ConfigHistoryRequest history;
+    history.set_limit(2);
+    const auto changes = store.history(history).value();
+    REQUIRE(changes.changes_size() == 2);
+    CHECK(changes.changes(0).version() == 3);
+}
+
+// Guards against changes that cost as much as the whole configuration.
+TEST_CASE_FIXTURE(Store, "the cost of a change does not depend on the size of the configuration")
+{
+    std::uint64_t version = 0;
+    for (int batch = 0; batch < 10; ++batch) {
+        std::vector<v1::ConfigItem> items;
+        for (int i = 0; i < 50; ++i)
+            items.push_back(teamItem(std::to_string(batch) + "-" + std::to_string(i), 1));
+        version = put(version, items);
+    }
+    const platform::PlatformCounters before = platform->counters();
+    put(version, {teamItem("0-0", 2)});
+    const platform::PlatformCounters after = platform->counters();
+    CHECK(after.tableWrites - before.tableWrites == 4);
+    CHECK(after.tableReads - before.tableReads == 3);
+}
+
+// Guards against an older version coming back by a late or repeated message.
+TEST_CASE_FIXTURE(Store, "the applier takes changes and wholes, and never a lower version")
+{
+    put(0, {teamItem("a", 1), teamItem("b", 1)});
+    ConfigApplier applier;
+    const v1::ConfigDelta whole = store.changesSince(0).value();
+    CHECK(applier.apply(whole, ConfigSource::Table, time->now()));
+    v1::ConfigItem gone = teamItem("b", 1);
+    gone.set_deleted(true);
+    put(1, {teamItem("a", 5), gone});
+    const v1::ConfigDelta delta = store.changesSince(1).value();
+    CHECK_FALSE(delta.whole());
+    CHECK(applier.apply(delta, ConfigSource::Peer, time->now()));
+    CHECK(applier.isFromPeers());
+    CHECK_FALSE(applier.apply(whole, ConfigSource::Table, time->now()));
+    CHECK(applier.version() == 2);
+    CHECK(applier.items().size() == 1);
+    CHECK(applier.item("team/a")->team().weight() == 5);
+    applier.noteTableHead(2);
+    CHECK_FALSE(applier.isFromPeers());
+
+    ConfigApplier fresh;
+    CHECK_FALSE(fresh.apply(delta, ConfigSource::Peer, time->now()));
+    for (const v1::ConfigDelta &part : applier.deltaSince(0))
+        fresh.apply(part, ConfigSource::Peer, time->now());
+    CHECK(fresh.version() == 2);
+    CHECK(fresh.items().size() == 1);
+}
+
+// Guards against a configuration that a peer message cannot hold.
+TEST_CASE("a large configuration travels in parts, in any order")
+{
+    v1::ConfigDelta whole;
+    whole.set_version(3);
+    whole.set_whole(true);
+    for (std::uint32_t i = 0; i < kMaxConfigItems; ++i) {
+        *whole.add_items() = teamItem(std::string(100, 'x') + std::to_string(i), 1);
+        whole.mutable_items()->rbegin()->set_version(3);
+    }
+    ConfigApplier holder;
+    REQUIRE(holder.apply(whole, ConfigSource::Table, {}));
+    std::vector<v1::ConfigDelta> parts = holder.deltaSince(0);
+    CHECK(parts.size() > 1);
+    ConfigApplier fresh;
+    std::reverse(parts.begin(), parts.end());
+    for (const v1::ConfigDelta &part : parts)
+        fresh.apply(part, ConfigSource::Peer, {});
+    CHECK(fresh.version() == 3);
+    CHECK(fresh.items().size() == kMaxConfigItems);
+}
+
+TEST_CASE_FIXTURE(Store, "the services put, read and report over Twirp")
+{
+    twirp::Router router;
+    int accepted = 0;
+    addConfigServices(router, store, {.status = {}, .onAccepted = [&] { ++accepted; }});
+    const auto call = [&](const std::string &method, const std::string &body) {
+        return router.handle({.path = "/twirp/chicorywick.v1.ConfigService/" + method,
+                              .contentType = "application/json",
+                              .body = body,
+                              .context = {}});
+    };
+    const std::string put = R"({"request_id":"r","items":[{"name":"team/a","team":{"weight":2}}]})";
+    CHECK(call("PutConfig", put).status == 200);
+    CHECK(call("PutConfig", put).status == 200);
+    CHECK(accepted == 2);
+    CHECK(call("GetConfig", "{}").body.find(R"("version":"1")") != std::string::npos);
+    CHECK(call("ConfigStatus", "{}").body.find(R"("head_version":"1")") != std::string::npos);
+}
+
+} // namespace chicorywick::cluster
--- /dev/null
+++ b/packages/cluster/src/table_pacer.cpp
@@ -0,0 +1,96 @@
+#include <chicorywick/cluster/table_pacer.h>
+
+#include <algorithm>
+
+namespace chicorywick::cluster {
+
+namespace {
+
+constexpr double kRampStart = 0.1;
+constexpr double kMicrosPerSecond = 1e6;
+// The largest transaction must fit the burst, however small the share of one daemon is.
+constexpr double kMinBurst = 100;
+
+double secondsBetween(base::TimePoint from, base::TimePoint to)
+{
+    return static_cast<double>((to - from).count()) / kMicrosPerSecond;
+}
+
+} // namespace
+
+TablePacer::TablePacer(TablePacerOptions options, std::uint64_t seed)
+    : options_(options)
+    , rng_(seed)
+    , backoff_(options.backoff)
+{
+    setMembers(1);
+}
+
+void TablePacer::setMembers(std::size_t members)
+{
+    const std::lock_guard lock(mutex_);
+    members_ = std::max<std::size_t>(1, members);
+    const auto count = static_cast<double>(members_);
+    reads_.rate = options_.readsPerSecond * options_.share / count;
+    writes_.rate = options_.writesPerSecond * options_.share / count;
+}
+
+double TablePacer::rampFactor(base::TimePoint now) const
+{
+    if (recoveredAt_ == base::TimePoint{} || now - recoveredAt_ >= options_.rampTime)
+        return 1;
+    const double part = secondsBetween(recoveredAt_, now)
+                        / (static_cast<double>(options_.rampTime.count()) / kMicrosPerSecond);
+    return kRampStart + (1 - kRampStart) * std::max(0.0, part);
+}
+
+base::Duration TablePacer::reserve(Lane &lane, base::TimePoint now, double cost)
+{
+    const std::lock_guard lock(mutex_);
+    if (now < blockedUntil_)
+        return blockedUntil_ - now;
+    const double rate = lane.rate * rampFactor(now);
+    const double burst = std::max(rate * options_.burstSeconds, std::min(cost, kMinBurst));
+    if (lane.last == base::TimePoint{})
+        lane.tokens = burst;
+    else
+        lane.tokens = std::min(burst, lane.tokens + secondsBetween(lane.last, now) * rate);
+    lane.last = now;
+    if (lane.tokens >= cost) {
+        lane.tokens -= cost;
+        return base::Duration::zero();
+    }
+    const double seconds = (cost - lane.tokens) / rate;
+    return base::Duration(static_cast<std::int64_t>(seconds * kMicrosPerSecond) + 1);
+}
+
+base::Duration TablePacer::reserveReads(base::TimePoint now, double reads)
+{
+    return reserve(reads_, now, reads);
+}
+
+base::Duration TablePacer::reserveWrites(base::TimePoint now, double writes)
+{
+    return reserve(writes_, now, writes);
+}
+
+void TablePacer::noteAnswer(base::TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    if (!isOut_)
+        return;
+    isOut_ = false;
+    recoveredAt_ = now;
+    backoff_.reset();
+    reads_.tokens = 0;
+    writes_.tokens = 0;
+}
+
+void TablePacer::noteUnavailable(base::TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    isOut_ = true;
+    blockedUntil_ = now + backoff_.next(rng_);
+}
+
+} // namespace chicorywick::cluster
--- a/packages/platform/src/run_once.cpp
+++ b/packages/platform/src/run_once.cpp
@@ -52,7 +52,16 @@
         if (row)
             return replay(*row, record, response);
         response.Clear();
-        BOOST_OUTCOME_TRY(transaction, prepare(response));
+        auto prepared = prepare(response);
+        if (!prepared) {
+            // An earlier call with this id may have been applied since the first read, and may be
+            // what prepare() refuses.
+            BOOST_OUTCOME_TRY(late, table.get(key));
+            if (late)
+                return replay(*late, record, response);
+            return prepared.error();
+        }
+        Transaction transaction = std::move(prepared).value();
         record.set_response(response.SerializeAsString());
         record.set_recorded_at_ms(base::toMillis(clock.now()));
         transaction.writer = base::uniqueId();
