--- a/packages/serving/include/chicorywick/serving/dispatcher.h
+++ b/packages/serving/include/chicorywick/serving/dispatcher.h
@@ -4,6 +4,8 @@
 #include <chicorywick/serving/admission.h>
 #include <chicorywick/serving/permit.h>
 #include <chicorywick/serving/routing_table.h>
+#include <chicorywick/serving/slot_sharing.h>
+#include <chicorywick/serving/waiter.h>
 
 #include <cstdint>
 #include <memory>
@@ -26,7 +28,7 @@
 class Dispatcher
 {
 public:
-    Dispatcher(base::Clock clock, std::uint64_t seed);
+    Dispatcher(base::Clock clock, std::uint64_t seed, SlotSharing sharing = {});
     ~Dispatcher();
     Dispatcher(const Dispatcher &) = delete;
     Dispatcher &operator=(const Dispatcher &) = delete;
@@ -37,6 +39,15 @@
     /// @brief Blocks until a slot is free, the deadline has passed, or the request is rejected.
     base::Result<Permit> acquire(const AdmissionRequest &request);
 
+    /// @brief The event-driven form of acquire. The answer comes before submit returns, or from a
+    /// later call of any thread.
+    void submit(const AdmissionRequest &request, AdmissionCallback answer);
+
+    /// @brief Does what time alone brings about: rejects requests whose deadline has passed and
+    /// starts those for which an ejection has ended or a probe is due. acquire calls it as it
+    /// waits.
+    void poll();
+
     /// @brief Takes one retry from the service's retry budget.
     bool tryRetry(const std::string &service);
 
@@ -55,8 +66,7 @@
     std::vector<UpstreamLoadView> loads() const;
 
 private:
-    class Impl;
-    std::shared_ptr<Impl> impl_;
+    std::shared_ptr<DispatcherCore> core_;
 };
 
 } // namespace chicorywick::serving
--- /dev/null
+++ b/packages/serving/include/chicorywick/serving/fair_queue.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <chicorywick/serving/admission.h>
+
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorywick::serving {
+
+struct Waiter;
+using WaiterPtr = std::shared_ptr<Waiter>;
+
+/// @brief Waiting requests of one class: callers take turns, each in order of arrival.
+class CallerRing
+{
+public:
+    using Accepts = std::function<bool(const Waiter &)>;
+
+    void push(const WaiterPtr &waiter, bool atFront);
+    /// @brief The next request that is accepted; its caller then goes to the end of the ring.
+    WaiterPtr pop(const Accepts &accepts);
+    bool remove(const WaiterPtr &waiter);
+    /// @brief Removes the newest request of the caller with the most waiting.
+    WaiterPtr pushOut();
+    void collect(std::vector<WaiterPtr> &all) const;
+
+    std::size_t size() const { return size_; }
+    std::size_t ofCaller(const std::string &caller) const;
+    std::size_t ofLongestCaller() const;
+
+private:
+    struct Lane
+    {
+        std::string caller;
+        std::list<WaiterPtr> waiters;
+    };
+    using LaneIterator = std::list<Lane>::iterator;
+
+    void dropIfEmpty(LaneIterator lane);
+
+    std::list<Lane> lanes_;
+    std::unordered_map<std::string, LaneIterator> byCaller_;
+    std::size_t size_ = 0;
+};
+
+/// @brief Order of the waiting requests of a service. Not thread-safe; its owner bounds it.
+class FairQueue
+{
+public:
+    void push(const WaiterPtr &waiter);
+    /// @brief The next accepted request: quick before archive, and archive at least its share.
+    WaiterPtr pop(unsigned archiveSharePercent, const CallerRing::Accepts &accepts);
+    bool remove(const WaiterPtr &waiter);
+    WaiterPtr pushOut(RequestClass requestClass) { return ring(requestClass).pushOut(); }
+    std::vector<WaiterPtr> all() const;
+
+    std::size_t size() const { return quick_.size() + archive_.size(); }
+    const CallerRing &ofClass(RequestClass requestClass) const;
+    std::size_t ofCaller(const std::string &caller) const;
+
+private:
+    CallerRing &ring(RequestClass requestClass);
+
+    CallerRing quick_;
+    CallerRing archive_;
+    /// Percent of a start that archive has earned while both classes wait.
+    unsigned archiveCredit_ = 0;
+};
+
+} // namespace chicorywick::serving
--- a/packages/serving/include/chicorywick/serving/permit.h
+++ b/packages/serving/include/chicorywick/serving/permit.h
@@ -7,14 +7,26 @@
 
 namespace chicorywick::serving {
 
+class DispatcherCore;
 struct ServiceState;
 struct UpstreamState;
 
+/// @brief What a permit holds until it is finished.
+struct HeldSlot
+{
+    std::shared_ptr<DispatcherCore> core;
+    std::shared_ptr<ServiceState> service;
+    std::shared_ptr<UpstreamState> upstream;
+    base::TimePoint takenAt;
+    /// Sent above the learned limit to learn whether the upstream accepts more.
+    bool isProbe = false;
+};
+
 /// @brief One slot of one upstream; move-only.
 class Permit
 {
 public:
-    Permit(std::shared_ptr<ServiceState> service, std::shared_ptr<UpstreamState> upstream);
+    explicit Permit(HeldSlot slot);
     ~Permit();
     Permit(Permit &&other) noexcept;
     Permit &operator=(Permit &&other) noexcept;
@@ -23,13 +35,15 @@
 
     const UpstreamTarget &upstream() const;
 
+    /// @brief Whether the upstream still accepts new work.
+    bool isUsable() const;
+
     /// @brief Releases the slot and reports the attempt; later calls do nothing. A permit that is
     /// destroyed unfinished counts as Cancelled.
     void finish(AttemptOutcome outcome, base::Duration latency);
 
 private:
-    std::shared_ptr<ServiceState> service_;
-    std::shared_ptr<UpstreamState> upstream_;
+    HeldSlot slot_;
 };
 
 } // namespace chicorywick::serving
--- /dev/null
+++ b/packages/serving/src/admission_rule.cpp
@@ -0,0 +1,66 @@
+#include <chicorywick/serving/admission_rule.h>
+
+#include <algorithm>
+
+namespace chicorywick::serving {
+
+namespace {
+
+// A wait below this is not worth a rejection, however short the service's requests are.
+constexpr base::Duration kShortestWaitLimit = std::chrono::milliseconds(5);
+constexpr unsigned kPercent = 100;
+constexpr unsigned kLargestArchiveShare = 90;
+
+} // namespace
+
+std::optional<base::Duration> expectedWait(std::size_t ahead, const ServiceRate &rate)
+{
+    if (rate.slotsHeld == 0 || rate.meanHold <= base::Duration::zero())
+        return std::nullopt;
+    const auto turns = static_cast<std::int64_t>(ahead + 1);
+    return rate.meanHold * turns / static_cast<std::int64_t>(rate.slotsHeld);
+}
+
+std::size_t requestsAhead(RequestClass requestClass, const QueueLoad &load,
+                          unsigned archiveSharePercent)
+{
+    const unsigned share = std::min(archiveSharePercent, kLargestArchiveShare);
+    if (requestClass == RequestClass::Quick) {
+        // Archive requests start between the quick ones, up to their share.
+        const std::size_t between = load.quick * share / (kPercent - share);
+        return load.quick + std::min(load.archive, between);
+    }
+    // Either all waiting requests go first, or the share alone serves the archive requests.
+    const std::size_t all = load.quick + load.archive;
+    if (share == 0)
+        return all;
+    return std::min(all, load.archive * kPercent / share);
+}
+
+base::Duration quickWaitLimit(const ServiceRate &rate)
+{
+    // A queue that lasts one mean hold time keeps every slot busy; a longer one adds only latency.
+    return std::max(rate.meanHold, kShortestWaitLimit);
+}
+
+AdmissionVerdict decideAdmission(const ServicePolicy &policy, const AdmissionRequest &request,
+                                 const QueueLoad &load, const ServiceRate &rate,
+                                 base::TimePoint now)
+{
+    const std::size_t ahead =
+            request.isRetry ? 0
+                            : requestsAhead(request.requestClass, load, policy.archiveSharePercent);
+    const auto wait = expectedWait(ahead, rate);
+    if (request.deadline <= now || (wait && now + *wait > request.deadline))
+        return AdmissionVerdict::DeadlineTooNear;
+    if (load.ofCaller >= policy.queueLimitPerCaller)
+        return AdmissionVerdict::CallerLimit;
+    const bool tooLong = request.requestClass == RequestClass::Quick && !request.isRetry && wait
+                         && *wait > quickWaitLimit(rate);
+    if (!tooLong && load.quick + load.archive < policy.queueLimit)
+        return AdmissionVerdict::Queue;
+    return load.ofCaller + 1 < load.ofLongestCaller ? AdmissionVerdict::QueueAndPushOut
+                                                    : AdmissionVerdict::QueueFull;
+}
+
+} // namespace chicorywick::serving
--- /dev/null
+++ b/packages/serving/src/dispatcher_queue.cpp
@@ -0,0 +1,161 @@
+#include "dispatcher_core.h"
+
+#include <algorithm>
+
+// The steps of DispatcherCore that need the mutex of a service's queue.
+namespace chicorywick::serving {
+
+namespace {
+
+// Sweeps look at every upstream, so arrivals may cause one only this often.
+constexpr base::Duration kSweepInterval = std::chrono::milliseconds(2);
+
+QueueLoad loadFor(const FairQueue &queue, const AdmissionRequest &request)
+{
+    return {.quick = queue.ofClass(RequestClass::Quick).size(),
+            .archive = queue.ofClass(RequestClass::Archive).size(),
+            .ofCaller = queue.ofCaller(request.caller),
+            .ofLongestCaller = queue.ofClass(request.requestClass).ofLongestCaller()};
+}
+
+base::Code codeOf(AdmissionVerdict verdict)
+{
+    switch (verdict) {
+    case AdmissionVerdict::CallerLimit:
+        return base::Code::CallerLimitExceeded;
+    case AdmissionVerdict::DeadlineTooNear:
+        return base::Code::DeadlineExceeded;
+    case AdmissionVerdict::Queue:
+    case AdmissionVerdict::QueueAndPushOut:
+    case AdmissionVerdict::QueueFull:
+        break;
+    }
+    return base::Code::QueueFull;
+}
+
+} // namespace
+
+void DispatcherCore::queueOrReject(const RoutingSnapshot &snapshot, const ServiceSnapshot &service,
+                                   const WaiterPtr &waiter, PendingAnswers &answers)
+{
+    ServiceState &state = *service.state;
+    const base::TimePoint at = now();
+    const AdmissionRequest &request = waiter->request;
+    const AdmissionVerdict verdict = decideAdmission(
+            service.policy, request, loadFor(state.queue, request), rateOf(state), at);
+    const bool queue =
+            verdict == AdmissionVerdict::Queue || verdict == AdmissionVerdict::QueueAndPushOut;
+    if (!queue) {
+        answers.push_back({waiter, base::makeError(codeOf(verdict), request.service)});
+        return;
+    }
+    if (verdict == AdmissionVerdict::QueueAndPushOut) {
+        if (const WaiterPtr victim = state.queue.pushOut(request.requestClass)) {
+            --state.queued;
+            answers.push_back(
+                    {victim, base::makeError(base::Code::QueueFull, victim->request.service)});
+        }
+    }
+    const bool wasEmpty = state.queue.size() == 0;
+    state.queue.push(waiter);
+    ++state.queued;
+    // A slot that was released before the request was counted as queued is found only here.
+    if (wasEmpty || claimSweep(state, at, kSweepInterval))
+        serveFreeSlots(snapshot, service, answers);
+}
+
+void DispatcherCore::sweep(const RoutingSnapshot &snapshot, const ServiceSnapshot &service,
+                           PendingAnswers &answers)
+{
+    rejectHopeless(service, now(), answers);
+    serveFreeSlots(snapshot, service, answers);
+}
+
+void DispatcherCore::rejectHopeless(const ServiceSnapshot &service, base::TimePoint at,
+                                    PendingAnswers &answers)
+{
+    for (const WaiterPtr &waiter : service.state->queue.all()) {
+        if (at >= waiter->request.deadline)
+            reject(*service.state, waiter, base::Code::DeadlineExceeded, answers);
+        else if (!hasCandidate(service, waiter->request.excludedUpstreams))
+            reject(*service.state, waiter, base::Code::NoUpstream, answers);
+    }
+}
+
+void DispatcherCore::serveFreeSlots(const RoutingSnapshot &snapshot, const ServiceSnapshot &service,
+                                    PendingAnswers &answers)
+{
+    base::Rng rng = drawRng();
+    const ChoiceContext context = contextOf(snapshot, rng, {});
+    while (service.state->queue.size() > 0) {
+        const auto chosen = chooseSlot(service, context);
+        if (!chosen)
+            return;
+        if (!giveToWaiter(service, *chosen, context.now, answers)) {
+            serveExcluding(snapshot, service, answers);
+            return;
+        }
+    }
+}
+
+// Every waiting request excludes the upstream that was chosen for all, so each gets its own choice.
+void DispatcherCore::serveExcluding(const RoutingSnapshot &snapshot, const ServiceSnapshot &service,
+                                    PendingAnswers &answers)
+{
+    base::Rng rng = drawRng();
+    for (const WaiterPtr &waiter : service.state->queue.all()) {
+        const ChoiceContext context = contextOf(snapshot, rng, waiter->request.excludedUpstreams);
+        const auto chosen = chooseSlot(service, context);
+        if (!chosen)
+            continue;
+        service.state->queue.remove(waiter);
+        --service.state->queued;
+        answers.push_back({waiter, grant(service, *chosen, waiter->request.isRetry, context.now)});
+    }
+}
+
+void DispatcherCore::serveUpstream(const RoutingSnapshot &snapshot, const ServiceSnapshot &service,
+                                   const UpstreamPtr &upstream, PendingAnswers &answers)
+{
+    base::Rng rng = drawRng();
+    const ChoiceContext context = contextOf(snapshot, rng, {});
+    const bool local = upstream->target.zone == snapshot.localZone;
+    const SlotRule rule = ruleFor(service, context, local);
+    const std::lock_guard lock(service.state->mutex);
+    while (service.state->queue.size() > 0) {
+        const SlotTaken taken = tryTakeSlot(*upstream, rule, context.now);
+        if (taken == SlotTaken::No)
+            return;
+        const ChosenSlot chosen{upstream, taken == SlotTaken::AsProbe};
+        if (!giveToWaiter(service, chosen, context.now, answers))
+            return;
+    }
+}
+
+bool DispatcherCore::giveToWaiter(const ServiceSnapshot &service, const ChosenSlot &chosen,
+                                  base::TimePoint at, PendingAnswers &answers)
+{
+    const auto accepts = [&](const Waiter &waiter) {
+        return at < waiter.request.deadline
+               && !isExcluded(*chosen.upstream, waiter.request.excludedUpstreams);
+    };
+    const WaiterPtr waiter = service.state->queue.pop(service.policy.archiveSharePercent, accepts);
+    if (!waiter) {
+        --chosen.upstream->inFlight;
+        return false;
+    }
+    --service.state->queued;
+    answers.push_back({waiter, grant(service, chosen, waiter->request.isRetry, at)});
+    return true;
+}
+
+void DispatcherCore::reject(ServiceState &service, const WaiterPtr &waiter, base::Code code,
+                            PendingAnswers &answers)
+{
+    if (!service.queue.remove(waiter))
+        return;
+    --service.queued;
+    answers.push_back({waiter, base::makeError(code, service.name)});
+}
+
+} // namespace chicorywick::serving
--- /dev/null
+++ b/packages/serving/src/record_outcome.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "routing_snapshot.h"
+
+#include <chicorywick/serving/admission.h>
+
+namespace chicorywick::serving {
+
+/// @brief An attempt that ended.
+struct EndedAttempt
+{
+    AttemptOutcome outcome = AttemptOutcome::Cancelled;
+    base::Duration latency{};
+    bool wasProbe = false;
+};
+
+/// @brief Feeds the end of an attempt to ejection and to the learned limit.
+void recordOutcome(const ServiceSnapshot &service, UpstreamState &upstream, const SlotRule &rule,
+                   const EndedAttempt &attempt, base::TimePoint now);
+
+} // namespace chicorywick::serving
--- /dev/null
+++ b/packages/serving/src/slot_sharing.cpp
@@ -0,0 +1,79 @@
+#include <chicorywick/base/overloaded.h>
+#include <chicorywick/serving/slot_sharing.h>
+
+#include <algorithm>
+
+namespace chicorywick::serving {
+
+namespace {
+
+// Other zones' entry instances have the first claim on their upstreams' slots.
+constexpr unsigned kSpillShare = 1;
+
+unsigned fixedLimit(const SlotView &view)
+{
+    if (!view.local)
+        return kSpillShare;
+    return std::max(1U, view.slots / std::max(1U, view.entryInstances));
+}
+
+unsigned demandLimit(const SlotView &view)
+{
+    const unsigned floor = fixedLimit(view);
+    if (!view.remoteKnown)
+        return floor;
+    const unsigned left = view.slots - std::min(view.slots, view.remoteInFlight);
+    return std::max(left, floor);
+}
+
+} // namespace
+
+unsigned equalShare(const SlotView &view)
+{
+    if (!view.local)
+        return kSpillShare;
+    const unsigned instances = std::max(1U, view.entryInstances);
+    return (view.slots + instances - 1) / instances;
+}
+
+unsigned slotLimit(const SlotSharing &sharing, const SlotView &view)
+{
+    const unsigned limit =
+            std::visit(base::Overloaded{[&](const OptimisticShares &) { return view.learnedLimit; },
+                                        [&](const FixedShares &) { return fixedLimit(view); },
+                                        [&](const DemandShares &) { return demandLimit(view); }},
+                       sharing);
+    return std::min(limit, view.slots);
+}
+
+LearnedLimit initialLimit(const SlotSharing &sharing, const SlotView &view)
+{
+    return {equalShare(view), {}, intervalAfterAcceptedProbe(sharing)};
+}
+
+LearnedLimit afterRefusal(const SlotSharing &sharing, const SlotView &view,
+                          const LearnedLimit &learned, unsigned inFlight, base::TimePoint now)
+{
+    const auto *optimistic = std::get_if<OptimisticShares>(&sharing);
+    if (optimistic == nullptr)
+        return learned;
+    const base::Duration longest = inFlight < equalShare(view)
+                                           ? optimistic->longestProbeIntervalBelowShare
+                                           : optimistic->longestProbeIntervalAboveShare;
+    const base::Duration interval =
+            std::clamp(2 * learned.probeInterval, optimistic->shortestProbeInterval, longest);
+    return {std::min(learned.limit, inFlight), now + interval, interval};
+}
+
+bool mayProbe(const SlotSharing &sharing, base::TimePoint nextProbe, base::TimePoint now)
+{
+    return std::holds_alternative<OptimisticShares>(sharing) && now >= nextProbe;
+}
+
+base::Duration intervalAfterAcceptedProbe(const SlotSharing &sharing)
+{
+    const auto *optimistic = std::get_if<OptimisticShares>(&sharing);
+    return optimistic != nullptr ? optimistic->shortestProbeInterval : base::Duration{};
+}
+
+} // namespace chicorywick::serving
