Close a caller's connection only if its response said so

Cause: the proxy read the draining flag again after the response was written. A drain that began in between closed a connection that the response had left open, and the next request on it was lost. Change: the response's Connection header and the close follow from one decision.

--- a/packages/serving/src/caller_server.cpp
+++ b/packages/serving/src/caller_server.cpp
@@ -56,7 +56,7 @@
     const bool isWritten = process_request(connection.stream, false, isClosed,
                                            [&](httplib::Request &request) { prepare(request); });
     current = {};
-    return isWritten && !isClosed && !session->mustClose() && !context_->draining
+    return isWritten && !isClosed && !session->mustClose()
            && connection.stream.failure() == StreamFailure::None;
 }
 
--- a/packages/serving/src/request_session.cpp
+++ b/packages/serving/src/request_session.cpp
@@ -118,9 +118,12 @@
             [self = shared_from_this()](bool) { self->endStreaming(); });
 }
 
-void RequestSession::finishHeaders(httplib::Response &response) const
+// What the response says of the connection must be what happens to it: a caller that is not told
+// "close" may send its next request at once.
+void RequestSession::finishHeaders(httplib::Response &response)
 {
-    if (mustClose_ || context_->draining) {
+    mustClose_ = mustClose_ || context_->draining;
+    if (mustClose_) {
         response.headers.erase("Keep-Alive");
         response.headers.erase("Connection");
         response.headers.emplace("Connection", "close");
--- a/packages/serving/src/request_session.h
+++ b/packages/serving/src/request_session.h
@@ -34,7 +34,7 @@
     /// @brief Hands the reply over to the library.
     void writeTo(httplib::Response &response);
     /// @brief Corrects the headers that the library adds.
-    void finishHeaders(httplib::Response &response) const;
+    void finishHeaders(httplib::Response &response);
     bool mustClose() const { return mustClose_; }
     /// @brief When the response must have been written.
     SteadyTime writeDeadline() const;
