--- /dev/null
+++ b/evidence/prove/puppet.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <exception>
+#include <functional>
+#include <semaphore>
+#include <thread>
+
+namespace chicorywick::prove {
+
+/// @brief Runs a body on its own thread, one platform call at a time.
+///
+/// The thread stops before each call of the platform and goes on only in resume(), so a scheduler
+/// decides how the calls of several bodies interleave and where one stops for good. Only one puppet
+/// of a process runs at a time.
+class Puppet
+{
+public:
+    /// @brief The body is repeated until the puppet is destroyed.
+    explicit Puppet(std::function<void()> body);
+
+    /// @brief Stops the body at the call that it is waiting to make.
+    ~Puppet();
+    Puppet(const Puppet &) = delete;
+    Puppet &operator=(const Puppet &) = delete;
+
+    /// @brief Lets the body make the call that it waits at and go on to the next one.
+    void resume();
+
+    /// @brief For MemoryPlatform::setCallHook(): stops the calling thread if it is a puppet's.
+    static void beforeCall();
+
+private:
+    struct Stopped : std::exception
+    {};
+
+    void run();
+    void park();
+
+    std::function<void()> body_;
+    std::binary_semaphore mayRun_{0};
+    std::binary_semaphore hasParked_{0};
+    bool isStopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace chicorywick::prove
--- a/packages/fleet/include/chicorywick/fleet/availability_budget.h
+++ b/packages/fleet/include/chicorywick/fleet/availability_budget.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -31,7 +32,11 @@
     std::string rack;
     std::string zone;
 
-    auto operator<=>(const PlacedInstance &) const = default;
+    bool operator==(const PlacedInstance &) const = default;
+    bool operator<(const PlacedInstance &other) const
+    {
+        return std::tie(id, rack, zone) < std::tie(other.id, other.rack, other.zone);
+    }
 };
 
 /// @brief Largest number of unavailable instances.
--- a/packages/platform/include/chicorywick/platform/memory_platform.h
+++ b/packages/platform/include/chicorywick/platform/memory_platform.h
@@ -53,6 +53,17 @@
     bool operator==(const PlatformCounters &) const = default;
 };
 
+/// @brief An instance as it really is, without lag or faults.
+struct InstanceTruth
+{
+    InstanceStatus status;
+    bool leaving = false;
+    /// Reboots that were commanded and carried out.
+    std::uint64_t rebootOrders = 0;
+
+    bool operator==(const InstanceTruth &) const = default;
+};
+
 /// @brief Settings of the in-memory platform.
 struct MemoryPlatformOptions
 {
@@ -90,6 +101,12 @@
     PlatformCounters counters() const;
     /// @brief Instances that are up and not drained at this moment, without lag.
     std::set<std::string> instancesInService() const;
+    /// @brief Called before each service call, without a lock held; it may block or throw. Set it
+    /// before the first call.
+    void setCallHook(std::function<void()> hook);
+    /// @brief Rows and instances as they really are; free of faults, cost and the hook.
+    std::vector<Row> rowsBelow(const std::string &prefix) const;
+    std::map<std::string, InstanceTruth> instanceTruth();
 
     // The services, called from an availability zone.
     base::Result<std::optional<Row>> getRow(const std::string &zone, const std::string &key);
@@ -132,6 +149,7 @@
         std::uint64_t fence = 0;
         std::uint64_t rebootFence = 0;
         std::uint64_t boots = 0;
+        std::uint64_t rebootOrders = 0;
         base::TimePoint phaseUntil;
         bool rebootFails = false;
         bool cut = false;
@@ -157,6 +175,7 @@
     InstanceListing observe();
 
     MemoryPlatformOptions options_;
+    std::function<void()> callHook_;
     mutable std::mutex mutex_;
     base::Rng rng_;
     FaultPlan faults_;
--- a/packages/platform/src/memory_fleet.cpp
+++ b/packages/platform/src/memory_fleet.cpp
@@ -61,6 +61,22 @@
     return ids;
 }
 
+std::map<std::string, InstanceTruth> MemoryPlatform::instanceTruth()
+{
+    const Lock lock(mutex_);
+    std::map<std::string, InstanceTruth> truth;
+    for (auto &[id, machine] : machines_) {
+        advance(machine);
+        truth[id] = InstanceTruth{.status = {.phase = machine.phase,
+                                             .fence = machine.fence,
+                                             .inFlight = 0,
+                                             .boots = machine.boots},
+                                  .leaving = machine.listed.leaving,
+                                  .rebootOrders = machine.rebootOrders};
+    }
+    return truth;
+}
+
 void MemoryPlatform::advance(Machine &machine)
 {
     const base::TimePoint now = options_.clock.now();
@@ -149,6 +165,7 @@
     if (machine.rebootFence == fence)
         return base::ok();
     machine.rebootFence = fence;
+    ++machine.rebootOrders;
     machine.phase = InstancePhase::Rebooting;
     machine.phaseUntil = now + options_.rebootTime;
     for (auto &[name, task] : machine.tasks) {
--- a/packages/platform/src/memory_platform.cpp
+++ b/packages/platform/src/memory_platform.cpp
@@ -61,9 +61,26 @@
     return counters_;
 }
 
+void MemoryPlatform::setCallHook(std::function<void()> hook)
+{
+    callHook_ = std::move(hook);
+}
+
+std::vector<Row> MemoryPlatform::rowsBelow(const std::string &prefix) const
+{
+    const Lock lock(mutex_);
+    std::vector<Row> rows;
+    for (auto row = rows_.lower_bound(prefix); row != rows_.end() && row->first.starts_with(prefix);
+         ++row)
+        rows.push_back(row->second);
+    return rows;
+}
+
 base::Result<MemoryPlatform::Lock> MemoryPlatform::enter(ServiceFaults FaultPlan::*service,
                                                          const std::string &zone)
 {
+    if (callHook_)
+        callHook_();
     Lock lock(mutex_);
     const base::Duration delay = (faults_.*service).delay;
     if (delay > base::Duration::zero()) {
