Prove that jobs end exactly once

Change: proof jobs-once runs two drivers and two operators on threads that take turns at single platform calls, in virtual time, with outages, lost answers, late commits, cut and failing workers, drains, reboots, paused and killed drivers, bad workers, impossible jobs and bursts of cancellations.

--- /dev/null
+++ b/evidence/prove/jobs_once_world.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "chicorywick/v1/job_service.pb.h"
+#include "evidence/prove/turn_taking.h"
+
+#include <chicorywick/jobs/job_driver.h>
+#include <chicorywick/jobs/job_services.h>
+#include <chicorywick/platform/memory_platform.h>
+
+#include <map>
+#include <set>
+
+namespace chicorywick::prove {
+
+/// @brief What a job really does.
+struct JobPlan
+{
+    v1::JobSpec spec;
+    base::Duration runTime{};
+    bool succeeds = true;
+    std::uint32_t memoryMib = 0;
+};
+
+/// @brief What the callers were told about a job.
+struct JobAnswers
+{
+    bool wasAccepted = false;
+    bool mayBeAccepted = false;
+    bool cancelAsked = false;
+};
+
+/// @brief One start as the worker saw it, with its checkpoint.
+struct SeenStart
+{
+    std::uint64_t fence = 0;
+    bool isFresh = true;
+};
+
+/// @brief Two drivers and two operators on one pool over a faulty platform in virtual time.
+class JobsOnceWorld
+{
+public:
+    explicit JobsOnceWorld(std::uint64_t seed);
+
+    /// @brief The first violation with a trace, or empty.
+    std::string run();
+
+private:
+    struct Schedule
+    {
+        base::TimePoint wakeAt;
+        std::string call;
+        bool isDriver = false;
+    };
+
+    // jobs_once_world.cpp: the system under test and its faults.
+    void addWorkers();
+    void makePlans();
+    void addDriver(base::Duration skew);
+    void addOperator();
+    void drive(std::size_t actor, base::Clock clock);
+    void operate(std::size_t actor);
+    void submitNext(twirp::Router &router, std::size_t actor);
+    void cancelSome(twirp::Router &router);
+    void releaseWorkers(twirp::Router &router);
+    int call(twirp::Router &router, const std::string &method,
+             const google::protobuf::Message &request, std::string &body);
+    jobs::CallHook hookOf(std::size_t actor);
+    void sleepActor(std::size_t actor, base::Duration duration, const char *why);
+    void advance(base::Duration by);
+    void changeFaults();
+    void heal();
+    void turn();
+
+    // jobs_once_checks.cpp: the invariants.
+    std::string checkRows();
+    std::string checkEnd();
+    std::string checkRuns(const std::string &key, const jobs::Job &job) const;
+    std::string traceOf(const std::string &key) const;
+    bool isAllFinished();
+    std::map<std::string, jobs::Job> readJobs();
+
+    base::Rng rng_;
+    std::vector<std::shared_ptr<base::ManualTime>> clocks_;
+    std::shared_ptr<base::ManualTime> time_ = std::make_shared<base::ManualTime>();
+    std::shared_ptr<platform::MemoryPlatform> platform_;
+    platform::MemoryAccess access_;
+    std::set<std::string> badWorkers_;
+    std::map<std::string, JobPlan> plans_;
+    std::vector<std::string> order_;
+    std::size_t submitted_ = 0;
+    std::map<std::string, JobAnswers> answers_;
+    std::map<std::string, std::vector<SeenStart>> starts_;
+    std::map<std::string, jobs::Job> terminal_;
+    std::map<std::string, std::vector<std::string>> events_;
+    std::vector<Schedule> schedules_;
+    bool isHealed_ = false;
+    std::uint64_t requests_ = 0;
+    TurnTaking turns_;
+};
+
+} // namespace chicorywick::prove
