--- a/packages/cluster/src/table_pacer.cpp
+++ b/packages/cluster/src/table_pacer.cpp
@@ -83,7 +83,9 @@
     recoveredAt_ = now;
     backoff_.reset();
     reads_.tokens = 0;
+    reads_.last = now;
     writes_.tokens = 0;
+    writes_.last = now;
 }
 
 void TablePacer::noteUnavailable(base::TimePoint now)
