--- a/packages/serving/include/chicorywick/serving/slot_sharing.h
+++ b/packages/serving/include/chicorywick/serving/slot_sharing.h
@@ -22,11 +22,11 @@
 /// at growing intervals raise it.
 struct OptimisticShares
 {
-    base::Duration shortestProbeInterval = std::chrono::milliseconds(20);
+    base::Duration shortestProbeInterval = std::chrono::milliseconds(100);
     /// Longest interval below the equal share and above it. Below is shorter, so that an entry
     /// instance that got less than its part catches up.
-    base::Duration longestProbeIntervalBelowShare = std::chrono::milliseconds(160);
-    base::Duration longestProbeIntervalAboveShare = std::chrono::milliseconds(640);
+    base::Duration longestProbeIntervalBelowShare = std::chrono::milliseconds(400);
+    base::Duration longestProbeIntervalAboveShare = std::chrono::milliseconds(2000);
 
     bool operator==(const OptimisticShares &) const = default;
 };
--- /dev/null
+++ b/packages/serving/src/upstream_directory.cpp
@@ -0,0 +1,136 @@
+#include <chicorywick/serving/upstream_directory.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace chicorywick::serving {
+
+namespace {
+
+// More than the target fleet has upstreams; a peer cannot fill the memory with made-up names.
+constexpr std::size_t kLargestDrainCount = 16384;
+// A drain may be heard of before the lagging list names the instance.
+constexpr base::Duration kUnlistedDrainLifetime = std::chrono::minutes(10);
+
+std::optional<UpstreamTarget> targetOf(const platform::ListedInstance &instance)
+{
+    const std::size_t colon = instance.address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    UpstreamTarget target{instance.id, instance.address.substr(0, colon), 0, instance.zone};
+    const char *end = instance.address.data() + instance.address.size();
+    const auto parsed = std::from_chars(instance.address.data() + colon + 1, end, target.port);
+    if (parsed.ec != std::errc{} || parsed.ptr != end)
+        return std::nullopt;
+    return target;
+}
+
+} // namespace
+
+HealthState afterCheck(const HealthPolicy &policy, HealthState state, bool passed)
+{
+    if (!state.known || passed == state.healthy)
+        return {true, passed, 0};
+    ++state.consecutive;
+    const unsigned needed = state.healthy ? policy.failuresToUnhealthy : policy.successesToHealthy;
+    return state.consecutive >= needed ? HealthState{true, passed, 0} : state;
+}
+
+bool UpstreamDirectory::applyListing(const platform::InstanceListing &listing)
+{
+    // Answers can overtake each other; an older one must not bring a leaving upstream back.
+    if (listing.observedAt < listing_.observedAt)
+        return false;
+    listing_ = listing;
+    forgetUnlisted();
+    return true;
+}
+
+bool UpstreamDirectory::applyDrain(const DrainDecision &decision)
+{
+    const auto known = drains_.find(decision.upstream);
+    if (known == drains_.end()) {
+        if (drains_.size() >= kLargestDrainCount)
+            return false;
+        drains_.emplace(decision.upstream, decision);
+        return true;
+    }
+    DrainDecision &current = known->second;
+    const bool later =
+            decision.stamp > current.stamp
+            || (decision.stamp == current.stamp && decision.draining && !current.draining);
+    if (later)
+        current = decision;
+    return later;
+}
+
+DrainDecision UpstreamDirectory::decideDrain(const std::string &upstream, bool draining,
+                                             base::TimePoint now) const
+{
+    const auto known = drains_.find(upstream);
+    if (known == drains_.end())
+        return {upstream, draining, now};
+    // Clocks of entry instances differ, so the time alone does not order the decisions.
+    return {upstream, draining, std::max(now, known->second.stamp + base::Duration(1))};
+}
+
+bool UpstreamDirectory::applyHealthCheck(const std::string &upstream, bool passed)
+{
+    if (!listed_.contains(upstream))
+        return false;
+    HealthState &state = checks_[upstream];
+    const bool before = state.healthy;
+    state = afterCheck(health_, state, passed);
+    return state.healthy != before;
+}
+
+std::vector<DrainDecision> UpstreamDirectory::drains() const
+{
+    std::vector<DrainDecision> decisions;
+    decisions.reserve(drains_.size());
+    for (const auto &[upstream, decision] : drains_)
+        decisions.push_back(decision);
+    return decisions;
+}
+
+bool UpstreamDirectory::isDraining(const std::string &upstream) const
+{
+    const auto known = drains_.find(upstream);
+    return known != drains_.end() && known->second.draining;
+}
+
+RoutingTable UpstreamDirectory::table(const std::string &localZone, unsigned entryInstancesInZone,
+                                      const std::map<std::string, ServicePolicy> &policies) const
+{
+    RoutingTable table{localZone, std::max(1U, entryInstancesInZone), {}};
+    for (const auto &[service, policy] : policies)
+        table.services[service].policy = policy;
+    for (const platform::ListedInstance &instance : listing_.instances) {
+        const auto service = table.services.find(instance.service);
+        const auto target = targetOf(instance);
+        if (instance.kind != platform::InstanceKind::Upstream || service == table.services.end()
+            || !target) {
+            continue;
+        }
+        const auto check = checks_.find(instance.id);
+        const bool healthy = check != checks_.end() && check->second.healthy;
+        const bool leaving = instance.leaving || isDraining(instance.id);
+        service->second.upstreams.push_back({*target, leaving, healthy});
+    }
+    return table;
+}
+
+void UpstreamDirectory::forgetUnlisted()
+{
+    listed_.clear();
+    for (const platform::ListedInstance &instance : listing_.instances)
+        listed_.insert(instance.id);
+    std::erase_if(checks_, [&](const auto &entry) { return !listed_.contains(entry.first); });
+    const base::TimePoint oldest = listing_.observedAt - kUnlistedDrainLifetime;
+    std::erase_if(drains_, [&](const auto &entry) {
+        return !listed_.contains(entry.first) && entry.second.stamp < oldest;
+    });
+}
+
+} // namespace chicorywick::serving
