Add the proof of truthful answers and keep the first unknown outcome

Cause: when a retry of an idempotent request was refused or could not connect, the caller got the outcome 'unknown' with the status and code of the refusal (502 with 4004, or 503 with 4005). Change: an attempt that did not run no longer replaces the failure of an earlier one that may have. The proof 'answers' compares what callers are told with the record of faulty upstreams.

--- /dev/null
+++ b/evidence/prove/proxy_fixture.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "evidence/prove/fake_upstream.h"
+
+#include <chicorywick/platform/memory_platform.h>
+#include <chicorywick/serving/caller_proxy.h>
+
+#include <memory>
+
+namespace chicorywick::prove {
+
+/// @brief A store on the shared platform, as one entry instance has it.
+inline std::shared_ptr<serving::IdempotencyStore>
+makeStore(const std::shared_ptr<platform::MemoryPlatform> &platform,
+          serving::IdempotencyStoreOptions options = {}, base::Clock clock = base::Clock())
+{
+    const platform::MemoryAccess access{platform, "a"};
+    return std::make_shared<serving::IdempotencyStore>(
+            platform::Table(access), platform::ObjectStore(access), std::move(clock), options);
+}
+
+/// @brief A dispatcher for the service "shop" on the given upstreams.
+inline std::shared_ptr<serving::Dispatcher>
+makeDispatcher(std::uint64_t seed, const std::vector<serving::UpstreamTarget> &targets)
+{
+    serving::RoutingTable table;
+    table.localZone = "a";
+    serving::ServiceRoute &route = table.services["shop"];
+    route.policy.retryPercent = 50;
+    for (const serving::UpstreamTarget &target : targets)
+        route.upstreams.push_back({.target = target});
+    auto dispatcher = std::make_shared<serving::Dispatcher>(base::Clock(), seed);
+    dispatcher->update(table);
+    return dispatcher;
+}
+
+/// @brief The first of the violations found by several threads.
+class Violations
+{
+public:
+    void add(const std::string &text)
+    {
+        const std::lock_guard lock(mutex_);
+        if (first_.empty())
+            first_ = text;
+    }
+    std::string first() const
+    {
+        const std::lock_guard lock(mutex_);
+        return first_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::string first_;
+};
+
+} // namespace chicorywick::prove
--- a/packages/serving/src/request_forwarding.cpp
+++ b/packages/serving/src/request_forwarding.cpp
@@ -120,9 +120,11 @@
         const Verdict verdict = attempt(std::move(permit.value()), reply);
         if (verdict.fate == Fate::Completed)
             return reply;
-        mayHaveRun_ =
-                mayHaveRun_ || (verdict.fate != Fate::NotSent && verdict.fate != Fate::Refused);
-        failure = failureReply(verdict.fate);
+        // An attempt that did not run says nothing of an earlier one that may have.
+        const bool didNotRun = verdict.fate == Fate::NotSent || verdict.fate == Fate::Refused;
+        mayHaveRun_ = mayHaveRun_ || !didNotRun;
+        if (!didNotRun || !mayHaveRun_)
+            failure = failureReply(verdict.fate);
         if (verdict.outcome == AttemptOutcome::Cancelled)
             ++context_->counters.callersGone;
         if (!mayRetry(verdict.fate, attempts))
