--- a/evidence/prove/answers_proof.cpp
+++ b/evidence/prove/answers_proof.cpp
@@ -2,9 +2,8 @@
 #include "evidence/prove/proof.h"
 #include "evidence/prove/proxy_fixture.h"
 
-#include <httplib.h>
-
 #include <arpa/inet.h>
+#include <httplib.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -141,8 +140,7 @@
     for (int i = 0; i < kUpstreams; ++i) {
         const UpstreamPlan plan{.faultPercent = i == 0 ? 10U : 60U,
                                 .late = std::chrono::milliseconds(kDeadlineMillis + 20)};
-        upstreams.push_back(
-                std::make_unique<FakeUpstream>("u" + std::to_string(i), rng(), plan));
+        upstreams.push_back(std::make_unique<FakeUpstream>("u" + std::to_string(i), rng(), plan));
         targets.push_back(upstreams.back()->target());
     }
     // One upstream refuses connections, and one dies in the middle of the run.
--- a/evidence/prove/fake_upstream.cpp
+++ b/evidence/prove/fake_upstream.cpp
@@ -48,9 +48,8 @@
 
 std::string head(int status, const std::string &id, std::size_t size, const std::string &framing)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Text\r\nX-For: " + id
-           + "\r\nX-Size: " + std::to_string(size) + "\r\nContent-Type: text/plain\r\n" + framing
-           + "\r\n";
+    return "HTTP/1.1 " + std::to_string(status) + " Text\r\nX-For: " + id + "\r\nX-Size: "
+           + std::to_string(size) + "\r\nContent-Type: text/plain\r\n" + framing + "\r\n";
 }
 
 std::string lengthHead(int status, const std::string &id, std::size_t size)
