Let callers of the graceful-stop proof send without looking at the connection

Cause: all callers checked that their kept-alive connection was open before each request, so the proof did not notice a connection that was closed although its response had left it open. Change: one third of the callers sends on the connection that it has, at once or after a pause.

--- a/evidence/prove/graceful_stop_proof.cpp
+++ b/evidence/prove/graceful_stop_proof.cpp
@@ -1,4 +1,5 @@
 #include "evidence/prove/fake_upstream.h"
+#include "evidence/prove/plain_caller.h"
 #include "evidence/prove/proof.h"
 #include "evidence/prove/proxy_fixture.h"
 
@@ -29,13 +30,19 @@
     std::string error;
 };
 
-StopAnswer sendOnce(httplib::Client &client, const std::string &id, base::Rng &rng)
+httplib::Request newRequest(const std::string &id, base::Rng &rng)
+{
+    httplib::Request request;
+    request.method = rng.chance(0.5) ? "GET" : "POST";
+    request.path = "/shop/x";
+    request.headers = {{"X-Id", id}, {"X-Caller", "c"}, {"Host", "x"}};
+    if (request.method == "POST")
+        request.body = std::string(rng.below(50'000), 'b');
+    return request;
+}
+
+StopAnswer toAnswer(const std::string &id, const httplib::Result &result)
 {
-    const httplib::Headers headers{{"X-Id", id}, {"X-Caller", "c"}};
-    const httplib::Result result =
-            rng.chance(0.5) ? client.Get("/shop/x", headers)
-                            : client.Post("/shop/x", headers, std::string(rng.below(50'000), 'b'),
-                                          "text/plain");
     StopAnswer answer{.id = id};
     answer.error = httplib::to_string(result.error());
     if (!result) {
@@ -79,8 +86,9 @@
     std::vector<std::unique_ptr<FakeUpstream>> upstreams;
     std::vector<serving::UpstreamTarget> targets;
     for (int i = 0; i < kUpstreams; ++i) {
-        const UpstreamPlan plan{.faultPercent = 0,
-                                .serviceTime = std::chrono::milliseconds(rng.below(30))};
+        const UpstreamPlan plan{
+                .faultPercent = 0,
+                .serviceTime = std::chrono::milliseconds(rng.chance(0.5) ? 0 : rng.below(30))};
         upstreams.push_back(std::make_unique<FakeUpstream>("u" + std::to_string(i), rng(), plan));
         targets.push_back(upstreams.back()->target());
     }
@@ -98,13 +106,17 @@
     std::vector<std::thread> callers;
     for (int caller = 0; caller < kCallers; ++caller) {
         callers.emplace_back([&, caller, own = rng.fork()]() mutable {
-            const bool keepsAlive = caller % 3 != 0;
-            auto client = std::make_unique<httplib::Client>("127.0.0.1", port);
-            client->set_keep_alive(keepsAlive);
+            // One third of the callers opens a connection for each request, one third looks whether
+            // its kept-alive connection is open, and one third does not look.
+            httplib::Client client("127.0.0.1", port);
+            client.set_keep_alive(caller % 3 == 1);
+            PlainCaller plainCaller(port);
             for (int i = 0;; ++i) {
                 const std::string id = std::to_string(caller) + '-' + std::to_string(i);
                 const bool isLast = isStopped;
-                StopAnswer answer = sendOnce(*client, id, own);
+                const httplib::Request request = newRequest(id, own);
+                StopAnswer answer = toAnswer(id, caller % 3 == 2 ? plainCaller.sendPlain(request)
+                                                                 : client.send(request));
                 ++sent;
                 const bool isRefused = !answer.isConnected;
                 {
@@ -113,7 +125,8 @@
                 }
                 if (isRefused || isLast)
                     return;
-                std::this_thread::sleep_for(std::chrono::microseconds(own.below(3000)));
+                if (own.chance(0.5))
+                    std::this_thread::sleep_for(std::chrono::microseconds(own.below(3000)));
             }
         });
     }
