--- a/evidence/prove/fleet_world.cpp
+++ b/evidence/prove/fleet_world.cpp
@@ -49,15 +49,20 @@
 void compare(const std::string &what, const std::map<std::string, Row> &before,
              const std::map<std::string, Row> &after, std::vector<std::string> &lines)
 {
+    const auto add = [&](const std::string &name, const std::string &text) {
+        std::string line = what;
+        line.append(" ").append(name).append(": ").append(text);
+        lines.push_back(std::move(line));
+    };
     for (const auto &[name, row] : after) {
         const auto old = before.find(name);
         const std::string text = describe(row);
         if (old == before.end() || describe(old->second) != text)
-            lines.push_back(what + " " + name + ": " + text);
+            add(name, text);
     }
     for (const auto &[name, row] : before) {
         if (!after.contains(name))
-            lines.push_back(what + " " + name + ": removed");
+            add(name, "removed");
     }
 }
 
@@ -180,6 +185,8 @@
 
 void FleetWorld::note(const std::string &line)
 {
+    if (!trace_.empty() && trace_.back().ends_with(line))
+        return;
     const auto start = base::TimePoint(std::chrono::hours(24 * 365));
     trace_.push_back("  " + std::to_string(base::toMillis(now()) - base::toMillis(start)) + " ms "
                      + line);
