--- a/evidence/prove/jobs_once_world.cpp
+++ b/evidence/prove/jobs_once_world.cpp
@@ -42,6 +42,13 @@
               platform::MemoryPlatformOptions{.clock = base::Clock(time_), .seed = rng_()}))
     , access_{platform_, "z1"}
 {
+    // Shorter horizons make lapsed leases frequent; the longer ones are the defaults.
+    if (rng_.chance(0.7))
+        lease_ = {.workerLease = 20s,
+                  .sendSlack = 30s,
+                  .clockError = 2s,
+                  .shortestHorizon = 85s,
+                  .longestHorizon = 130s};
     addWorkers();
     makePlans();
     platform_->setTaskBehaviour([this](const platform::TaskStart &start) {
@@ -94,7 +101,7 @@
         spec.set_idempotent(rng_.chance(0.5));
         spec.set_checkpointable(rng_.chance(0.3));
         spec.set_payload(rng_.chance(0.1) ? std::string(20'000, 'p') : "small");
-        plan.runTime = rng_.chance(0.3) ? upTo(rng_, 5min) : upTo(rng_, 20s);
+        plan.runTime = rng_.chance(0.5) ? upTo(rng_, 6min) : upTo(rng_, 20s);
         plan.succeeds = !rng_.chance(0.1);
         plan.memoryMib = static_cast<std::uint32_t>(spec.resources().memory_mib()
                                                     * (0.2 + 1.5 * rng_.uniform()));
@@ -126,6 +133,7 @@
         jobs::JobDriver driver({platform::Table(access_), platform::ObjectStore(access_),
                                 platform::InstanceList(access_), platform::Workers(access_)},
                                {.clock = clock,
+                                .lease = lease_,
                                 .defaultPool = "p",
                                 .finishedRetention = 24h,
                                 .seed = rng_(),
@@ -263,7 +271,7 @@
         if (rng_.chance(0.6))
             service.loseRequest = service.loseAnswer = service.lateCommit = 0.15 * rng_.uniform();
     };
-    switch (rng_.below(9)) {
+    switch (rng_.below(10)) {
     case 0:
         losses(faults.table);
         break;
@@ -275,6 +283,7 @@
         losses(faults.list);
         break;
     case 3:
+    case 9:
         platform_->setWorkerCut(worker, true);
         break;
     case 4:
--- a/evidence/prove/jobs_once_world.h
+++ b/evidence/prove/jobs_once_world.h
@@ -81,6 +81,7 @@
     std::map<std::string, jobs::Job> readJobs();
 
     base::Rng rng_;
+    jobs::LeaseTimes lease_;
     std::vector<std::shared_ptr<base::ManualTime>> clocks_;
     std::shared_ptr<base::ManualTime> time_ = std::make_shared<base::ManualTime>();
     std::shared_ptr<platform::MemoryPlatform> platform_;
--- a/packages/jobs/include/chicorywick/jobs/job.h
+++ b/packages/jobs/include/chicorywick/jobs/job.h
@@ -119,6 +119,8 @@
     base::Result<Job> confirmRunning(std::uint64_t attempt) const;
     base::Result<Job> extendLease(std::uint64_t attempt, base::TimePoint until) const;
     base::Result<Job> endAttempt(const AttemptEnd &end, base::TimePoint now) const;
+    /// @brief Ends a queued job that no worker of its pool can hold.
+    base::Result<Job> rejectUnplaceable(base::TimePoint now) const;
     /// @brief Cancels a queued job at once; for an active one the attempt decides the final state.
     base::Result<Job> requestCancel(base::TimePoint now) const;
 
--- a/packages/jobs/include/chicorywick/jobs/placement.h
+++ b/packages/jobs/include/chicorywick/jobs/placement.h
@@ -39,6 +39,12 @@
 
 bool fits(const platform::Capacity &wanted, const WorkerView &worker);
 
+/// @brief The size to reserve: the learned one, limited to what the workers have; nothing if not
+/// even the declared one fits an empty worker.
+std::optional<platform::Capacity> placeableSize(const platform::Capacity &learned,
+                                                const platform::Capacity &declared,
+                                                std::span<const platform::Capacity> workers);
+
 /// @brief The position of the best worker with room, if any.
 std::optional<std::size_t> pickWorker(const PlacementRequest &request,
                                       std::span<const WorkerView> workers);
--- a/packages/jobs/src/driver_core.h
+++ b/packages/jobs/src/driver_core.h
@@ -39,6 +39,8 @@
     std::optional<AttemptEnd> end;
     bool confirmRunning = false;
     std::optional<base::TimePoint> extendTo;
+    /// The job is queued and fits no worker of its pool.
+    bool isUnplaceable = false;
 };
 
 /// @brief A job chosen to start on a worker.
@@ -46,7 +48,8 @@
 {
     std::string key;
     std::string worker;
-    Expectation expected;
+    platform::Capacity reserved;
+    base::Duration expectedRunTime{};
 };
 
 /// @brief The parts of a driver's step; each does a bounded amount of work.
@@ -94,8 +97,17 @@
 
     // driver_placement.cpp
     void placeQueued();
+    struct PoolQueue
+    {
+        std::vector<std::string> keys;
+        std::vector<const Job *> jobs;
+        std::vector<QueueEntry> entries;
+    };
+
     void placePool(const std::string &pool, TeamShares &shares, std::size_t limit,
                    std::vector<PlannedStart> &starts);
+    PoolQueue queueOf(const std::string &pool, const JobCache::Jobs &jobs);
+    void noteUnplaceable(const std::string &key);
     TeamShares currentShares() const;
     std::vector<WorkerView> viewsOf(const std::string &pool) const;
     void preemptFor(const QueueEntry &entry, const std::string &key, const std::string &pool,
@@ -125,6 +137,8 @@
     std::map<std::string, AttemptNotes> notes_;
     std::map<std::string, UnsentStart> unsent_;
     std::map<std::string, base::TimePoint> preempting_;
+    std::map<std::string, base::TimePoint> unplaceableSince_;
+    std::vector<AttemptChange> rejected_;
     std::map<std::string, base::TimePoint> nextPoll_;
     std::vector<std::pair<std::string, std::uint64_t>> expired_;
 
--- a/packages/jobs/src/driver_placement.cpp
+++ b/packages/jobs/src/driver_placement.cpp
@@ -15,6 +15,8 @@
 constexpr base::Duration kPreemptionTime = std::chrono::seconds(4);
 // A job that has found no room for so long gets a worker of its own as it empties.
 constexpr base::Duration kHoldAfter = std::chrono::minutes(5);
+// The fleet may change for a while, by a move or a reboot, before a job is given up.
+constexpr base::Duration kUnplaceableAfter = std::chrono::minutes(10);
 
 void add(platform::Capacity &to, const platform::Capacity &amount)
 {
@@ -99,6 +101,43 @@
     for (std::size_t i = 0; i < pools_.size() && starts.size() < limit; ++i)
         placePool(pools_[(i + offset) % pools_.size()], shares, limit, starts);
     startPlanned(starts);
+    applyChanges(std::exchange(rejected_, {}));
+}
+
+void JobDriver::Core::noteUnplaceable(const std::string &key)
+{
+    const auto since = unplaceableSince_.emplace(key, now()).first->second;
+    if (now() - since >= kUnplaceableAfter)
+        rejected_.push_back({.key = key, .isUnplaceable = true});
+}
+
+JobDriver::Core::PoolQueue JobDriver::Core::queueOf(const std::string &pool,
+                                                    const JobCache::Jobs &jobs)
+{
+    const base::TimePoint time = now();
+    const auto capacities = fleet_.capacities(pool);
+    PoolQueue queue;
+    for (const auto &[key, stored] : jobs) {
+        const Job &job = stored.job;
+        if (job.state() != JobState::Queued || time < job.queuedAt() + retryDelay(job))
+            continue;
+        const auto size = placeableSize(usage_.expect(job.spec()).resources, job.spec().resources,
+                                        capacities);
+        // A pool without listed workers says nothing about the job.
+        if (!size && !capacities.empty())
+            noteUnplaceable(key);
+        if (!size)
+            continue;
+        unplaceableSince_.erase(key);
+        queue.entries.push_back({.job = queue.jobs.size(),
+                                 .team = job.spec().team,
+                                 .jobClass = job.spec().jobClass,
+                                 .wanted = *size,
+                                 .acceptedAt = job.acceptedAt()});
+        queue.keys.push_back(key);
+        queue.jobs.push_back(&job);
+    }
+    return queue;
 }
 
 void JobDriver::Core::placePool(const std::string &pool, TeamShares &shares, std::size_t limit,
@@ -107,32 +146,20 @@
     const auto found = cache_.pools().find(pool);
     if (found == cache_.pools().end())
         return;
-    const base::TimePoint time = now();
-    std::vector<const std::pair<const std::string, StoredJob> *> jobs;
-    std::vector<QueueEntry> queue;
-    for (const auto &entry : found->second) {
-        const Job &job = entry.second.job;
-        if (job.state() != JobState::Queued || time < job.queuedAt() + retryDelay(job))
-            continue;
-        queue.push_back({.job = jobs.size(),
-                         .team = job.spec().team,
-                         .jobClass = job.spec().jobClass,
-                         .wanted = usage_.expect(job.spec()).resources,
-                         .acceptedAt = job.acceptedAt()});
-        jobs.push_back(&entry);
-    }
-    if (queue.empty())
+    const PoolQueue queue = queueOf(pool, found->second);
+    if (queue.entries.empty())
         return;
+    const base::TimePoint time = now();
     std::vector<WorkerView> views = viewsOf(pool);
     Spreads spreads = spreadsOf(found->second, views);
     std::optional<platform::Capacity> tooLarge;
     std::size_t preemptions = 0;
     for (const QueueEntry &entry :
-         orderQueue(queue, shares, time, (limit - starts.size()) * kCandidatesPerStart)) {
+         orderQueue(queue.entries, shares, time, (limit - starts.size()) * kCandidatesPerStart)) {
         if (starts.size() >= limit)
             return;
-        const Job &job = jobs[entry.job]->second.job;
-        const std::string &key = jobs[entry.job]->first;
+        const Job &job = *queue.jobs[entry.job];
+        const std::string &key = queue.keys[entry.job];
         if (!shares.allows(entry.team, entry.wanted))
             continue;
         const bool isUrgent = entry.jobClass == JobClass::Urgent;
@@ -149,7 +176,8 @@
             add(views[*worker].reserved, entry.wanted);
             addTo(spread, views[*worker]);
             shares.add(entry.team, entry.wanted);
-            starts.push_back({key, views[*worker].id, usage_.expect(job.spec())});
+            starts.push_back(
+                    {key, views[*worker].id, entry.wanted, usage_.expect(job.spec()).runTime});
         } else if (isUrgent && preemptions < kMaxPreemptionsPerStep) {
             ++preemptions;
             preemptFor(entry, key, pool, views);
--- a/packages/jobs/src/driver_refresh.cpp
+++ b/packages/jobs/src/driver_refresh.cpp
@@ -103,6 +103,8 @@
     cache_.replacePool(pool, std::move(jobs));
     std::erase_if(notes_, [&](const auto &entry) { return cache_.find(entry.first) == nullptr; });
     std::erase_if(unsent_, [&](const auto &entry) { return entry.second.until < now(); });
+    std::erase_if(unplaceableSince_,
+                  [&](const auto &entry) { return cache_.find(entry.first) == nullptr; });
     std::erase_if(preempting_, [&](const auto &entry) { return entry.second < now(); });
     return true;
 }
--- a/packages/jobs/src/driver_starts.cpp
+++ b/packages/jobs/src/driver_starts.cpp
@@ -38,8 +38,8 @@
         const base::TimePoint time = now();
         const auto job = stored.value()->job.start(
                 {.worker = start.worker,
-                 .reserved = start.expected.resources,
-                 .leaseUntil = plannedLeaseEnd(options_.lease, start.expected.runTime, time)},
+                 .reserved = start.reserved,
+                 .leaseUntil = plannedLeaseEnd(options_.lease, start.expectedRunTime, time)},
                 time);
         if (!job) {
             cache_.put(start.key, *stored.value());
--- a/packages/jobs/src/driver_writes.cpp
+++ b/packages/jobs/src/driver_writes.cpp
@@ -13,7 +13,7 @@
 
 bool isOptional(const AttemptChange &change)
 {
-    return !change.end && !change.extendTo;
+    return !change.end && !change.extendTo && !change.isUnplaceable;
 }
 
 } // namespace
@@ -32,7 +32,9 @@
         return std::nullopt;
     }
     base::Result<Job> job = fresh.job;
-    if (change.end) {
+    if (change.isUnplaceable) {
+        job = fresh.job.rejectUnplaceable(now());
+    } else if (change.end) {
         job = fresh.job.endAttempt(*change.end, now());
     } else {
         if (change.confirmRunning)
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -94,6 +94,17 @@
     return next;
 }
 
+base::Result<Job> Job::rejectUnplaceable(base::TimePoint now) const
+{
+    if (isTerminal(state_))
+        return base::makeError(base::Code::JobAlreadyFinished, spec_.id);
+    if (state_ != JobState::Queued)
+        return base::makeError(base::Code::InvalidTransition, spec_.id + " has an attempt");
+    return finished(JobState::Failed,
+                    "no worker of the pool has the requested resources" + lostNote(lostAttempts_),
+                    now);
+}
+
 Job Job::finished(JobState state, std::string reason, base::TimePoint now) const
 {
     Job next = *this;
--- a/packages/jobs/src/job_driver_test.cpp
+++ b/packages/jobs/src/job_driver_test.cpp
@@ -81,6 +81,20 @@
     CHECK(platform->taskRuns().size() == 1);
 }
 
+// Guards against a job that waits for ever for a worker that does not exist.
+TEST_CASE_FIXTURE(JobBench, "a job too large for every worker ends with that reason")
+{
+    addWorkers(2);
+    v1::JobSpec message = spec("huge");
+    message.mutable_resources()->set_accelerators(1);
+    REQUIRE(submit(message) == 200);
+    run(9min, 5s);
+    CHECK(job("huge").state() == JobState::Queued);
+    run(2min, 5s);
+    CHECK(job("huge").state() == JobState::Failed);
+    CHECK(job("huge").reason().find("no worker of the pool") != std::string::npos);
+}
+
 // Guards against an urgent job that waits behind long work.
 TEST_CASE_FIXTURE(JobBench, "urgent work displaces other work, which resumes from its checkpoint")
 {
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -80,6 +80,32 @@
                       wanted.accelerators);
 }
 
+std::optional<platform::Capacity> placeableSize(const platform::Capacity &learned,
+                                                const platform::Capacity &declared,
+                                                std::span<const platform::Capacity> workers)
+{
+    const auto fitsAny = [workers](const platform::Capacity &size) {
+        return std::any_of(workers.begin(), workers.end(), [&](const platform::Capacity &worker) {
+            return fits(size, WorkerView{.capacity = worker});
+        });
+    };
+    if (fitsAny(learned))
+        return learned;
+    // A learned size beyond every worker must not keep the job waiting for ever.
+    platform::Capacity limited{.accelerators = declared.accelerators};
+    for (const platform::Capacity &worker : workers) {
+        if (worker.accelerators < declared.accelerators)
+            continue;
+        limited.cpuMillis =
+                std::max(limited.cpuMillis, std::min(learned.cpuMillis, worker.cpuMillis));
+        limited.memoryMib =
+                std::max(limited.memoryMib, std::min(learned.memoryMib, worker.memoryMib));
+    }
+    if (limited.cpuMillis > 0 && fitsAny(limited))
+        return limited;
+    return fitsAny(declared) ? std::optional(declared) : std::nullopt;
+}
+
 std::optional<std::size_t> pickWorker(const PlacementRequest &request,
                                       std::span<const WorkerView> workers)
 {
--- a/packages/jobs/src/worker_fleet.cpp
+++ b/packages/jobs/src/worker_fleet.cpp
@@ -1,5 +1,7 @@
 #include "worker_fleet.h"
 
+#include <algorithm>
+
 namespace chicorywick::jobs {
 
 namespace {
@@ -68,6 +70,18 @@
     return views;
 }
 
+std::vector<platform::Capacity> WorkerFleet::capacities(const std::string &pool) const
+{
+    std::vector<platform::Capacity> capacities;
+    for (const auto &[id, instance] : workers_) {
+        const bool isKnown = std::find(capacities.begin(), capacities.end(), instance.capacity)
+                             != capacities.end();
+        if (!isKnown && poolOf(id) == pool)
+            capacities.push_back(instance.capacity);
+    }
+    return capacities;
+}
+
 std::string WorkerFleet::poolOf(const std::string &worker) const
 {
     const auto found = pools_.find(worker);
--- a/packages/jobs/src/worker_fleet.h
+++ b/packages/jobs/src/worker_fleet.h
@@ -27,6 +27,8 @@
 
     /// @brief The workers of a pool that may get new attempts.
     std::vector<WorkerView> placeable(const std::string &pool, base::TimePoint now) const;
+    /// @brief The distinct capacities of all listed workers of a pool, free or not.
+    std::vector<platform::Capacity> capacities(const std::string &pool) const;
     std::string poolOf(const std::string &worker) const;
     std::size_t poolSize(const std::string &pool) const;
     std::size_t quarantinedIn(const std::string &pool) const;
