Index workers by pool and let the proof pause drivers before they send starts

Cause: at the target's size half of a step went to looking up the pool of each worker; and a paused driver was not interrupted between the write of a row and the check of its lease.

Change: WorkerFleet keeps the workers per pool; quarantine looks only at suspects. The driver announces its check of the clock to the hook; the proof has more outages.

--- a/evidence/prove/jobs_once_world.cpp
+++ b/evidence/prove/jobs_once_world.cpp
@@ -21,7 +21,7 @@
 constexpr base::Duration kMaxPause = 8min;
 constexpr double kPause = 0.004;
 constexpr double kCrash = 0.0008;
-constexpr double kFaultChange = 0.004;
+constexpr double kFaultChange = 0.01;
 // Clock differences below LeaseTimes::clockError.
 constexpr base::Duration kSkew = 900ms;
 
@@ -267,7 +267,7 @@
     platform::FaultPlan faults = platform_->faults();
     const auto losses = [&](platform::ServiceFaults &service) {
         service = {};
-        service.down = rng_.chance(0.1);
+        service.down = rng_.chance(0.3);
         if (rng_.chance(0.6))
             service.loseRequest = service.loseAnswer = service.lateCommit = 0.15 * rng_.uniform();
     };
--- a/packages/jobs/include/chicorywick/jobs/worker_health.h
+++ b/packages/jobs/include/chicorywick/jobs/worker_health.h
@@ -21,6 +21,7 @@
 
     /// @brief Whether the worker failed several distinct jobs that are likely to run elsewhere.
     bool isSuspect(const std::string &worker) const;
+    std::vector<std::string> suspects() const;
     /// @brief The jobs that failed on the worker since its last success.
     std::vector<std::string> failedJobs(const std::string &worker) const;
     /// @brief Forgets the failures of a worker that an operator released.
--- a/packages/jobs/src/driver_attempts.cpp
+++ b/packages/jobs/src/driver_attempts.cpp
@@ -214,28 +214,25 @@
 {
     if (!options_.quarantineWorkers || !isTableUsable())
         return;
-    for (const std::string &pool : pools_) {
+    for (const std::string &worker : health_.suspects()) {
+        const std::string pool = fleet_.poolOf(worker);
         const std::size_t most =
                 std::max<std::size_t>(1, fleet_.poolSize(pool) / kQuarantineDivisor);
-        std::size_t count = fleet_.quarantinedIn(pool);
-        for (const WorkerView &view : fleet_.placeable(pool, now())) {
-            if (count >= most)
-                break;
-            if (!health_.isSuspect(view.id) || !options_.writeBudget->tryTake(now()))
-                continue;
-            const WorkerRecord record{.id = view.id,
-                                      .quarantined = true,
-                                      .reason = "distinct jobs fail here that run elsewhere",
-                                      .since = now(),
-                                      .failedJobs = health_.failedJobs(view.id)};
-            const auto written = repository_.writeWorker(record, fleet_.recordVersion(view.id));
-            if (!written)
-                continue;
-            fleet_.setQuarantined(view.id, written.value());
-            ++count;
-            ++report_.quarantined;
-            base::logEvent(base::Event::WorkerQuarantined, {{"worker", view.id}});
-        }
+        if (fleet_.isQuarantined(worker) || fleet_.quarantinedIn(pool) >= most)
+            continue;
+        if (!options_.writeBudget->tryTake(now()))
+            return;
+        const WorkerRecord record{.id = worker,
+                                  .quarantined = true,
+                                  .reason = "distinct jobs fail here that run elsewhere",
+                                  .since = now(),
+                                  .failedJobs = health_.failedJobs(worker)};
+        const auto written = repository_.writeWorker(record, fleet_.recordVersion(worker));
+        if (!written)
+            continue;
+        fleet_.setQuarantined(worker, written.value());
+        ++report_.quarantined;
+        base::logEvent(base::Event::WorkerQuarantined, {{"worker", worker}});
     }
 }
 
--- a/packages/jobs/src/driver_starts.cpp
+++ b/packages/jobs/src/driver_starts.cpp
@@ -66,6 +66,8 @@
                                 const std::string &writer, std::vector<AttemptChange> &refused)
 {
     AttemptNotes &notes = notesOf(key, job.attempt());
+    // The process may have been paused since the row was written.
+    announce("Clock.now");
     const base::TimePoint sentAt = now();
     base::Result<void> started = base::makeError(base::Code::PlatformUnavailable, "sent too late");
     if (maySendLease(options_.lease, job.leaseUntil(), sentAt)) {
--- a/packages/jobs/src/worker_fleet.cpp
+++ b/packages/jobs/src/worker_fleet.cpp
@@ -29,6 +29,32 @@
                   [&](const auto &entry) { return now - entry.second > kInterruptionWindow; });
     std::erase_if(avoided_, [&](const auto &entry) { return entry.second <= now; });
     workers_ = std::move(workers);
+    indexPools();
+}
+
+void WorkerFleet::takePools(std::map<std::string, std::string> pools)
+{
+    pools_ = std::move(pools);
+    indexPools();
+}
+
+void WorkerFleet::indexPools()
+{
+    index_.clear();
+    for (const auto &[id, instance] : workers_) {
+        PoolIndex &pool = index_[poolOf(id)];
+        pool.workers.push_back(&instance);
+        auto &capacities = pool.capacities;
+        if (std::find(capacities.begin(), capacities.end(), instance.capacity) == capacities.end())
+            capacities.push_back(instance.capacity);
+    }
+}
+
+const WorkerFleet::PoolIndex &WorkerFleet::indexOf(const std::string &pool) const
+{
+    static const PoolIndex kEmpty;
+    const auto found = index_.find(pool);
+    return found == index_.end() ? kEmpty : found->second;
 }
 
 std::vector<std::string> WorkerFleet::takeRecords(const std::vector<StoredWorker> &records)
@@ -57,29 +83,22 @@
 std::vector<WorkerView> WorkerFleet::placeable(const std::string &pool, base::TimePoint now) const
 {
     std::vector<WorkerView> views;
-    for (const auto &[id, instance] : workers_) {
-        const auto avoided = avoided_.find(id);
+    for (const platform::ListedInstance *instance : indexOf(pool).workers) {
+        const auto avoided = avoided_.find(instance->id);
         const bool isAvoided = avoided != avoided_.end() && avoided->second > now;
-        if (instance.leaving || isAvoided || isQuarantined(id) || poolOf(id) != pool)
+        if (instance->leaving || isAvoided || isQuarantined(instance->id))
             continue;
-        views.push_back({.id = id,
-                         .zone = instance.zone,
-                         .rack = instance.rack,
-                         .capacity = instance.capacity});
+        views.push_back({.id = instance->id,
+                         .zone = instance->zone,
+                         .rack = instance->rack,
+                         .capacity = instance->capacity});
     }
     return views;
 }
 
-std::vector<platform::Capacity> WorkerFleet::capacities(const std::string &pool) const
+const std::vector<platform::Capacity> &WorkerFleet::capacities(const std::string &pool) const
 {
-    std::vector<platform::Capacity> capacities;
-    for (const auto &[id, instance] : workers_) {
-        const bool isKnown = std::find(capacities.begin(), capacities.end(), instance.capacity)
-                             != capacities.end();
-        if (!isKnown && poolOf(id) == pool)
-            capacities.push_back(instance.capacity);
-    }
-    return capacities;
+    return indexOf(pool).capacities;
 }
 
 std::string WorkerFleet::poolOf(const std::string &worker) const
@@ -90,10 +109,7 @@
 
 std::size_t WorkerFleet::poolSize(const std::string &pool) const
 {
-    std::size_t size = 0;
-    for (const auto &[id, instance] : workers_)
-        size += poolOf(id) == pool ? 1 : 0;
-    return size;
+    return indexOf(pool).workers.size();
 }
 
 std::size_t WorkerFleet::quarantinedIn(const std::string &pool) const
--- a/packages/jobs/src/worker_fleet.h
+++ b/packages/jobs/src/worker_fleet.h
@@ -18,7 +18,7 @@
     {}
 
     void takeListing(const platform::InstanceListing &listing, base::TimePoint now);
-    void takePools(std::map<std::string, std::string> pools) { pools_ = std::move(pools); }
+    void takePools(std::map<std::string, std::string> pools);
     /// @brief Takes the quarantine rows; returns the workers that have been released since.
     std::vector<std::string> takeRecords(const std::vector<StoredWorker> &records);
     void setQuarantined(const std::string &worker, std::uint64_t version);
@@ -28,7 +28,7 @@
     /// @brief The workers of a pool that may get new attempts.
     std::vector<WorkerView> placeable(const std::string &pool, base::TimePoint now) const;
     /// @brief The distinct capacities of all listed workers of a pool, free or not.
-    std::vector<platform::Capacity> capacities(const std::string &pool) const;
+    const std::vector<platform::Capacity> &capacities(const std::string &pool) const;
     std::string poolOf(const std::string &worker) const;
     std::size_t poolSize(const std::string &pool) const;
     std::size_t quarantinedIn(const std::string &pool) const;
@@ -39,6 +39,15 @@
     std::size_t size() const { return workers_.size(); }
 
 private:
+    struct PoolIndex
+    {
+        std::vector<const platform::ListedInstance *> workers;
+        std::vector<platform::Capacity> capacities;
+    };
+
+    void indexPools();
+    const PoolIndex &indexOf(const std::string &pool) const;
+
     struct Record
     {
         bool quarantined = false;
@@ -48,6 +57,7 @@
     std::string defaultPool_;
     std::map<std::string, platform::ListedInstance> workers_;
     std::map<std::string, std::string> pools_;
+    std::map<std::string, PoolIndex> index_;
     std::map<std::string, Record> records_;
     std::map<std::string, base::TimePoint> outOfService_;
     std::map<std::string, base::TimePoint> avoided_;
--- a/packages/jobs/src/worker_health.cpp
+++ b/packages/jobs/src/worker_health.cpp
@@ -110,6 +110,16 @@
     return weight >= kSuspectWeight;
 }
 
+std::vector<std::string> WorkerHealth::suspects() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, record] : workers_) {
+        if (record.failures.size() >= kSuspectJobs && isSuspect(id))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 std::vector<std::string> WorkerHealth::failedJobs(const std::string &worker) const
 {
     std::vector<std::string> jobs;
