--- a/packages/jobs/src/driver_starts.cpp
+++ b/packages/jobs/src/driver_starts.cpp
@@ -38,8 +38,8 @@
         const base::TimePoint time = now();
         const auto job = stored.value()->job.start(
                 {.worker = start.worker,
-                 .reserved = start.expected.resources,
-                 .leaseUntil = plannedLeaseEnd(options_.lease, start.expected.runTime, time)},
+                 .reserved = start.reserved,
+                 .leaseUntil = plannedLeaseEnd(options_.lease, start.expectedRunTime, time)},
                 time);
         if (!job) {
             cache_.put(start.key, *stored.value());
@@ -66,6 +66,8 @@
                                 const std::string &writer, std::vector<AttemptChange> &refused)
 {
     AttemptNotes &notes = notesOf(key, job.attempt());
+    // The process may have been paused since the row was written.
+    announce("Clock.now");
     const base::TimePoint sentAt = now();
     base::Result<void> started = base::makeError(base::Code::PlatformUnavailable, "sent too late");
     if (maySendLease(options_.lease, job.leaseUntil(), sentAt)) {
--- a/packages/jobs/src/worker_fleet.cpp
+++ b/packages/jobs/src/worker_fleet.cpp
@@ -1,5 +1,7 @@
 #include "worker_fleet.h"
 
+#include <algorithm>
+
 namespace chicorywick::jobs {
 
 namespace {
@@ -27,6 +29,32 @@
                   [&](const auto &entry) { return now - entry.second > kInterruptionWindow; });
     std::erase_if(avoided_, [&](const auto &entry) { return entry.second <= now; });
     workers_ = std::move(workers);
+    indexPools();
+}
+
+void WorkerFleet::takePools(std::map<std::string, std::string> pools)
+{
+    pools_ = std::move(pools);
+    indexPools();
+}
+
+void WorkerFleet::indexPools()
+{
+    index_.clear();
+    for (const auto &[id, instance] : workers_) {
+        PoolIndex &pool = index_[poolOf(id)];
+        pool.workers.push_back(&instance);
+        auto &capacities = pool.capacities;
+        if (std::find(capacities.begin(), capacities.end(), instance.capacity) == capacities.end())
+            capacities.push_back(instance.capacity);
+    }
+}
+
+const WorkerFleet::PoolIndex &WorkerFleet::indexOf(const std::string &pool) const
+{
+    static const PoolIndex kEmpty;
+    const auto found = index_.find(pool);
+    return found == index_.end() ? kEmpty : found->second;
 }
 
 std::vector<std::string> WorkerFleet::takeRecords(const std::vector<StoredWorker> &records)
@@ -55,19 +83,24 @@
 std::vector<WorkerView> WorkerFleet::placeable(const std::string &pool, base::TimePoint now) const
 {
     std::vector<WorkerView> views;
-    for (const auto &[id, instance] : workers_) {
-        const auto avoided = avoided_.find(id);
+    for (const platform::ListedInstance *instance : indexOf(pool).workers) {
+        const auto avoided = avoided_.find(instance->id);
         const bool isAvoided = avoided != avoided_.end() && avoided->second > now;
-        if (instance.leaving || isAvoided || isQuarantined(id) || poolOf(id) != pool)
+        if (instance->leaving || isAvoided || isQuarantined(instance->id))
             continue;
-        views.push_back({.id = id,
-                         .zone = instance.zone,
-                         .rack = instance.rack,
-                         .capacity = instance.capacity});
+        views.push_back({.id = instance->id,
+                         .zone = instance->zone,
+                         .rack = instance->rack,
+                         .capacity = instance->capacity});
     }
     return views;
 }
 
+const std::vector<platform::Capacity> &WorkerFleet::capacities(const std::string &pool) const
+{
+    return indexOf(pool).capacities;
+}
+
 std::string WorkerFleet::poolOf(const std::string &worker) const
 {
     const auto found = pools_.find(worker);
@@ -76,10 +109,7 @@
 
 std::size_t WorkerFleet::poolSize(const std::string &pool) const
 {
-    std::size_t size = 0;
-    for (const auto &[id, instance] : workers_)
-        size += poolOf(id) == pool ? 1 : 0;
-    return size;
+    return indexOf(pool).workers.size();
 }
 
 std::size_t WorkerFleet::quarantinedIn(const std::string &pool) const
