--- a/packages/cluster/include/chicorywick/cluster/peer_node.h
+++ b/packages/cluster/include/chicorywick/cluster/peer_node.h
@@ -75,6 +75,9 @@
     std::vector<v1::ConfigItem> configItems() const;
     v1::ConfigDigest configDigest() const;
 
+    /// @brief Sets the addresses to try; the instance list replaces them if there is one.
+    void setCandidates(std::vector<MemberIdentity> candidates);
+
     /// @brief Reads the table at once, after this daemon has accepted a change.
     void refreshConfig();
 
--- a/packages/cluster/src/peer_node.cpp
+++ b/packages/cluster/src/peer_node.cpp
@@ -266,6 +266,12 @@
     }
 }
 
+void PeerNode::setCandidates(std::vector<MemberIdentity> candidates)
+{
+    const std::lock_guard lock(mutex_);
+    agent_.membership().setCandidates(std::move(candidates));
+}
+
 void PeerNode::refreshConfig()
 {
     const std::lock_guard lock(platformMutex_);
--- a/packages/cluster/src/peer_transport.cpp
+++ b/packages/cluster/src/peer_transport.cpp
@@ -210,7 +210,7 @@
             {{impl_->router.handle(), 0, ZMQ_POLLIN, 0}, {nullptr, impl_->wakeFd, ZMQ_POLLIN, 0}}};
     try {
         zmq::poll(items.data(), items.size(),
-                  std::chrono::duration_cast<std::chrono::milliseconds>(timeout));
+                  std::chrono::ceil<std::chrono::milliseconds>(timeout));
     } catch (const zmq::error_t &) {
         return; // Interrupted by a signal; the caller polls again.
     }
