--- a/packages/cluster/include/chicorywick/cluster/peer_node.h
+++ b/packages/cluster/include/chicorywick/cluster/peer_node.h
@@ -50,7 +50,7 @@
 
 /// @brief Runs the peer agent over ZeroMQ on one thread, and reads of the platform on another.
 ///
-/// Callbacks run on the node's threads without a lock; they must not block for long.
+/// Callbacks run in order on the peer thread, without a lock; they must not block for long.
 class PeerNode
 {
 public:
--- a/packages/cluster/src/peer_agent.cpp
+++ b/packages/cluster/src/peer_agent.cpp
@@ -39,6 +39,8 @@
 std::vector<Outgoing> PeerAgent::tick(base::TimePoint now)
 {
     std::vector<Outgoing> out = membership_.tick(now);
+    if (memberConfigs_.size() > membership_.members().size())
+        forgetGoneMembers();
     pushConfig(now, out);
     continueSurvey(out);
     finish(out);
@@ -92,7 +94,8 @@
 {
     if (!message.has_config())
         return;
-    memberConfigs_[message.sender()] = {message.config(), now};
+    if (membership_.members().contains(message.sender()))
+        memberConfigs_[message.sender()] = {message.config(), now};
     config_.notePeerVersion(message.config().version());
     if (message.config().version() <= config_.version() || now < nextPull_)
         return;
--- a/packages/cluster/src/peer_node.cpp
+++ b/packages/cluster/src/peer_node.cpp
@@ -86,7 +86,7 @@
 }
 
 // The agent calls back under the lock; the callbacks run after it is released, so that they may
-// call the node.
+// call the node. One thread runs them all: two could deliver a higher version before a lower one.
 PeerCallbacks PeerNode::deferred(const PeerCallbacks &callbacks)
 {
     PeerCallbacks wrapped;
@@ -257,7 +257,7 @@
             next = wanted ? follower->stepNow(now) : follower->step(now);
             platformReachable_ = follower->isPlatformReachable();
         }
-        runDeferred();
+        // The peer thread runs what the reads called back.
         transport_->wake();
         next = std::min(next, nextList);
         std::unique_lock lock(platformMutex_);
