--- a/packages/cluster/include/chicorywick/cluster/peer_node.h
+++ b/packages/cluster/include/chicorywick/cluster/peer_node.h
@@ -50,7 +50,7 @@
 
 /// @brief Runs the peer agent over ZeroMQ on one thread, and reads of the platform on another.
 ///
-/// Callbacks run on the node's threads without a lock; they must not block for long.
+/// Callbacks run in order on the peer thread, without a lock; they must not block for long.
 class PeerNode
 {
 public:
@@ -75,6 +75,9 @@
     std::vector<v1::ConfigItem> configItems() const;
     v1::ConfigDigest configDigest() const;
 
+    /// @brief Sets the addresses to try; the instance list replaces them if there is one.
+    void setCandidates(std::vector<MemberIdentity> candidates);
+
     /// @brief Reads the table at once, after this daemon has accepted a change.
     void refreshConfig();
 
