Test the serving decisions and count the total in flight down first

Change: release() counts the totals down before the slot. Unit tests of the pure decisions and of Dispatcher with threads.

--- /dev/null
+++ b/packages/serving/src/decisions_test.cpp
@@ -0,0 +1,188 @@
+#include <chicorywick/serving/admission_rule.h>
+#include <chicorywick/serving/ejection.h>
+#include <chicorywick/serving/fair_queue.h>
+#include <chicorywick/serving/pick_upstream.h>
+#include <chicorywick/serving/retry_budget.h>
+#include <chicorywick/serving/slot_sharing.h>
+#include <chicorywick/serving/upstream_directory.h>
+#include <chicorywick/serving/waiter.h>
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+namespace chicorywick::serving {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::TimePoint kNow(1h);
+
+WaiterPtr waiterOf(const std::string &caller, RequestClass requestClass = RequestClass::Quick)
+{
+    AdmissionRequest request;
+    request.caller = caller;
+    request.requestClass = requestClass;
+    return std::make_shared<Waiter>(Waiter{request, {}});
+}
+
+bool any(const Waiter & /*waiter*/)
+{
+    return true;
+}
+
+} // namespace
+
+// Guards against a full or ejected upstream being chosen because its load looks lowest.
+TEST_CASE("the least loaded upstream below its limit is chosen")
+{
+    base::Rng rng(1);
+    const std::array views{UpstreamView{.inFlight = 1, .limit = 1},
+                           UpstreamView{.inFlight = 0, .limit = 8, .eligible = false},
+                           UpstreamView{.inFlight = 1, .remoteInFlight = 5, .limit = 8},
+                           UpstreamView{.inFlight = 3, .limit = 8}};
+    CHECK(pickUpstream(views, rng) == 3);
+    CHECK_FALSE(pickUpstream(std::span(views).first(2), rng).has_value());
+}
+
+// Guards against one caller's burst delaying all others.
+TEST_CASE("callers take turns whatever they have waiting")
+{
+    FairQueue queue;
+    for (int i = 0; i < 50; ++i)
+        queue.push(waiterOf("busy"));
+    queue.push(waiterOf("quiet"));
+    CHECK(queue.pop(10, any)->request.caller == "busy");
+    CHECK(queue.pop(10, any)->request.caller == "quiet");
+    CHECK(queue.pushOut(RequestClass::Quick)->request.caller == "busy");
+    CHECK(queue.size() == 48);
+}
+
+// Guards against archive requests that never start while quick ones keep coming.
+TEST_CASE("archive requests start at least at their share")
+{
+    FairQueue queue;
+    for (int i = 0; i < 100; ++i) {
+        queue.push(waiterOf("a", RequestClass::Quick));
+        queue.push(waiterOf("a", RequestClass::Archive));
+    }
+    int archive = 0;
+    for (int i = 0; i < 100; ++i)
+        archive += queue.pop(10, any)->request.requestClass == RequestClass::Archive ? 1 : 0;
+    CHECK(archive == 10);
+}
+
+TEST_CASE("a request that cannot start before its deadline is rejected")
+{
+    const ServiceRate rate{.slotsHeld = 10, .meanHold = 100ms};
+    AdmissionRequest request;
+    request.requestClass = RequestClass::Archive;
+    request.deadline = kNow + 200ms;
+    const ServicePolicy policy;
+    CHECK(decideAdmission(policy, request, {.archive = 18}, rate, kNow) == AdmissionVerdict::Queue);
+    CHECK(decideAdmission(policy, request, {.quick = 180, .archive = 20}, rate, kNow)
+          == AdmissionVerdict::DeadlineTooNear);
+    CHECK(decideAdmission(policy, request, {.archive = 20}, {}, kNow) == AdmissionVerdict::Queue);
+}
+
+TEST_CASE("the queue is bounded in all and by caller")
+{
+    AdmissionRequest request;
+    request.requestClass = RequestClass::Archive;
+    request.deadline = kNow + 1h;
+    const ServicePolicy policy;
+    CHECK(decideAdmission(policy, request, {.archive = 256, .ofLongestCaller = 1}, {}, kNow)
+          == AdmissionVerdict::QueueFull);
+    CHECK(decideAdmission(policy, request, {.archive = 256, .ofLongestCaller = 40}, {}, kNow)
+          == AdmissionVerdict::QueueAndPushOut);
+    CHECK(decideAdmission(policy, request, {.archive = 64, .ofCaller = 64}, {}, kNow)
+          == AdmissionVerdict::CallerLimit);
+}
+
+// Guards against a common cause (a bad release, a cut) that ejects a whole service.
+TEST_CASE("never more than half of a service is ejected")
+{
+    CHECK_FALSE(mayEject(0, 1));
+    CHECK(mayEject(0, 2));
+    CHECK_FALSE(mayEject(1, 3));
+    CHECK(mayEject(4, 10));
+    CHECK_FALSE(mayEject(5, 10));
+}
+
+TEST_CASE("the ejection time grows and a success ends the probation")
+{
+    const EjectionPolicy policy;
+    EjectionState state;
+    for (unsigned i = 0; i < policy.consecutiveFailures; ++i)
+        state = afterFailure(policy, state, kNow, true);
+    CHECK(state.until == kNow + policy.shortest);
+    CHECK(afterFailure(policy, state, kNow, true) == state);
+    state = afterFailure(policy, state, state.until, true);
+    CHECK(state.until == kNow + policy.shortest + 2 * policy.shortest);
+    CHECK(isOnProbation(state, state.until));
+    CHECK_FALSE(isOnProbation(afterSuccess(state), state.until));
+}
+
+// Guards against callers with deadlines of a few milliseconds that eject healthy upstreams.
+TEST_CASE("a timeout counts against the upstream only after several usual times")
+{
+    CHECK_FALSE(isUpstreamFailure(AttemptOutcome::TimedOut, 50ms, 50ms));
+    CHECK(isUpstreamFailure(AttemptOutcome::TimedOut, 200ms, 50ms));
+    CHECK_FALSE(isUpstreamFailure(AttemptOutcome::Refused, 1s, 50ms));
+}
+
+TEST_CASE("retries stay within their percentage of the first attempts")
+{
+    RetryBudget budget;
+    int retries = 0;
+    for (int i = 0; i < 10000; ++i) {
+        budget.onFirstAttempt(10);
+        retries += budget.tryTake() ? 1 : 0;
+    }
+    CHECK(retries <= 1010);
+    CHECK(retries >= 1000);
+}
+
+TEST_CASE("the sharing schemes limit what an entry instance uses")
+{
+    SlotView view{.slots = 8, .entryInstances = 3, .learnedLimit = 5};
+    CHECK(slotLimit(FixedShares{}, view) == 2);
+    CHECK(slotLimit(OptimisticShares{}, view) == 5);
+    CHECK(slotLimit(DemandShares{}, view) == 2);
+    view.remoteKnown = true;
+    view.remoteInFlight = 3;
+    CHECK(slotLimit(DemandShares{}, view) == 5);
+    const LearnedLimit refused = afterRefusal(OptimisticShares{}, view, {5, {}, 100ms}, 4, kNow);
+    CHECK(refused == LearnedLimit{4, kNow + 200ms, 200ms});
+}
+
+// Guards against a late notice or listing that brings a leaving upstream back.
+TEST_CASE("the directory keeps the latest drain and the latest listing")
+{
+    UpstreamDirectory directory;
+    platform::ListedInstance instance;
+    instance.id = "u1";
+    instance.address = "10.0.0.1:80";
+    instance.service = "print";
+    platform::InstanceListing listing{{instance}, kNow};
+    const std::map<std::string, ServicePolicy> policies{{"print", {}}};
+    const auto routed = [&] {
+        return directory.table("z1", 3, policies).services.at("print").upstreams.at(0);
+    };
+    CHECK(directory.applyListing(listing));
+    CHECK_FALSE(routed().healthy);
+    directory.applyHealthCheck("u1", true);
+    CHECK(routed().healthy);
+    CHECK(directory.applyDrain(directory.decideDrain("u1", true, kNow)));
+    CHECK_FALSE(directory.applyDrain({"u1", false, kNow - 1s}));
+    CHECK(routed().leaving);
+    CHECK(directory.applyDrain(directory.decideDrain("u1", false, kNow - 1h)));
+    CHECK_FALSE(routed().leaving);
+    listing.instances[0].leaving = true;
+    listing.observedAt = kNow - 1s;
+    CHECK_FALSE(directory.applyListing(listing));
+    CHECK_FALSE(routed().leaving);
+}
+
+} // namespace chicorywick::serving
--- a/packages/serving/src/dispatcher_core.cpp
+++ b/packages/serving/src/dispatcher_core.cpp
@@ -115,9 +115,10 @@
     // Refused and cancelled attempts say nothing about how long a request holds a slot.
     if (outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::TimedOut)
         observeHold(*slot.service, std::max(at - slot.takenAt, base::Duration::zero()));
-    --slot.upstream->inFlight;
-    --slot.service->slotsHeld;
+    // The totals go down first, so that they never exceed the slots.
     --inFlight_;
+    --slot.service->slotsHeld;
+    --slot.upstream->inFlight;
     PendingAnswers answers;
     snapshot_.read([&](const RoutingSnapshot &snapshot) {
         const auto found = snapshot.services.find(slot.service->name);
--- a/packages/serving/src/dispatcher_test.cpp
+++ b/packages/serving/src/dispatcher_test.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 namespace chicorywick::serving {
 
 using namespace std::chrono_literals;
@@ -58,4 +62,113 @@
     CHECK(dispatcher.inFlight() == 0);
 }
 
+// Guards against a waiting request that misses the slot released while it was being queued.
+TEST_CASE("threads that compete for few slots all get one")
+{
+    const base::Clock clock;
+    Dispatcher dispatcher(clock, 1);
+    dispatcher.update(tableOf({{{"u1", "h", 1, "z1"}}, {{"u2", "h", 2, "z1"}}}, 2));
+    constexpr int kThreads = 8;
+    constexpr int kRequests = 400;
+    std::atomic<int> served = 0;
+    std::atomic<int> tooMany = 0;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < kThreads; ++i) {
+        threads.emplace_back([&, i] {
+            AdmissionRequest request = requestBy(clock.now() + 60s);
+            request.caller = "c" + std::to_string(i);
+            request.requestClass = i % 2 == 0 ? RequestClass::Quick : RequestClass::Archive;
+            for (int k = 0; k < kRequests; ++k) {
+                auto permit = dispatcher.acquire(request);
+                if (permit.has_error())
+                    continue;
+                tooMany += dispatcher.inFlight() > 4 ? 1 : 0;
+                ++served;
+                permit.value().finish(AttemptOutcome::Succeeded, 1us);
+            }
+        });
+    }
+    for (std::thread &thread : threads)
+        thread.join();
+    CHECK(served == kThreads * kRequests);
+    CHECK(tooMany == 0);
+    CHECK(dispatcher.inFlight() == 0);
+    CHECK(dispatcher.queued() == 0);
+}
+
+// Guards against a queued request that outlives its deadline or its service.
+TEST_CASE("a queued request ends with its deadline, its service and its upstreams")
+{
+    const auto time = std::make_shared<base::ManualTime>();
+    Dispatcher dispatcher(base::Clock(time), 1);
+    const RoutingTable table = tableOf({{{"u1", "h", 1, "z1"}}}, 1);
+    dispatcher.update(table);
+    const auto held = dispatcher.acquire(requestBy(time->now() + 1h));
+    std::vector<base::Code> codes;
+    const auto submit = [&](base::Duration within) {
+        dispatcher.submit(requestBy(time->now() + within), [&](const base::Result<Permit> &result) {
+            codes.push_back(result.error().code);
+        });
+    };
+    submit(1s);
+    CHECK(dispatcher.queued() == 1);
+    time->advance(1s);
+    dispatcher.poll();
+    submit(1h);
+    RoutingTable leaving = table;
+    leaving.services["print"].upstreams[0].leaving = true;
+    dispatcher.update(leaving);
+    dispatcher.update(table);
+    submit(1h);
+    dispatcher.update({});
+    CHECK(codes
+          == std::vector{base::Code::DeadlineExceeded, base::Code::NoUpstream,
+                         base::Code::UnknownService});
+    CHECK(dispatcher.inFlight() == 1);
+}
+
+// Guards against double use of slots when an upstream leaves the list and returns.
+TEST_CASE("an upstream that returns still counts its requests in flight")
+{
+    const base::Clock clock;
+    Dispatcher dispatcher(clock, 1);
+    const RoutingTable table = tableOf({{{"u1", "h", 1, "z1"}}}, 1);
+    dispatcher.update(table);
+    auto held = dispatcher.acquire(requestBy(clock.now() + 1s));
+    REQUIRE(held.has_value());
+    dispatcher.update(tableOf({}, 1));
+    dispatcher.update(table);
+    const auto second = dispatcher.acquire(requestBy(clock.now() + 5ms));
+    REQUIRE(second.has_error());
+    CHECK(second.error().code == base::Code::DeadlineExceeded);
+    held.value().finish(AttemptOutcome::Succeeded, 1ms);
+    CHECK(dispatcher.acquire(requestBy(clock.now() + 1s)).has_value());
+}
+
+// Guards against a spill into another zone while the local zone has free slots.
+TEST_CASE("another zone is used once the local zone is full")
+{
+    const base::Clock clock;
+    Dispatcher dispatcher(clock, 1);
+    dispatcher.update(tableOf({{{"u1", "h", 1, "z2"}}, {{"u2", "h", 2, "z1"}}}, 1));
+    const auto first = dispatcher.acquire(requestBy(clock.now() + 1s));
+    const auto second = dispatcher.acquire(requestBy(clock.now() + 1s));
+    REQUIRE(first.has_value());
+    REQUIRE(second.has_value());
+    CHECK(first.value().upstream().id == "u2");
+    CHECK(second.value().upstream().id == "u1");
+}
+
+TEST_CASE("a stopped dispatcher rejects new requests and permits retries of those in flight")
+{
+    const base::Clock clock;
+    Dispatcher dispatcher(clock, 1);
+    dispatcher.update(tableOf({{{"u1", "h", 1, "z1"}}}, 8));
+    dispatcher.stopAdmission();
+    AdmissionRequest request = requestBy(clock.now() + 1s);
+    CHECK(dispatcher.acquire(request).error().code == base::Code::ShuttingDown);
+    request.isRetry = true;
+    CHECK(dispatcher.acquire(request).has_value());
+}
+
 } // namespace chicorywick::serving
