--- a/evidence/measure/serving_sim.cpp
+++ b/evidence/measure/serving_sim.cpp
@@ -47,10 +47,9 @@
     return ratio(static_cast<double>(rejected), static_cast<double>(requests));
 }
 
-double PhaseFigures::attemptsPerRequest() const
+double PhaseFigures::amplification() const
 {
-    // Requests that were rejected without an attempt would hide the amplification.
-    return ratio(static_cast<double>(attempts), static_cast<double>(requests));
+    return ratio(static_cast<double>(attempts), static_cast<double>(firstAttempts));
 }
 
 double PhaseFigures::refusalsPerAttempt() const
@@ -182,7 +181,8 @@
 
 void ServingSim::attempt(const RequestPtr &request, FakeUpstream &upstream)
 {
-    ++request->attempts;
+    if (++request->attempts == 1)
+        ++figures_.firstAttempts;
     ++figures_.attempts;
     request->sentAt = time_.now();
     request->admission.excludedUpstreams.push_back(upstream.target.id);
--- a/evidence/measure/serving_sim.h
+++ b/evidence/measure/serving_sim.h
@@ -37,6 +37,8 @@
     std::uint64_t completed = 0;
     std::uint64_t rejected = 0;
     std::uint64_t attempts = 0;
+    /// Requests that were sent to an upstream at least once.
+    std::uint64_t firstAttempts = 0;
     std::uint64_t refusals = 0;
     std::vector<std::uint64_t> completedByEntry;
     std::vector<std::uint64_t> requestsByEntry;
@@ -48,7 +50,8 @@
 
     double goodput() const;
     double rejectedShare() const;
-    double attemptsPerRequest() const;
+    /// Attempts per request that was sent at all.
+    double amplification() const;
     double refusalsPerAttempt() const;
     base::Duration quickQuantile(double quantile) const;
     /// Smallest served share of an entry instance's requests over the largest.
