--- a/packages/serving/include/chicorywick/serving/caller_proxy.h
+++ b/packages/serving/include/chicorywick/serving/caller_proxy.h
@@ -35,7 +35,9 @@
     base::Duration maxDeadline = std::chrono::seconds(25);
     base::Duration readTimeout = std::chrono::seconds(10);
     base::Duration idleTimeout = std::chrono::seconds(60);
-    base::Duration connectTimeout = std::chrono::seconds(1);
+    /// Shorter than the first repeat of a lost connection request (1 s): another upstream is tried
+    /// instead.
+    base::Duration connectTimeout = std::chrono::milliseconds(500);
     /// Time for writing a response after the request's deadline.
     base::Duration writeGrace = std::chrono::seconds(2);
     int maxAttempts = 3;
--- a/packages/serving/src/connection_server.cpp
+++ b/packages/serving/src/connection_server.cpp
@@ -195,12 +195,12 @@
 void ConnectionServer::serveLoop()
 {
     std::unique_lock lock(mutex_);
+    ++freeThreads_;
     while (true) {
-        ++freeThreads_;
         arrived_.wait(lock, [this] { return !waiting_.empty() || finished_; });
-        --freeThreads_;
         if (waiting_.empty())
             return;
+        --freeThreads_;
         Connection connection = std::move(waiting_.front());
         waiting_.pop_front();
         ++active_;
@@ -220,6 +220,11 @@
         connection->stream.beginMessage();
         isKept = options_.serve(*connection);
     } while (isKept && connection->stream.hasBufferedBytes());
+    {
+        // The next request may arrive as soon as the connection is watched; it needs no new thread.
+        const std::lock_guard lock(mutex_);
+        ++freeThreads_;
+    }
     if (isKept)
         watchIdle(std::move(connection));
     else
--- a/packages/serving/src/upstream_pool.h
+++ b/packages/serving/src/upstream_pool.h
@@ -11,7 +11,9 @@
 /// @brief Limits of the idle connections to upstreams.
 struct UpstreamPoolOptions
 {
-    std::size_t maxIdlePerUpstream = 8;
+    /// An upstream has 64 connections for all of up to nine entry instances, and its 8 slots bound
+    /// those in use.
+    std::size_t maxIdlePerUpstream = 4;
     std::size_t maxIdle = 512;
     std::chrono::milliseconds maxIdleAge = std::chrono::seconds(4);
     /// An upstream may close an idle connection while a request is on its way. That makes the fate
