--- a/evidence/prove/at_most_once_proof.cpp
+++ b/evidence/prove/at_most_once_proof.cpp
@@ -147,10 +147,11 @@
             return answer.id + ": " + violation + '\n' + traceOfKey(answer.key, answers, records);
     }
     for (std::uint64_t i = 0; i < kKeys; ++i) {
-        const std::string key = "k" + std::to_string(i);
+        std::string key = "k" + std::to_string(i);
         const std::string violation = judgeKey(key, answers, records);
         if (!violation.empty())
-            return key + ": " + violation + '\n' + traceOfKey(key, answers, records);
+            return key.append(": ").append(violation).append("\n").append(
+                    traceOfKey("k" + std::to_string(i), answers, records));
     }
     return {};
 }
--- a/packages/serving/src/caller_proxy_test.cpp
+++ b/packages/serving/src/caller_proxy_test.cpp
@@ -1,8 +1,12 @@
 #include <chicorywick/platform/memory_platform.h>
 #include <chicorywick/serving/caller_proxy.h>
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <httplib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <thread>
@@ -50,7 +54,7 @@
 
 struct Fixture
 {
-    explicit Fixture(CallerProxyOptions options = {})
+    explicit Fixture(const CallerProxyOptions &options = {})
     {
         RoutingTable table;
         table.localZone = "a";
@@ -73,6 +77,25 @@
     std::unique_ptr<httplib::Client> client;
 };
 
+/// @brief Sends bytes and reads until the proxy closes the connection.
+std::string sendRaw(int port, const std::string &bytes)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    REQUIRE(::connect(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+    ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    std::string received;
+    char part[4096];
+    ssize_t count = 0;
+    while ((count = ::recv(fd, part, sizeof part, 0)) > 0)
+        received.append(part, static_cast<std::size_t>(count));
+    ::close(fd);
+    return received;
+}
+
 std::string outcome(const httplib::Result &result)
 {
     return result ? result->get_header_value("X-Request-Outcome")
@@ -171,9 +194,34 @@
     CHECK(outcome(fixture.client->Get("/shop/x")) == "completed");
     fixture.proxy->beginDrain();
     const auto result = fixture.client->Get("/shop/x");
-    CHECK(outcome(result) == "not-run");
+    REQUIRE(outcome(result) == "not-run");
     CHECK(result->get_header_value("Connection") == "close");
     CHECK(result->get_header_value("X-Result-Code") == "4011");
     fixture.proxy->stop();
     CHECK(fixture.upstream.ran == 1);
 }
+
+// A connection whose input cannot be understood must not be read as if a new request began.
+TEST_CASE("bytes that are not a valid request get one numbered answer and the connection closes")
+{
+    Fixture fixture;
+    const auto answerTo = [&](const std::string &bytes) {
+        const std::string answer = sendRaw(fixture.proxy->port(), bytes);
+        CHECK(answer.find("X-Request-Outcome: not-run") != std::string::npos);
+        CHECK(answer.rfind("HTTP/1.1") == 0);
+        const std::size_t at = answer.find("X-Result-Code: ");
+        return at == std::string::npos ? answer : answer.substr(at + 15, 4);
+    };
+    CHECK(answerTo("nonsense\r\n\r\nGET /shop/x HTTP/1.1\r\n\r\n") == "2001");
+    CHECK(answerTo("POST /shop/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+                   "chunked\r\n\r\n0\r\n\r\nGET /shop/x HTTP/1.1\r\n\r\n")
+          == "2001");
+    CHECK(answerTo("GET /shop/x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc") == "2002");
+    CHECK(answerTo("GET /" + std::string(9000, 'a') + " HTTP/1.1\r\n\r\n") == "2003");
+    CHECK(answerTo("GET /" + std::string(60000, 'a') + " HTTP/1.1\r\n\r\n") == "2003");
+    std::string headers;
+    for (int i = 0; i < 2000; ++i)
+        headers += "X-H" + std::to_string(i) + ": some value\r\n";
+    CHECK(answerTo("GET /shop/x HTTP/1.1\r\n" + headers + "\r\n") == "2003");
+    CHECK(fixture.upstream.ran == 0);
+}
--- a/packages/serving/src/caller_reply.cpp
+++ b/packages/serving/src/caller_reply.cpp
@@ -48,8 +48,9 @@
 std::string farewellMessage(base::Code code)
 {
     const CallerReply reply = errorReply(base::makeError(code), RequestOutcome::NotRun);
-    return "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
-           "Content-Type: application/json\r\n"
+    const base::CodeInfo &info = base::codeInfo(code);
+    return "HTTP/1.1 " + std::to_string(info.httpStatus) + ' ' + std::string(info.name)
+           + "\r\nConnection: close\r\nRetry-After: 1\r\nContent-Type: application/json\r\n"
            + std::string(kOutcomeHeader) + ": not-run\r\n" + kResultCodeHeader + ": "
            + std::to_string(static_cast<int>(code))
            + "\r\nContent-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
--- a/packages/serving/src/caller_server.cpp
+++ b/packages/serving/src/caller_server.cpp
@@ -19,6 +19,12 @@
 // uses the socket here, since the connections are accepted elsewhere.
 constexpr int kNoListenSocket = 0;
 
+void writeClosing(MessageStream &stream, base::Code code)
+{
+    const std::string message = farewellMessage(code);
+    static_cast<void>(stream.write(message.data(), message.size()));
+}
+
 } // namespace
 
 CallerServer::CallerServer(std::shared_ptr<ProxyContext> context)
@@ -56,6 +62,9 @@
     const bool isWritten = process_request(connection.stream, false, isClosed,
                                            [&](httplib::Request &request) { prepare(request); });
     current = {};
+    // The library does not answer a request line that it cannot read to its end.
+    if (!session->hasReply() && connection.stream.failure() == StreamFailure::HeaderTooLarge)
+        writeClosing(connection.stream, base::Code::InputTooLarge);
     return isWritten && !isClosed && !session->mustClose()
            && connection.stream.failure() == StreamFailure::None;
 }
--- a/packages/serving/src/connection_server.cpp
+++ b/packages/serving/src/connection_server.cpp
@@ -176,18 +176,16 @@
 void ConnectionServer::enqueue(Connection connection)
 {
     std::unique_lock lock(mutex_);
-    if (freeThreads_ > waiting_.size()) {
-        waiting_.push_back(std::move(connection));
-    } else if (workers_.size() < options_.maxThreads) {
-        waiting_.push_back(std::move(connection));
-        workers_.emplace_back([this] { serveLoop(); });
-    } else if (waiting_.size() < options_.maxWaiting) {
-        waiting_.push_back(std::move(connection));
-    } else {
+    const bool hasFreeThread = freeThreads_ > waiting_.size();
+    const bool mayAddThread = workers_.size() < options_.maxThreads;
+    if (!hasFreeThread && !mayAddThread && waiting_.size() >= options_.maxWaiting) {
         lock.unlock();
         dismiss(std::move(connection), true);
         return;
     }
+    waiting_.push_back(std::move(connection));
+    if (!hasFreeThread && mayAddThread)
+        workers_.emplace_back([this] { serveLoop(); });
     lock.unlock();
     arrived_.notify_one();
 }
--- /dev/null
+++ b/packages/serving/src/exchange_test.cpp
@@ -0,0 +1,89 @@
+#include "caller_request.h"
+#include "exchange.h"
+#include "header_rules.h"
+
+#include <doctest/doctest.h>
+
+using namespace chicorywick;
+using namespace chicorywick::serving;
+
+// A fate that claims too much is an untrue outcome, so each row of docs/request-outcomes.md is
+// here.
+TEST_CASE("an exchange is classified by what was sent and received")
+{
+    const auto fate = [](const ExchangeFacts &facts) { return classify(facts); };
+    CHECK(fate({}) == Verdict{Fate::NotSent, AttemptOutcome::Unreachable});
+    CHECK(fate({.timedOut = true}) == Verdict{Fate::NotSent, AttemptOutcome::Unreachable});
+    CHECK(fate({.connected = true}) == Verdict{Fate::NotSent, AttemptOutcome::Failed});
+    CHECK(fate({.connected = true, .bytesSent = 9})
+          == Verdict{Fate::NoResponse, AttemptOutcome::Failed});
+    CHECK(fate({.connected = true, .bytesSent = 9, .timedOut = true})
+          == Verdict{Fate::NoResponse, AttemptOutcome::TimedOut});
+    CHECK(fate({.connected = true, .bytesSent = 9, .callerGone = true})
+          == Verdict{Fate::NoResponse, AttemptOutcome::Cancelled});
+    CHECK(fate({.connected = true, .bytesSent = 9, .bytesReceived = 1})
+          == Verdict{Fate::Truncated, AttemptOutcome::Failed});
+    CHECK(fate({.connected = true, .bytesSent = 9, .bytesReceived = 9, .headComplete = true})
+          == Verdict{Fate::Truncated, AttemptOutcome::Failed});
+    CHECK(fate({.connected = true, .bytesSent = 9, .bytesReceived = 9, .tooLarge = true})
+          == Verdict{Fate::TooLarge, AttemptOutcome::Succeeded});
+    ExchangeFacts whole{.connected = true,
+                        .bytesSent = 9,
+                        .bytesReceived = 9,
+                        .headComplete = true,
+                        .bodyComplete = true};
+    CHECK(fate(whole) == Verdict{Fate::Completed, AttemptOutcome::Succeeded});
+    whole.refusedByUpstream = true;
+    CHECK(fate(whole) == Verdict{Fate::Refused, AttemptOutcome::Refused});
+}
+
+// Two readings of one message's length let a request hide inside another.
+TEST_CASE("contradicting body lengths are invalid")
+{
+    CHECK(framingOf({}) == BodyFraming::UntilClose);
+    CHECK(framingOf({{"Content-Length", "5"}}) == BodyFraming::Length);
+    CHECK(framingOf({{"Transfer-Encoding", "Chunked"}}) == BodyFraming::Chunked);
+    CHECK(framingOf({{"Content-Length", "5"}, {"content-length", "6"}}) == BodyFraming::Invalid);
+    CHECK(framingOf({{"Content-Length", "+5"}}) == BodyFraming::Invalid);
+    CHECK(framingOf({{"Content-Length", "5"}, {"Transfer-Encoding", "chunked"}})
+          == BodyFraming::Invalid);
+    CHECK(framingOf({{"Transfer-Encoding", "gzip, chunked"}}) == BodyFraming::Invalid);
+}
+
+TEST_CASE("headers of one connection are not passed on")
+{
+    const httplib::Headers kept = endToEndHeaders({{"Connection", "close, X-Hop"},
+                                                   {"X-Hop", "1"},
+                                                   {"Keep-Alive", "5"},
+                                                   {"Transfer-Encoding", "chunked"},
+                                                   {"X-Request-Outcome", "completed"},
+                                                   {"X-End", "2"}});
+    CHECK(kept.size() == 1);
+    CHECK(kept.count("X-End") == 1);
+}
+
+TEST_CASE("the head of a request is checked")
+{
+    const auto read = [](const std::string &method, const std::string &target,
+                         const httplib::Headers &headers) {
+        httplib::Request request;
+        request.method = method;
+        request.target = target;
+        request.headers = headers;
+        return readRequestHead(request, CallerProxyOptions());
+    };
+    const auto valid = read("PUT", "/shop?x", {{"X-Request-Deadline-Ms", "99000"}});
+    REQUIRE(valid);
+    CHECK(valid.value().service == "shop");
+    CHECK(valid.value().isIdempotent);
+    CHECK(valid.value().timeout == CallerProxyOptions().maxDeadline);
+    CHECK_FALSE(read("GET", "*", {}));
+    CHECK_FALSE(read("GET", "//x", {}));
+    CHECK_FALSE(read("CONNECT", "/shop", {}));
+    CHECK_FALSE(read("GET", "/shop", {{"Content-Length", "5"}}));
+    CHECK_FALSE(read("GET", "/shop", {{"X-Request-Deadline-Ms", "0"}}));
+    CHECK_FALSE(read("GET", "/shop", {{"X-Request-Class", "slow"}}));
+    CHECK_FALSE(read("GET", "/shop", {{"X-Caller", "a/b"}}));
+    CHECK_FALSE(read("GET", "/shop", {{"X-Caller", "a"}, {"X-Caller", "b"}}));
+    CHECK_FALSE(read("POST", "/shop", {{"X-Caller", "a"}, {"Idempotency-Key", ""}}));
+}
--- a/packages/serving/src/message_stream.h
+++ b/packages/serving/src/message_stream.h
@@ -19,7 +19,7 @@
 struct HeaderLimits
 {
     std::size_t maxHeaderBytes = 32UL * 1024;
-    std::size_t maxFirstLineBytes = 8192;
+    std::size_t maxFirstLineBytes = 32UL * 1024;
 };
 
 /// @brief A stream for cpp-httplib over a non-blocking socket that counts bytes, keeps to absolute
