--- a/packages/serving/src/connection_server.cpp
+++ b/packages/serving/src/connection_server.cpp
@@ -176,15 +176,15 @@
 void ConnectionServer::enqueue(Connection connection)
 {
     std::unique_lock lock(mutex_);
-    const bool needsThread = freeThreads_ <= waiting_.size();
-    const bool mayStartThread = workers_.size() < options_.maxThreads;
-    if (needsThread && !mayStartThread && waiting_.size() >= options_.maxWaiting) {
+    const bool hasFreeThread = freeThreads_ > waiting_.size();
+    const bool mayAddThread = workers_.size() < options_.maxThreads;
+    if (!hasFreeThread && !mayAddThread && waiting_.size() >= options_.maxWaiting) {
         lock.unlock();
         dismiss(std::move(connection), true);
         return;
     }
     waiting_.push_back(std::move(connection));
-    if (needsThread && mayStartThread)
+    if (!hasFreeThread && mayAddThread)
         workers_.emplace_back([this] { serveLoop(); });
     lock.unlock();
     arrived_.notify_one();
@@ -193,12 +193,12 @@
 void ConnectionServer::serveLoop()
 {
     std::unique_lock lock(mutex_);
+    ++freeThreads_;
     while (true) {
-        ++freeThreads_;
         arrived_.wait(lock, [this] { return !waiting_.empty() || finished_; });
-        --freeThreads_;
         if (waiting_.empty())
             return;
+        --freeThreads_;
         Connection connection = std::move(waiting_.front());
         waiting_.pop_front();
         ++active_;
@@ -218,6 +218,11 @@
         connection->stream.beginMessage();
         isKept = options_.serve(*connection);
     } while (isKept && connection->stream.hasBufferedBytes());
+    {
+        // The next request may arrive as soon as the connection is watched; it needs no new thread.
+        const std::lock_guard lock(mutex_);
+        ++freeThreads_;
+    }
     if (isKept)
         watchIdle(std::move(connection));
     else
