--- a/evidence/prove/budget_audit.cpp
+++ b/evidence/prove/budget_audit.cpp
@@ -136,8 +136,9 @@
 // An instance that was stopped by a command has a grant, always.
 std::string BudgetAudit::checkMachines(const FleetRows &rows) const
 {
-    for (const auto &[id, truth] : truth_) {
-        const InstancePhase phase = truth.status.phase;
+    for (const auto &entry : truth_) {
+        const std::string &id = entry.first;
+        const InstancePhase phase = entry.second.status.phase;
         if (phase == InstancePhase::Up || phase == InstancePhase::Down)
             continue;
         const auto row = rows.instances.find(id);
--- a/evidence/prove/budgets_proof.cpp
+++ b/evidence/prove/budgets_proof.cpp
@@ -46,6 +46,8 @@
     void act();
     void chaos();
     void failDomain();
+    void failUnderMaintenance();
+    void freeze(DriverSlot &slot);
     void heal();
     std::string settle();
     std::string turn();
@@ -79,7 +81,7 @@
 void BudgetsRun::setUp()
 {
     base::Rng &rng = world_.rng();
-    profile_ = {.drivers = static_cast<int>(1 + rng.below(3)),
+    profile_ = {.drivers = static_cast<int>(1 + rng.below(4)),
                 .hasFreezes = rng.chance(0.5),
                 .hasTableFaults = rng.chance(0.6),
                 .hasFailures = rng.chance(0.7)};
@@ -173,11 +175,36 @@
         if (rng.chance(0.002) && audit_.truth().at(id).status.phase == InstancePhase::Down)
             world_.platform().restoreInstance(id);
     }
-    if (!profile_.hasFreezes || !rng.chance(0.01))
+    failUnderMaintenance();
+    for (DriverSlot &slot : drivers_)
+        freeze(slot);
+}
+
+// Instances under maintenance are few; they fail and leave more often than the others.
+void BudgetsRun::failUnderMaintenance()
+{
+    if (!profile_.hasFailures || !world_.rng().chance(0.01))
         return;
-    DriverSlot &slot = drivers_[rng.below(drivers_.size())];
-    slot.frozenUntil = world_.now() + std::chrono::seconds(rng.below(120));
-    if (rng.chance(0.2))
+    for (const auto &[name, pool] : last_.pools) {
+        for (const v1::Grant &grant : pool.grants()) {
+            if (world_.rng().chance(0.2))
+                world_.platform().setLeaving(grant.instance(), world_.rng().chance(0.7));
+        }
+    }
+}
+
+// A command to an instance is what a driver can still do to harm after it wakes.
+void BudgetsRun::freeze(DriverSlot &slot)
+{
+    constexpr double kAtControl = 0.05;
+    constexpr double kElsewhere = 0.002;
+    base::Rng &rng = world_.rng();
+    const bool isFrozen = slot.frozenUntil > world_.now();
+    if (!profile_.hasFreezes || isFrozen
+        || !rng.chance(slot.puppet->isAtControl() ? kAtControl : kElsewhere))
+        return;
+    slot.frozenUntil = world_.now() + std::chrono::seconds(rng.below(60));
+    if (rng.chance(0.1))
         slot.puppet = world_.makeDriver();
 }
 
--- a/evidence/prove/puppet.cpp
+++ b/evidence/prove/puppet.cpp
@@ -28,11 +28,13 @@
     hasParked_.acquire();
 }
 
-void Puppet::beforeCall()
+void Puppet::beforeCall(platform::ServiceFaults platform::FaultPlan::*service)
 {
     if (current == nullptr)
         return;
+    current->service_ = service;
     current->park();
+    current->service_ = nullptr;
 }
 
 void Puppet::park()
--- a/evidence/prove/puppet.h
+++ b/evidence/prove/puppet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chicorywick/platform/fault_plan.h>
+
 #include <exception>
 #include <functional>
 #include <semaphore>
@@ -27,7 +29,10 @@
     void resume();
 
     /// @brief For MemoryPlatform::setCallHook(): stops the calling thread if it is a puppet's.
-    static void beforeCall();
+    static void beforeCall(platform::ServiceFaults platform::FaultPlan::*service);
+
+    /// @brief Whether the body waits to command an instance.
+    bool isAtControl() const { return service_ == &platform::FaultPlan::control; }
 
 private:
     struct Stopped : std::exception
@@ -39,6 +44,7 @@
     std::function<void()> body_;
     std::binary_semaphore mayRun_{0};
     std::binary_semaphore hasParked_{0};
+    platform::ServiceFaults platform::FaultPlan::*service_ = nullptr;
     bool isStopping_ = false;
     std::thread thread_;
 };
--- a/packages/platform/include/chicorywick/platform/memory_platform.h
+++ b/packages/platform/include/chicorywick/platform/memory_platform.h
@@ -64,6 +64,9 @@
     bool operator==(const InstanceTruth &) const = default;
 };
 
+/// @brief Gets the service that is about to be called, as its member of FaultPlan.
+using CallHook = std::function<void(ServiceFaults FaultPlan::*service)>;
+
 /// @brief Settings of the in-memory platform.
 struct MemoryPlatformOptions
 {
@@ -103,7 +106,7 @@
     std::set<std::string> instancesInService() const;
     /// @brief Called before each service call, without a lock held; it may block or throw. Set it
     /// before the first call.
-    void setCallHook(std::function<void()> hook);
+    void setCallHook(CallHook hook);
     /// @brief Rows and instances as they really are; free of faults, cost and the hook.
     std::vector<Row> rowsBelow(const std::string &prefix) const;
     std::map<std::string, InstanceTruth> instanceTruth();
@@ -175,7 +178,7 @@
     InstanceListing observe();
 
     MemoryPlatformOptions options_;
-    std::function<void()> callHook_;
+    CallHook callHook_;
     mutable std::mutex mutex_;
     base::Rng rng_;
     FaultPlan faults_;
--- a/packages/platform/src/memory_platform.cpp
+++ b/packages/platform/src/memory_platform.cpp
@@ -61,7 +61,7 @@
     return counters_;
 }
 
-void MemoryPlatform::setCallHook(std::function<void()> hook)
+void MemoryPlatform::setCallHook(CallHook hook)
 {
     callHook_ = std::move(hook);
 }
@@ -80,7 +80,7 @@
                                                          const std::string &zone)
 {
     if (callHook_)
-        callHook_();
+        callHook_(service);
     Lock lock(mutex_);
     const base::Duration delay = (faults_.*service).delay;
     if (delay > base::Duration::zero()) {
