--- a/evidence/prove/waves_resume_proof.cpp
+++ b/evidence/prove/waves_resume_proof.cpp
@@ -173,7 +173,7 @@
         return id + " ended with an instance under maintenance";
     for (const std::string &held : wave.held()) {
         if (last_.instances.at(held).state() != v1::MAINTENANCE_STATE_HELD)
-            return held + ", reported by " + id + ", is not held";
+            return "a wave reports " + held + " as held, which is not";
     }
     return {};
 }
