Count reservations once per step and let the proof end outages with cut workers

Cause: each pool of a step counted the reservations of all pools; and the proof did not reach leases that run out during an outage of the table.

Change: reservations and active attempts are grouped by worker once per step in hash maps. The proof has outages of 1 to 4 minutes after which half of the workers are cut off.

--- a/evidence/prove/jobs_once_world.cpp
+++ b/evidence/prove/jobs_once_world.cpp
@@ -271,7 +271,7 @@
         if (rng_.chance(0.6))
             service.loseRequest = service.loseAnswer = service.lateCommit = 0.15 * rng_.uniform();
     };
-    switch (rng_.below(10)) {
+    switch (rng_.below(11)) {
     case 0:
         losses(faults.table);
         break;
@@ -286,6 +286,11 @@
     case 9:
         platform_->setWorkerCut(worker, true);
         break;
+    case 10:
+        // Leases run out while the table is down; then the workers are cut off as it returns.
+        faults.table = {.down = true};
+        outageEnd_ = time_->now() + 60s + upTo(rng_, 3min);
+        break;
     case 4:
         platform_->setWorkerCut(worker, false);
         break;
@@ -305,6 +310,16 @@
     platform_->setFaults(faults);
 }
 
+void JobsOnceWorld::endOutage()
+{
+    outageEnd_.reset();
+    platform::FaultPlan faults = platform_->faults();
+    faults.table = {};
+    platform_->setFaults(faults);
+    for (int i = 0; i < kWorkers; ++i)
+        platform_->setWorkerCut("w" + std::to_string(i), rng_.chance(0.5));
+}
+
 void JobsOnceWorld::heal()
 {
     isHealed_ = true;
@@ -334,7 +349,10 @@
     const base::TimePoint faultyUntil = time_->now() + kFaultyTime;
     for (int i = 0; time_->now() < faultyUntil; ++i) {
         turn();
-        if (rng_.chance(kFaultChange))
+        if (outageEnd_ && time_->now() >= *outageEnd_)
+            endOutage();
+        // An outage lasts its time, whatever else would happen to the table.
+        if (!outageEnd_ && rng_.chance(kFaultChange))
             changeFaults();
         if (i % kTurnsPerCheck != 0)
             continue;
--- a/evidence/prove/jobs_once_world.h
+++ b/evidence/prove/jobs_once_world.h
@@ -8,6 +8,7 @@
 #include <chicorywick/platform/memory_platform.h>
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace chicorywick::prove {
@@ -69,6 +70,7 @@
     void sleepActor(std::size_t actor, base::Duration duration, const char *why);
     void advance(base::Duration by);
     void changeFaults();
+    void endOutage();
     void heal();
     void turn();
 
@@ -95,6 +97,7 @@
     std::map<std::string, jobs::Job> terminal_;
     std::map<std::string, std::vector<std::string>> events_;
     std::vector<Schedule> schedules_;
+    std::optional<base::TimePoint> outageEnd_;
     bool isHealed_ = false;
     std::uint64_t requests_ = 0;
     TurnTaking turns_;
--- a/packages/jobs/src/driver_attempts.cpp
+++ b/packages/jobs/src/driver_attempts.cpp
@@ -46,15 +46,15 @@
 std::vector<AttemptChange> JobDriver::Core::observeAttempts()
 {
     std::vector<AttemptChange> changes;
-    std::map<std::string, std::vector<std::string>> byWorker;
+    ActiveByWorker byWorker;
     for (const auto &[pool, jobs] : cache_.pools()) {
-        for (const auto &[key, stored] : jobs) {
-            if (!isActive(stored.job.state()))
+        for (const ActiveJob &entry : jobs) {
+            if (!isActive(entry.second.job.state()))
                 continue;
-            if (isUnsent(stored, key))
-                observeAttempt(stored, key, {.neverStarted = true}, changes);
+            if (isUnsent(entry.second, entry.first))
+                observeAttempt(entry.second, entry.first, {.neverStarted = true}, changes);
             else
-                byWorker[stored.job.worker()].push_back(key);
+                byWorker[entry.second.job.worker()].push_back(&entry);
         }
     }
     std::size_t failedPolls = 0;
@@ -67,12 +67,11 @@
     return changes;
 }
 
-std::vector<std::string> JobDriver::Core::workersToPoll(
-        const std::map<std::string, std::vector<std::string>> &byWorker) const
+std::vector<std::string> JobDriver::Core::workersToPoll(const ActiveByWorker &byWorker) const
 {
     std::vector<std::pair<base::TimePoint, std::string>> due;
     const base::TimePoint time = now();
-    for (const auto &[worker, keys] : byWorker) {
+    for (const auto &[worker, active] : byWorker) {
         const auto found = nextPoll_.find(worker);
         const base::TimePoint at = found == nextPoll_.end() ? base::TimePoint{} : found->second;
         if (at <= time)
@@ -88,7 +87,8 @@
     return workers;
 }
 
-void JobDriver::Core::observeWorker(const std::string &worker, const std::vector<std::string> &keys,
+void JobDriver::Core::observeWorker(const std::string &worker,
+                                    const std::vector<const ActiveJob *> &active,
                                     std::vector<AttemptChange> &changes, std::size_t &failedPolls)
 {
     nextPoll_[worker] = now() + options_.pollInterval;
@@ -96,24 +96,22 @@
     announce("Workers.tasks");
     const auto tasks = platform_.workers.tasks(worker);
     failedPolls = tasks ? 0 : failedPolls + 1;
-    std::map<std::string, const platform::TaskStatus *> byTask;
+    std::unordered_map<std::string, const platform::TaskStatus *> byTask;
     if (tasks) {
         for (const platform::TaskStatus &status : tasks.value())
             byTask.emplace(status.task, &status);
     }
-    for (const std::string &key : keys) {
-        const StoredJob *stored = cache_.find(key);
-        if (stored == nullptr)
-            continue;
+    for (const ActiveJob *entry : active) {
+        const auto &[key, stored] = *entry;
         AttemptObservation observation;
         observation.sighting = tasks ? Sighting::NotListed : Sighting::Unreachable;
         const auto found = byTask.find(key);
-        if (found != byTask.end() && found->second->fence == stored->job.attempt()) {
+        if (found != byTask.end() && found->second->fence == stored.job.attempt()) {
             observation.status = *found->second;
             observation.sighting = platform::isEnded(observation.status.state) ? Sighting::Ended
                                                                                : Sighting::Running;
         }
-        observeAttempt(*stored, key, std::move(observation), changes);
+        observeAttempt(stored, key, std::move(observation), changes);
     }
 }
 
--- a/packages/jobs/src/driver_core.h
+++ b/packages/jobs/src/driver_core.h
@@ -8,6 +8,8 @@
 #include <chicorywick/jobs/usage_model.h>
 #include <chicorywick/jobs/worker_health.h>
 
+#include <unordered_map>
+
 namespace chicorywick::jobs {
 
 /// @brief What a driver remembers of an attempt beside its row.
@@ -73,10 +75,13 @@
     bool isTableUsable() const;
 
     // driver_attempts.cpp
+    /// Active attempts by worker; the pointers are into the cache.
+    using ActiveJob = std::pair<const std::string, StoredJob>;
+    using ActiveByWorker = std::unordered_map<std::string, std::vector<const ActiveJob *>>;
+
     std::vector<AttemptChange> observeAttempts();
-    std::vector<std::string>
-    workersToPoll(const std::map<std::string, std::vector<std::string>> &byWorker) const;
-    void observeWorker(const std::string &worker, const std::vector<std::string> &keys,
+    std::vector<std::string> workersToPoll(const ActiveByWorker &byWorker) const;
+    void observeWorker(const std::string &worker, const std::vector<const ActiveJob *> &active,
                        std::vector<AttemptChange> &changes, std::size_t &failedPolls);
     void observeAttempt(const StoredJob &stored, const std::string &key,
                         AttemptObservation observation, std::vector<AttemptChange> &changes);
@@ -96,20 +101,22 @@
                      const std::vector<WriteResult> &results);
 
     // driver_placement.cpp
-    void placeQueued();
     struct PoolQueue
     {
         std::vector<std::string> keys;
         std::vector<const Job *> jobs;
         std::vector<QueueEntry> entries;
     };
+    using Reservations = std::unordered_map<std::string, platform::Capacity>;
 
-    void placePool(const std::string &pool, TeamShares &shares, std::size_t limit,
-                   std::vector<PlannedStart> &starts);
+    void placeQueued();
+    void placePool(const std::string &pool, const Reservations &reserved, TeamShares &shares,
+                   std::size_t limit, std::vector<PlannedStart> &starts);
     PoolQueue queueOf(const std::string &pool, const JobCache::Jobs &jobs);
     void noteUnplaceable(const std::string &key);
     TeamShares currentShares() const;
-    std::vector<WorkerView> viewsOf(const std::string &pool) const;
+    Reservations currentReservations() const;
+    std::vector<WorkerView> viewsOf(const std::string &pool, const Reservations &reserved) const;
     void preemptFor(const QueueEntry &entry, const std::string &key, const std::string &pool,
                     const std::vector<WorkerView> &views);
     void holdRoom(const Job &job, const platform::Capacity &wanted,
--- a/packages/jobs/src/driver_placement.cpp
+++ b/packages/jobs/src/driver_placement.cpp
@@ -69,16 +69,22 @@
     return shares;
 }
 
-std::vector<WorkerView> JobDriver::Core::viewsOf(const std::string &pool) const
+JobDriver::Core::Reservations JobDriver::Core::currentReservations() const
 {
-    std::vector<WorkerView> views = fleet_.placeable(pool, now());
-    std::map<std::string, platform::Capacity> reserved;
-    for (const auto &[name, jobs] : cache_.pools()) {
+    Reservations reserved;
+    for (const auto &[pool, jobs] : cache_.pools()) {
         for (const auto &[key, stored] : jobs) {
             if (isActive(stored.job.state()))
                 add(reserved[stored.job.worker()], stored.job.reserved());
         }
     }
+    return reserved;
+}
+
+std::vector<WorkerView> JobDriver::Core::viewsOf(const std::string &pool,
+                                                 const Reservations &reserved) const
+{
+    std::vector<WorkerView> views = fleet_.placeable(pool, now());
     for (WorkerView &view : views) {
         const auto found = reserved.find(view.id);
         if (found != reserved.end())
@@ -96,10 +102,11 @@
             std::min(options_.maxStartsPerStep, static_cast<std::size_t>(std::max(0.0, available)));
     std::vector<PlannedStart> starts;
     TeamShares shares = currentShares();
+    const Reservations reserved = currentReservations();
     // Rotation keeps the first pools from using up every step's starts.
     const std::size_t offset = pools_.empty() ? 0 : rng_.below(pools_.size());
     for (std::size_t i = 0; i < pools_.size() && starts.size() < limit; ++i)
-        placePool(pools_[(i + offset) % pools_.size()], shares, limit, starts);
+        placePool(pools_[(i + offset) % pools_.size()], reserved, shares, limit, starts);
     startPlanned(starts);
     applyChanges(std::exchange(rejected_, {}));
 }
@@ -140,7 +147,8 @@
     return queue;
 }
 
-void JobDriver::Core::placePool(const std::string &pool, TeamShares &shares, std::size_t limit,
+void JobDriver::Core::placePool(const std::string &pool, const Reservations &reserved,
+                                TeamShares &shares, std::size_t limit,
                                 std::vector<PlannedStart> &starts)
 {
     const auto found = cache_.pools().find(pool);
@@ -150,7 +158,7 @@
     if (queue.entries.empty())
         return;
     const base::TimePoint time = now();
-    std::vector<WorkerView> views = viewsOf(pool);
+    std::vector<WorkerView> views = viewsOf(pool, reserved);
     Spreads spreads = spreadsOf(found->second, views);
     std::optional<platform::Capacity> tooLarge;
     std::size_t preemptions = 0;
