--- a/evidence/prove/jobs_once_checks.cpp
+++ b/evidence/prove/jobs_once_checks.cpp
@@ -91,7 +91,8 @@
         if (!jobs::isTerminal(job.state()))
             return key + ": never finished\n" + traceOf(key);
         if (std::string violation = checkRuns(key, job); !violation.empty())
-            return key + ": " + violation + "\n" + traceOf(key);
+            return std::string(key).append(": ").append(violation).append("\n").append(
+                    traceOf(key));
     }
     return {};
 }
