--- a/packages/fleet/include/chicorywick/fleet/lending.h
+++ b/packages/fleet/include/chicorywick/fleet/lending.h
@@ -63,7 +63,7 @@
 /// @brief The loans and returns to make now, at most limit.
 ///
 /// Loans come first, to the pools that lack most. A loan returns when its borrower has not needed
-/// it for the hysteresis time, or at once when the spare pool itself lacks instances. No instance
+/// it for the hysteresis time, or as soon as another pool lacks what cannot be lent. No instance
 /// moves twice within the hysteresis time.
 std::vector<InstanceMove> decideLending(const LendingView &view, std::size_t limit);
 
--- a/packages/fleet/src/buffer_planner.cpp
+++ b/packages/fleet/src/buffer_planner.cpp
@@ -11,8 +11,8 @@
 // With equal weights, a wave that takes twice its shortest time costs as much as a tenth of the
 // fleet kept idle while it runs.
 constexpr double kStretchCost = 0.1;
-// Bounds of the hysteresis: below, every short peak moves instances; above, a loan outlasts the
-// turn of the next pool.
+// Bounds of the hysteresis: below, every short peak moves instances back and forth; above, the
+// observed peaks say little about the next one.
 constexpr base::Duration kLeastStay = std::chrono::seconds(20);
 constexpr base::Duration kLongestStay = std::chrono::minutes(15);
 // No pool is larger, so larger failure allowances are never useful.
@@ -162,13 +162,26 @@
     return best;
 }
 
+// A loan that stays beyond the next pool's peak would need a second buffer.
+base::Duration longestStay(const BufferPlanInput &input)
+{
+    double peaksPerHour = 0;
+    for (const PoolObservation &pool : input.pools)
+        peaksPerHour += pool.peaksPerHour;
+    if (peaksPerHour <= 0)
+        return kLongestStay;
+    const double hoursBetween = std::max(1U, input.concurrentPeaks) / peaksPerHour;
+    const std::chrono::duration<double, std::ratio<3600>> half(hoursBetween / 2);
+    return std::min(kLongestStay, std::chrono::duration_cast<base::Duration>(half));
+}
+
 // Keeping an idle loan for as long as returning and lending it again would cost is at most twice as
 // expensive as knowing the next peak in advance.
 base::Duration stay(const BufferPlanInput &input)
 {
     const double ratio = input.weights.moves / std::max(input.weights.bufferCost, 0.01);
     const auto wanted = std::chrono::duration_cast<base::Duration>(2 * ratio * input.moveCost);
-    return std::clamp(wanted, kLeastStay, kLongestStay);
+    return std::clamp(wanted, kLeastStay, std::max(kLeastStay, longestStay(input)));
 }
 
 } // namespace
--- a/packages/fleet/src/lending.cpp
+++ b/packages/fleet/src/lending.cpp
@@ -75,6 +75,7 @@
     // back from it.
     void takeBack(LendingPool &spare)
     {
+        const bool isWanted = lack(spare) > 0 || neediest() != nullptr;
         for (const LendingMember &member : view_.lent) {
             if (moves_.size() == limit_)
                 return;
@@ -83,9 +84,8 @@
                                  [&](const LendingPool &pool) { return pool.name == member.pool; });
             if (borrower == pools_.end() || !hasStayed(member) || !canLoseMember(*borrower))
                 continue;
-            const std::uint32_t kept = lack(spare) > 0
-                                               ? borrower->needed
-                                               : std::max(borrower->needed, borrower->recentPeak);
+            const std::uint32_t kept =
+                    isWanted ? borrower->needed : std::max(borrower->needed, borrower->recentPeak);
             if (borrower->available() > kept)
                 move(member, *borrower, spare);
         }
