Separate the least stay of a loan from its hold time

Cause: with one hysteresis time of 31 s, loans that nobody needed could not serve the next peak, and the Association had late requests. Change: the least stay is twice the flight; the hold time from the weights gives way to another pool's lack.

--- a/evidence/measure/fleet_measure.cpp
+++ b/evidence/measure/fleet_measure.cpp
@@ -36,6 +36,7 @@
 {
     fleet::BufferPlanInput input;
     input.concurrentPeaks = history.concurrentPeaks;
+    input.moveTime = kMoveTime;
     input.moveCost = kMoveCost;
     input.weights = deployment.weights;
     const double baseSize = sum(deployment.poolSizes);
@@ -77,6 +78,7 @@
     policy.lends = true;
     policy.waves = WavePolicy::Paced;
     policy.minStay = plan.minStay;
+    policy.hold = plan.hold;
     policy.queueTolerance = kQueueTolerance;
     policy.concurrentPeaks = history.concurrentPeaks;
     policy.reserve = plan.forFailures;
@@ -89,6 +91,7 @@
     policy.name = "greedy";
     policy.waves = WavePolicy::UpToBudget;
     policy.minStay = base::Duration::zero();
+    policy.hold = base::Duration::zero();
     policy.queueTolerance = base::Duration::zero();
     return policy;
 }
--- a/evidence/measure/fleet_simulation.cpp
+++ b/evidence/measure/fleet_simulation.cpp
@@ -22,7 +22,7 @@
 
 base::Duration lookBack(const FleetPolicy &policy)
 {
-    return std::max<base::Duration>(policy.minStay, std::chrono::seconds(1));
+    return std::max<base::Duration>(policy.hold, std::chrono::seconds(1));
 }
 
 std::uint32_t instancesFor(double slots)
--- a/evidence/measure/fleet_simulation.h
+++ b/evidence/measure/fleet_simulation.h
@@ -21,6 +21,7 @@
     bool lends = false;
     WavePolicy waves = WavePolicy::OneAtATime;
     base::Duration minStay{};
+    base::Duration hold{};
     base::Duration queueTolerance{};
     std::uint32_t concurrentPeaks = 1;
     std::uint32_t reserve = 0;
--- a/packages/fleet/include/chicorywick/fleet/buffer_driver.h
+++ b/packages/fleet/include/chicorywick/fleet/buffer_driver.h
@@ -23,7 +23,7 @@
 struct BufferInputs
 {
     std::vector<PoolDemand> demands;
-    base::Duration minStay = std::chrono::minutes(2);
+    base::Duration minStay = std::chrono::seconds(10);
 
     bool operator==(const BufferInputs &) const = default;
 };
--- a/packages/fleet/include/chicorywick/fleet/buffer_planner.h
+++ b/packages/fleet/include/chicorywick/fleet/buffer_planner.h
@@ -60,6 +60,8 @@
     FailureObservation failures;
     /// Most pools that were seen above their base size at once.
     std::uint32_t concurrentPeaks = 1;
+    /// Time for which an instance that moves counts for neither pool.
+    base::Duration moveTime{};
     /// Time for which instances are lost to a pool that one move costs.
     base::Duration moveCost{};
     /// Share of the time for which failures may use up the buffer.
@@ -87,6 +89,9 @@
     std::uint32_t forWaves = 0;
     /// Least time between two moves of an instance.
     base::Duration minStay{};
+    /// Time for which a pool keeps an instance that it does not need, unless another pool lacks
+    /// one.
+    base::Duration hold{};
 
     std::uint32_t shared() const { return forPeaks + forFailures + forWaves; }
     std::uint32_t total() const;
--- a/packages/fleet/include/chicorywick/fleet/lending.h
+++ b/packages/fleet/include/chicorywick/fleet/lending.h
@@ -16,7 +16,7 @@
     std::vector<PlacedInstance> unavailable;
     /// Members on their way here.
     std::uint32_t arriving = 0;
-    /// Instances needed now, and the most needed within the last hysteresis time.
+    /// Instances needed now, and the most needed within the hold time of the plan.
     std::uint32_t needed = 0;
     std::uint32_t recentPeak = 0;
 
@@ -43,6 +43,7 @@
     /// Healthy members of other pools that the spare pool has lent to them.
     std::vector<LendingMember> lent;
     base::TimePoint now;
+    /// Least time between two moves of an instance.
     base::Duration minStay{};
 
     bool operator==(const LendingView &) const = default;
@@ -63,8 +64,8 @@
 /// @brief The loans and returns to make now, at most limit.
 ///
 /// Loans come first, to the pools that lack most. A loan returns when its borrower has not needed
-/// it for the hysteresis time, or as soon as another pool lacks what cannot be lent. No instance
-/// moves twice within the hysteresis time.
+/// it for the hold time, or as soon as another pool lacks what cannot be lent. No instance
+/// moves twice within the least stay.
 std::vector<InstanceMove> decideLending(const LendingView &view, std::size_t limit);
 
 } // namespace chicorywick::fleet
--- a/packages/fleet/src/buffer_planner.cpp
+++ b/packages/fleet/src/buffer_planner.cpp
@@ -11,10 +11,10 @@
 // With equal weights, a wave that takes twice its shortest time costs as much as a tenth of the
 // fleet kept idle while it runs.
 constexpr double kStretchCost = 0.1;
-// Bounds of the hysteresis: below, every short peak moves instances back and forth; above, the
-// observed peaks say little about the next one.
-constexpr base::Duration kLeastStay = std::chrono::seconds(20);
-constexpr base::Duration kLongestStay = std::chrono::minutes(15);
+// An instance serves at least as long as its two moves take.
+constexpr int kLeastStayInMoves = 2;
+// Beyond, the observed peaks say little about the next one.
+constexpr base::Duration kLongestHold = std::chrono::minutes(15);
 // No pool is larger, so larger failure allowances are never useful.
 constexpr std::uint32_t kMaxFailureAllowance = 1'000;
 
@@ -61,14 +61,15 @@
     return allowance;
 }
 
-/// @brief Roll-out time over the shortest one if a peaking pool may have this many members out.
-double stretch(const PoolObservation &pool, std::uint32_t covered)
+/// @brief Rounds of maintenance that a pool's wave takes if it may have a number of members out at
+/// its peak.
+double rounds(const PoolObservation &pool, std::uint32_t members, std::uint32_t covered)
 {
     constexpr double kLeastPace = 0.01;
-    const double limit = std::max(1U, pool.budget.limit(pool.baseSize));
+    const double limit = std::max(1U, pool.budget.limit(members));
     const double atPeak = std::min<double>(covered, limit);
     const double pace = (1 - pool.peakShare) * limit + pool.peakShare * atPeak;
-    return limit / std::max(pace, kLeastPace);
+    return members / std::max(pace, kLeastPace);
 }
 
 /// @brief The buffer that the coinciding peaks require, with and without one of the spare pool.
@@ -142,18 +143,31 @@
     std::vector<std::uint32_t> shortfalls_;
 };
 
+/// @brief Rounds of the longest wave. The buffer is maintained in the spare pool, under its budget.
+double longestWave(const BufferPlanInput &input, const SharedBuffer &shared, std::uint32_t covered)
+{
+    double longest = 0;
+    for (const PoolObservation &pool : input.pools) {
+        const std::uint32_t members = pool.baseSize + (pool.isSpare ? shared.size(covered) : 0);
+        longest = std::max(longest, rounds(pool, members, shared.coverOf(pool, covered)));
+    }
+    return longest;
+}
+
 /// @brief The cover for waves with the least weighted sum of buffer and roll-out time.
 std::uint32_t cheapestCover(const BufferPlanInput &input, const SharedBuffer &shared,
                             std::uint32_t fleetSize)
 {
+    double shortest = 1;
+    for (const PoolObservation &pool : input.pools)
+        shortest = std::max(shortest, rounds(pool, pool.baseSize, pool.baseSize));
     std::uint32_t best = 0;
     double bestCost = INFINITY;
-    for (std::uint32_t covered = 0; covered <= shared.largestLimit(); ++covered) {
-        double worst = 1;
-        for (const PoolObservation &pool : input.pools)
-            worst = std::max(worst, stretch(pool, shared.coverOf(pool, covered)));
+    // The spare pool's limit may grow with the buffer that it holds.
+    for (std::uint32_t covered = 0; covered <= 2 * shared.largestLimit(); ++covered) {
+        const double stretch = longestWave(input, shared, covered) / shortest;
         const double cost = input.weights.bufferCost * shared.size(covered)
-                            + input.weights.rolloutTime * (worst - 1) * kStretchCost * fleetSize;
+                            + input.weights.rolloutTime * stretch * kStretchCost * fleetSize;
         if (cost < bestCost) {
             bestCost = cost;
             best = covered;
@@ -162,26 +176,26 @@
     return best;
 }
 
-// A loan that stays beyond the next pool's peak would need a second buffer.
-base::Duration longestStay(const BufferPlanInput &input)
+// A loan that is held beyond the next pool's peak would need a second buffer.
+base::Duration longestHold(const BufferPlanInput &input)
 {
     double peaksPerHour = 0;
     for (const PoolObservation &pool : input.pools)
         peaksPerHour += pool.peaksPerHour;
     if (peaksPerHour <= 0)
-        return kLongestStay;
+        return kLongestHold;
     const double hoursBetween = std::max(1U, input.concurrentPeaks) / peaksPerHour;
     const std::chrono::duration<double, std::ratio<3600>> half(hoursBetween / 2);
-    return std::min(kLongestStay, std::chrono::duration_cast<base::Duration>(half));
+    return std::min(kLongestHold, std::chrono::duration_cast<base::Duration>(half));
 }
 
 // Keeping an idle loan for as long as returning and lending it again would cost is at most twice as
 // expensive as knowing the next peak in advance.
-base::Duration stay(const BufferPlanInput &input)
+base::Duration hold(const BufferPlanInput &input, base::Duration minStay)
 {
     const double ratio = input.weights.moves / std::max(input.weights.bufferCost, 0.01);
     const auto wanted = std::chrono::duration_cast<base::Duration>(2 * ratio * input.moveCost);
-    return std::clamp(wanted, kLeastStay, std::max(kLeastStay, longestStay(input)));
+    return std::clamp(wanted, minStay, std::max(minStay, longestHold(input)));
 }
 
 } // namespace
@@ -230,7 +244,8 @@
     plan.forPeaks = shared.size(0, false);
     plan.forFailures = shared.size(0) - plan.forPeaks;
     plan.forWaves = shared.size(covered) - shared.size(0);
-    plan.minStay = stay(input);
+    plan.minStay = kLeastStayInMoves * input.moveTime;
+    plan.hold = hold(input, plan.minStay);
     return plan;
 }
 
--- a/packages/fleet/src/buffer_planner_test.cpp
+++ b/packages/fleet/src/buffer_planner_test.cpp
@@ -25,6 +25,7 @@
                                .largestRack = 2,
                                .largestZone = 4});
     }
+    input.moveTime = 5s;
     input.moveCost = 30s;
     return input;
 }
@@ -80,10 +81,10 @@
         BufferPlanInput cheaper = input;
         cheaper.weights.bufferCost *= 4;
         CHECK(planBuffer(cheaper).total() <= plan.total());
-        CHECK(planBuffer(cheaper).minStay <= plan.minStay);
+        CHECK(planBuffer(cheaper).hold <= plan.hold);
         BufferPlanInput steadier = input;
         steadier.weights.moves *= 4;
-        CHECK(planBuffer(steadier).minStay >= plan.minStay);
+        CHECK(planBuffer(steadier).hold >= plan.hold);
         CHECK(planBuffer(steadier).resident.size() >= plan.resident.size());
     }
 }
