--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -64,7 +64,7 @@
     , claims_(std::make_shared<serving::IdempotencyStore>(platform_.table, platform_.objects,
                                                           clock_))
     , jobWrites_(jobs::makeWriteBudget(jobs::kDefaultWrites))
-    , routing_(settings_.zone, platform_, dispatcher_, [this](const std::string &upstream) {
+    , routing_(settings_.zone, clock_, platform_, dispatcher_, [this](const std::string &upstream) {
         v1::DrainNotice notice;
         notice.set_upstream(upstream);
         notice.set_draining(true);
@@ -83,7 +83,9 @@
 {
     BOOST_OUTCOME_TRY(token, readToken(settings_.operatorTokenFile));
     token_ = token;
+    // An entry instance that opens its listener knows upstreams that work.
     routing_.refreshList();
+    routing_.probe();
     BOOST_OUTCOME_TRYV(startPeers());
     BOOST_OUTCOME_TRYV(startServing());
     BOOST_OUTCOME_TRYV(startOperators());
--- a/packages/daemon/src/daemon_tasks.cpp
+++ b/packages/daemon/src/daemon_tasks.cpp
@@ -10,11 +10,10 @@
 
 using namespace std::chrono_literals;
 
-// Together these keep an upstream's last new request within 3 s of its leaving: the list and the
-// grants are read every second, and two failed probes mark an upstream.
+// The list and the grants are read every second, so that an upstream gets no new work 3 s after it
+// leaves.
 constexpr base::Duration kListInterval = 1s;
 constexpr base::Duration kGrantInterval = 1s;
-constexpr base::Duration kProbeInterval = 1s;
 constexpr base::Duration kWaveInterval = 500ms;
 constexpr base::Duration kJobInterval = 200ms;
 constexpr base::Duration kMemberInterval = 1s;
@@ -52,7 +51,7 @@
     };
     add(kListInterval, [this] { routing_.refreshList(); });
     add(kGrantInterval, [this] { routing_.refreshGrants(); });
-    add(kProbeInterval, [this] { routing_.probe(); });
+    add(serving::HealthPolicy().interval, [this] { routing_.probe(); });
     add(kMemberInterval, [this] { updateMembers(); });
     add(kLoadInterval, [this] { spreadLoad(); });
     add(kBurnInterval, [this] { spreadBurn(); });
@@ -67,7 +66,7 @@
         remoteLoads_.note(from.id, report, clock_.now());
     };
     callbacks.onDrain = [this](const v1::DrainNotice &notice) {
-        routing_.noteDrain(notice.upstream(), notice.draining(), clock_.now());
+        routing_.noteDrain(notice.upstream(), base::fromMillis(notice.noticed_at_ms()));
     };
     callbacks.onBurn = [this](const v1::BurnSummary &summary) {
         ledger_.add(summary, clock_.now());
--- a/packages/daemon/src/routing_updater.cpp
+++ b/packages/daemon/src/routing_updater.cpp
@@ -8,26 +8,44 @@
 
 namespace {
 
-// A notice bridges the time until the grant itself has been read; then it is no longer needed.
-constexpr base::Duration kNoticeLifetime = std::chrono::seconds(30);
+// A notice older than this by the time the grants were read must show in them; members' clocks may
+// differ this much.
+constexpr base::Duration kNoticeMargin = std::chrono::seconds(3);
 
-// Notices name upstreams, whose number is bounded by the list; this bound holds if a peer sends
-// others.
-constexpr std::size_t kMaxNotices = 10'000;
+template <typename Value>
+void setIfConfigured(Value &field, std::uint32_t configured)
+{
+    if (configured != 0)
+        field = static_cast<Value>(configured);
+}
 
 } // namespace
 
-RoutingUpdater::RoutingUpdater(std::string zone, PlatformAccess platform,
+serving::ServicePolicy toPolicy(const v1::ServiceConfig &config)
+{
+    serving::ServicePolicy policy;
+    setIfConfigured(policy.slotsPerUpstream, config.slots_per_upstream());
+    setIfConfigured(policy.connectionsPerUpstream, config.connections_per_upstream());
+    setIfConfigured(policy.queueLimit, config.queue_limit());
+    setIfConfigured(policy.queueLimitPerCaller, config.queue_limit_per_caller());
+    setIfConfigured(policy.archiveSharePercent, config.archive_share_percent());
+    setIfConfigured(policy.retryPercent, config.retry_percent());
+    if (config.default_deadline_ms() != 0)
+        policy.defaultDeadline = std::chrono::milliseconds(config.default_deadline_ms());
+    return policy;
+}
+
+RoutingUpdater::RoutingUpdater(std::string zone, base::Clock clock, PlatformAccess platform,
                                std::shared_ptr<serving::Dispatcher> dispatcher,
                                std::function<void(const std::string &)> onGranted)
     : zone_(std::move(zone))
+    , clock_(std::move(clock))
     , platform_(std::move(platform))
     , fleet_(platform_.table)
     , dispatcher_(std::move(dispatcher))
     , onGranted_(std::move(onGranted))
-{
-    input_.localZone = zone_;
-}
+    , zones_{zone_}
+{}
 
 void RoutingUpdater::refreshList()
 {
@@ -36,14 +54,22 @@
         return;
     {
         const std::lock_guard lock(mutex_);
-        input_.listed = listing.value().instances;
+        directory_.applyListing(listing.value());
         hasList_ = true;
+        zones_ = {zone_};
+        listedServices_.clear();
+        for (const platform::ListedInstance &instance : listing.value().instances) {
+            zones_.insert(instance.zone);
+            if (instance.kind == platform::InstanceKind::Upstream)
+                listedServices_.insert(instance.service);
+        }
     }
     publish();
 }
 
 void RoutingUpdater::refreshGrants()
 {
+    const base::TimePoint readAt = clock_.now();
     const auto pools = fleet_.pools();
     if (!pools)
         return;
@@ -61,10 +87,21 @@
                             std::back_inserter(added));
         granted_ = std::move(granted);
         pools_ = std::move(names);
+        endOldNotices(readAt);
     }
+    publish();
     for (const std::string &upstream : added)
         onGranted_(upstream);
-    publish();
+}
+
+void RoutingUpdater::endOldNotices(base::TimePoint readAt)
+{
+    for (const serving::DrainDecision &notice : directory_.drains()) {
+        const bool isOver = notice.draining && !granted_.contains(notice.upstream)
+                            && notice.stamp + kNoticeMargin < readAt;
+        if (isOver)
+            directory_.applyDrain(directory_.decideDrain(notice.upstream, false, readAt));
+    }
 }
 
 void RoutingUpdater::probe()
@@ -72,29 +109,27 @@
     std::vector<ProbeTarget> targets;
     {
         const std::lock_guard lock(mutex_);
-        const serving::RoutingTable table = buildRouting(input_);
-        for (const auto &[service, route] : table.services) {
-            for (const serving::RoutedUpstream &upstream : route.upstreams) {
-                if (upstream.target.zone == zone_)
-                    targets.push_back(
-                            {upstream.target.id, {upstream.target.host, upstream.target.port}});
-            }
+        for (const auto &[service, route] : makeTable().services) {
+            for (const serving::RoutedUpstream &upstream : route.upstreams)
+                targets.push_back(
+                        {upstream.target.id, {upstream.target.host, upstream.target.port}});
         }
     }
-    probe_.probe(targets);
+    const std::vector<ProbeResult> results =
+            probeUpstreams(targets, serving::HealthPolicy().timeout);
+    {
+        const std::lock_guard lock(mutex_);
+        for (const ProbeResult &result : results)
+            directory_.applyHealthCheck(result.id, result.passed);
+    }
     publish();
 }
 
-void RoutingUpdater::noteDrain(const std::string &upstream, bool draining, base::TimePoint now)
+void RoutingUpdater::noteDrain(const std::string &upstream, base::TimePoint stamp)
 {
     {
         const std::lock_guard lock(mutex_);
-        std::erase_if(noticed_,
-                      [&](const auto &entry) { return now - entry.second > kNoticeLifetime; });
-        if (!draining)
-            noticed_.erase(upstream);
-        else if (noticed_.size() < kMaxNotices)
-            noticed_[upstream] = now;
+        directory_.applyDrain({upstream, true, stamp});
     }
     publish();
 }
@@ -103,7 +138,9 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        input_.services = view.services;
+        policies_.clear();
+        for (const auto &[service, config] : view.services)
+            policies_[service] = toPolicy(config);
     }
     publish();
 }
@@ -112,20 +149,31 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        input_.entryInstancesInZone = std::max(1U, count);
+        entryInstancesInZone_ = std::max(1U, count);
     }
     publish();
 }
 
-// Publishing waits for readers, so it happens under the lock only to keep the order of tables.
+// A listed service without configuration is served with default limits. The grants in the table are
+// the truth; notices only bring the news of them earlier.
+serving::RoutingTable RoutingUpdater::makeTable() const
+{
+    std::map<std::string, serving::ServicePolicy> policies = policies_;
+    for (const std::string &service : listedServices_)
+        policies.try_emplace(service);
+    serving::RoutingTable table = directory_.table(zone_, entryInstancesInZone_, policies);
+    for (auto &[service, route] : table.services) {
+        for (serving::RoutedUpstream &upstream : route.upstreams)
+            upstream.leaving = upstream.leaving || granted_.contains(upstream.target.id);
+    }
+    return table;
+}
+
+// The lock is held while the table is published, so that an older table never follows a newer one.
 void RoutingUpdater::publish()
 {
     const std::lock_guard lock(mutex_);
-    input_.draining = granted_;
-    for (const auto &[upstream, since] : noticed_)
-        input_.draining.insert(upstream);
-    input_.unhealthy = probe_.unhealthy();
-    serving::RoutingTable table = buildRouting(input_);
+    serving::RoutingTable table = makeTable();
     if (table == published_)
         return;
     dispatcher_->update(table);
@@ -140,6 +188,12 @@
     return hasList_;
 }
 
+serving::RoutingTable RoutingUpdater::table() const
+{
+    const std::lock_guard lock(mutex_);
+    return published_;
+}
+
 std::vector<std::string> RoutingUpdater::services() const
 {
     const std::lock_guard lock(mutex_);
@@ -152,10 +206,7 @@
 std::set<std::string> RoutingUpdater::zones() const
 {
     const std::lock_guard lock(mutex_);
-    std::set<std::string> zones{zone_};
-    for (const platform::ListedInstance &instance : input_.listed)
-        zones.insert(instance.zone);
-    return zones;
+    return zones_;
 }
 
 std::set<std::string> RoutingUpdater::pools() const
--- a/packages/daemon/src/upstream_probe.h
+++ b/packages/daemon/src/upstream_probe.h
@@ -2,9 +2,6 @@
 
 #include <chicorywick/daemon/settings.h>
 
-#include <map>
-#include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -19,22 +16,17 @@
     bool operator==(const ProbeTarget &) const = default;
 };
 
-/// @brief Probes upstreams with GET /healthz and remembers which are healthy.
-class UpstreamProbe
+/// @brief Whether an upstream answered GET /healthz with a status below 500.
+struct ProbeResult
 {
-public:
-    /// @brief Probes all targets once, several at a time; forgets upstreams that are no longer
-    /// targets.
-    void probe(const std::vector<ProbeTarget> &targets);
-
-    /// @brief Upstreams whose last probes failed.
-    std::set<std::string> unhealthy() const;
-
-private:
-    void note(const std::string &id, bool answered);
+    std::string id;
+    bool passed = false;
 
-    mutable std::mutex mutex_;
-    std::map<std::string, int> failures_;
+    bool operator==(const ProbeResult &) const = default;
 };
 
+/// @brief Probes all targets once, several at a time.
+std::vector<ProbeResult> probeUpstreams(const std::vector<ProbeTarget> &targets,
+                                        base::Duration timeout);
+
 } // namespace chicorywick::daemon
--- a/tests/e2e/deployment.cpp
+++ b/tests/e2e/deployment.cpp
@@ -135,30 +135,36 @@
     return get(control_, "/runs");
 }
 
-CliResult Deployment::cli(std::vector<std::string> arguments) const
+CliResult Deployment::cli(const std::vector<std::string> &arguments) const
 {
     std::string servers;
     for (const auto &entry : entries_)
         servers += (servers.empty() ? "" : ",") + ("127.0.0.1:" + std::to_string(entry->operators));
+    return cliAt(servers, arguments);
+}
+
+CliResult Deployment::cliAt(const std::string &server, std::vector<std::string> arguments) const
+{
     arguments.insert(arguments.end(),
-                     {"--server", servers, "--token-file", tokenFile_, "--operator", "e2e"});
+                     {"--server", server, "--token-file", tokenFile_, "--operator", "e2e"});
     std::ostringstream out;
     std::ostringstream err;
     const int exitCode = cli::runCli(arguments, out, err);
     return {exitCode, out.str(), err.str()};
 }
 
+int Deployment::bootsOf(const std::string &instance) const
+{
+    return std::stoi(get(control_, "/boots/" + instance));
+}
+
 bool Deployment::waitForMembers(std::chrono::seconds limit) const
 {
     return waitUntil(limit, [this] {
         for (const auto &entry : entries_) {
-            std::ostringstream out;
-            std::ostringstream err;
             const std::string server = "127.0.0.1:" + std::to_string(entry->operators);
-            cli::runCli({"status", "--json", "--server", server, "--token-file", tokenFile_}, out,
-                        err);
+            const std::string text = cliAt(server, {"status", "--json"}).out;
             std::size_t alive = 0;
-            const std::string text = out.str();
             for (std::size_t at = text.find("\"alive\""); at != std::string::npos;
                  at = text.find("\"alive\"", at + 1))
                 ++alive;
--- a/tests/e2e/deployment.h
+++ b/tests/e2e/deployment.h
@@ -52,7 +52,16 @@
     std::string taskRuns() const;
 
     /// @brief Runs the command line against all entry instances.
-    CliResult cli(std::vector<std::string> arguments) const;
+    CliResult cli(const std::vector<std::string> &arguments) const;
+
+    /// @brief Runs the command line against one operator listener.
+    CliResult cliAt(const std::string &server, std::vector<std::string> arguments) const;
+
+    /// @brief Completed reboots of an instance as the platform counts them.
+    int bootsOf(const std::string &instance) const;
+
+    /// @brief Writes a file that lives as long as the deployment; the value is its path.
+    std::string writeFile(const std::string &name, const std::string &content) const;
 
     /// @brief Waits until every entry instance is ready and sees all others alive.
     bool waitForMembers(std::chrono::seconds limit) const;
@@ -68,7 +77,6 @@
     };
 
     void postInstance(const std::string &json) const;
-    std::string writeFile(const std::string &name, const std::string &content) const;
 
     std::filesystem::path folder_;
     std::string tokenFile_;
--- /dev/null
+++ b/tests/e2e/failure_test.cpp
@@ -0,0 +1,98 @@
+#include "small_deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+namespace chicorywick::e2e {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string outcomeOf(const httplib::Result &result)
+{
+    return result ? result->get_header_value("X-Request-Outcome") : "no response";
+}
+
+std::string codeOf(const httplib::Result &result)
+{
+    return result ? result->get_header_value("X-Result-Code") : "";
+}
+
+} // namespace
+
+// Guards against a request with a key that is run although its claim was never recorded, and
+// against an outage of the table that stops requests which do not need it.
+TEST_CASE("while the table is down, requests with a key are not run and others are served")
+{
+    Deployment deployment({"z1", "z2"});
+    startSmallDeployment(deployment);
+    const int port = deployment.entries()[0]->callers;
+    deployment.setFaults(R"({"table": {"down": true}})");
+    const auto keyed = postOrder(port, "keyed-order", 0, "outage-1");
+    CHECK(outcomeOf(keyed) == "not-run");
+    CHECK(codeOf(keyed) == "4010");
+    CHECK(outcomeOf(postOrder(port, "plain-order")) == "completed");
+    CHECK(runsOf(deployment, "keyed-order") == 0);
+    deployment.setFaults("{}");
+    const auto repeated = postOrder(port, "keyed-order", 0, "outage-1");
+    CHECK(outcomeOf(repeated) == "completed");
+    CHECK(runsOf(deployment, "keyed-order") == 1);
+}
+
+// Guards against an availability zone that stops serving or misses configuration while it cannot
+// reach the platform.
+TEST_CASE("a zone cut off from the platform serves and gets the configuration from its peers")
+{
+    Deployment deployment({"z1", "z2"});
+    startSmallDeployment(deployment);
+    deployment.setFaults(R"({"cut_zones": ["z2"]})");
+    const std::string file = deployment.writeFile(
+            "config.json",
+            R"({"items": [{"name": "service/shop", "service": {"slots_per_upstream": 8,
+                "connections_per_upstream": 64, "queue_limit": 256, "queue_limit_per_caller": 64,
+                "default_deadline_ms": 10000}}]})");
+    const CliResult put = deployment.cli({"config", "put", file});
+    CAPTURE(put.err);
+    REQUIRE(put.exitCode == 0);
+
+    const std::string cutOff = "127.0.0.1:" + std::to_string(deployment.entries()[2]->operators);
+    const bool isInForce = waitUntil(5s, [&] {
+        return deployment.cliAt(cutOff, {"status", "--json"}).out.find("\"config_version\":\"1\"")
+               != std::string::npos;
+    });
+    CHECK(isInForce);
+    const int port = deployment.entries()[2]->callers;
+    CHECK(outcomeOf(postOrder(port, "plain-order")) == "completed");
+    CHECK(outcomeOf(postOrder(port, "keyed-order", 0, "cut-1")) == "not-run");
+    CHECK(runsOf(deployment, "keyed-order") == 0);
+}
+
+// Guards against a wave that stops, or an instance that stays cordoned, when its driver dies or
+// freezes.
+TEST_CASE("a wave ends although daemons are killed and frozen")
+{
+    Deployment deployment({"z1", "z2"});
+    startSmallDeployment(deployment);
+    createPools(deployment);
+    REQUIRE(deployment.cli({"wave", "create", "storm", "shop"}).exitCode == 0);
+    const auto showsActive = [&] {
+        return deployment.cli({"wave", "show", "storm", "--json"}).out.find("\"active\":[\"")
+               != std::string::npos;
+    };
+    REQUIRE(waitUntil(30s, showsActive));
+    deployment.entries()[0]->process->signal(SIGKILL);
+    deployment.entries()[1]->process->signal(SIGSTOP);
+    const std::string survivor = "127.0.0.1:" + std::to_string(deployment.entries()[2]->operators);
+    const CliResult ended = deployment.cliAt(survivor, {"wave", "wait", "storm", "--for", "120"});
+    CAPTURE(ended.err);
+    CHECK(ended.exitCode == 0);
+    deployment.entries()[1]->process->signal(SIGCONT);
+    const CliResult instances = deployment.cliAt(survivor, {"instance", "list", "--pool", "shop"});
+    CHECK(countOccurrences(instances.out, "IN_SERVICE") == 3);
+    for (const char *id : {"shop-1", "shop-2", "shop-3"})
+        CHECK(deployment.bootsOf(id) == 1);
+}
+
+} // namespace chicorywick::e2e
--- a/tests/e2e/thin_path_test.cpp
+++ b/tests/e2e/thin_path_test.cpp
@@ -1,7 +1,6 @@
-#include "deployment.h"
+#include "small_deployment.h"
 
 #include <doctest/doctest.h>
-#include <httplib.h>
 
 #include <csignal>
 
@@ -9,58 +8,6 @@
 
 using namespace std::chrono_literals;
 
-namespace {
-
-void startSmallDeployment(Deployment &deployment)
-{
-    deployment.startUpstream("shop-1", "z1", "shop");
-    deployment.startUpstream("shop-2", "z1", "shop");
-    deployment.startUpstream("shop-3", "z2", "shop");
-    deployment.addWorker("worker-1", "z1", "rack-1");
-    deployment.addWorker("worker-2", "z2", "rack-2");
-    deployment.startEntry("entry-1", "z1");
-    deployment.startEntry("entry-2", "z1");
-    deployment.startEntry("entry-3", "z2");
-    REQUIRE(deployment.waitForMembers(30s));
-}
-
-void createPools(const Deployment &deployment)
-{
-    REQUIRE(deployment.cli({"pool", "create", "shop", "--max-unavailable", "1"}).exitCode == 0);
-    REQUIRE(deployment.cli({"pool", "create", "press", "--max-unavailable", "1"}).exitCode == 0);
-    for (const char *id : {"shop-1", "shop-2", "shop-3"}) {
-        const CliResult added = deployment.cli({"instance", "add", id, "shop", "--zone", "z1",
-                                                "--rack", std::string("rack-") + id});
-        CAPTURE(added.err);
-        REQUIRE(added.exitCode == 0);
-    }
-    for (const char *id : {"worker-1", "worker-2"})
-        REQUIRE(deployment.cli({"instance", "add", id, "press", "--zone", "z1", "--rack", id})
-                        .exitCode
-                == 0);
-}
-
-httplib::Result postOrder(int port, const std::string &body, int sleepMs = 0,
-                          const std::string &key = {})
-{
-    httplib::Client client("127.0.0.1", port);
-    client.set_read_timeout(20);
-    httplib::Headers headers{{"X-Caller", "e2e"}, {"X-Sleep-Ms", std::to_string(sleepMs)}};
-    if (!key.empty())
-        headers.emplace("Idempotency-Key", key);
-    return client.Post("/shop/orders", headers, body, "text/plain");
-}
-
-std::size_t countLines(const std::string &text, const std::string &line)
-{
-    std::size_t count = 0;
-    for (std::size_t at = text.find(line); at != std::string::npos; at = text.find(line, at + 1))
-        ++count;
-    return count;
-}
-
-} // namespace
-
 // Guards the whole path: caller to upstream, operator to platform, job to worker, wave to instance.
 TEST_CASE("request, job and wave go through separate processes")
 {
@@ -82,10 +29,7 @@
     REQUIRE(repeat);
     CHECK(first->status == 200);
     CHECK(repeat->body == first->body);
-    std::size_t runs = 0;
-    for (const char *id : {"shop-1", "shop-2", "shop-3"})
-        runs += countLines(deployment.recordOf(id), "keyed");
-    CHECK(runs == 1);
+    CHECK(runsOf(deployment, "keyed") == 1);
 
     const CliResult job = deployment.cli({"job", "submit", "press", "tiles-1", "--team", "tiles",
                                           "--payload", R"({"run_ms": 300})"});
@@ -95,7 +39,7 @@
     CAPTURE(done.err);
     CHECK(done.exitCode == 0);
     CHECK(done.out.find("SUCCEEDED") != std::string::npos);
-    CHECK(countLines(deployment.taskRuns(), "tiles-1") == 1);
+    CHECK(countOccurrences(deployment.taskRuns(), "tiles-1") == 1);
 
     const CliResult wave = deployment.cli({"wave", "create", "spring", "shop"});
     CAPTURE(wave.err);
@@ -115,10 +59,7 @@
     EntryInstance &entry = *deployment.entries()[0];
     std::optional<httplib::Result> answer;
     std::thread caller([&] { answer = postOrder(entry.callers, "slow", 3000); });
-    REQUIRE(waitUntil(10s, [&] {
-        return countLines(deployment.recordOf("shop-1") + deployment.recordOf("shop-2"), "slow")
-               == 1;
-    }));
+    REQUIRE(waitUntil(10s, [&] { return runsOf(deployment, "slow") == 1; }));
     entry.process->signal(SIGTERM);
     entry.process->waitForLine("daemon.draining");
     httplib::Client health("127.0.0.1", entry.health);
--- a/tests/standin/standin_platform.cpp
+++ b/tests/standin/standin_platform.cpp
@@ -87,6 +87,13 @@
     server.Post("/restore/(.+)", guarded([platform](const httplib::Request &request) {
                     platform->restoreInstance(request.matches[1]);
                 }));
+    server.Get("/boots/(.+)", [platform](const httplib::Request &request,
+                                         httplib::Response &response) {
+        const auto truth = platform->instanceTruth();
+        const auto found = truth.find(request.matches[1]);
+        const std::uint64_t boots = found == truth.end() ? 0 : found->second.status.boots;
+        response.set_content(std::to_string(boots), "text/plain");
+    });
     server.Get("/runs", [platform](const httplib::Request &, httplib::Response &response) {
         json runs = json::array();
         for (const platform::TaskRun &run : platform->taskRuns())
