Test that a grant is kept until the undrain and a new listing confirm it

Change: one test loses every instance command after the reboot, another serves a listing from before the reboot; the grant is kept in both.

--- a/packages/fleet/src/wave_driver_test.cpp
+++ b/packages/fleet/src/wave_driver_test.cpp
@@ -109,6 +109,41 @@
         CHECK(control.status("i" + std::to_string(i)).value().boots == 1);
 }
 
+// Guards against a grant that is returned while a late drain would still be accepted.
+TEST_CASE_FIXTURE(FleetFixture, "a grant is kept until the undrain is acknowledged")
+{
+    createPool("p", 1);
+    addInstances("p", 2);
+    createWave("w", "p");
+    const auto isVerifying = [&] {
+        return repository.instance("i0").value().value.data().state == MaintenanceState::Verifying;
+    };
+    REQUIRE(runUntil(60s, isVerifying));
+    platform->setFaults({.control = {.loseRequest = 1.0}});
+    runFor(60s);
+    CHECK(isVerifying());
+    CHECK(repository.pool("p").value().value.findGrant("i0") != nullptr);
+    platform->setFaults({});
+    CHECK(runUntilEnd("w", 120s));
+}
+
+// Guards against a grant that is returned because an old listing still shows the instance.
+TEST_CASE_FIXTURE(FleetFixture, "a grant is kept until a listing after the reboot shows it live")
+{
+    createPool("p", 1);
+    addInstances("p", 2);
+    createWave("w", "p");
+    driver.step(clock.now());
+    platform::FaultPlan lag;
+    lag.listLag = 1h;
+    platform->setFaults(lag);
+    runFor(60s);
+    CHECK(repository.instance("i0").value().value.data().state == MaintenanceState::Verifying);
+    CHECK(wave("w").done == 0);
+    platform->setFaults({});
+    CHECK(runUntilEnd("w", 120s));
+}
+
 // Guards against polling that writes: a waiting wave must not load the table.
 TEST_CASE_FIXTURE(FleetFixture, "a wave that waits for its budget writes nothing")
 {
