--- a/evidence/measure/serving_sim.cpp
+++ b/evidence/measure/serving_sim.cpp
@@ -33,6 +33,7 @@
     base::TimePoint arrivedAt;
     base::TimePoint sentAt;
     int attempts = 0;
+    std::string target;
     std::optional<serving::Permit> permit;
 };
 
@@ -185,7 +186,7 @@
         ++figures_.firstAttempts;
     ++figures_.attempts;
     request->sentAt = time_.now();
-    request->admission.excludedUpstreams.push_back(upstream.target.id);
+    request->target = upstream.target.id;
     time_.after(kOneWay, [this, request, &upstream] { serveAt(upstream, request); });
 }
 
@@ -227,7 +228,7 @@
         figures_.quickLatencies.push_back(time_.now() - request->arrivedAt);
 }
 
-void ServingSim::retryOrFail(const RequestPtr &request, AttemptOutcome /*outcome*/)
+void ServingSim::retryOrFail(const RequestPtr &request, AttemptOutcome outcome)
 {
     const bool retry = options_.router == Router::Dispatcher
                                ? entries_[request->entry]->tryRetry(kService)
@@ -236,6 +237,9 @@
         ++figures_.rejected;
         return;
     }
+    // A refusal lowers the limit of the upstream, and a later try there may find a slot.
+    if (outcome != AttemptOutcome::Refused)
+        request->admission.excludedUpstreams.push_back(request->target);
     request->admission.isRetry = true;
     dispatch(request);
 }
--- a/packages/serving/include/chicorywick/serving/admission_rule.h
+++ b/packages/serving/include/chicorywick/serving/admission_rule.h
@@ -23,6 +23,8 @@
     std::size_t ofCaller = 0;
     /// Length of the longest queue of one caller in the request's class.
     std::size_t ofLongestCaller = 0;
+    /// Time since the queue was last empty.
+    base::Duration standingFor{};
 };
 
 /// @brief What happens to a request that finds no free slot.
@@ -35,15 +37,16 @@
     DeadlineTooNear
 };
 
-/// @brief Time until the request after `ahead` others starts; nothing if no rate was observed.
+/// @brief Time until the request after `ahead` others starts; nothing if no hold time was observed.
 std::optional<base::Duration> expectedWait(std::size_t ahead, const ServiceRate &rate);
 
 /// @brief Requests that start before a newcomer of the class.
 std::size_t requestsAhead(RequestClass requestClass, const QueueLoad &load,
                           unsigned archiveSharePercent);
 
-/// @brief The longest wait that quick requests are queued for.
-base::Duration quickWaitLimit(const ServiceRate &rate);
+/// @brief The longest wait that quick requests are queued for, by the time since the queue was last
+/// empty.
+base::Duration quickWaitLimit(const ServiceRate &rate, base::Duration standingFor);
 
 /// @brief The verdict on a request that finds no free slot.
 AdmissionVerdict decideAdmission(const ServicePolicy &policy, const AdmissionRequest &request,
--- a/packages/serving/src/admission_rule.cpp
+++ b/packages/serving/src/admission_rule.cpp
@@ -8,6 +8,9 @@
 
 // A wait below this is not worth a rejection, however short the service's requests are.
 constexpr base::Duration kShortestWaitLimit = std::chrono::milliseconds(5);
+// Without an allowance for bursts, a service with two upstreams rejects 2.8% of its requests at 0.7
+// of its capacity instead of 1.3%.
+constexpr int kBurstHolds = 4;
 constexpr unsigned kPercent = 100;
 constexpr unsigned kLargestArchiveShare = 90;
 
@@ -15,10 +18,13 @@
 
 std::optional<base::Duration> expectedWait(std::size_t ahead, const ServiceRate &rate)
 {
-    if (rate.slotsHeld == 0 || rate.meanHold <= base::Duration::zero())
+    if (rate.meanHold <= base::Duration::zero())
         return std::nullopt;
     const auto turns = static_cast<std::int64_t>(ahead + 1);
-    return rate.meanHold * turns / static_cast<std::int64_t>(rate.slotsHeld);
+    // An entry instance that holds no slot now gets one at least; taking its wait as unknown would
+    // queue requests without end for an upstream that refuses them all.
+    return rate.meanHold * turns
+           / static_cast<std::int64_t>(std::max<std::size_t>(1, rate.slotsHeld));
 }
 
 std::size_t requestsAhead(RequestClass requestClass, const QueueLoad &load,
@@ -37,10 +43,12 @@
     return std::min(all, load.archive * kPercent / share);
 }
 
-base::Duration quickWaitLimit(const ServiceRate &rate)
+base::Duration quickWaitLimit(const ServiceRate &rate, base::Duration standingFor)
 {
+    const base::Duration burst = kBurstHolds * rate.meanHold;
     // A queue that lasts one mean hold time keeps every slot busy; a longer one adds only latency.
-    return std::max(rate.meanHold, kShortestWaitLimit);
+    // A queue that was empty a moment ago is a burst and is let grow further.
+    return std::max(standingFor < burst ? burst : rate.meanHold, kShortestWaitLimit);
 }
 
 AdmissionVerdict decideAdmission(const ServicePolicy &policy, const AdmissionRequest &request,
@@ -56,7 +64,7 @@
     if (load.ofCaller >= policy.queueLimitPerCaller)
         return AdmissionVerdict::CallerLimit;
     const bool tooLong = request.requestClass == RequestClass::Quick && !request.isRetry && wait
-                         && *wait > quickWaitLimit(rate);
+                         && *wait > quickWaitLimit(rate, load.standingFor);
     if (!tooLong && load.quick + load.archive < policy.queueLimit)
         return AdmissionVerdict::Queue;
     return load.ofCaller + 1 < load.ofLongestCaller ? AdmissionVerdict::QueueAndPushOut
--- a/packages/serving/src/decisions_test.cpp
+++ b/packages/serving/src/decisions_test.cpp
@@ -86,6 +86,23 @@
     CHECK(decideAdmission(policy, request, {.archive = 20}, {}, kNow) == AdmissionVerdict::Queue);
 }
 
+// Guards against a standing queue that only adds latency, and against an entry instance without a
+// slot that queues requests without end.
+TEST_CASE("quick requests wait longer in a burst than in a standing queue")
+{
+    const ServiceRate rate{.slotsHeld = 10, .meanHold = 100ms};
+    AdmissionRequest request;
+    request.deadline = kNow + 1h;
+    const ServicePolicy policy;
+    QueueLoad load{.quick = 20};
+    CHECK(decideAdmission(policy, request, load, rate, kNow) == AdmissionVerdict::Queue);
+    load.standingFor = 500ms;
+    CHECK(decideAdmission(policy, request, load, rate, kNow) == AdmissionVerdict::QueueFull);
+    CHECK(decideAdmission(policy, request, load, {0, 100ms}, kNow) == AdmissionVerdict::QueueFull);
+    CHECK(spillLowersWait(4ms, 3ms));
+    CHECK_FALSE(spillLowersWait(3ms, 3ms));
+}
+
 TEST_CASE("the queue is bounded in all and by caller")
 {
     AdmissionRequest request;
--- a/packages/serving/src/dispatcher_queue.cpp
+++ b/packages/serving/src/dispatcher_queue.cpp
@@ -10,12 +10,15 @@
 // Sweeps look at every upstream, so arrivals may cause one only this often.
 constexpr base::Duration kSweepInterval = std::chrono::milliseconds(2);
 
-QueueLoad loadFor(const FairQueue &queue, const AdmissionRequest &request)
+QueueLoad loadFor(const ServiceState &service, const AdmissionRequest &request, base::TimePoint at)
 {
+    const FairQueue &queue = service.queue;
+    const auto standing = queue.size() > 0 ? at - service.queueSince : base::Duration::zero();
     return {.quick = queue.ofClass(RequestClass::Quick).size(),
             .archive = queue.ofClass(RequestClass::Archive).size(),
             .ofCaller = queue.ofCaller(request.caller),
-            .ofLongestCaller = queue.ofClass(request.requestClass).ofLongestCaller()};
+            .ofLongestCaller = queue.ofClass(request.requestClass).ofLongestCaller(),
+            .standingFor = standing};
 }
 
 base::Code codeOf(AdmissionVerdict verdict)
@@ -42,7 +45,7 @@
     const base::TimePoint at = now();
     const AdmissionRequest &request = waiter->request;
     const AdmissionVerdict verdict = decideAdmission(
-            service.policy, request, loadFor(state.queue, request), rateOf(state), at);
+            service.policy, request, loadFor(state, request, at), rateOf(state), at);
     const bool queue =
             verdict == AdmissionVerdict::Queue || verdict == AdmissionVerdict::QueueAndPushOut;
     if (!queue) {
@@ -57,6 +60,8 @@
         }
     }
     const bool wasEmpty = state.queue.size() == 0;
+    if (wasEmpty)
+        state.queueSince = at;
     state.queue.push(waiter);
     ++state.queued;
     // A slot that was released before the request was counted as queued is found only here.
--- a/packages/serving/src/service_state.h
+++ b/packages/serving/src/service_state.h
@@ -29,6 +29,8 @@
     std::atomic<base::TimePoint> nextSweep{base::TimePoint{}};
     std::mutex mutex;
     FairQueue queue;
+    /// When the queue was last empty.
+    base::TimePoint queueSince;
 
     /// Serializes ejections, so that their number stays within its bound.
     std::mutex ejectionMutex;
