Stamp drain decisions in whole milliseconds

Cause: DrainNotice carries milliseconds, so a stamp one microsecond after the last known one lost its order on the way to a peer. Change: decideDrain stamps in whole milliseconds and at least one after the last known stamp. Conclusion: the order survives the message format.

--- a/packages/serving/include/chicorywick/serving/upstream_directory.h
+++ b/packages/serving/include/chicorywick/serving/upstream_directory.h
@@ -62,7 +62,8 @@
     /// @brief Applies a decision of this or another entry instance unless a later one is known.
     bool applyDrain(const DrainDecision &decision);
 
-    /// @brief A decision made here, stamped after every decision known about the upstream.
+    /// @brief A decision made here, stamped in whole milliseconds after every decision known about
+    /// the upstream.
     DrainDecision decideDrain(const std::string &upstream, bool draining,
                               base::TimePoint now) const;
 
--- a/packages/serving/src/decisions_test.cpp
+++ b/packages/serving/src/decisions_test.cpp
@@ -194,7 +194,9 @@
     CHECK(directory.applyDrain(directory.decideDrain("u1", true, kNow)));
     CHECK_FALSE(directory.applyDrain({"u1", false, kNow - 1s}));
     CHECK(routed().leaving);
-    CHECK(directory.applyDrain(directory.decideDrain("u1", false, kNow - 1h)));
+    const DrainDecision end = directory.decideDrain("u1", false, kNow - 1h);
+    CHECK(end.stamp == base::fromMillis(base::toMillis(end.stamp)));
+    CHECK(directory.applyDrain(end));
     CHECK_FALSE(routed().leaving);
     listing.instances[0].leaving = true;
     listing.observedAt = kNow - 1s;
--- a/packages/serving/src/upstream_directory.cpp
+++ b/packages/serving/src/upstream_directory.cpp
@@ -26,6 +26,9 @@
     return target;
 }
 
+// Drain notices carry milliseconds; a finer stamp would lose its order on the way.
+constexpr base::Duration kStampStep = std::chrono::milliseconds(1);
+
 } // namespace
 
 HealthState afterCheck(const HealthPolicy &policy, HealthState state, bool passed)
@@ -68,11 +71,12 @@
 DrainDecision UpstreamDirectory::decideDrain(const std::string &upstream, bool draining,
                                              base::TimePoint now) const
 {
+    const base::TimePoint stamp = base::fromMillis(base::toMillis(now));
     const auto known = drains_.find(upstream);
     if (known == drains_.end())
-        return {upstream, draining, now};
+        return {upstream, draining, stamp};
     // Clocks of entry instances differ, so the time alone does not order the decisions.
-    return {upstream, draining, std::max(now, known->second.stamp + base::Duration(1))};
+    return {upstream, draining, std::max(stamp, known->second.stamp + kStampStep)};
 }
 
 bool UpstreamDirectory::applyHealthCheck(const std::string &upstream, bool passed)
