End the wait for a claim at the request's deadline

Cause: a request with a deadline below 2 s waited for its claim up to 2 s, holding its slot, while the table did not answer. Change: the wait is the smaller of both; the request is then not sent and told not-run.

--- a/packages/serving/include/chicorywick/serving/idempotency_store.h
+++ b/packages/serving/include/chicorywick/serving/idempotency_store.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -145,11 +146,14 @@
 
     /// @brief Claims a key that look() found free. On an error, the request must not be sent; the
     /// store marks the claim abandoned if it turns out to have been written.
-    base::Result<ClaimAnswer> claim(const ClaimKey &key, const ClaimFree &found);
+    /// The wait ends after the limit, if one is given, or else after the store's own.
+    base::Result<ClaimAnswer> claim(const ClaimKey &key, const ClaimFree &found,
+                                    std::optional<base::Duration> limit = {});
 
     /// @brief The two parts of claim().
     base::Result<PendingClaim> beginClaim(const ClaimKey &key, const ClaimFree &found);
-    base::Result<ClaimAnswer> awaitClaim(const PendingClaim &pending);
+    base::Result<ClaimAnswer> awaitClaim(const PendingClaim &pending,
+                                         std::optional<base::Duration> limit = {});
 
     /// @brief Records the response. On an error, repeats are told that the outcome is unknown.
     base::Result<void> complete(const Claim &claim, const KeptResponse &response);
--- a/packages/serving/src/idempotency_store.cpp
+++ b/packages/serving/src/idempotency_store.cpp
@@ -163,10 +163,11 @@
     return impl_->viewOf(*row.value(), key);
 }
 
-base::Result<ClaimAnswer> IdempotencyStore::claim(const ClaimKey &key, const ClaimFree &found)
+base::Result<ClaimAnswer> IdempotencyStore::claim(const ClaimKey &key, const ClaimFree &found,
+                                                  std::optional<base::Duration> limit)
 {
     BOOST_OUTCOME_TRY(pending, beginClaim(key, found));
-    return awaitClaim(pending);
+    return awaitClaim(pending, limit);
 }
 
 base::Result<PendingClaim> IdempotencyStore::beginClaim(const ClaimKey &key, const ClaimFree &found)
@@ -185,11 +186,14 @@
     return pending;
 }
 
-base::Result<ClaimAnswer> IdempotencyStore::awaitClaim(const PendingClaim &pending)
+base::Result<ClaimAnswer> IdempotencyStore::awaitClaim(const PendingClaim &pending,
+                                                       std::optional<base::Duration> limit)
 {
-    const base::Duration limit =
-            impl_->options.background ? impl_->options.claimWait : base::Duration::zero();
-    switch (impl_->writer.await(pending.write, limit, true)) {
+    const IdempotencyStoreOptions &options = impl_->options;
+    const base::Duration wait =
+            options.background ? std::min(limit.value_or(options.claimWait), options.claimWait)
+                               : base::Duration::zero();
+    switch (impl_->writer.await(pending.write, wait, true)) {
     case WriteState::Written: {
         Claim claim = pending.claim;
         claim.version = pending.write->version;
--- a/packages/serving/src/request_claim.cpp
+++ b/packages/serving/src/request_claim.cpp
@@ -81,7 +81,9 @@
 std::optional<CallerReply> RequestSession::takeClaim()
 {
     const ClaimKey key{request_.caller, request_.idempotencyKey, digestOf(request_, body_)};
-    auto answer = context_->store->claim(key, claimFree_);
+    const auto left = std::chrono::duration_cast<base::Duration>(
+            deadline_ - std::chrono::steady_clock::now());
+    auto answer = context_->store->claim(key, claimFree_, left);
     if (!answer)
         return rejection(answer.error());
     return std::visit(
