--- a/evidence/prove/jobs_once_world.cpp
+++ b/evidence/prove/jobs_once_world.cpp
@@ -127,7 +127,7 @@
     turns_.add([this, actor] { operate(actor); });
 }
 
-void JobsOnceWorld::drive(std::size_t actor, base::Clock clock)
+void JobsOnceWorld::drive(std::size_t actor, const base::Clock &clock)
 {
     while (true) {
         jobs::JobDriver driver({platform::Table(access_), platform::ObjectStore(access_),
--- a/evidence/prove/jobs_once_world.h
+++ b/evidence/prove/jobs_once_world.h
@@ -59,7 +59,7 @@
     void makePlans();
     void addDriver(base::Duration skew);
     void addOperator();
-    void drive(std::size_t actor, base::Clock clock);
+    void drive(std::size_t actor, const base::Clock &clock);
     void operate(std::size_t actor);
     void submitNext(twirp::Router &router, std::size_t actor);
     void cancelSome(twirp::Router &router);
