--- a/evidence/prove/membership_proof.cpp
+++ b/evidence/prove/membership_proof.cpp
@@ -18,6 +18,14 @@
 // Longest pause that must never end in a declared death while no message is lost.
 constexpr base::Duration kSurvivedPause = 4s;
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 class MembershipRun
 {
 public:
@@ -95,12 +103,12 @@
             for (const auto &[other, member] : daemon.agent->membership().members()) {
                 std::uint64_t &seen = incarnations_[process + other];
                 if (member.incarnation < seen)
-                    fail(id + " went back from incarnation " + std::to_string(seen) + " of " + other
-                         + " to " + std::to_string(member.incarnation));
+                    fail(joined({id, " went back from incarnation ", std::to_string(seen), " of ",
+                                 other, " to ", std::to_string(member.incarnation)}));
                 seen = member.incarnation;
                 const auto &subject = network_.daemon(other);
                 if (member.incarnation > subject.agent->membership().incarnation())
-                    fail(id + " knows an incarnation of " + other + " that it never had");
+                    fail(joined({id, " knows an incarnation of ", other, " that it never had"}));
             }
         }
         return violation_.empty();
@@ -187,8 +195,8 @@
             for (const auto &[other, subject] :
                  const_cast<evidence::PeerNetwork &>(network_).daemons()) {
                 if (subject.isUp != seen.contains(other))
-                    return id + (subject.isUp ? " takes the running " : " takes the ended ") + other
-                           + (subject.isUp ? " for dead" : " for alive");
+                    return joined({id, subject.isUp ? " takes the running " : " takes the ended ",
+                                   other, subject.isUp ? " for dead" : " for alive"});
             }
         }
         return {};
@@ -221,8 +229,8 @@
             for (const auto &[id, daemon] : network_.daemons()) {
                 for (const auto &[other, member] : daemon.agent->membership().members()) {
                     if (member.status == cluster::MemberStatus::Dead)
-                        fail(id + " declared " + other + " dead after a pause below "
-                             + std::to_string(kSurvivedPause / 1s) + " s");
+                        fail(joined({id, " declared ", other, " dead after a pause below ",
+                                     std::to_string(kSurvivedPause / 1s), " s"}));
                 }
             }
             return observe();
