Share the jobs' write budget among daemons and delete expired rows

Cause: each daemon took the whole budget of 120 row writes a second, so nine of them could exceed a third of the table's capacity; claims and records of operator calls were never deleted.

Change: TokenBucket::setRate(), set from the number of alive members; one daemon at a time scans claims and records and deletes those older than 24 h.

Measured: tests of rate and retention pass. Ruled out: deletion by every daemon, which would multiply the reads. Conclusion: the table's use and size stay bounded as daemons are added.

--- a/packages/base/include/chicorywick/base/token_bucket.h
+++ b/packages/base/include/chicorywick/base/token_bucket.h
@@ -30,6 +30,9 @@
     /// @brief Adds tokens beside the steady rate, up to the burst.
     void deposit(double tokens);
 
+    /// @brief Changes the steady rate from now on; the burst stays.
+    void setRate(TimePoint now, double tokensPerSecond);
+
     /// @brief The tokens available at a time.
     double available(TimePoint now);
 
--- a/packages/base/src/base_test.cpp
+++ b/packages/base/src/base_test.cpp
@@ -51,6 +51,16 @@
     CHECK(bucket.available(start + 1h) == doctest::Approx(2));
 }
 
+TEST_CASE("a token bucket follows a change of its rate")
+{
+    TokenBucket bucket({.tokensPerSecond = 10, .burst = 100});
+    const TimePoint start(1h);
+    CHECK(bucket.tryTake(start, 100));
+    bucket.setRate(start + 1s, 2);
+    CHECK(bucket.available(start + 1s) == doctest::Approx(10));
+    CHECK(bucket.available(start + 2s) == doctest::Approx(12));
+}
+
 // Guards against a clock step giving out tokens that were never earned.
 TEST_CASE("a token bucket gives nothing for a clock that steps back")
 {
--- a/packages/base/src/token_bucket.cpp
+++ b/packages/base/src/token_bucket.cpp
@@ -20,6 +20,13 @@
     tokens_ = std::min(limits_.burst, tokens_ + tokens);
 }
 
+void TokenBucket::setRate(TimePoint now, double tokensPerSecond)
+{
+    const std::lock_guard lock(mutex_);
+    refill(now);
+    limits_.tokensPerSecond = tokensPerSecond;
+}
+
 double TokenBucket::available(TimePoint now)
 {
     const std::lock_guard lock(mutex_);
--- a/packages/daemon/src/daemon_parts.h
+++ b/packages/daemon/src/daemon_parts.h
@@ -51,6 +51,7 @@
     void spreadBurn();
     void spreadLoad();
     void updateMembers();
+    void removeExpiredRows();
     void updateMetrics();
     bool isReady() const;
     v1::BurnReport burnReport() const;
@@ -80,6 +81,8 @@
     std::unique_ptr<HealthListener> health_;
     std::vector<std::unique_ptr<PeriodicTask>> tasks_;
     base::TimePoint burnSpreadAt_{};
+    std::string claimsCursor_;
+    std::string operationsCursor_;
 };
 
 } // namespace chicorywick::daemon
--- a/packages/daemon/src/daemon_tasks.cpp
+++ b/packages/daemon/src/daemon_tasks.cpp
@@ -1,6 +1,7 @@
 #include "daemon_parts.h"
 
 #include <chicorywick/base/log_event.h>
+#include <chicorywick/platform/run_once.h>
 
 #include <algorithm>
 
@@ -21,6 +22,11 @@
 constexpr base::Duration kBurnInterval = 5s;
 constexpr base::Duration kSurveyWait = 1s;
 
+// One daemon at a time reads this many rows in each pass: 20 rows and at most 20 deletions a second,
+// little beside the table's capacity.
+constexpr base::Duration kRetentionInterval = 5s;
+constexpr std::uint32_t kRetentionRows = 50;
+
 // The interval between burn summaries grows with the members, so that a daemon's traffic stays
 // flat.
 constexpr base::Duration kBurnSpreadPerMember = 1s;
@@ -55,6 +61,7 @@
     add(kMemberInterval, [this] { updateMembers(); });
     add(kLoadInterval, [this] { spreadLoad(); });
     add(kBurnInterval, [this] { spreadBurn(); });
+    add(kRetentionInterval, [this] { removeExpiredRows(); });
     add(kWaveInterval, [this] { stepWaves(); });
     add(kJobInterval, [this] { stepJobs(); });
 }
@@ -134,12 +141,29 @@
 {
     const cluster::MembersView view = peers_->members();
     unsigned inZone = 1;
+    unsigned aliveMembers = 1;
     for (const cluster::Member &member : view.members) {
         const bool isAlive = member.status == cluster::MemberStatus::Alive
                              || member.status == cluster::MemberStatus::Suspect;
+        aliveMembers += isAlive ? 1 : 0;
         inZone += isAlive && member.identity.zone == settings_.zone ? 1 : 0;
     }
     routing_.setEntryInstancesInZone(inZone);
+    // The daemons share the writes that jobs may take of the table.
+    jobWrites_->setRate(clock_.now(), jobs::kDefaultWrites / static_cast<double>(aliveMembers));
+}
+
+void Daemon::Impl::removeExpiredRows()
+{
+    if (!peers_->ownership().isMine("retention", "", clock_.now()))
+        return;
+    const auto claims = claims_->removeExpired(claimsCursor_, kRetentionRows);
+    if (claims)
+        claimsCursor_ = claims.value();
+    const auto operations = platform::removeExpiredOperations(platform_.table, clock_,
+                                                              operationsCursor_, kRetentionRows);
+    if (operations)
+        operationsCursor_ = operations.value();
 }
 
 void Daemon::Impl::spreadLoad()
--- a/packages/platform/include/chicorywick/platform/run_once.h
+++ b/packages/platform/include/chicorywick/platform/run_once.h
@@ -35,4 +35,12 @@
                                     const Operation &operation, google::protobuf::Message &response,
                                     const PrepareOperation &prepare);
 
+/// @brief Time for which the results of mutating calls are kept for repeats.
+constexpr base::Duration kOperationRetention = std::chrono::hours(24);
+
+/// @brief Deletes the records of calls past their retention among the next rows; the value is the
+/// key to continue after, empty at the end.
+base::Result<std::string> removeExpiredOperations(const Table &table, const base::Clock &clock,
+                                                  const std::string &after, std::uint32_t rows);
+
 } // namespace chicorywick::platform
--- a/packages/platform/src/run_once.cpp
+++ b/packages/platform/src/run_once.cpp
@@ -74,4 +74,27 @@
     return base::makeError(base::Code::VersionConflict, result.error().message);
 }
 
+base::Result<std::string> removeExpiredOperations(const Table &table, const base::Clock &clock,
+                                                  const std::string &after, std::uint32_t rows)
+{
+    BOOST_OUTCOME_TRY(page, table.scan("op/", after, rows));
+    Transaction removal;
+    removal.writer = base::uniqueId();
+    const std::int64_t oldest = base::toMillis(clock.now() - kOperationRetention);
+    for (const Row &row : page.rows) {
+        v1::OperationRow record;
+        if (removal.deletes.size() * 2 + 2 > kMaxTransactionOperations)
+            break;
+        if (record.ParseFromString(row.value) && record.recorded_at_ms() < oldest) {
+            removal.conditions.push_back({row.key, row.version});
+            removal.deletes.push_back(row.key);
+        }
+    }
+    // A lost answer needs no repeat: the next pass finds the rows that are left.
+    if (!removal.deletes.empty()) {
+        BOOST_OUTCOME_TRYV(table.commit(removal));
+    }
+    return page.more ? page.rows.back().key : std::string();
+}
+
 } // namespace chicorywick::platform
--- a/packages/platform/src/run_once_test.cpp
+++ b/packages/platform/src/run_once_test.cpp
@@ -65,4 +65,19 @@
     CHECK(increment(std::string(65, 'x')).error().code == base::Code::InvalidArgument);
 }
 
+// Guards against a table that fills with records, and against forgetting a call that may still be
+// repeated.
+TEST_CASE_FIXTURE(Counter, "records of calls are deleted after their retention and not before")
+{
+    REQUIRE(increment("old").has_value());
+    time->advance(kOperationRetention - 1h);
+    REQUIRE(increment("new").has_value());
+    REQUIRE(removeExpiredOperations(table, clock, "", 100).has_value());
+    CHECK(table.get("op/old").value().has_value());
+    time->advance(2h);
+    CHECK(removeExpiredOperations(table, clock, "", 100).value().empty());
+    CHECK_FALSE(table.get("op/old").value().has_value());
+    CHECK(table.get("op/new").value().has_value());
+}
+
 } // namespace chicorywick::platform
