Count a member as reached only by its answer to the survey

Change: only a status reply marks a member as reached, and a late message no longer lowers the version shown. Sockets linger 250 ms at the end, so that the farewell is written on a busy machine; the fixed 50 ms wait is gone. Ruled out: a lost farewell as the cause; the failing check was the version of a reached member.

--- a/packages/cluster/include/chicorywick/cluster/peer_agent.h
+++ b/packages/cluster/include/chicorywick/cluster/peer_agent.h
@@ -40,7 +40,8 @@
 struct MemberConfig
 {
     v1::ConfigDigest digest;
-    base::TimePoint heardAt;
+    /// Time of its last answer to a survey.
+    base::TimePoint answeredAt{};
 };
 
 /// @brief Membership, configuration spread and relayed hints of one daemon; a pure state machine.
--- a/packages/cluster/src/peer_agent.cpp
+++ b/packages/cluster/src/peer_agent.cpp
@@ -94,8 +94,14 @@
 {
     if (!message.has_config())
         return;
-    if (membership_.members().contains(message.sender()))
-        memberConfigs_[message.sender()] = {message.config(), now};
+    if (membership_.members().contains(message.sender())) {
+        MemberConfig &known = memberConfigs_[message.sender()];
+        // A message that was under way before a survey began is no answer to it.
+        if (message.has_status_reply())
+            known.answeredAt = now;
+        if (message.has_status_reply() || message.config().version() >= known.digest.version())
+            known.digest = message.config();
+    }
     config_.notePeerVersion(message.config().version());
     if (message.config().version() <= config_.version() || now < nextPull_)
         return;
--- a/packages/cluster/src/peer_node.cpp
+++ b/packages/cluster/src/peer_node.cpp
@@ -199,9 +199,6 @@
     }
     const std::lock_guard lock(mutex_);
     send(agent_.leave(clock_.now()));
-    // Sockets close without lingering; a short poll lets the farewells out.
-    constexpr base::Duration kFarewell = std::chrono::milliseconds(50);
-    transport_->poll(kFarewell, [](const v1::PeerMessage &) {});
 }
 
 void PeerNode::readList(base::TimePoint now)
--- a/packages/cluster/src/peer_node_survey.cpp
+++ b/packages/cluster/src/peer_node_survey.cpp
@@ -42,7 +42,7 @@
         const auto heard = agent_.memberConfigs().find(id);
         if (heard == agent_.memberConfigs().end())
             continue;
-        status.set_reached(heard->second.heardAt >= start);
+        status.set_reached(heard->second.answeredAt >= start);
         fill(status, heard->second.digest);
     }
     for (const MemberIdentity &candidate : agent_.membership().unconfirmedCandidates())
--- a/packages/cluster/src/peer_transport.cpp
+++ b/packages/cluster/src/peer_transport.cpp
@@ -16,6 +16,8 @@
 // ZeroMQ closes connections that send more than this; up to it, oversized messages are counted.
 constexpr std::int64_t kTransportLimit = 2 * static_cast<std::int64_t>(kMaxPeerMessageBytes);
 constexpr int kReceiveHighWaterMark = 64;
+// Farewells are sent just before the sockets close; a busy machine needs some time to write them.
+constexpr int kLingerMs = 250;
 // The messages handled per poll; more wait, so that timers are not delayed by a flood.
 constexpr int kMaxMessagesPerPoll = 256;
 
@@ -124,7 +126,7 @@
     constexpr int kReconnectMs = 100;
     constexpr int kMaxReconnectMs = 2000;
     zmq::socket_t socket(context, zmq::socket_type::dealer);
-    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::linger, kLingerMs);
     socket.set(zmq::sockopt::sndhwm, options.highWaterMark);
     socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
