Share one read of the instance list among the parts of a daemon

Cause: routing, membership, waves and jobs each read the whole list every one to two seconds; at today's 110 instances a read is 6.7 KB, so a daemon spent 16.8 KB/s on it (calculated from the intervals), above the 10 KB/s for control.

Change: platform::ListingCache, at most one read in 0.9 s; failures are passed on, and a cached listing keeps its time of observation. -Wno-maybe-uninitialized for a false warning of g++ 12.

Ruled out: longer intervals, as an upstream must get no new work 3 s after it leaves.

--- a/cmake/ChicorywickPackage.cmake
+++ b/cmake/ChicorywickPackage.cmake
@@ -1,6 +1,8 @@
 # chicorywick_package(<name> DEPS <packages...> LIBS <libraries...>)
 # Builds the library target chicorywick::<name> and, if there are src/*_test.cpp, the program <name>_tests.
-set(CHICORYWICK_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers -Werror)
+# g++ 12 reports false maybe-uninitialized warnings for std::optional of types that hold a std::variant.
+set(CHICORYWICK_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers
+  -Wno-maybe-uninitialized -Werror)
 
 add_library(chicorywick_options INTERFACE)
 target_compile_options(chicorywick_options INTERFACE ${CHICORYWICK_WARNINGS})
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -105,9 +105,8 @@
     options.transport.deployment = settings_.deployment;
     options.transport.listenAddress = addressText(settings_.peers.host, settings_.peers.port);
     options.agent.deployment = settings_.deployment;
-    cluster::PeerNodePlatform access;
-    access.config.emplace(platform_.table, clock_);
-    access.instances = platform_.instances;
+    const cluster::PeerNodePlatform access{cluster::ConfigStore(platform_.table, clock_),
+                                           platform_.instances};
     BOOST_OUTCOME_TRY(node, cluster::PeerNode::start(options, access, clock_, peerCallbacks()));
     peers_ = std::move(node);
     logListener("peers", peers_->address());
--- a/packages/daemon/src/daemon_tasks.cpp
+++ b/packages/daemon/src/daemon_tasks.cpp
@@ -22,8 +22,8 @@
 constexpr base::Duration kBurnInterval = 5s;
 constexpr base::Duration kSurveyWait = 1s;
 
-// One daemon at a time reads this many rows in each pass: 20 rows and at most 20 deletions a second,
-// little beside the table's capacity.
+// One daemon at a time reads this many rows in each pass: 20 rows and at most 20 deletions a
+// second, little beside the table's capacity.
 constexpr base::Duration kRetentionInterval = 5s;
 constexpr std::uint32_t kRetentionRows = 50;
 
--- a/packages/daemon/src/platform_access.cpp
+++ b/packages/daemon/src/platform_access.cpp
@@ -1,15 +1,22 @@
 #include <chicorywick/base/overloaded.h>
 #include <chicorywick/daemon/platform_access.h>
+#include <chicorywick/platform/listing_cache.h>
 
 namespace chicorywick::daemon {
 
 namespace {
 
+// Routing, membership, waves and jobs read the list every one to two seconds; each read carries all
+// instances.
+constexpr base::Duration kListingMaxAge = std::chrono::milliseconds(900);
+
 template <typename Backend>
 PlatformAccess makeAccess(const Backend &backend)
 {
+    const auto listing = std::make_shared<platform::ListingCache>(platform::InstanceList(backend),
+                                                                  base::Clock(), kListingMaxAge);
     return {platform::Table(backend), platform::ObjectStore(backend),
-            platform::InstanceList(backend), platform::Workers(backend),
+            platform::InstanceList(listing), platform::Workers(backend),
             platform::InstanceControl(backend)};
 }
 
--- a/packages/platform/include/chicorywick/platform/instance_list.h
+++ b/packages/platform/include/chicorywick/platform/instance_list.h
@@ -41,6 +41,8 @@
     bool operator==(const InstanceListing &) const = default;
 };
 
+class ListingCache;
+
 /// @brief The platform's lagging list of live and leaving instances.
 class InstanceList
 {
@@ -48,6 +50,9 @@
     explicit InstanceList(twirp::Client client)
         : backend_(std::move(client))
     {}
+    explicit InstanceList(std::shared_ptr<ListingCache> cache)
+        : backend_(std::move(cache))
+    {}
     explicit InstanceList(MemoryAccess memory)
         : backend_(std::move(memory))
     {}
@@ -55,7 +60,7 @@
     base::Result<InstanceListing> list() const;
 
 private:
-    std::variant<twirp::Client, MemoryAccess> backend_;
+    std::variant<twirp::Client, MemoryAccess, std::shared_ptr<ListingCache>> backend_;
 };
 
 } // namespace chicorywick::platform
--- a/packages/platform/src/instance_list.cpp
+++ b/packages/platform/src/instance_list.cpp
@@ -2,6 +2,7 @@
 
 #include <chicorywick/base/overloaded.h>
 #include <chicorywick/platform/instance_list.h>
+#include <chicorywick/platform/listing_cache.h>
 #include <chicorywick/platform/memory_platform.h>
 
 namespace chicorywick::platform {
@@ -17,6 +18,9 @@
                                                            "List", v1::ListInstancesRequest()));
                                            return fromWire(response);
                                        },
+                                       [](const std::shared_ptr<ListingCache> &cache) -> Outcome {
+                                           return cache->list();
+                                       },
                                        [](const MemoryAccess &memory) -> Outcome {
                                            return memory.platform->listInstances(memory.zone);
                                        }},
--- a/packages/platform/src/platform_test.cpp
+++ b/packages/platform/src/platform_test.cpp
@@ -1,3 +1,4 @@
+#include <chicorywick/platform/listing_cache.h>
 #include <chicorywick/platform/platform_server.h>
 #include <chicorywick/twirp/listener.h>
 
@@ -146,6 +147,24 @@
     CHECK(list.list().value().instances.empty());
 }
 
+// Guards against a daemon whose parts each read the whole list, and against a cached list that
+// hides an outage.
+TEST_CASE_FIXTURE(Fixture, "a listing cache reads the list once and passes failures on")
+{
+    const base::Clock clock(time);
+    const InstanceList cached(std::make_shared<ListingCache>(
+            InstanceList(MemoryAccess{platform, "z1"}), clock, 900ms));
+    for (int i = 0; i < 5; ++i)
+        CHECK(cached.list().value().instances.size() == 1);
+    CHECK(platform->counters().listCalls == 1);
+    time->advance(1s);
+    CHECK(cached.list().has_value());
+    CHECK(platform->counters().listCalls == 2);
+    time->advance(1s);
+    platform->setFaults({.list = {.down = true}});
+    CHECK(cached.list().error().code == base::Code::PlatformUnavailable);
+}
+
 // Guards against the two forms of the platform drifting apart.
 TEST_CASE_FIXTURE(Fixture, "the platform behaves the same over Twirp")
 {
