--- a/evidence/measure/fleet_measure.cpp
+++ b/evidence/measure/fleet_measure.cpp
@@ -205,8 +205,9 @@
     return {{"seed", seed}, {"rows", rows}, {"tradeoff", measureTradeoff(association(), seed)}};
 }
 
-const Registration registration({"fleet", "buffer cost, roll-out time and moves of buffer planning",
-                                 measureFleet});
+const Registration kRegistration({"fleet",
+                                  "buffer cost, roll-out time and moves of buffer planning",
+                                  measureFleet});
 
 } // namespace
 
--- a/evidence/measure/fleet_simulation.cpp
+++ b/evidence/measure/fleet_simulation.cpp
@@ -221,8 +221,7 @@
     double healthy = 0;
     double used = 0;
     double extra = 0;
-    for (std::size_t i = 0; i < pools_.size(); ++i) {
-        const PoolState &pool = pools_[i];
+    for (const PoolState &pool : pools_) {
         const std::uint32_t need = pool.window.needed();
         healthy += pool.serving + pool.arriving;
         used += std::max(pool.baseSize, std::min(need, pool.serving));
--- a/evidence/prove/budgets_proof.cpp
+++ b/evidence/prove/budgets_proof.cpp
@@ -26,7 +26,7 @@
 /// @brief A driver of the run, with the time from which it may make calls.
 struct DriverSlot
 {
-    std::unique_ptr<Puppet> puppet;
+    std::unique_ptr<SteppedThread> thread;
     base::TimePoint frozenUntil{};
 };
 
@@ -57,7 +57,7 @@
     FleetWorld world_;
     Profile profile_;
     std::vector<DriverSlot> drivers_;
-    std::unique_ptr<Puppet> operator_;
+    std::unique_ptr<SteppedThread> operator_;
     FleetRows last_;
     BudgetAudit audit_;
     int instances_ = 0;
@@ -98,7 +98,7 @@
     world_.createWave("w2", "p0");
     drivers_.resize(static_cast<std::size_t>(profile_.drivers));
     for (DriverSlot &slot : drivers_)
-        slot.puppet = world_.makeDriver();
+        slot.thread = world_.makeDriver();
     operator_ = world_.makeOperator([this] { act(); });
     last_ = world_.rows();
     audit_.observe(world_);
@@ -201,11 +201,11 @@
     base::Rng &rng = world_.rng();
     const bool isFrozen = slot.frozenUntil > world_.now();
     if (!profile_.hasFreezes || isFrozen
-        || !rng.chance(slot.puppet->isAtControl() ? kAtControl : kElsewhere))
+        || !rng.chance(slot.thread->isAtControl() ? kAtControl : kElsewhere))
         return;
     slot.frozenUntil = world_.now() + std::chrono::seconds(rng.below(60));
     if (rng.chance(0.1))
-        slot.puppet = world_.makeDriver();
+        slot.thread = world_.makeDriver();
 }
 
 std::string BudgetsRun::check()
@@ -233,7 +233,7 @@
     DriverSlot &slot = drivers_[rng.below(drivers_.size())];
     if (slot.frozenUntil > world_.now())
         return {};
-    slot.puppet->resume();
+    slot.thread->resume();
     return check();
 }
 
--- a/evidence/prove/fleet_world.cpp
+++ b/evidence/prove/fleet_world.cpp
@@ -79,7 +79,7 @@
     , list_(platform::MemoryAccess{platform_, "z0"})
     , control_(platform::MemoryAccess{platform_, "z0"})
 {
-    platform_->setCallHook(&Puppet::beforeCall);
+    platform_->setCallHook(&SteppedThread::beforeCall);
     fleet::addFleetServices(router_, {table_, list_, control_, clock_});
 }
 
@@ -141,17 +141,19 @@
     setUp("FleetService", "AddInstance", request);
 }
 
-std::unique_ptr<Puppet> FleetWorld::makeDriver()
+std::unique_ptr<SteppedThread> FleetWorld::makeDriver()
 {
     const auto driver = std::make_shared<fleet::WaveDriver>(
             fleet::FleetRepository(table_), list_, control_,
-            fleet::WaveDriverOptions{.verifyDeadline = std::chrono::minutes(2), .clock = clock_});
-    return std::make_unique<Puppet>([this, driver] { driver->step(clock_.now()); });
+            fleet::WaveDriverOptions{.minDrainTime = std::chrono::seconds(4),
+                                     .verifyDeadline = std::chrono::minutes(2),
+                                     .clock = clock_});
+    return std::make_unique<SteppedThread>([this, driver] { driver->step(clock_.now()); });
 }
 
-std::unique_ptr<Puppet> FleetWorld::makeOperator(std::function<void()> activity)
+std::unique_ptr<SteppedThread> FleetWorld::makeOperator(std::function<void()> activity)
 {
-    return std::make_unique<Puppet>(std::move(activity));
+    return std::make_unique<SteppedThread>(std::move(activity));
 }
 
 FleetRows FleetWorld::rows() const
--- a/evidence/prove/fleet_world.h
+++ b/evidence/prove/fleet_world.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "chicorywick/v1/fleet_service.pb.h"
-#include "evidence/prove/puppet.h"
+#include "evidence/prove/stepped_thread.h"
 
 #include <chicorywick/base/rng.h>
 #include <chicorywick/fleet/fleet_services.h>
@@ -48,10 +48,10 @@
                      const std::string &rack);
 
     /// @brief A driver without memory of earlier ones, on its own thread.
-    std::unique_ptr<Puppet> makeDriver();
+    std::unique_ptr<SteppedThread> makeDriver();
 
     /// @brief An operator who repeats an activity on its own thread.
-    std::unique_ptr<Puppet> makeOperator(std::function<void()> activity);
+    std::unique_ptr<SteppedThread> makeOperator(std::function<void()> activity);
 
     /// @brief Operator call from within an activity.
     twirp::HttpReply call(const std::string &service, const std::string &method,
--- a/evidence/prove/one_pool_proof.cpp
+++ b/evidence/prove/one_pool_proof.cpp
@@ -266,15 +266,15 @@
 std::string OnePoolRun::run()
 {
     setUp();
-    std::vector<std::unique_ptr<Puppet>> puppets;
+    std::vector<std::unique_ptr<SteppedThread>> threads;
     for (int i = 0; i < kOperators; ++i)
-        puppets.push_back(world_.makeOperator([this] { act(); }));
-    puppets.push_back(world_.makeDriver());
-    puppets.push_back(world_.makeDriver());
+        threads.push_back(world_.makeOperator([this] { act(); }));
+    threads.push_back(world_.makeDriver());
+    threads.push_back(world_.makeDriver());
     std::string violation;
     for (int i = 0; i < kCalls && violation.empty(); ++i) {
         chaos();
-        puppets[world_.rng().below(puppets.size())]->resume();
+        threads[world_.rng().below(threads.size())]->resume();
         violation = check();
     }
     return violation.empty() ? violation : violation + "\n" + world_.trace();
--- a/evidence/prove/puppet.cpp
+++ b/evidence/prove/stepped_thread.cpp
@@ -1,34 +1,34 @@
-#include "evidence/prove/puppet.h"
+#include "evidence/prove/stepped_thread.h"
 
 namespace chicorywick::prove {
 
 namespace {
 
-thread_local Puppet *current = nullptr;
+thread_local SteppedThread *current = nullptr;
 
 } // namespace
 
-Puppet::Puppet(std::function<void()> body)
+SteppedThread::SteppedThread(std::function<void()> body)
     : body_(std::move(body))
     , thread_([this] { run(); })
 {
     hasParked_.acquire();
 }
 
-Puppet::~Puppet()
+SteppedThread::~SteppedThread()
 {
     isStopping_ = true;
     mayRun_.release();
     thread_.join();
 }
 
-void Puppet::resume()
+void SteppedThread::resume()
 {
     mayRun_.release();
     hasParked_.acquire();
 }
 
-void Puppet::beforeCall(platform::ServiceFaults platform::FaultPlan::*service)
+void SteppedThread::beforeCall(platform::ServiceFaults platform::FaultPlan::*service)
 {
     if (current == nullptr)
         return;
@@ -37,7 +37,7 @@
     current->service_ = nullptr;
 }
 
-void Puppet::park()
+void SteppedThread::park()
 {
     hasParked_.release();
     mayRun_.acquire();
@@ -46,7 +46,7 @@
 }
 
 // A body that makes no call at all still gives the scheduler its turn.
-void Puppet::run()
+void SteppedThread::run()
 {
     current = this;
     try {
--- a/evidence/prove/puppet.h
+++ b/evidence/prove/stepped_thread.h
@@ -12,23 +12,23 @@
 /// @brief Runs a body on its own thread, one platform call at a time.
 ///
 /// The thread stops before each call of the platform and goes on only in resume(), so a scheduler
-/// decides how the calls of several bodies interleave and where one stops for good. Only one puppet
-/// of a process runs at a time.
-class Puppet
+/// decides how the calls of several bodies interleave and where one stops for good. Only one
+/// stepped thread of a process runs at a time.
+class SteppedThread
 {
 public:
-    /// @brief The body is repeated until the puppet is destroyed.
-    explicit Puppet(std::function<void()> body);
+    /// @brief The body is repeated until the object is destroyed.
+    explicit SteppedThread(std::function<void()> body);
 
     /// @brief Stops the body at the call that it is waiting to make.
-    ~Puppet();
-    Puppet(const Puppet &) = delete;
-    Puppet &operator=(const Puppet &) = delete;
+    ~SteppedThread();
+    SteppedThread(const SteppedThread &) = delete;
+    SteppedThread &operator=(const SteppedThread &) = delete;
 
     /// @brief Lets the body make the call that it waits at and go on to the next one.
     void resume();
 
-    /// @brief For MemoryPlatform::setCallHook(): stops the calling thread if it is a puppet's.
+    /// @brief For MemoryPlatform::setCallHook(): stops the calling thread if it is a stepped one.
     static void beforeCall(platform::ServiceFaults platform::FaultPlan::*service);
 
     /// @brief Whether the body waits to command an instance.
--- a/evidence/prove/waves_resume_proof.cpp
+++ b/evidence/prove/waves_resume_proof.cpp
@@ -35,7 +35,7 @@
     std::string checkWave(const std::string &id, const v1::WaveRow &wave) const;
 
     FleetWorld world_;
-    std::vector<std::unique_ptr<Puppet>> drivers_;
+    std::vector<std::unique_ptr<SteppedThread>> drivers_;
     std::vector<base::TimePoint> frozenUntil_;
     std::set<std::string> broken_;
     /// Instances that a wave started, and how often each was finished.
--- a/packages/cli/src/instance_commands.cpp
+++ b/packages/cli/src/instance_commands.cpp
@@ -56,6 +56,25 @@
     return session.callAndShow<v1::Instance>(kService, "MoveInstance", request, oneInstance);
 }
 
+ExitCode remove(Session &session, const Arguments &arguments)
+{
+    v1::RemoveInstanceRequest request;
+    request.set_request_id(requestId(arguments));
+    request.set_id(arguments.positional()[0]);
+    request.set_expected_version(arguments.number("expected-version"));
+    request.set_dry_run(arguments.has("dry-run"));
+    return session.callAndShow<v1::Instance>(kService, "RemoveInstance", request, oneInstance);
+}
+
+ExitCode release(Session &session, const Arguments &arguments)
+{
+    v1::ReleaseInstanceRequest request;
+    request.set_request_id(requestId(arguments));
+    request.set_id(arguments.positional()[0]);
+    request.set_expected_version(arguments.number("expected-version"));
+    return session.callAndShow<v1::Instance>(kService, "ReleaseInstance", request, oneInstance);
+}
+
 ExitCode show(Session &session, const Arguments &arguments)
 {
     v1::GetInstanceRequest request;
@@ -90,6 +109,18 @@
              "Move an instance to another pool",
              {requestIdOption(), expectedVersionOption(), dryRunOption()},
              move},
+            {"instance",
+             "remove",
+             {"ID"},
+             "Take an instance out of its pool for good",
+             {requestIdOption(), expectedVersionOption(), dryRunOption()},
+             remove},
+            {"instance",
+             "release",
+             {"ID"},
+             "Return a held instance to service once it is up",
+             {requestIdOption(), expectedVersionOption()},
+             release},
             {"instance", "show", {"ID"}, "Show an instance", {}, show},
             {"instance",
              "list",
--- a/packages/cli/src/job_commands.cpp
+++ b/packages/cli/src/job_commands.cpp
@@ -5,6 +5,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <sstream>
 
 namespace chicorywick::cli {
 
@@ -92,6 +93,7 @@
     spec.set_kind(arguments.text("kind"));
     spec.set_job_class(parsedClass.value());
     spec.set_idempotent(arguments.has("idempotent"));
+    spec.set_checkpointable(arguments.has("checkpointable"));
     spec.set_payload(content.value());
     spec.set_run_time_ms(static_cast<std::int64_t>(arguments.number("run-time-ms")));
     v1::Resources &resources = *spec.mutable_resources();
@@ -112,6 +114,29 @@
     return session.callAndShow<v1::Job>(kService, "CancelJob", request, oneJob);
 }
 
+ExitCode cancelMany(Session &session, const Arguments &arguments)
+{
+    v1::CancelJobsRequest request;
+    request.set_request_id(requestId(arguments));
+    request.set_pool(arguments.positional()[0]);
+    std::istringstream ids(arguments.positional()[1]);
+    for (std::string id; std::getline(ids, id, ',');)
+        request.add_ids(id);
+    return session.callAndShow<v1::CancelJobsResponse>(
+            kService, "CancelJobs", request, [](const v1::CancelJobsResponse &response) {
+                TextTable table{{"JOB", "RESULT"}, {}};
+                const auto add = [&](const auto &jobs, const char *result) {
+                    for (const std::string &id : jobs)
+                        table.rows.push_back({id, result});
+                };
+                add(response.cancelled(), "cancelled");
+                add(response.requested(), "requested, ends with its attempt");
+                add(response.already_finished(), "already finished");
+                add(response.not_found(), "not found");
+                return table;
+            });
+}
+
 v1::GetJobRequest getRequest(const Arguments &arguments)
 {
     v1::GetJobRequest request;
@@ -186,6 +211,7 @@
             {"accelerators", OptionKind::Number, "Accelerators (default 0)"},
             {"run-time-ms", OptionKind::Number, "Declared run time in milliseconds"},
             {"idempotent", OptionKind::Flag, "The job may be run again after an unknown outcome"},
+            {"checkpointable", OptionKind::Flag, "The task can resume from a checkpoint"},
             {"payload", OptionKind::Text, "Payload given to the task"},
             {"payload-file", OptionKind::Text, "File with the payload", "FILE"},
             requestIdOption()};
@@ -197,6 +223,12 @@
 {
     return {{"job", "submit", {"POOL", "ID"}, "Submit a job to a pool", submitOptions(), submit},
             {"job", "cancel", {"POOL", "ID"}, "Cancel a job", {requestIdOption()}, cancel},
+            {"job",
+             "cancel-many",
+             {"POOL", "ID,ID..."},
+             "Cancel up to 40 jobs of a pool in one step",
+             {requestIdOption()},
+             cancelMany},
             {"job", "show", {"POOL", "ID"}, "Show a job", {}, show},
             {"job",
              "list",
--- a/packages/cli/src/wave_commands.cpp
+++ b/packages/cli/src/wave_commands.cpp
@@ -68,6 +68,7 @@
         request.set_request_id(requestId(arguments));
         request.set_id(arguments.positional()[0]);
         request.set_expected_version(arguments.number("expected-version"));
+        request.set_dry_run(arguments.has("dry-run"));
         return session.callAndShow<v1::Wave>(kService, method, request, oneWave);
     };
 }
@@ -126,7 +127,8 @@
 
 std::vector<Command> waveCommands()
 {
-    const std::vector<OptionSpec> changeOptions{requestIdOption(), expectedVersionOption()};
+    const std::vector<OptionSpec> changeOptions{requestIdOption(), expectedVersionOption(),
+                                                dryRunOption()};
     return {{"wave",
              "create",
              {"ID", "POOL"},
--- a/packages/cluster/src/membership_probes.cpp
+++ b/packages/cluster/src/membership_probes.cpp
@@ -170,9 +170,9 @@
         request.mutable_ping_request()->set_sequence(probe.sequence);
         request.mutable_ping_request()->set_target(probe.target.id);
         request.mutable_ping_request()->set_target_address(probe.target.address);
-        for (const MemberIdentity &helper : pickTargets(options_.indirectProbes)) {
-            if (helper.id != probe.target.id)
-                out.push_back(make(helper.address, helper.id, request));
+        for (const MemberIdentity &relay : pickTargets(options_.indirectProbes)) {
+            if (relay.id != probe.target.id)
+                out.push_back(make(relay.address, relay.id, request));
         }
     }
 }
--- a/packages/daemon/include/chicorywick/daemon/settings.h
+++ b/packages/daemon/include/chicorywick/daemon/settings.h
@@ -50,6 +50,8 @@
     std::variant<EmbeddedPlatform, RemotePlatform> platform;
     /// Time between failing readiness and refusing requests, for the balancer to notice.
     base::Duration readinessGrace = std::chrono::seconds(2);
+    /// Least time between the drain and the reboot of an instance by a wave.
+    base::Duration minDrain = std::chrono::seconds(28);
     /// Threads that serve callers; each open connection holds one.
     int callerThreads = 256;
 
--- a/packages/daemon/src/daemon_tasks.cpp
+++ b/packages/daemon/src/daemon_tasks.cpp
@@ -38,6 +38,7 @@
 {
     fleet::WaveDriverOptions waveOptions;
     waveOptions.clock = clock_;
+    waveOptions.minDrainTime = settings_.minDrain;
     waveOptions.owns = [this](const std::string &wave) {
         return peers_->ownership().isMine("wave/" + wave, "", clock_.now());
     };
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -147,6 +147,10 @@
             "readiness_grace_ms", 0, kMaxGraceMs,
             std::chrono::duration_cast<std::chrono::milliseconds>(defaults.readinessGrace)
                     .count()));
+    constexpr std::int64_t kMaxMinDrainMs = 600'000;
+    settings.minDrain = std::chrono::milliseconds(reader.number(
+            "min_drain_ms", 0, kMaxMinDrainMs,
+            std::chrono::duration_cast<std::chrono::milliseconds>(defaults.minDrain).count()));
     settings.callerThreads = static_cast<int>(
             reader.number("caller_threads", 1, kMaxThreads, defaults.callerThreads));
     reader.refuseUnknown();
--- a/packages/daemon/src/settings_test.cpp
+++ b/packages/daemon/src/settings_test.cpp
@@ -1,8 +1,14 @@
+#include "chicorywick/v1/config_service.pb.h"
+
+#include <chicorywick/cluster/config_validation.h>
 #include <chicorywick/daemon/settings.h>
 
 #include <doctest/doctest.h>
+#include <google/protobuf/util/json_util.h>
 
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 
 namespace chicorywick::daemon {
 
@@ -89,4 +95,21 @@
     CHECK(files == 18);
 }
 
+// Guards against an example that 'chicorywick config put' refuses.
+TEST_CASE("the example configurations of both deployments are accepted")
+{
+    for (const char *deployment : {"hanbit", "association"}) {
+        std::ifstream file(std::filesystem::path(EXAMPLES_DIR) / deployment / "config.json");
+        const std::string json((std::istreambuf_iterator<char>(file)),
+                               std::istreambuf_iterator<char>());
+        v1::Config config;
+        REQUIRE(google::protobuf::util::JsonStringToMessage(json, &config).ok());
+        CHECK(config.items_size() == 10);
+        const auto checked =
+                cluster::validateConfig({config.items().begin(), config.items().end()});
+        if (!checked)
+            FAIL_CHECK(checked.error().message);
+    }
+}
+
 } // namespace chicorywick::daemon
--- a/packages/fleet/include/chicorywick/fleet/wave_driver.h
+++ b/packages/fleet/include/chicorywick/fleet/wave_driver.h
@@ -17,6 +17,9 @@
     base::Duration waveListInterval = std::chrono::seconds(10);
     /// Age at which the instance list is read again.
     base::Duration listingInterval = std::chrono::seconds(2);
+    /// Least time between the start of a drain and the reboot: 3 s until the last new request has
+    /// been sent, and 25 s, the longest deadline of a request. The platform does not see requests.
+    base::Duration minDrainTime = std::chrono::seconds(28);
     /// Time that a reboot, and each way back to service, may take before the instance is held.
     base::Duration verifyDeadline = std::chrono::minutes(10);
     /// Time without the table after which started maintenance is brought to a safe end.
--- a/packages/fleet/src/fleet_fixture.h
+++ b/packages/fleet/src/fleet_fixture.h
@@ -22,7 +22,7 @@
     platform::InstanceList list{platform::MemoryAccess{platform, kZone}};
     platform::InstanceControl control{platform::MemoryAccess{platform, kZone}};
     FleetRepository repository{table};
-    WaveDriver driver{repository, list, control, {.clock = clock}};
+    WaveDriver driver{repository, list, control, {.minDrainTime = {}, .clock = clock}};
     twirp::Router router;
     int requests = 0;
 
--- a/packages/fleet/src/wave_driver_instance.cpp
+++ b/packages/fleet/src/wave_driver_instance.cpp
@@ -176,6 +176,9 @@
         BOOST_OUTCOME_TRY(next, instance.value.redrained(status.value().fence, session.now));
         return putFenced(session, instance, next);
     }
+    if (phase == InstancePhase::Drained
+        && !isPastDeadline(session, instance, options_.minDrainTime))
+        return base::ok();
     if (isEmpty) {
         BOOST_OUTCOME_TRY(next, instance.value.rebooting(status.value().boots, session.now));
         return putInstance(instance, next);
--- a/packages/fleet/src/wave_driver_test.cpp
+++ b/packages/fleet/src/wave_driver_test.cpp
@@ -145,6 +145,31 @@
 }
 
 // Guards against polling that writes: a waiting wave must not load the table.
+// Guards against a reboot that cuts off a request which an entry instance sent before it heard of
+// the drain.
+TEST_CASE_FIXTURE(FleetFixture, "a drained instance is rebooted only after the longest request")
+{
+    WaveDriver careful{repository, list, control, {.clock = clock}};
+    createPool("p", 1);
+    addInstances("p", 1);
+    v1::CreateWaveRequest request;
+    request.set_id("w");
+    request.set_pool("p");
+    request.set_drain_deadline_ms(300'000);
+    request.set_halt_after_failures(1);
+    REQUIRE(callNew("WaveService", "CreateWave", request).status == 200);
+    base::TimePoint drainedAt{};
+    for (int i = 0; i < 400 && platform->instanceTruth().at("i0").rebootOrders == 0; ++i) {
+        time->advance(std::chrono::milliseconds(250));
+        careful.step(clock.now());
+        if (drainedAt == base::TimePoint{}
+            && platform->instanceTruth().at("i0").status.phase != platform::InstancePhase::Up)
+            drainedAt = clock.now();
+    }
+    CHECK(platform->instanceTruth().at("i0").rebootOrders == 1);
+    CHECK(clock.now() - drainedAt >= std::chrono::seconds(28));
+}
+
 TEST_CASE_FIXTURE(FleetFixture, "a wave that waits for its budget writes nothing")
 {
     createPool("p", 1);
--- a/packages/serving/src/caller_proxy_test.cpp
+++ b/packages/serving/src/caller_proxy_test.cpp
@@ -61,7 +61,7 @@
         table.services["shop"].upstreams.push_back(
                 {.target = {.id = "u1", .host = "127.0.0.1", .port = upstream.port, .zone = "a"}});
         dispatcher->update(table);
-        proxy = std::move(CallerProxy::open(std::move(options), dispatcher, store).value());
+        proxy = std::move(CallerProxy::open(options, dispatcher, store).value());
         client = std::make_unique<httplib::Client>("127.0.0.1", proxy->port());
         client->set_keep_alive(true);
         client->set_url_encode(false);
--- a/tests/e2e/deployment.cpp
+++ b/tests/e2e/deployment.cpp
@@ -76,7 +76,8 @@
     settings << R"({"deployment": "e2e", "member_id": ")" << id << R"(", "zone": ")" << zone
              << R"(", "listeners": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0",)"
              << R"( "health": "127.0.0.1:0", "peers": "127.0.0.1:0"},)"
-             << R"( "operator_token_file": ")" << tokenFile_ << R"(", "readiness_grace_ms": 500,)"
+             << R"( "operator_token_file": ")" << tokenFile_
+             << R"(", "readiness_grace_ms": 500, "min_drain_ms": 4000,)"
              << R"( "platform": {"kind": "remote", "address": "127.0.0.1:)"
              << portAfter(platform_, "zone " + zone + " ") << R"("}})";
     auto entry = std::make_unique<EntryInstance>();
