--- a/cmake/ChicorywickPackage.cmake
+++ b/cmake/ChicorywickPackage.cmake
@@ -12,6 +12,7 @@
 endif()
 
 add_library(chicorywick_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
+target_link_libraries(chicorywick_test_main PUBLIC glog::glog)
 
 function(chicorywick_package name)
   cmake_parse_arguments(ARG "" "" "DEPS;LIBS" ${ARGN})
