--- a/cmake/test_main.cpp
+++ b/cmake/test_main.cpp
@@ -1,9 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT
 #include <doctest/doctest.h>
-
 #include <glog/logging.h>
 
-// Log lines of the code under test would hide the report of a failed check; set GLOG_minloglevel to see them.
+// Log lines of the code under test would hide the report of a failed check; set GLOG_minloglevel to
+// see them.
 int main(int argc, char **argv)
 {
     if (std::getenv("GLOG_minloglevel") == nullptr)
--- a/evidence/measure/fleet_measure.cpp
+++ b/evidence/measure/fleet_measure.cpp
@@ -205,6 +205,25 @@
     return {{"seed", seed}, {"rows", rows}, {"tradeoff", measureTradeoff(association(), seed)}};
 }
 
+// Both small deployments; tools/chart-fleet draws the printed table.
+nlohmann::json measureTradeoffs(std::uint64_t seed)
+{
+    nlohmann::json points = nlohmann::json::array();
+    for (const FleetDeployment &deployment : {hanbit(), association()}) {
+        for (const auto &point : measureTradeoff(deployment, seed))
+            points.push_back(point);
+    }
+    for (const auto &point : points)
+        std::printf("%s %g %.1f %.0f %.0f\n", point["deployment"].get<std::string>().c_str(),
+                    point["rollout_time_weight"].get<double>(), point["buffer_cost"].get<double>(),
+                    point["rollout_seconds"].get<double>(), point["late_requests"].get<double>());
+    return {{"seed", seed}, {"tradeoff", points}};
+}
+
+const Registration kTradeoff({"fleet-tradeoff",
+                              "buffer cost against roll-out time over the weight of roll-out time",
+                              measureTradeoffs});
+
 const Registration kRegistration({"fleet",
                                   "buffer cost, roll-out time and moves of buffer planning",
                                   measureFleet});
--- a/tests/e2e/failure_test.cpp
+++ b/tests/e2e/failure_test.cpp
@@ -69,6 +69,45 @@
     CHECK(runsOf(deployment, "keyed-order") == 0);
 }
 
+// Guards against state that is kept in a daemon only: configuration, jobs and claims must outlive
+// all of them.
+TEST_CASE("all entry instances are killed and replaced at once")
+{
+    Deployment deployment({"z1", "z2"});
+    startSmallDeployment(deployment);
+    createPools(deployment);
+    const std::string file = deployment.writeFile(
+            "config.json",
+            R"({"items": [{"name": "team/tiles", "team": {"quota_cpu_millis": 64000, "weight": 1}}]})");
+    REQUIRE(deployment.cli({"config", "put", file}).exitCode == 0);
+    REQUIRE(outcomeOf(postOrder(deployment.entries()[0]->callers, "kept-order", 0, "kept-1"))
+            == "completed");
+    REQUIRE(deployment
+                    .cli({"job", "submit", "press", "long-1", "--team", "tiles", "--payload",
+                          R"({"run_ms": 6000})"})
+                    .exitCode
+            == 0);
+    REQUIRE(waitUntil(20s, [&] { return countOccurrences(deployment.taskRuns(), "long-1") == 1; }));
+
+    for (const auto &entry : deployment.entries())
+        entry->process->signal(SIGKILL);
+    deployment.entries().clear();
+    deployment.startEntry("entry-1", "z1");
+    deployment.startEntry("entry-2", "z1");
+    deployment.startEntry("entry-3", "z2");
+    REQUIRE(deployment.waitForMembers(60s));
+
+    CHECK(deployment.cli({"status", "--json"}).out.find("\"config_version\":\"1\"")
+          != std::string::npos);
+    const auto repeated = postOrder(deployment.entries()[2]->callers, "kept-order", 0, "kept-1");
+    CHECK(outcomeOf(repeated) == "completed");
+    CHECK(runsOf(deployment, "kept-order") == 1);
+    const CliResult job = deployment.cli({"job", "wait", "press", "long-1", "--for", "90"});
+    CAPTURE(job.err);
+    CHECK(job.exitCode == 0);
+    CHECK(countOccurrences(deployment.taskRuns(), "long-1") == 1);
+}
+
 // Guards against a wave that stops, or an instance that stays cordoned, when its driver dies or
 // freezes.
 TEST_CASE("a wave ends although daemons are killed and frozen")
