Parse the options of the development programs in one place

Cause: the programs for proofs and measurements had the same parsing code twice. Change: evidence/command_line.h. Conclusion: one place to change.

--- /dev/null
+++ b/evidence/command_line.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <popt.h>
+
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace chicorywick {
+
+/// @brief Parses the options of a development program; the value is the name given, which may be
+/// empty, or nothing after a usage error, which has been printed.
+inline std::optional<std::string> parseCommandLine(int argc, const char **argv,
+                                                   const poptOption *options, const char *program,
+                                                   const char *usage)
+{
+    poptContext context = poptGetContext(program, argc, argv, options, 0);
+    poptSetOtherOptionHelp(context, usage);
+    std::optional<std::string> name;
+    const int status = poptGetNextOpt(context);
+    if (status < -1)
+        std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(status) << '\n';
+    else if (const char *argument = poptGetArg(context))
+        name = argument;
+    else
+        name = "";
+    poptFreeContext(context);
+    return name;
+}
+
+} // namespace chicorywick
--- a/evidence/measure/main.cpp
+++ b/evidence/measure/main.cpp
@@ -1,7 +1,7 @@
+#include "evidence/command_line.h"
 #include "evidence/measure/measurement.h"
 
 #include <glog/logging.h>
-#include <popt.h>
 
 #include <algorithm>
 #include <iostream>
@@ -28,18 +28,10 @@
             {"json", 'j', POPT_ARG_NONE, &arguments.json, 0,
              "Write the figures as one JSON object on the last line", nullptr},
             POPT_AUTOHELP POPT_TABLEEND};
-    poptContext context = poptGetContext("measure", argc, argv, options, 0);
-    poptSetOtherOptionHelp(context, "[--list] NAME [--seed N] [--json]");
-    const int status = poptGetNextOpt(context);
-    if (status < -1) {
-        std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(status) << '\n';
-        poptFreeContext(context);
-        return false;
-    }
-    if (const char *name = poptGetArg(context))
-        arguments.name = name;
-    poptFreeContext(context);
-    return true;
+    const auto name =
+            parseCommandLine(argc, argv, options, "measure", "[--list] NAME [--seed N] [--json]");
+    arguments.name = name.value_or("");
+    return name.has_value();
 }
 
 } // namespace
--- a/evidence/prove/main.cpp
+++ b/evidence/prove/main.cpp
@@ -1,7 +1,7 @@
+#include "evidence/command_line.h"
 #include "evidence/prove/proof.h"
 
 #include <glog/logging.h>
-#include <popt.h>
 
 #include <algorithm>
 #include <iostream>
@@ -31,18 +31,10 @@
             {"runs", 'r', POPT_ARG_INT, &arguments.runs, 0, "Number of runs", "N"},
             {"verbose", 'v', POPT_ARG_NONE, &arguments.verbose, 0, "Write log lines", nullptr},
             POPT_AUTOHELP POPT_TABLEEND};
-    poptContext context = poptGetContext("prove", argc, argv, options, 0);
-    poptSetOtherOptionHelp(context, "[--list] NAME [--seed N] [--runs N]");
-    const int status = poptGetNextOpt(context);
-    if (status < -1) {
-        std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(status) << '\n';
-        poptFreeContext(context);
-        return false;
-    }
-    if (const char *name = poptGetArg(context))
-        arguments.name = name;
-    poptFreeContext(context);
-    return true;
+    const auto name =
+            parseCommandLine(argc, argv, options, "prove", "[--list] NAME [--seed N] [--runs N]");
+    arguments.name = name.value_or("");
+    return name.has_value();
 }
 
 int runProof(const Proof &proof, const Arguments &arguments)
