Read the configuration by RCU when a request finishes

Cause: the end of every request took a mutex and built an objective to find its latency limit, although the request path is meant to take no lock of ours; the mutex was shared with the job driver and the reports.

Change: the daemon keeps its ConfigView in base::RcuCell, as the routing table already is.

Conclusion: one mechanism for values that are read on the request path.

--- a/packages/daemon/src/daemon_parts.h
+++ b/packages/daemon/src/daemon_parts.h
@@ -6,6 +6,7 @@
 #include "report_services.h"
 #include "routing_updater.h"
 
+#include <chicorywick/base/rcu_cell.h>
 #include <chicorywick/cluster/config_service.h>
 #include <chicorywick/cluster/peer_node.h>
 #include <chicorywick/daemon/daemon.h>
@@ -69,8 +70,7 @@
     std::shared_ptr<serving::IdempotencyStore> claims_;
     std::shared_ptr<base::TokenBucket> jobWrites_;
     RoutingUpdater routing_;
-    mutable std::mutex configMutex_;
-    ConfigView config_;
+    base::RcuCell<ConfigView> config_{std::make_unique<const ConfigView>()};
     std::atomic<bool> isDraining_{false};
     std::atomic<bool> isStopped_{false};
     std::unique_ptr<cluster::PeerNode> peers_;
--- a/packages/daemon/src/daemon_tasks.cpp
+++ b/packages/daemon/src/daemon_tasks.cpp
@@ -87,10 +87,7 @@
 {
     ConfigView view = makeConfigView(config.items());
     routing_.setConfig(view);
-    {
-        const std::lock_guard lock(configMutex_);
-        config_ = std::move(view);
-    }
+    config_.publish(std::make_unique<const ConfigView>(std::move(view)));
     base::logEvent(config.isFromPeers() ? base::Event::ConfigFromPeers : base::Event::ConfigApplied,
                    {{"version", std::to_string(config.version())}});
 }
@@ -101,17 +98,16 @@
     metrics_.countRequest(request.service, request.outcome, request.latency);
     if (request.service.empty())
         return;
-    v1::Objective objective = defaultObjective();
-    {
-        const std::lock_guard lock(configMutex_);
-        const auto found = config_.services.find(request.service);
-        if (found != config_.services.end() && found->second.has_objective())
-            objective = found->second.objective();
-    }
+    const std::uint32_t latencyMs = config_.read([&](const ConfigView &view) {
+        const auto found = view.services.find(request.service);
+        const bool isConfigured = found != view.services.end() && found->second.has_objective();
+        return isConfigured ? found->second.objective().latency_ms()
+                            : defaultObjective().latency_ms();
+    });
     constexpr int kFirstServerError = 500;
     if (request.outcome != "completed" || request.status >= kFirstServerError)
         recorder_.record(request.service, report::RequestResult::Failed);
-    else if (request.latency > std::chrono::milliseconds(objective.latency_ms()))
+    else if (request.latency > std::chrono::milliseconds(latencyMs))
         recorder_.record(request.service, report::RequestResult::Slow);
     else
         recorder_.record(request.service, report::RequestResult::Good);
@@ -131,10 +127,7 @@
             mine.push_back(pool);
     }
     jobs_->setPools(std::move(mine));
-    {
-        const std::lock_guard lock(configMutex_);
-        jobs_->setQuotas(config_.teams);
-    }
+    jobs_->setQuotas(config_.read([](const ConfigView &view) { return view.teams; }));
     jobs_->step(now);
 }
 
@@ -215,11 +208,7 @@
 
 v1::BurnReport Daemon::Impl::burnReport() const
 {
-    ConfigView view;
-    {
-        const std::lock_guard lock(configMutex_);
-        view = config_;
-    }
+    const ConfigView view = config_.read([](const ConfigView &current) { return current; });
     return ledger_.report(objectivesOf(view, routing_.services()), routing_.zones(), clock_.now());
 }
 
