--- /dev/null
+++ b/apps/chicorywickd/deployment.cpp
@@ -0,0 +1,86 @@
+#include "deployment.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/node.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <platform/caller_format.h>
+#include <platform/discovery_client.h>
+#include <platform/machine_client.h>
+#include <platform/operator_client.h>
+#include <platform/settings_format.h>
+#include <platform/store_client.h>
+#include <platform/worker_client.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace chicorywick {
+
+namespace {
+
+constexpr int kExitFailure = 1;
+
+int refuse(const base::Error &error)
+{
+    base::logEvent(base::Event::SettingsRefused,
+                   {{"code", std::to_string(static_cast<int>(error.code))}});
+    std::cerr << "error " << static_cast<int>(error.code) << ": " << error.message << '\n';
+    return kExitFailure;
+}
+
+// Takes the signals on the event loop: SIGHUP reads the settings again, the others stop the node.
+void awaitSignal(boost::asio::signal_set &signals, entry::Node &node, boost::asio::io_context &loop,
+                 const std::string &settingsFile)
+{
+    signals.async_wait([&signals, &node, &loop,
+                        settingsFile](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        if (signal != SIGHUP)
+            return node.stop([&loop] { loop.stop(); });
+        const auto settings = adapter::readDeploymentSettings(settingsFile);
+        base::logEvent(settings ? base::Event::SettingsReloaded : base::Event::SettingsRefused,
+                       {{"file", settingsFile},
+                        {"reason", settings ? "signal" : settings.error().message}});
+        awaitSignal(signals, node, loop, settingsFile);
+    });
+}
+
+} // namespace
+
+int runDeployment(const std::string &settingsFile, bool checkOnly)
+{
+    const auto settings = adapter::readDeploymentSettings(settingsFile);
+    if (!settings)
+        return refuse(settings.error());
+    if (checkOnly) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    boost::asio::io_context loop(1);
+    adapter::StoreClient store(loop, settings.value().store);
+    adapter::DiscoveryClient discovery(store);
+    adapter::OperatorClient operators(store);
+    adapter::MachineClient machines(loop, settings.value().machines, settings.value().node.name);
+    adapter::WorkerClient workers(loop);
+    const adapter::CallerFormat callers;
+    entry::Node node(settings.value().node,
+                     {.loop = &loop,
+                      .table = &store,
+                      .discovery = &discovery,
+                      .orders = &workers,
+                      .machines = &machines,
+                      .operators = &operators},
+                     callers);
+    if (const auto started = node.start(); !started)
+        return refuse(started.error());
+    boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+    awaitSignal(signals, node, loop, settingsFile);
+    loop.run();
+    return 0;
+}
+
+} // namespace chicorywick
--- a/apps/chicorywickd/main.cpp
+++ b/apps/chicorywickd/main.cpp
@@ -1,3 +1,5 @@
+#include "deployment.h"
+
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/daemon/daemon.h>
 
@@ -15,6 +17,7 @@
 struct Arguments
 {
     char *settings = nullptr;
+    char *deployment = nullptr;
     int checkOnly = 0;
     int showVersion = 0;
 };
@@ -23,6 +26,9 @@
 {
     const poptOption options[] = {{"settings", 's', POPT_ARG_STRING, &arguments.settings, 0,
                                    "JSON settings file", "FILE"},
+                                  {"deployment", 'd', POPT_ARG_STRING, &arguments.deployment, 0,
+                                   "JSON settings file of an entry instance on the users' platform",
+                                   "FILE"},
                                   {"check-settings", 'c', POPT_ARG_NONE, &arguments.checkOnly, 0,
                                    "Check the settings and exit", nullptr},
                                   {"version", 'V', POPT_ARG_NONE, &arguments.showVersion, 0,
@@ -71,8 +77,10 @@
         std::cout << "chicorywickd 0.1.0\n";
         return 0;
     }
+    if (arguments.deployment != nullptr)
+        return chicorywick::runDeployment(arguments.deployment, arguments.checkOnly != 0);
     if (arguments.settings == nullptr) {
-        std::cerr << "error 8001: --settings FILE is required\n";
+        std::cerr << "error 8001: --settings FILE or --deployment FILE is required\n";
         return kExitUsage;
     }
     const sigset_t signals = blockStopSignals();
--- a/cmake/ChicorywickPackage.cmake
+++ b/cmake/ChicorywickPackage.cmake
@@ -1,8 +1,9 @@
 # chicorywick_package(<name> DEPS <packages...> LIBS <libraries...>)
 # Builds the library target chicorywick::<name> and, if there are src/*_test.cpp, the program <name>_tests.
 # g++ 12 reports false maybe-uninitialized warnings for std::optional of types that hold a std::variant.
+# At -O3 it also reports false restrict warnings for std::string (GCC bug 105651).
 set(CHICORYWICK_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers
-  -Wno-maybe-uninitialized -Werror)
+  -Wno-maybe-uninitialized -Wno-restrict -Werror)
 
 add_library(chicorywick_options INTERFACE)
 target_compile_options(chicorywick_options INTERFACE ${CHICORYWICK_WARNINGS})
--- a/packages/base/include/chicorywick/base/code.h
+++ b/packages/base/include/chicorywick/base/code.h
@@ -32,6 +32,7 @@
     StaleFence = 3006,
     PlatformMalformedResponse = 3007,
     RateLimited = 3008,
+    HistoryUnavailable = 3009,
 
     // 4xxx: serving
     NoUpstream = 4001,
--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -15,6 +15,8 @@
     DaemonStopped = 1003,
     ListenerOpened = 1004,
     SettingsRefused = 1005,
+    SettingsReloaded = 1006,
+    LogLinesDropped = 1007,
 
     // 2xxx: operator calls
     OperatorCallAccepted = 2001,
@@ -44,6 +46,7 @@
     WaveFinished = 5008,
     WaveHalted = 5009,
     WaveWaiting = 5010,
+    MachineOrdered = 5011,
 
     // 6xxx: jobs
     JobAccepted = 6001,
@@ -54,6 +57,12 @@
     WorkerQuarantined = 6006,
     JobPreempted = 6007,
     JobThrottled = 6008,
+    WorkerJoined = 6009,
+    WorkerLeaving = 6010,
+    WorkerGone = 6011,
+    JobSubmitted = 6012,
+    JobRefused = 6013,
+    JobCancelled = 6014,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
@@ -64,6 +73,8 @@
     PeerMessageRefused = 7006,
     OwnershipTaken = 7007,
     ConfigFromPeers = 7008,
+    LeadershipLost = 7009,
+    LeadershipReady = 7010,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/packages/base/src/code.cpp
+++ b/packages/base/src/code.cpp
@@ -46,6 +46,8 @@
          "the platform's response cannot be parsed"},
         {Code::RateLimited, "rate-limited", "resource_exhausted", 429,
          "the local rate limit for the platform is exhausted"},
+        {Code::HistoryUnavailable, "history-unavailable", "out_of_range", 410,
+         "the store has discarded the requested history"},
         {Code::NoUpstream, "no-upstream", "unavailable", 503,
          "no upstream of the service accepts work"},
         {Code::QueueFull, "queue-full", "resource_exhausted", 503,
--- /dev/null
+++ b/packages/entry/include/chicorywick/entry/driver.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <chicorywick/entry/ports.h>
+#include <chicorywick/entry/table.h>
+#include <chicorywick/scheduler/scheduler.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace chicorywick::entry {
+
+/// @brief The interfaces through which a driver works.
+struct DriverPorts
+{
+    boost::asio::io_context *loop = nullptr;
+    Table *table = nullptr;
+    DiscoveryPort *discovery = nullptr;
+    scheduler::WorkerOrders *orders = nullptr;
+    MachinePort *machines = nullptr;
+    OperatorPort *operators = nullptr;
+};
+
+struct DriverHooks
+{
+    std::function<scheduler::Now()> clock;
+    std::function<bool()> mayOrder;
+    std::function<void()> onFenced;
+};
+
+/// @brief One term of driving: loads what is stored, then keeps the scheduler and the store in
+/// step.
+class Driver
+{
+public:
+    Driver(DriverPorts ports, DriverHooks hooks, scheduler::SchedulerSettings settings);
+    ~Driver();
+    Driver(const Driver &) = delete;
+    Driver &operator=(const Driver &) = delete;
+
+    void start();
+    void configure(const Configuration &configuration);
+    void setWaves(const std::vector<WaveRequest> &waves);
+
+    /// @brief True once everything stored is loaded; until then states are not known.
+    bool isLoaded() const;
+
+    /// @brief The state to tell callers: a final one only once it is stored.
+    std::optional<scheduler::JobState> shownState(const std::string &id) const;
+    int waitingJobs(const std::string &queue) const;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/include/chicorywick/entry/layout.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chicorywick/entry/table.h>
+
+#include <string>
+
+namespace chicorywick::entry {
+
+/// @brief Where rows lie; docs/platform.md lists them with their writers.
+namespace layout {
+
+inline constexpr const char *kJobs = "jobs";
+inline constexpr const char *kProgress = "progress";
+inline constexpr const char *kLeader = "leader";
+
+/// @brief Parts of the jobs table; submissions to different parts do not wait for each other.
+inline constexpr int kJobParts = 4;
+
+std::string jobPart(int number);
+RowKey jobRow(const std::string &id);
+RowKey cancelRow(const std::string &id);
+RowKey progressRow(const std::string &id);
+RowKey leaderRow();
+RowKey rosterRow();
+
+/// @brief The job that a row of the jobs table cancels, or an empty text.
+std::string cancelledJob(const std::string &key);
+
+} // namespace layout
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <chicorywick/entry/records.h>
+#include <chicorywick/entry/table.h>
+#include <chicorywick/scheduler/model.h>
+
+#include <optional>
+#include <string>
+
+namespace chicorywick::entry {
+
+/// @brief Times of the election; milliseconds.
+struct ElectionSettings
+{
+    scheduler::Millis leaseMs = 2500; ///< from the sending of the latest successful write
+    scheduler::Millis renewEveryMs = 700;
+    scheduler::Millis takeoverDelayMs = 400; ///< added to the lease before a successor claims
+    scheduler::Millis retryMs = 200;
+
+    bool operator==(const ElectionSettings &) const = default;
+};
+
+/// @brief A write of the leader row that the election wants made now.
+struct LeaderWrite
+{
+    LeaderRecord record;
+    Version expected = 0;
+
+    bool operator==(const LeaderWrite &) const = default;
+};
+
+/// @brief Decides who drives: one row, changed under its version, renewed while its holder lives.
+/// A holder stops counting itself as leader before any other may claim, by its own steady clock.
+class LeaderElection
+{
+public:
+    LeaderElection(std::string holder, std::string peerAddress, scheduler::Millis claimJitterMs,
+                   ElectionSettings settings = {});
+
+    /// @brief The row as it was seen at a moment; an absent row has version 0.
+    void observe(Version version, const LeaderRecord &record, scheduler::Millis now);
+
+    /// @brief The write that is due, if any; its outcome is reported by one of the next calls.
+    std::optional<LeaderWrite> nextWrite(scheduler::Millis now);
+    void committed(Version version, scheduler::Millis now);
+    void writeFailed(scheduler::Millis now);
+
+    /// @brief Gives the row up; nextWrite() then returns the release.
+    void release() { isReleasing_ = true; }
+
+    /// @brief True while no other daemon can have claimed the row.
+    bool isLeading(scheduler::Millis now) const;
+
+    /// @brief True while the row names this daemon, whether or not its lease is known to hold.
+    bool holdsRow() const { return holdsRow_; }
+
+    /// @brief The version of this daemon's claim; orders carry it as their fencing token.
+    Version term() const { return term_; }
+
+    const LeaderRecord &record() const { return record_; }
+
+private:
+    std::string holder_;
+    std::string peerAddress_;
+    scheduler::Millis claimJitterMs_;
+    ElectionSettings settings_;
+
+    bool hasObserved_ = false;
+    Version version_ = 0;
+    LeaderRecord record_;
+    scheduler::Millis changedAt_ = 0;
+
+    bool holdsRow_ = false;
+    Version term_ = 0;
+    scheduler::Millis leaseFrom_ = 0;
+    std::int64_t beat_ = 0;
+
+    bool isWriting_ = false;
+    LeaderRecord written_;
+    scheduler::Millis writeSentAt_ = 0;
+    scheduler::Millis nextWriteAt_ = 0;
+    bool isReleasing_ = false;
+};
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/include/chicorywick/entry/ports.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <chicorywick/entry/table.h>
+#include <chicorywick/scheduler/model.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicorywick::entry {
+
+/// @brief A queue as callers address it.
+struct QueueRoute
+{
+    std::string host;
+    std::string pathPrefix;
+    scheduler::QueuePolicy policy;
+
+    bool operator==(const QueueRoute &) const = default;
+};
+
+struct ServiceSetup
+{
+    bool isSpare = false; ///< its machines are off until they are moved
+
+    bool operator==(const ServiceSetup &) const = default;
+};
+
+/// @brief One version of the operators' configuration.
+struct Configuration
+{
+    std::int64_t version = 0;
+    std::vector<QueueRoute> routes;
+    std::map<std::string, ServiceSetup> services;
+    std::size_t maxBodyBytes = 0;
+
+    bool operator==(const Configuration &) const = default;
+};
+
+/// @brief An operator's request to maintain machines.
+struct WaveRequest
+{
+    std::int64_t number = 0;
+    std::vector<std::string> machines;
+    std::int64_t durationMs = 0;
+    int maxAtOnce = 1;
+
+    bool operator==(const WaveRequest &) const = default;
+};
+
+/// @brief What operators have written, or a change of it.
+struct OperatorState
+{
+    std::optional<Configuration> configuration;
+    std::vector<WaveRequest> waves;
+    Version version = 0;
+
+    bool operator==(const OperatorState &) const = default;
+};
+
+/// @brief Reads what operators write and reports the progress of waves.
+class OperatorPort
+{
+public:
+    virtual ~OperatorPort() = default;
+    virtual void load(Callback<OperatorState> done) = 0;
+    virtual void watch(Version after, std::chrono::milliseconds wait,
+                       Callback<OperatorState> done) = 0;
+    virtual void reportWave(std::int64_t number, bool isCompleted, Callback<bool> done) = 0;
+};
+
+/// @brief Listed workers, or a change of the list.
+struct WorkerList
+{
+    std::vector<scheduler::WorkerEntry> present;
+    std::vector<std::string> removed;
+    Version version = 0;
+
+    bool operator==(const WorkerList &) const = default;
+};
+
+class DiscoveryPort
+{
+public:
+    virtual ~DiscoveryPort() = default;
+    virtual void load(Callback<WorkerList> done) = 0;
+    virtual void watch(Version after, std::chrono::milliseconds wait,
+                       Callback<WorkerList> done) = 0;
+};
+
+enum class MachineState { Up, Moving, Upkeep, Down };
+
+struct Machine
+{
+    std::string name;
+    std::string pool;
+    std::string workerId; ///< empty while no worker runs on it
+    MachineState state = MachineState::Down;
+
+    bool operator==(const Machine &) const = default;
+};
+
+/// @brief What became of an order to a machine.
+enum class MachineOrderStatus {
+    Accepted, ///< also if it had been carried out before
+    Busy,     ///< not up, or leaving
+    NotOfWave,
+    Fenced,
+    NoSuchMachine,
+    Unavailable, ///< nothing was done
+    Unknown,
+};
+
+/// @brief The platform's machine control. Orders name their holder and carry its token.
+class MachinePort
+{
+public:
+    virtual ~MachinePort() = default;
+    virtual void list(Callback<std::vector<Machine>> done) = 0;
+    virtual void move(const std::string &machine, const std::string &pool, std::int64_t fence,
+                      std::function<void(MachineOrderStatus)> done) = 0;
+    virtual void maintain(const std::string &machine, std::int64_t wave, std::int64_t fence,
+                          std::function<void(MachineOrderStatus)> done) = 0;
+};
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chicorywick/base/result.h>
+#include <chicorywick/scheduler/job.h>
+#include <chicorywick/scheduler/model.h>
+
+#include <string>
+#include <vector>
+
+namespace chicorywick::entry {
+
+/// @brief Who drives the jobs, and where other daemons reach it.
+struct LeaderRecord
+{
+    std::string holder; ///< node and incarnation; empty after a release
+    std::string peerAddress;
+    std::int64_t term = 0; ///< version of the row at the claim, 0 in the claim itself
+    std::int64_t beat = 0;
+
+    bool operator==(const LeaderRecord &) const = default;
+};
+
+std::string encode(const LeaderRecord &record);
+base::Result<LeaderRecord> decodeLeader(const std::string &text);
+
+std::string encode(const scheduler::JobSpec &spec);
+base::Result<scheduler::JobSpec> decodeJob(const std::string &text);
+
+std::string encode(const scheduler::JobProgress &progress);
+base::Result<scheduler::JobProgress> decodeProgress(const std::string &text);
+
+std::string encode(const std::vector<scheduler::WorkerEntry> &roster);
+base::Result<std::vector<scheduler::WorkerEntry>> decodeRoster(const std::string &text);
+
+/// @brief The name of a job state towards callers and in stored rows.
+const char *jobStateName(scheduler::JobState state);
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/include/chicorywick/entry/table.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <chicorywick/base/result.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicorywick::entry {
+
+using Version = std::int64_t;
+
+/// @brief Names a row. Rows of one part can change together, in any tables.
+struct RowKey
+{
+    std::string table;
+    std::string part;
+    std::string key;
+
+    auto operator<=>(const RowKey &) const = default;
+};
+
+struct Row
+{
+    RowKey key;
+    std::string value;
+    Version version = 0;
+    bool isRemoved = false;
+
+    bool operator==(const Row &) const = default;
+};
+
+struct RowCondition
+{
+    RowKey key;
+    Version version = 0; ///< 0: the row must not exist
+
+    bool operator==(const RowCondition &) const = default;
+};
+
+struct RowWrite
+{
+    RowKey key;
+    std::string value;
+
+    bool operator==(const RowWrite &) const = default;
+};
+
+/// @brief All or nothing; every row is of one part.
+struct Transaction
+{
+    std::vector<RowCondition> conditions;
+    std::vector<RowWrite> writes;
+    std::vector<RowKey> removals;
+
+    bool operator==(const Transaction &) const = default;
+};
+
+struct TransactionResult
+{
+    bool isCommitted = false;
+    Version version = 0;      ///< of the rows written
+    std::vector<Row> current; ///< of the rows in the conditions, if not committed
+
+    bool operator==(const TransactionResult &) const = default;
+};
+
+struct RowRange
+{
+    std::string table;
+    std::string part;
+    std::string from; ///< first key
+    std::string to;   ///< first key behind the range; empty: to the end
+    int limit = 500;
+
+    bool operator==(const RowRange &) const = default;
+};
+
+struct RowPage
+{
+    std::vector<Row> rows;
+    bool hasMore = false;
+    Version version = 0; ///< of the table service as of this answer
+
+    bool operator==(const RowPage &) const = default;
+};
+
+template <typename T>
+using Callback = std::function<void(base::Result<T>)>;
+
+/// @brief The platform's transactional table. Errors: PlatformUnavailable and RateLimited (nothing
+/// was done), PlatformUnknownOutcome (it may have been, or may be later), HistoryUnavailable.
+class Table
+{
+public:
+    virtual ~Table() = default;
+
+    virtual void transact(const Transaction &transaction, std::chrono::milliseconds timeout,
+                          Callback<TransactionResult> done) = 0;
+    virtual void read(const RowRange &range, std::chrono::milliseconds timeout,
+                      Callback<RowPage> done) = 0;
+
+    /// @brief Changed rows of a table after a version, in order, as soon as there is one.
+    virtual void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+                       Callback<RowPage> done) = 0;
+};
+
+/// @brief Reads all pages of a range; the version is that of the first page.
+void readAll(Table &table, RowRange range, std::chrono::milliseconds timeout,
+             Callback<RowPage> done);
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/driver.cpp
@@ -0,0 +1,286 @@
+#include "driver_impl.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kTickPeriod = 100ms;
+constexpr auto kWatchTime = 2000ms;
+constexpr auto kWriteTimeout = 1000ms;
+constexpr auto kRetryPause = 200ms;
+// Finished jobs whose rows are removed at a time: a job has three rows.
+constexpr std::size_t kRemovalsPerWrite = 30;
+
+} // namespace
+
+Driver::Driver(DriverPorts ports, DriverHooks hooks, scheduler::SchedulerSettings settings)
+    : impl_(std::make_shared<Impl>(ports, std::move(hooks), settings))
+{}
+
+Driver::~Driver()
+{
+    impl_->stop();
+}
+
+void Driver::start()
+{
+    impl_->start();
+}
+
+void Driver::configure(const Configuration &configuration)
+{
+    impl_->configure(configuration);
+}
+
+void Driver::setWaves(const std::vector<WaveRequest> &waves)
+{
+    impl_->setWaves(waves);
+}
+
+bool Driver::isLoaded() const
+{
+    return impl_->isLoaded();
+}
+
+std::optional<scheduler::JobState> Driver::shownState(const std::string &id) const
+{
+    return impl_->shownState(id);
+}
+
+int Driver::waitingJobs(const std::string &queue) const
+{
+    return impl_->waitingJobs(queue);
+}
+
+Driver::Impl::Impl(DriverPorts ports, DriverHooks hooks, scheduler::SchedulerSettings settings)
+    : ports_(ports)
+    , hooks_(std::move(hooks))
+    , scheduler_(*ports.orders,
+                 {.clock = hooks_.clock,
+                  .mayOrder = hooks_.mayOrder,
+                  .onFenced = hooks_.onFenced,
+                  .onProgress = [this] { journal_->request(); }},
+                 settings)
+    , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, scheduler_))
+    , waves_(std::make_shared<WaveRunner>(
+              WaveRunnerPorts{.machines = ports.machines, .operators = ports.operators},
+              hooks_.clock, scheduler_, settings.fence))
+    , tickTimer_(*ports.loop)
+{}
+
+void Driver::Impl::start()
+{
+    loadRoster();
+}
+
+void Driver::Impl::stop()
+{
+    isStopped_ = true;
+    tickTimer_.cancel();
+    journal_->stop();
+    waves_->stop();
+}
+
+void Driver::Impl::configure(const Configuration &configuration)
+{
+    std::vector<scheduler::QueuePolicy> queues;
+    for (const QueueRoute &route : configuration.routes)
+        queues.push_back(route.policy);
+    scheduler_.setQueues(queues);
+}
+
+std::optional<scheduler::JobState> Driver::Impl::shownState(const std::string &id) const
+{
+    const auto state = scheduler_.stateOf(id);
+    const bool isEnd =
+            state == scheduler::JobState::Completed || state == scheduler::JobState::Failed;
+    // A final state that is not stored could be taken back by the next driver.
+    if (isEnd && journal_->isPending(id))
+        return scheduler::JobState::Running;
+    return state;
+}
+
+void Driver::Impl::later(std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(*ports_.loop, kRetryPause);
+    timer->async_wait([self = shared_from_this(), timer,
+                       action = std::move(action)](const boost::system::error_code &error) {
+        if (!error && !self->isStopped_)
+            action();
+    });
+}
+
+void Driver::Impl::applyJobRow(const Row &row)
+{
+    if (row.isRemoved)
+        return;
+    const std::string cancelled = layout::cancelledJob(row.key.key);
+    if (!cancelled.empty()) {
+        cancelled_.insert(cancelled);
+        scheduler_.cancelJob(cancelled);
+        return;
+    }
+    const auto spec = decodeJob(row.value);
+    if (!spec) {
+        base::logEvent(base::Event::JobRefused,
+                       {{"job", row.key.key}, {"reason", spec.error().message}});
+        return;
+    }
+    const auto progress = loadedProgress_.find(row.key.key);
+    // While loading, a job without progress may also have been started by an earlier driver.
+    std::optional<scheduler::JobProgress> known;
+    if (progress != loadedProgress_.end())
+        known = progress->second;
+    else if (!isLoaded_)
+        known = scheduler::JobProgress{};
+    scheduler_.addJob(spec.value(), known);
+    if (cancelled_.contains(spec.value().id))
+        scheduler_.cancelJob(spec.value().id);
+}
+
+void Driver::Impl::watchJobs()
+{
+    ports_.table->watch(layout::kJobs, jobsVersion_, kWatchTime,
+                        [self = shared_from_this()](const base::Result<RowPage> &page) {
+                            if (self->isStopped_)
+                                return;
+                            if (!page && page.error().code == base::Code::HistoryUnavailable)
+                                return self->reloadJobs();
+                            if (!page)
+                                return self->later([self] { self->watchJobs(); });
+                            for (const Row &row : page.value().rows)
+                                self->applyJobRow(row);
+                            self->jobsVersion_ = std::max(self->jobsVersion_, page.value().version);
+                            self->watchJobs();
+                        });
+}
+
+// The store has dropped the history that the watch needs; all rows are read again.
+void Driver::Impl::reloadJobs()
+{
+    loadJobs(0);
+}
+
+void Driver::Impl::watchWorkers()
+{
+    ports_.discovery->watch(workersVersion_, kWatchTime,
+                            [self = shared_from_this()](const base::Result<WorkerList> &list) {
+                                if (self->isStopped_)
+                                    return;
+                                if (!list) {
+                                    const bool isGap =
+                                            list.error().code == base::Code::HistoryUnavailable;
+                                    self->later([self, isGap] {
+                                        if (isGap)
+                                            self->loadWorkers();
+                                        else
+                                            self->watchWorkers();
+                                    });
+                                    return;
+                                }
+                                self->applyWorkers(list.value(), false);
+                                self->watchWorkers();
+                            });
+}
+
+void Driver::Impl::applyWorkers(const WorkerList &list, bool isWhole)
+{
+    workersVersion_ = std::max(workersVersion_, list.version);
+    std::set<std::string> present;
+    for (const scheduler::WorkerEntry &entry : list.present) {
+        present.insert(entry.id);
+        scheduler_.upsertWorker(entry);
+    }
+    for (const std::string &id : list.removed)
+        scheduler_.removeWorker(id);
+    if (isWhole)
+        for (const scheduler::WorkerEntry &entry : scheduler_.roster())
+            if (!present.contains(entry.id))
+                scheduler_.removeWorker(entry.id);
+    storeRoster();
+}
+
+void Driver::Impl::storeRoster()
+{
+    const auto roster = scheduler_.roster();
+    // Compared as stored: the rest of an entry changes with each heartbeat.
+    if (isStoringRoster_ || !isLoaded_ || encode(roster) == encode(storedRoster_))
+        return;
+    isStoringRoster_ = true;
+    const RowKey key = layout::rosterRow();
+    ports_.table->transact(
+            {.conditions = {{.key = key, .version = rosterVersion_}},
+             .writes = {{.key = key, .value = encode(roster)}}},
+            kWriteTimeout,
+            [self = shared_from_this(), roster](const base::Result<TransactionResult> &result) {
+                if (self->isStopped_)
+                    return;
+                self->isStoringRoster_ = false;
+                if (!result)
+                    return; // the next tick tries again
+                if (!result.value().isCommitted) {
+                    for (const Row &row : result.value().current)
+                        self->rosterVersion_ = row.version;
+                    return;
+                }
+                self->rosterVersion_ = result.value().version;
+                self->storedRoster_ = roster;
+                self->scheduler_.rosterStored(roster);
+            });
+}
+
+void Driver::Impl::scheduleTick()
+{
+    tickTimer_.expires_after(kTickPeriod);
+    tickTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (error || self->isStopped_)
+            return;
+        self->tick();
+        self->scheduleTick();
+    });
+}
+
+void Driver::Impl::tick()
+{
+    scheduler_.tick();
+    storeRoster();
+    waves_->tick();
+    removeForgotten();
+}
+
+void Driver::Impl::removeForgotten()
+{
+    std::map<std::string, Transaction> byPart;
+    for (const std::string &id : scheduler_.takeForgottenJobs()) {
+        const RowKey job = layout::jobRow(id);
+        byPart[job.part].removals.push_back(job);
+        byPart[job.part].removals.push_back(layout::cancelRow(id));
+        const RowKey progress = layout::progressRow(id);
+        byPart[progress.part].removals.push_back(progress);
+        journal_->forget(id);
+        cancelled_.erase(id);
+    }
+    for (auto &[part, transaction] : byPart)
+        for (std::size_t from = 0; from < transaction.removals.size(); from += kRemovalsPerWrite) {
+            const auto begin = transaction.removals.begin() + static_cast<std::ptrdiff_t>(from);
+            const auto end = transaction.removals.begin()
+                             + static_cast<std::ptrdiff_t>(std::min(from + kRemovalsPerWrite,
+                                                                    transaction.removals.size()));
+            ports_.table->transact({.removals = {begin, end}}, kWriteTimeout,
+                                   [](const base::Result<TransactionResult> &result) {
+                                       // Rows that stay are found and removed by the next driver.
+                                       if (!result)
+                                           base::logEvent(base::Event::PlatformUnreachable,
+                                                          {{"call", "remove-jobs"},
+                                                           {"reason", result.error().message}});
+                                   });
+        }
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/driver_impl.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "progress_journal.h"
+#include "wave_runner.h"
+
+#include <chicorywick/entry/driver.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace chicorywick::entry {
+
+class Driver::Impl : public std::enable_shared_from_this<Driver::Impl>
+{
+public:
+    Impl(DriverPorts ports, DriverHooks hooks, scheduler::SchedulerSettings settings);
+
+    void start();
+    void stop();
+    void configure(const Configuration &configuration);
+    void setWaves(const std::vector<WaveRequest> &waves) { waves_->setWaves(waves); }
+    bool isLoaded() const { return isLoaded_; }
+    std::optional<scheduler::JobState> shownState(const std::string &id) const;
+    int waitingJobs(const std::string &queue) const { return scheduler_.waitingJobs(queue); }
+
+private:
+    // Loading: roster, progress, jobs, workers, in this order (driver_loading.cpp).
+    void loadRoster();
+    void loadProgress();
+    void loadJobs(int part);
+    void loadWorkers();
+    void finishLoading();
+    void later(std::function<void()> action);
+
+    void applyJobRow(const Row &row);
+    void watchJobs();
+    void reloadJobs();
+    void watchWorkers();
+    void applyWorkers(const WorkerList &list, bool isWhole);
+    void storeRoster();
+    void scheduleTick();
+    void tick();
+    void removeForgotten();
+
+    DriverPorts ports_;
+    DriverHooks hooks_;
+    scheduler::Scheduler scheduler_;
+    std::shared_ptr<ProgressJournal> journal_;
+    std::shared_ptr<WaveRunner> waves_;
+    boost::asio::steady_timer tickTimer_;
+
+    bool isStopped_ = false;
+    bool isLoaded_ = false;
+    std::map<std::string, scheduler::JobProgress> loadedProgress_;
+    std::set<std::string> cancelled_; ///< cancellations read before their jobs
+    Version jobsVersion_ = 0;
+    Version workersVersion_ = 0;
+    Version rosterVersion_ = 0;
+    std::vector<scheduler::WorkerEntry> storedRoster_;
+    bool isStoringRoster_ = false;
+};
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/driver_loading.cpp
@@ -0,0 +1,111 @@
+#include "driver_impl.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kReadTimeout = 2000ms;
+
+} // namespace
+
+void Driver::Impl::loadRoster()
+{
+    const RowKey key = layout::rosterRow();
+    ports_.table->read({.table = key.table, .part = key.part, .from = key.key}, kReadTimeout,
+                       [self = shared_from_this()](const base::Result<RowPage> &page) {
+                           if (self->isStopped_)
+                               return;
+                           if (!page)
+                               return self->later([self] { self->loadRoster(); });
+                           for (const Row &row : page.value().rows) {
+                               const auto roster = decodeRoster(row.value);
+                               if (row.key.key != layout::rosterRow().key || !roster)
+                                   continue;
+                               self->rosterVersion_ = row.version;
+                               self->storedRoster_ = roster.value();
+                           }
+                           self->loadProgress();
+                       });
+}
+
+void Driver::Impl::loadProgress()
+{
+    readAll(*ports_.table, {.table = layout::kProgress, .part = layout::kProgress}, kReadTimeout,
+            [self = shared_from_this()](const base::Result<RowPage> &page) {
+                if (self->isStopped_)
+                    return;
+                if (!page)
+                    return self->later([self] { self->loadProgress(); });
+                for (const Row &row : page.value().rows) {
+                    const auto progress = decodeProgress(row.value);
+                    self->journal_->learn(row.key.key, row.version);
+                    if (progress)
+                        self->loadedProgress_.insert_or_assign(row.key.key, progress.value());
+                    else
+                        base::logEvent(base::Event::PlatformUnreachable,
+                                       {{"call", "load-progress"},
+                                        {"job", row.key.key},
+                                        {"reason", progress.error().message}});
+                }
+                self->loadJobs(0);
+            });
+}
+
+void Driver::Impl::loadJobs(int part)
+{
+    if (part == layout::kJobParts) {
+        if (isLoaded_)
+            return watchJobs();
+        return loadWorkers();
+    }
+    readAll(*ports_.table, {.table = layout::kJobs, .part = layout::jobPart(part)}, kReadTimeout,
+            [self = shared_from_this(), part](const base::Result<RowPage> &page) {
+                if (self->isStopped_)
+                    return;
+                if (!page)
+                    return self->later([self, part] { self->loadJobs(part); });
+                // The watch begins at the oldest of the reads, so that it misses no row.
+                const Version version = page.value().version;
+                self->jobsVersion_ = part == 0 ? version : std::min(self->jobsVersion_, version);
+                for (const Row &row : page.value().rows)
+                    self->applyJobRow(row);
+                self->loadJobs(part + 1);
+            });
+}
+
+void Driver::Impl::loadWorkers()
+{
+    ports_.discovery->load([self = shared_from_this()](const base::Result<WorkerList> &list) {
+        if (self->isStopped_)
+            return;
+        if (!list)
+            return self->later([self] { self->loadWorkers(); });
+        if (!self->isLoaded_)
+            self->scheduler_.expectWorkers(self->storedRoster_);
+        self->applyWorkers(list.value(), true);
+        if (!self->isLoaded_)
+            self->finishLoading();
+        else
+            self->watchWorkers();
+    });
+}
+
+void Driver::Impl::finishLoading()
+{
+    isLoaded_ = true;
+    loadedProgress_.clear();
+    base::logEvent(base::Event::LeadershipReady,
+                   {{"workers", std::to_string(scheduler_.roster().size())}});
+    storeRoster();
+    watchJobs();
+    watchWorkers();
+    scheduleTick();
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/intake.cpp
@@ -0,0 +1,268 @@
+#include "intake.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kOutcomeUnknown = 504;
+
+constexpr auto kStoreTimeout = 800ms;
+constexpr auto kRetryPause = 60ms;
+// A submission that the store refuses is tried again this often before the caller is told.
+constexpr int kMaxAttempts = 3;
+// Time left for the response to travel before the caller gives up.
+constexpr scheduler::Millis kResponseMarginMs = 300;
+constexpr scheduler::Millis kDefaultTimeLimitMs = 3'000;
+// After a refusal another entry instance may serve the caller at once.
+constexpr const char *kRetryAfterSeconds = "1";
+constexpr std::size_t kMaxIdLength = 64;
+
+bool isJobId(const std::string &text)
+{
+    return !text.empty() && text.size() <= kMaxIdLength
+           && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+                  return std::isalnum(letter) != 0 || letter == '-' || letter == '_';
+              });
+}
+
+http::Response refusal(int status, base::Code code)
+{
+    http::Response response{.status = status};
+    response.headers["X-Result-Code"] = std::to_string(static_cast<int>(code));
+    if (status == kUnavailable)
+        response.headers["Retry-After"] = kRetryAfterSeconds;
+    return response;
+}
+
+http::Response json(int status, std::string body)
+{
+    return {.status = status,
+            .headers = {{"Content-Type", "application/json"}},
+            .body = std::move(body)};
+}
+
+bool isUnknown(const base::Error &error)
+{
+    return error.code == base::Code::PlatformUnknownOutcome;
+}
+
+} // namespace
+
+struct Intake::Submission
+{
+    scheduler::JobSpec spec;
+    std::string value;
+    http::Responder respond;
+    scheduler::Millis receivedAt = 0;
+    scheduler::Millis answerBy = 0;
+    int attempts = 0;
+    bool mayBeStored = false; ///< an attempt without an answer may have been carried out
+};
+
+Intake::Intake(boost::asio::io_context &loop, Table &table, const CallerCodec &codec,
+               DriverQuery driver, std::function<scheduler::Now()> clock)
+    : loop_(loop)
+    , table_(table)
+    , codec_(codec)
+    , driver_(std::move(driver))
+    , clock_(std::move(clock))
+{}
+
+void Intake::configure(const Configuration &configuration)
+{
+    routes_ = RouteTable(configuration.routes);
+    isConfigured_ = true;
+}
+
+void Intake::handle(const http::Request &request, http::Responder respond)
+{
+    if (!isConfigured_)
+        return respond(refusal(kUnavailable, base::Code::ConfigStale));
+    const auto route = routes_.match(http::headerOf(request.headers, "host"), request.target);
+    if (!route)
+        return respond(refusal(kNotFound, base::Code::UnknownService));
+    if (route->rest.empty()) {
+        if (request.method != "GET")
+            return respond(refusal(kMethodNotAllowed, base::Code::UnknownMethod));
+        return tellWaiting(route->policy.name, std::move(respond));
+    }
+    if (!isJobId(route->rest))
+        return respond(refusal(kBadRequest, base::Code::InvalidArgument));
+    if (request.method == "POST")
+        return submit(*route, request, std::move(respond));
+    if (request.method == "GET")
+        return tellState(route->rest, std::move(respond));
+    if (request.method == "DELETE")
+        return cancel(route->rest, std::move(respond));
+    respond(refusal(kMethodNotAllowed, base::Code::UnknownMethod));
+}
+
+void Intake::submit(const RouteMatch &route, const http::Request &request, http::Responder respond)
+{
+    auto decoded = codec_.decodeSubmission(request.body);
+    base::Result<void> checked = base::ok();
+    if (decoded)
+        checked = validateSubmission(decoded.value());
+    if (!decoded || !checked) {
+        const base::Error error = decoded ? checked.error() : decoded.error();
+        base::logEvent(
+                base::Event::JobRefused,
+                {{"job", route.rest}, {"queue", route.policy.name}, {"reason", error.message}});
+        return respond(refusal(kBadRequest, error.code));
+    }
+    const scheduler::Now now = clock_();
+    auto submission = std::make_shared<Submission>();
+    submission->spec = std::move(decoded.value());
+    submission->spec.id = route.rest;
+    submission->spec.queue = route.policy.name;
+    submission->spec.submittedWall = now.wall;
+    submission->value = encode(submission->spec);
+    submission->respond = std::move(respond);
+    submission->receivedAt = now.steady;
+    submission->answerBy = now.steady
+                           + codec_.timeLimit(request.headers).value_or(kDefaultTimeLimitMs)
+                           - kResponseMarginMs;
+    store(submission);
+}
+
+void Intake::store(const std::shared_ptr<Submission> &submission)
+{
+    ++submission->attempts;
+    const RowKey key = layout::jobRow(submission->spec.id);
+    const Transaction transaction{.conditions = {{.key = key, .version = 0}},
+                                  .writes = {{.key = key, .value = submission->value}}};
+    table_.transact(
+            transaction, kStoreTimeout,
+            [self = shared_from_this(), submission](const base::Result<TransactionResult> &result) {
+                self->handleStored(submission, result);
+            });
+}
+
+void Intake::handleStored(const std::shared_ptr<Submission> &submission,
+                          const base::Result<TransactionResult> &result)
+{
+    const scheduler::Millis now = clock_().steady;
+    const std::string took = std::to_string(now - submission->receivedAt);
+    if (result) {
+        // A row that exists already was stored by an earlier attempt of the same submission.
+        base::logEvent(base::Event::JobSubmitted,
+                       {{"job", submission->spec.id},
+                        {"queue", submission->spec.queue},
+                        {"took_ms", took},
+                        {"repeated", result.value().isCommitted ? "0" : "1"}});
+        return submission->respond(http::Response{.status = kOk});
+    }
+    submission->mayBeStored = submission->mayBeStored || isUnknown(result.error());
+    const bool triesAgain = submission->attempts < kMaxAttempts && now < submission->answerBy;
+    if (triesAgain) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kRetryPause);
+        timer->async_wait([self = shared_from_this(), submission,
+                           timer](const boost::system::error_code &) { self->store(submission); });
+        return;
+    }
+    base::logEvent(base::Event::JobRefused, {{"job", submission->spec.id},
+                                             {"queue", submission->spec.queue},
+                                             {"took_ms", took},
+                                             {"attempts", std::to_string(submission->attempts)},
+                                             {"unknown", submission->mayBeStored ? "1" : "0"},
+                                             {"reason", result.error().message}});
+    if (submission->mayBeStored)
+        return submission->respond(refusal(kOutcomeUnknown, base::Code::PlatformUnknownOutcome));
+    submission->respond(refusal(kUnavailable, base::Code::JobNotAccepted));
+}
+
+http::Response Intake::stateResponse(scheduler::JobState state) const
+{
+    return json(kOk, codec_.encodeState(state));
+}
+
+void Intake::tellState(const std::string &id, http::Responder respond)
+{
+    driver_.state(id, [self = shared_from_this(), id, respond](const DriverAnswer &answer) {
+        if (answer.isAnswered && answer.state)
+            return respond(self->stateResponse(*answer.state));
+        self->readState(id, respond);
+    });
+}
+
+// The driver has not met the job or cannot be asked; the stored rows are the truth.
+void Intake::readState(const std::string &id, http::Responder respond)
+{
+    const RowKey key = layout::progressRow(id);
+    table_.read({.table = key.table, .part = key.part, .from = id, .to = id + '\x01', .limit = 1},
+                kStoreTimeout,
+                [self = shared_from_this(), id, respond](const base::Result<RowPage> &page) {
+                    if (!page)
+                        return respond(refusal(kUnavailable, page.error().code));
+                    for (const Row &row : page.value().rows)
+                        if (const auto progress = decodeProgress(row.value))
+                            return respond(self->stateResponse(progress.value().state));
+                    self->ifJobExists(id, respond, [self, respond] {
+                        respond(self->stateResponse(scheduler::JobState::Pending));
+                    });
+                });
+}
+
+void Intake::ifJobExists(const std::string &id, http::Responder respond,
+                         std::function<void()> exists)
+{
+    const RowKey key = layout::jobRow(id);
+    table_.read({.table = key.table, .part = key.part, .from = id, .to = id + '\x01', .limit = 1},
+                kStoreTimeout, [respond, exists](const base::Result<RowPage> &page) {
+                    if (!page)
+                        return respond(refusal(kUnavailable, page.error().code));
+                    if (page.value().rows.empty())
+                        return respond(refusal(kGone, base::Code::NotFound));
+                    exists();
+                });
+}
+
+void Intake::cancel(const std::string &id, http::Responder respond)
+{
+    ifJobExists(id, respond, [self = shared_from_this(), id, respond] {
+        self->storeCancellation(id, 1, respond);
+    });
+}
+
+void Intake::storeCancellation(const std::string &id, int attempts, http::Responder respond)
+{
+    table_.transact({.writes = {{.key = layout::cancelRow(id), .value = "{}"}}}, kStoreTimeout,
+                    [self = shared_from_this(), id, attempts,
+                     respond](const base::Result<TransactionResult> &result) {
+                        if (result) {
+                            base::logEvent(base::Event::JobCancelled, {{"job", id}});
+                            return respond(http::Response{.status = kOk});
+                        }
+                        if (attempts < kMaxAttempts)
+                            return self->storeCancellation(id, attempts + 1, respond);
+                        respond(refusal(isUnknown(result.error()) ? kOutcomeUnknown : kUnavailable,
+                                        result.error().code));
+                    });
+}
+
+void Intake::tellWaiting(const std::string &queue, http::Responder respond)
+{
+    driver_.waiting(queue, [self = shared_from_this(), respond](const DriverAnswer &answer) {
+        if (!answer.isAnswered)
+            return respond(refusal(kUnavailable, base::Code::PlatformUnavailable));
+        respond(json(kOk, self->codec_.encodeWaiting(answer.waiting)));
+    });
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/intake.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <chicorywick/entry/caller_codec.h>
+#include <chicorywick/entry/route_table.h>
+#include <chicorywick/entry/table.h>
+#include <chicorywick/http/client.h>
+#include <chicorywick/http/server.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace chicorywick::entry {
+
+/// @brief What a driver knows of a job or a queue, asked for in this process or over the network.
+struct DriverAnswer
+{
+    bool isAnswered = false; ///< false: no driver could be asked
+    std::optional<scheduler::JobState> state;
+    int waiting = 0;
+};
+
+/// @brief How the intake reaches the driver.
+struct DriverQuery
+{
+    std::function<void(const std::string &id, std::function<void(DriverAnswer)>)> state;
+    std::function<void(const std::string &queue, std::function<void(DriverAnswer)>)> waiting;
+};
+
+/// @brief Serves callers: stores submissions and cancellations, tells states.
+class Intake : public std::enable_shared_from_this<Intake>
+{
+public:
+    Intake(boost::asio::io_context &loop, Table &table, const CallerCodec &codec,
+           DriverQuery driver, std::function<scheduler::Now()> clock);
+
+    void configure(const Configuration &configuration);
+    void handle(const http::Request &request, http::Responder respond);
+
+private:
+    struct Submission;
+
+    void submit(const RouteMatch &route, const http::Request &request, http::Responder respond);
+    void store(const std::shared_ptr<Submission> &submission);
+    void handleStored(const std::shared_ptr<Submission> &submission,
+                      const base::Result<TransactionResult> &result);
+    void tellState(const std::string &id, http::Responder respond);
+    void readState(const std::string &id, http::Responder respond);
+    void cancel(const std::string &id, http::Responder respond);
+    void storeCancellation(const std::string &id, int attempts, http::Responder respond);
+    void ifJobExists(const std::string &id, http::Responder respond, std::function<void()> exists);
+    void tellWaiting(const std::string &queue, http::Responder respond);
+    http::Response stateResponse(scheduler::JobState state) const;
+
+    boost::asio::io_context &loop_;
+    Table &table_;
+    const CallerCodec &codec_;
+    DriverQuery driver_;
+    std::function<scheduler::Now()> clock_;
+    RouteTable routes_;
+    bool isConfigured_ = false;
+};
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/node.cpp
@@ -0,0 +1,405 @@
+#include "intake.h"
+#include "peer_queries.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/base/rng.h>
+#include <chicorywick/base/unique_id.h>
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/leader_election.h>
+#include <chicorywick/entry/node.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <ctime>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A configuration has to be in force two seconds after it was stored; a silent connection is
+// noticed within this time and the watch's slack.
+constexpr auto kOperatorWatch = 1000ms;
+constexpr auto kLeaderWatch = 1000ms;
+constexpr auto kRetryPause = 150ms;
+constexpr auto kElectionPeriod = 100ms;
+constexpr auto kElectionTimeout = 1200ms;
+// Without an answer of the store for so long, nothing can be accepted here.
+constexpr scheduler::Millis kStoreSilenceMs = 2'500;
+// Spread of the successors' claims.
+constexpr std::uint64_t kClaimSpreadMs = 250;
+// The balancer leaves a daemon out after two failed probes, a second apart; requests go on coming
+// until then, and on open connections also later.
+constexpr scheduler::Millis kLeaveRotationMs = 2'600;
+constexpr scheduler::Millis kStopMarginMs = 1'500;
+constexpr auto kStopPoll = 50ms;
+constexpr std::size_t kIncarnationLength = 8;
+
+scheduler::Millis millisOf(clockid_t clock)
+{
+    timespec time{};
+    clock_gettime(clock, &time);
+    constexpr std::int64_t kNanosPerMilli = 1'000'000;
+    return static_cast<scheduler::Millis>(time.tv_sec) * 1000 + time.tv_nsec / kNanosPerMilli;
+}
+
+} // namespace
+
+scheduler::Now systemNow()
+{
+    return {.steady = millisOf(CLOCK_BOOTTIME), .wall = millisOf(CLOCK_REALTIME)};
+}
+
+class Node::Impl : public std::enable_shared_from_this<Node::Impl>
+{
+public:
+    Impl(NodeSettings settings, DriverPorts ports, const CallerCodec &codec)
+        : settings_(std::move(settings))
+        , ports_(ports)
+        , loop_(*ports.loop)
+        , incarnation_(base::uniqueId().substr(0, kIncarnationLength))
+        , rng_(std::hash<std::string>()(settings_.name + incarnation_))
+        , election_(settings_.name + "#" + incarnation_,
+                    settings_.peers.host + ":" + std::to_string(settings_.peers.port),
+                    static_cast<scheduler::Millis>(rng_.below(kClaimSpreadMs)))
+        , peers_(std::make_shared<PeerQueries>(loop_))
+        , intake_(std::make_shared<Intake>(loop_, *ports.table, codec, driverQuery(), systemNow))
+        , electionTimer_(loop_)
+    {}
+
+    base::Result<void> start()
+    {
+        callers_ = std::make_unique<http::Server>(
+                loop_,
+                [self = shared_from_this()](const http::Request &request, http::Responder respond) {
+                    self->intake_->handle(request, std::move(respond));
+                });
+        readiness_ = std::make_unique<http::Server>(
+                loop_,
+                [self = shared_from_this()](const http::Request &, const http::Responder &respond) {
+                    constexpr int kOk = 200;
+                    constexpr int kUnavailable = 503;
+                    respond(http::Response{.status = self->isReady() ? kOk : kUnavailable});
+                });
+        peerServer_ = std::make_unique<http::Server>(
+                loop_, [self = shared_from_this()](const http::Request &request,
+                                                   const http::Responder &respond) {
+                    respond(answerPeer(request, self->driver_.get()));
+                });
+        for (const auto &[server, endpoint] : {std::pair(callers_.get(), settings_.callers),
+                                               std::pair(readiness_.get(), settings_.readiness),
+                                               std::pair(peerServer_.get(), settings_.peers)}) {
+            if (const auto bound = server->listen(endpoint); !bound)
+                return bound;
+        }
+        loadOperatorState();
+        loadLeader();
+        runElection();
+        base::logEvent(base::Event::DaemonStarted,
+                       {{"node", settings_.name}, {"incarnation", incarnation_}});
+        return base::ok();
+    }
+
+    void stop(std::function<void()> stopped)
+    {
+        base::logEvent(base::Event::DaemonDraining, {{"node", settings_.name}});
+        isStopping_ = true;
+        election_.release();
+        dropDriver("stop");
+        callers_->drain();
+        stopRequestedAt_ = systemNow().steady;
+        pollStop(std::move(stopped));
+    }
+
+private:
+    bool isReady() const
+    {
+        return !isStopping_ && configuration_.has_value()
+               && systemNow().steady - storeAnsweredAt_ < kStoreSilenceMs;
+    }
+
+    DriverQuery driverQuery()
+    {
+        return {.state =
+                        [this](const std::string &id, std::function<void(DriverAnswer)> done) {
+                            if (driver_)
+                                return done(answerState(*driver_, id));
+                            peers_->askState(id, std::move(done));
+                        },
+                .waiting =
+                        [this](const std::string &queue, std::function<void(DriverAnswer)> done) {
+                            if (driver_)
+                                return done(answerWaiting(*driver_, queue));
+                            peers_->askWaiting(queue, std::move(done));
+                        }};
+    }
+
+    void later(std::function<void()> action)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kRetryPause);
+        timer->async_wait(
+                [timer, action = std::move(action)](const boost::system::error_code &error) {
+                    if (!error)
+                        action();
+                });
+    }
+
+    void noteStoreAnswer()
+    {
+        const scheduler::Millis now = systemNow().steady;
+        if (isStoreSilent_)
+            base::logEvent(base::Event::PlatformRecovered,
+                           {{"silent_ms", std::to_string(now - storeAnsweredAt_)}});
+        isStoreSilent_ = false;
+        storeAnsweredAt_ = now;
+    }
+
+    void noteStoreFailure(const char *call, const base::Error &error)
+    {
+        if (!isStoreSilent_)
+            base::logEvent(base::Event::PlatformUnreachable,
+                           {{"call", call}, {"reason", error.message}});
+        isStoreSilent_ = true;
+    }
+
+    void loadOperatorState()
+    {
+        ports_.operators->load(
+                [self = shared_from_this()](const base::Result<OperatorState> &state) {
+                    if (!state) {
+                        self->noteStoreFailure("load-configuration", state.error());
+                        return self->later([self] { self->loadOperatorState(); });
+                    }
+                    self->noteStoreAnswer();
+                    self->apply(state.value());
+                    self->watchOperatorState();
+                });
+    }
+
+    void watchOperatorState()
+    {
+        ports_.operators->watch(
+                operatorVersion_, kOperatorWatch,
+                [self = shared_from_this()](const base::Result<OperatorState> &state) {
+                    if (!state) {
+                        self->noteStoreFailure("watch-configuration", state.error());
+                        const bool isGap = state.error().code == base::Code::HistoryUnavailable;
+                        return self->later([self, isGap] {
+                            if (isGap)
+                                self->loadOperatorState();
+                            else
+                                self->watchOperatorState();
+                        });
+                    }
+                    self->noteStoreAnswer();
+                    self->apply(state.value());
+                    self->watchOperatorState();
+                });
+    }
+
+    void apply(const OperatorState &state)
+    {
+        operatorVersion_ = std::max(operatorVersion_, state.version);
+        for (const WaveRequest &wave : state.waves)
+            waves_[wave.number] = wave;
+        if (driver_ && !state.waves.empty())
+            driver_->setWaves(waveList());
+        const auto &next = state.configuration;
+        if (!next || (configuration_ && next->version <= configuration_->version))
+            return;
+        configuration_ = next;
+        intake_->configure(*next);
+        if (driver_)
+            driver_->configure(*next);
+        base::logEvent(base::Event::ConfigApplied,
+                       {{"version", std::to_string(next->version)},
+                        {"routes", std::to_string(next->routes.size())}});
+    }
+
+    std::vector<WaveRequest> waveList() const
+    {
+        std::vector<WaveRequest> waves;
+        for (const auto &[number, wave] : waves_)
+            waves.push_back(wave);
+        return waves;
+    }
+
+    void observeRows(const std::vector<Row> &rows)
+    {
+        for (const Row &row : rows) {
+            const auto record = decodeLeader(row.value);
+            if (row.key.key != layout::leaderRow().key || row.isRemoved || !record)
+                continue;
+            election_.observe(row.version, record.value(), systemNow().steady);
+        }
+        peers_->setLeader(election_.record().peerAddress);
+        followElection();
+    }
+
+    void loadLeader()
+    {
+        const RowKey key = layout::leaderRow();
+        ports_.table->read({.table = key.table, .part = key.part}, kElectionTimeout,
+                           [self = shared_from_this()](const base::Result<RowPage> &page) {
+                               if (!page)
+                                   return self->later([self] { self->loadLeader(); });
+                               const bool isAbsent = page.value().rows.empty();
+                               if (isAbsent)
+                                   self->election_.observe(0, {}, systemNow().steady);
+                               self->observeRows(page.value().rows);
+                               self->leaderVersion_ = page.value().version;
+                               self->watchLeader();
+                           });
+    }
+
+    void watchLeader()
+    {
+        ports_.table->watch(layout::kLeader, leaderVersion_, kLeaderWatch,
+                            [self = shared_from_this()](const base::Result<RowPage> &page) {
+                                if (!page && page.error().code == base::Code::HistoryUnavailable)
+                                    return self->loadLeader();
+                                if (!page)
+                                    return self->later([self] { self->watchLeader(); });
+                                self->leaderVersion_ =
+                                        std::max(self->leaderVersion_, page.value().version);
+                                self->observeRows(page.value().rows);
+                                self->watchLeader();
+                            });
+    }
+
+    void runElection()
+    {
+        followElection();
+        if (const auto write = election_.nextWrite(systemNow().steady))
+            writeLeader(*write);
+        electionTimer_.expires_after(kElectionPeriod);
+        electionTimer_.async_wait(
+                [self = shared_from_this()](const boost::system::error_code &error) {
+                    if (!error)
+                        self->runElection();
+                });
+    }
+
+    void writeLeader(const LeaderWrite &write)
+    {
+        const RowKey key = layout::leaderRow();
+        ports_.table->transact(
+                {.conditions = {{.key = key, .version = write.expected}},
+                 .writes = {{.key = key, .value = encode(write.record)}}},
+                kElectionTimeout,
+                [self = shared_from_this()](const base::Result<TransactionResult> &result) {
+                    const scheduler::Millis now = systemNow().steady;
+                    if (result && result.value().isCommitted) {
+                        self->election_.committed(result.value().version, now);
+                        self->followElection();
+                        return;
+                    }
+                    self->election_.writeFailed(now);
+                    if (result)
+                        self->observeRows(result.value().current);
+                });
+    }
+
+    // Starts and ends the driver as the election says. While the lease is in doubt the driver stays
+    // but gives no orders; it ends when another daemon holds the row.
+    void followElection()
+    {
+        if (driver_ && (!election_.holdsRow() || election_.term() != driverTerm_))
+            dropDriver("superseded");
+        const bool leads = election_.isLeading(systemNow().steady);
+        if (driver_ || !leads || !configuration_ || isStopping_)
+            return;
+        driverTerm_ = election_.term();
+        base::logEvent(base::Event::OwnershipTaken, {{"term", std::to_string(driverTerm_)}});
+        scheduler::SchedulerSettings scheduling;
+        constexpr scheduler::Millis kLeaseMarginMs = 500;
+        scheduling.fence = driverTerm_;
+        scheduling.maxLeaseMs = settings_.maxLeaseMs;
+        scheduling.leaseMs = settings_.maxLeaseMs - kLeaseMarginMs;
+        scheduling.retentionMs = settings_.statusRetentionMs;
+        driver_ = std::make_unique<Driver>(
+                ports_,
+                DriverHooks{.clock = systemNow,
+                            .mayOrder =
+                                    [self = shared_from_this()] {
+                                        return self->election_.isLeading(systemNow().steady);
+                                    },
+                            .onFenced = [self = shared_from_this()] { self->onFenced(); }},
+                scheduling);
+        driver_->configure(*configuration_);
+        driver_->setWaves(waveList());
+        driver_->start();
+    }
+
+    // A worker has seen a newer term. The row shows it soon; until then no order is given, because
+    // each one is refused.
+    void onFenced() { base::logEvent(base::Event::LeadershipLost, {{"reason", "fenced"}}); }
+
+    void dropDriver(const char *reason)
+    {
+        if (!driver_)
+            return;
+        base::logEvent(base::Event::LeadershipLost,
+                       {{"reason", reason}, {"term", std::to_string(driverTerm_)}});
+        // The driver may be the caller of this function; it goes once the loop is back.
+        boost::asio::post(loop_, [driver = std::shared_ptr<Driver>(std::move(driver_))] {});
+    }
+
+    void pollStop(std::function<void()> stopped)
+    {
+        const scheduler::Millis waited = systemNow().steady - stopRequestedAt_;
+        const bool isIdle = callers_->inFlight() == 0 && waited > kLeaveRotationMs;
+        if (isIdle || waited > settings_.stopGraceMs - kStopMarginMs) {
+            base::logEvent(base::Event::DaemonStopped,
+                           {{"unanswered", std::to_string(callers_->inFlight())}});
+            return stopped();
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kStopPoll);
+        timer->async_wait([self = shared_from_this(), timer, stopped](
+                                  const boost::system::error_code &) { self->pollStop(stopped); });
+    }
+
+    NodeSettings settings_;
+    DriverPorts ports_;
+    boost::asio::io_context &loop_;
+    std::string incarnation_;
+    base::Rng rng_;
+    LeaderElection election_;
+    std::shared_ptr<PeerQueries> peers_;
+    std::shared_ptr<Intake> intake_;
+    boost::asio::steady_timer electionTimer_;
+    std::unique_ptr<http::Server> callers_;
+    std::unique_ptr<http::Server> readiness_;
+    std::unique_ptr<http::Server> peerServer_;
+    std::unique_ptr<Driver> driver_;
+    Version driverTerm_ = 0;
+    std::optional<Configuration> configuration_;
+    std::map<std::int64_t, WaveRequest> waves_;
+    Version operatorVersion_ = 0;
+    Version leaderVersion_ = 0;
+    scheduler::Millis storeAnsweredAt_ = 0;
+    bool isStoreSilent_ = false;
+    bool isStopping_ = false;
+    scheduler::Millis stopRequestedAt_ = 0;
+};
+
+Node::Node(NodeSettings settings, DriverPorts ports, const CallerCodec &codec)
+    : impl_(std::make_shared<Impl>(std::move(settings), ports, codec))
+{}
+
+Node::~Node() = default;
+
+base::Result<void> Node::start()
+{
+    return impl_->start();
+}
+
+void Node::stop(std::function<void()> stopped)
+{
+    impl_->stop(std::move(stopped));
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/peer_queries.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "intake.h"
+
+#include <chicorywick/entry/driver.h>
+#include <chicorywick/http/client.h>
+
+#include <memory>
+#include <string>
+
+namespace chicorywick::entry {
+
+/// @brief Asks the leading daemon what its driver knows.
+class PeerQueries
+{
+public:
+    explicit PeerQueries(boost::asio::io_context &loop)
+        : loop_(loop)
+    {}
+
+    void setLeader(const std::string &address);
+    void askState(const std::string &id, std::function<void(DriverAnswer)> done);
+    void askWaiting(const std::string &queue, std::function<void(DriverAnswer)> done);
+
+private:
+    void ask(const std::string &target, std::function<void(DriverAnswer)> done);
+
+    boost::asio::io_context &loop_;
+    std::string address_;
+    std::unique_ptr<http::Client> client_;
+};
+
+DriverAnswer answerState(const Driver &driver, const std::string &id);
+DriverAnswer answerWaiting(const Driver &driver, const std::string &queue);
+
+/// @brief Serves the questions that PeerQueries asks; driver may be null.
+http::Response answerPeer(const http::Request &request, const Driver *driver);
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/progress_journal.cpp
@@ -0,0 +1,127 @@
+#include "progress_journal.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Ends that come within this time share one write; it is small against a task's run time.
+constexpr auto kGatherTime = 15ms;
+constexpr auto kRetryPause = 150ms;
+constexpr auto kWriteTimeout = 1000ms;
+// The store takes 100 entries a call; each row needs two, a condition and a value.
+constexpr std::size_t kRowsPerWrite = 48;
+
+} // namespace
+
+ProgressJournal::ProgressJournal(boost::asio::io_context &loop, Table &table,
+                                 scheduler::Scheduler &scheduler)
+    : loop_(loop)
+    , table_(table)
+    , scheduler_(scheduler)
+    , timer_(loop)
+{}
+
+void ProgressJournal::stop()
+{
+    isStopped_ = true;
+    timer_.cancel();
+}
+
+bool ProgressJournal::isPending(const std::string &id) const
+{
+    return unwritten_.contains(id) || scheduler_.isDirty(id);
+}
+
+void ProgressJournal::request()
+{
+    if (isBusy_ || isStopped_)
+        return;
+    isBusy_ = true;
+    timer_.expires_after(kGatherTime);
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->flush();
+    });
+}
+
+void ProgressJournal::flush()
+{
+    if (isStopped_)
+        return;
+    batch_ = scheduler_.batch();
+    for (std::string &id : scheduler_.takeDirtyJobs())
+        unwritten_.insert(std::move(id));
+    writeChunk();
+}
+
+void ProgressJournal::writeChunk()
+{
+    Transaction transaction;
+    std::vector<std::string> ids;
+    for (auto item = unwritten_.begin(); item != unwritten_.end() && ids.size() < kRowsPerWrite;) {
+        const auto progress = scheduler_.progressOf(*item);
+        if (!progress) {
+            item = unwritten_.erase(item);
+            continue;
+        }
+        const RowKey key = layout::progressRow(*item);
+        transaction.conditions.push_back({.key = key, .version = versions_[*item]});
+        transaction.writes.push_back({.key = key, .value = encode(*progress)});
+        ids.push_back(*item);
+        ++item;
+    }
+    if (ids.empty()) {
+        isBusy_ = false;
+        scheduler_.progressStored(batch_);
+        return;
+    }
+    table_.transact(
+            transaction, kWriteTimeout,
+            [self = shared_from_this(), ids](const base::Result<TransactionResult> &result) {
+                if (!self->isStopped_)
+                    self->handleResult(ids, result);
+            });
+}
+
+void ProgressJournal::handleResult(const std::vector<std::string> &ids,
+                                   const base::Result<TransactionResult> &result)
+{
+    if (!result)
+        return retryLater();
+    if (!result.value().isCommitted) {
+        for (const Row &row : result.value().current) {
+            versions_[row.key.key] = row.version;
+            const auto stored = decodeProgress(row.value);
+            if (row.version != 0 && stored)
+                scheduler_.mergeStored(row.key.key, stored.value());
+        }
+        return writeChunk();
+    }
+    for (const std::string &id : ids) {
+        versions_[id] = result.value().version;
+        unwritten_.erase(id);
+    }
+    if (!unwritten_.empty())
+        return writeChunk();
+    isBusy_ = false;
+    scheduler_.progressStored(batch_);
+    if (scheduler_.hasDirtyJobs())
+        request();
+}
+
+void ProgressJournal::retryLater()
+{
+    timer_.expires_after(kRetryPause);
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error && !self->isStopped_)
+            self->writeChunk();
+    });
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/records.cpp
@@ -0,0 +1,193 @@
+#include <chicorywick/entry/records.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<const char *, 5> kStateNames = {"pending", "running", "completed", "failed",
+                                                     "cancelled"};
+
+// Rows may have been written by another version; whatever does not fit is one error, not a crash.
+template <typename T, typename Read>
+base::Result<T> decodeWith(const std::string &text, const char *what, Read read)
+{
+    try {
+        return read(Json::parse(text));
+    } catch (const Json::exception &error) {
+        return base::makeError(base::Code::PlatformMalformedResponse,
+                               std::string(what) + ": " + error.what());
+    }
+}
+
+void putUnlessDefault(Json &object, const char *key, const Json &value, const Json &fallback)
+{
+    if (value != fallback)
+        object[key] = value;
+}
+
+Json encodeStep(const scheduler::StepSpec &step)
+{
+    Json json{{"tasks", step.taskCount},
+              {"cpu", step.demand.cpuMillis},
+              {"memory", step.demand.memoryMib},
+              {"estimate", step.estimatedMs}};
+    putUnlessDefault(json, "accelerators", step.demand.accelerators, 0);
+    putUnlessDefault(json, "after", step.after, Json::array());
+    putUnlessDefault(json, "checkpoints", step.isCheckpointing, false);
+    putUnlessDefault(json, "gang", step.isGang, false);
+    putUnlessDefault(json, "oneRack", step.needsOneRack, false);
+    putUnlessDefault(json, "copies", step.allowsCopies, false);
+    putUnlessDefault(json, "perpetual", step.isPerpetual, false);
+    putUnlessDefault(json, "leftover", step.usesLeftoverCpu, false);
+    putUnlessDefault(json, "label", step.requiredLabel, "");
+    putUnlessDefault(json, "rack", step.preferredRack, "");
+    putUnlessDefault(json, "image", step.image, "");
+    putUnlessDefault(json, "perWorker", step.maxPerWorker, 0);
+    putUnlessDefault(json, "latency", step.latencyTargetMs, 0);
+    putUnlessDefault(json, "unavailable", step.maxUnavailable, 0);
+    return json;
+}
+
+scheduler::StepSpec decodeStep(const Json &json)
+{
+    return {.taskCount = json.at("tasks"),
+            .demand = {.cpuMillis = json.at("cpu"),
+                       .memoryMib = json.at("memory"),
+                       .accelerators = json.value("accelerators", std::int64_t{0})},
+            .estimatedMs = json.at("estimate"),
+            .after = json.value("after", std::vector<int>()),
+            .isCheckpointing = json.value("checkpoints", false),
+            .isGang = json.value("gang", false),
+            .needsOneRack = json.value("oneRack", false),
+            .allowsCopies = json.value("copies", false),
+            .isPerpetual = json.value("perpetual", false),
+            .usesLeftoverCpu = json.value("leftover", false),
+            .requiredLabel = json.value("label", ""),
+            .preferredRack = json.value("rack", ""),
+            .image = json.value("image", ""),
+            .maxPerWorker = json.value("perWorker", 0),
+            .latencyTargetMs = json.value("latency", scheduler::Millis{0}),
+            .maxUnavailable = json.value("unavailable", 0)};
+}
+
+} // namespace
+
+const char *jobStateName(scheduler::JobState state)
+{
+    return kStateNames[static_cast<std::size_t>(state)];
+}
+
+std::string encode(const LeaderRecord &record)
+{
+    return Json{{"holder", record.holder},
+                {"peer", record.peerAddress},
+                {"term", record.term},
+                {"beat", record.beat}}
+            .dump();
+}
+
+base::Result<LeaderRecord> decodeLeader(const std::string &text)
+{
+    return decodeWith<LeaderRecord>(text, "leader row", [](const Json &json) {
+        return LeaderRecord{.holder = json.at("holder"),
+                            .peerAddress = json.at("peer"),
+                            .term = json.at("term"),
+                            .beat = json.at("beat")};
+    });
+}
+
+std::string encode(const scheduler::JobSpec &spec)
+{
+    Json json{{"id", spec.id},
+              {"queue", spec.queue},
+              {"payload", spec.payload},
+              {"submitted", spec.submittedWall},
+              {"steps", Json::array()}};
+    for (const scheduler::StepSpec &step : spec.steps)
+        json["steps"].push_back(encodeStep(step));
+    if (spec.repeatCount > 0) {
+        json["repeat"] = spec.repeatCount;
+        json["first"] = spec.firstStartWall;
+        json["interval"] = spec.intervalMs;
+    }
+    return json.dump();
+}
+
+base::Result<scheduler::JobSpec> decodeJob(const std::string &text)
+{
+    return decodeWith<scheduler::JobSpec>(text, "job row", [](const Json &json) {
+        scheduler::JobSpec spec{.id = json.at("id"),
+                                .queue = json.at("queue"),
+                                .payload = json.at("payload"),
+                                .repeatCount = json.value("repeat", std::int64_t{0}),
+                                .firstStartWall = json.value("first", scheduler::Millis{0}),
+                                .intervalMs = json.value("interval", scheduler::Millis{0}),
+                                .submittedWall = json.at("submitted")};
+        for (const Json &step : json.at("steps"))
+            spec.steps.push_back(decodeStep(step));
+        return spec;
+    });
+}
+
+std::string encode(const scheduler::JobProgress &progress)
+{
+    Json json{{"state", jobStateName(progress.state)}, {"begun", progress.begunOccurrences}};
+    for (const scheduler::OccurrenceProgress &open : progress.open) {
+        Json each{{"number", open.number}, {"done", open.doneTasks}};
+        for (const auto &[task, runs] : open.failedRuns)
+            each["failed"].push_back({task.first, task.second, runs});
+        json["open"].push_back(std::move(each));
+    }
+    return json.dump();
+}
+
+base::Result<scheduler::JobProgress> decodeProgress(const std::string &text)
+{
+    return decodeWith<scheduler::JobProgress>(text, "progress row", [](const Json &json) {
+        scheduler::JobProgress progress{.begunOccurrences = json.at("begun")};
+        const std::string name = json.at("state");
+        for (std::size_t i = 0; i < kStateNames.size(); ++i)
+            if (name == kStateNames[i])
+                progress.state = static_cast<scheduler::JobState>(i);
+        for (const Json &each : json.value("open", Json::array())) {
+            scheduler::OccurrenceProgress open{.number = each.at("number"),
+                                               .doneTasks = each.at("done")};
+            for (const Json &failed : each.value("failed", Json::array()))
+                open.failedRuns[{failed.at(0).get<int>(), failed.at(1).get<int>()}] =
+                        failed.at(2).get<std::set<std::int64_t>>();
+            progress.open.push_back(std::move(open));
+        }
+        return progress;
+    });
+}
+
+std::string encode(const std::vector<scheduler::WorkerEntry> &roster)
+{
+    Json json = Json::array();
+    for (const scheduler::WorkerEntry &entry : roster)
+        json.push_back({entry.id, entry.service, entry.address, entry.machine, entry.born});
+    return json.dump();
+}
+
+base::Result<std::vector<scheduler::WorkerEntry>> decodeRoster(const std::string &text)
+{
+    using Roster = std::vector<scheduler::WorkerEntry>;
+    return decodeWith<Roster>(text, "roster row", [](const Json &json) {
+        Roster roster;
+        for (const Json &each : json)
+            roster.push_back({.id = each.at(0),
+                              .service = each.at(1),
+                              .address = each.at(2),
+                              .machine = each.at(3),
+                              .born = each.at(4)});
+        return roster;
+    });
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/table.cpp
@@ -0,0 +1,38 @@
+#include <chicorywick/entry/table.h>
+
+#include <memory>
+
+namespace chicorywick::entry {
+
+namespace {
+
+void readNext(Table &table, RowRange range, std::chrono::milliseconds timeout,
+              const std::shared_ptr<RowPage> &collected, Callback<RowPage> done)
+{
+    table.read(range, timeout,
+               [&table, range, timeout, collected, done](base::Result<RowPage> page) {
+                   if (!page)
+                       return done(page.error());
+                   const bool isFirst = collected->version == 0;
+                   if (isFirst)
+                       collected->version = page.value().version;
+                   for (Row &row : page.value().rows)
+                       collected->rows.push_back(std::move(row));
+                   if (!page.value().hasMore || collected->rows.empty())
+                       return done(std::move(*collected));
+                   RowRange next = range;
+                   // The smallest key behind the last one.
+                   next.from = collected->rows.back().key.key + '\x01';
+                   readNext(table, next, timeout, collected, done);
+               });
+}
+
+} // namespace
+
+void readAll(Table &table, RowRange range, std::chrono::milliseconds timeout,
+             Callback<RowPage> done)
+{
+    readNext(table, std::move(range), timeout, std::make_shared<RowPage>(), std::move(done));
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/wave_runner.cpp
@@ -0,0 +1,194 @@
+#include "wave_runner.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/scheduler/upkeep_plan.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorywick::entry {
+
+namespace {
+
+// The list is read once so often while a wave is under way; an upkeep takes about two seconds.
+constexpr scheduler::Millis kListPeriodMs = 500;
+// An order without an answer counts as carried out for so long, then it is repeated; repeating is
+// harmless.
+constexpr scheduler::Millis kUnknownOrderMs = 3'000;
+
+} // namespace
+
+WaveRunner::WaveRunner(WaveRunnerPorts ports, std::function<scheduler::Now()> clock,
+                       scheduler::Scheduler &scheduler, std::int64_t fence)
+    : ports_(ports)
+    , clock_(std::move(clock))
+    , scheduler_(scheduler)
+    , fence_(fence)
+{}
+
+void WaveRunner::setWaves(const std::vector<WaveRequest> &waves)
+{
+    for (const WaveRequest &request : waves) {
+        Wave &wave = waves_[request.number];
+        if (!(wave.request == request))
+            wave.isCompleted = false;
+        wave.request = request;
+    }
+}
+
+void WaveRunner::tick()
+{
+    const bool isActive = std::any_of(waves_.begin(), waves_.end(),
+                                      [](const auto &item) { return !item.second.isCompleted; });
+    if (!isActive) {
+        for (const std::string &worker : cordoned_)
+            scheduler_.setCordoned(worker, false);
+        cordoned_.clear();
+        return;
+    }
+    if (!isListing_ && clock_().steady - listedAt_ >= kListPeriodMs)
+        requestList();
+    if (!hasList_)
+        return;
+    std::set<std::string> before = std::exchange(cordoned_, {});
+    for (auto &[number, wave] : waves_)
+        if (!wave.isCompleted)
+            plan(wave);
+    for (const std::string &worker : before)
+        if (!cordoned_.contains(worker))
+            scheduler_.setCordoned(worker, false);
+}
+
+void WaveRunner::requestList()
+{
+    isListing_ = true;
+    listedAt_ = clock_().steady;
+    ports_.machines->list([self = shared_from_this(), askedAt = listedAt_](
+                                  const base::Result<std::vector<Machine>> &machines) {
+        self->isListing_ = false;
+        if (self->isStopped_ || !machines)
+            return;
+        self->applyList(machines.value(), askedAt);
+    });
+}
+
+void WaveRunner::applyList(const std::vector<Machine> &machines, scheduler::Millis askedAt)
+{
+    hasList_ = true;
+    machines_.clear();
+    for (const Machine &machine : machines)
+        machines_.emplace(machine.name, machine);
+    for (auto &[number, wave] : waves_)
+        for (auto item = wave.down.begin(); item != wave.down.end();) {
+            const auto listed = machines_.find(item->first);
+            const bool isBack = listed == machines_.end()
+                                || (listed->second.state == MachineState::Up
+                                    && listed->second.workerId != item->second
+                                    && wave.orderedAt[item->first] < askedAt);
+            const bool isStale = !wave.begun.contains(item->first)
+                                 && clock_().steady - wave.orderedAt[item->first] > kUnknownOrderMs;
+            item = isBack || isStale ? wave.down.erase(item) : std::next(item);
+        }
+}
+
+void WaveRunner::plan(Wave &wave)
+{
+    if (!wave.isReportedRunning)
+        report(wave, false);
+    std::map<std::string, scheduler::WorkerView> views;
+    for (scheduler::WorkerView &view : scheduler_.workers())
+        views.emplace(view.entry.id, view);
+    std::vector<scheduler::UpkeepCandidate> candidates;
+    int down = static_cast<int>(wave.down.size());
+    bool isLeft = false;
+    for (const std::string &name : wave.request.machines) {
+        const auto listed = machines_.find(name);
+        const bool isOurs = wave.down.contains(name);
+        if (listed != machines_.end() && listed->second.state == MachineState::Upkeep && !isOurs)
+            ++down;
+        if (wave.begun.contains(name) || listed == machines_.end())
+            continue;
+        isLeft = true;
+        if (isOurs)
+            continue;
+        const Machine &machine = listed->second;
+        scheduler::UpkeepCandidate candidate{.machine = name,
+                                             .workerId = machine.workerId,
+                                             .service = machine.pool,
+                                             .isUp = machine.state == MachineState::Up};
+        const auto view = views.find(machine.workerId);
+        if (view != views.end()) {
+            candidate.tasks = view->second.tasks;
+            candidate.mayDisrupt = scheduler_.mayDisrupt(machine.workerId);
+            // Emptying takes effect only once no start can be on its way.
+            if (!view->second.isCordoned && candidate.tasks == 0)
+                candidate.tasks = view->second.isUsable ? 1 : 0;
+        } else {
+            candidate.workerId.clear();
+        }
+        candidates.push_back(std::move(candidate));
+    }
+    if (!isLeft && wave.down.empty()) {
+        if (!wave.isReporting)
+            report(wave, true);
+        return;
+    }
+    const auto next = scheduler::planUpkeep(candidates,
+                                            {.maxAtOnce = wave.request.maxAtOnce, .downNow = down});
+    for (const std::string &worker : next.cordoned) {
+        cordoned_.insert(worker);
+        scheduler_.setCordoned(worker, true);
+    }
+    for (const std::string &machine : next.begin)
+        order(wave, machine);
+}
+
+void WaveRunner::order(Wave &wave, const std::string &machine)
+{
+    const std::int64_t number = wave.request.number;
+    wave.down[machine] = machines_[machine].workerId;
+    wave.orderedAt[machine] = clock_().steady;
+    ports_.machines->maintain(
+            machine, number, fence_,
+            [self = shared_from_this(), number, machine](MachineOrderStatus status) {
+                if (self->isStopped_)
+                    return;
+                Wave &ordered = self->waves_[number];
+                base::logEvent(base::Event::MachineOrdered,
+                               {{"machine", machine},
+                                {"wave", std::to_string(number)},
+                                {"status", std::to_string(static_cast<int>(status))}});
+                if (status == MachineOrderStatus::Unknown)
+                    return; // it stays down until the list or the time-out says otherwise
+                ordered.orderedAt[machine] = self->clock_().steady;
+                if (status == MachineOrderStatus::Accepted
+                    || status == MachineOrderStatus::NoSuchMachine
+                    || status == MachineOrderStatus::NotOfWave)
+                    ordered.begun.insert(machine);
+                if (status != MachineOrderStatus::Accepted)
+                    ordered.down.erase(machine);
+            });
+}
+
+void WaveRunner::report(Wave &wave, bool isCompleted)
+{
+    if (wave.isReporting)
+        return;
+    wave.isReporting = true;
+    const std::int64_t number = wave.request.number;
+    ports_.operators->reportWave(
+            number, isCompleted,
+            [self = shared_from_this(), number, isCompleted](const base::Result<bool> &stored) {
+                Wave &reported = self->waves_[number];
+                reported.isReporting = false;
+                if (!stored)
+                    return; // the next tick reports again
+                reported.isReportedRunning = true;
+                reported.isCompleted = isCompleted;
+                base::logEvent(isCompleted ? base::Event::WaveFinished : base::Event::WaveStarted,
+                               {{"wave", std::to_string(number)},
+                                {"machines", std::to_string(reported.request.machines.size())}});
+            });
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/wave_runner.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chicorywick/entry/ports.h>
+#include <chicorywick/scheduler/scheduler.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace chicorywick::entry {
+
+struct WaveRunnerPorts
+{
+    MachinePort *machines = nullptr;
+    OperatorPort *operators = nullptr;
+};
+
+/// @brief Carries out the operators' maintenance waves one machine after another.
+class WaveRunner : public std::enable_shared_from_this<WaveRunner>
+{
+public:
+    WaveRunner(WaveRunnerPorts ports, std::function<scheduler::Now()> clock,
+               scheduler::Scheduler &scheduler, std::int64_t fence);
+
+    void stop() { isStopped_ = true; }
+    void setWaves(const std::vector<WaveRequest> &waves);
+    void tick();
+
+private:
+    struct Wave
+    {
+        WaveRequest request;
+        std::set<std::string> begun;
+        std::map<std::string, std::string> down; ///< machines ordered, with their former workers
+        std::map<std::string, scheduler::Millis> orderedAt;
+        bool isReportedRunning = false;
+        bool isCompleted = false;
+        bool isReporting = false;
+    };
+
+    void requestList();
+    void applyList(const std::vector<Machine> &machines, scheduler::Millis askedAt);
+    void plan(Wave &wave);
+    void order(Wave &wave, const std::string &machine);
+    void report(Wave &wave, bool isCompleted);
+
+    WaveRunnerPorts ports_;
+    std::function<scheduler::Now()> clock_;
+    scheduler::Scheduler &scheduler_;
+    std::int64_t fence_;
+    std::map<std::int64_t, Wave> waves_;
+    std::map<std::string, Machine> machines_;
+    std::set<std::string> cordoned_;
+    scheduler::Millis listedAt_ = 0;
+    bool isListing_ = false;
+    bool hasList_ = false;
+    bool isStopped_ = false;
+};
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/http/include/chicorywick/http/client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chicorywick/base/result.h>
+#include <chicorywick/http/message.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace chicorywick::http {
+
+/// @brief Limits of the connections to one origin.
+struct ClientLimits
+{
+    std::size_t maxConnections = 4;
+    std::chrono::milliseconds connectTimeout{700};
+    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+
+    bool operator==(const ClientLimits &) const = default;
+};
+
+/// @brief Fails with UpstreamUnreachable when nothing was sent and with UpstreamOutcomeUnknown when
+/// the request may have been carried out.
+using ResponseCallback = std::function<void(base::Result<Response>)>;
+
+/// @brief Keep-alive connections to one origin, on an event loop.
+class Client
+{
+public:
+    Client(boost::asio::io_context &loop, Endpoint origin, ClientLimits limits = {});
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /// @brief Sends when a connection is free; the timeout runs from now.
+    void send(Request request, std::chrono::milliseconds timeout, ResponseCallback done);
+
+    const Endpoint &origin() const;
+
+private:
+    struct Pool;
+    class Connection;
+
+    std::shared_ptr<Pool> pool_;
+};
+
+} // namespace chicorywick::http
--- /dev/null
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <chicorywick/scheduler/model.h>
+#include <chicorywick/scheduler/task_id.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicorywick::scheduler {
+
+enum class TaskPhase {
+    Blocked, ///< waits for earlier steps
+    Ready,
+    Starting, ///< ordered, not yet confirmed
+    Running,
+    Stopping,
+    Done,
+};
+
+/// @brief One task and its current run.
+struct Task
+{
+    TaskPhase phase = TaskPhase::Blocked;
+    std::int64_t run = 0; ///< the highest run number used
+    std::set<std::int64_t> failedRuns;
+    std::string worker; ///< empty unless Starting, Running or Stopping
+    std::string avoid;  ///< the worker on which the last run failed
+    std::string checkpoint;
+    Millis phaseSince = 0;
+    Millis orderAnsweredAt = 0; ///< when the latest start or stop order was answered
+    int orderedStarts = 0;      ///< start orders of which the answer is outstanding
+    bool isStopConfirmed = false;
+    bool isStopPending = false;
+    int percent = 0;
+    int pacePercent = 100;
+    std::int64_t load = 0;
+};
+
+/// @brief The stored part of an occurrence that has not finished.
+struct OccurrenceProgress
+{
+    std::int64_t number = 0;
+    std::vector<std::set<int>> doneTasks;                             ///< by step
+    std::map<std::pair<int, int>, std::set<std::int64_t>> failedRuns; ///< by step and index
+
+    bool operator==(const OccurrenceProgress &) const = default;
+};
+
+/// @brief What lasts of a job's progress; everything else is learnt from the workers again.
+struct JobProgress
+{
+    JobState state = JobState::Pending;
+    std::int64_t begunOccurrences = 0;
+    std::vector<OccurrenceProgress> open;
+
+    bool operator==(const JobProgress &) const = default;
+};
+
+/// @brief Both sides' facts about one job: ends and failures are never unlearnt.
+JobProgress mergeProgress(const JobProgress &left, const JobProgress &right);
+
+/// @brief One run of all steps of a job.
+struct Occurrence
+{
+    std::int64_t number = 0;
+    std::vector<std::vector<Task>> steps;
+    std::vector<int> doneCounts;
+
+    bool isDone(const JobSpec &spec) const;
+};
+
+/// @brief An accepted job with the state of its tasks.
+class Job
+{
+public:
+    Job(JobSpec spec, Millis acceptedSteady);
+
+    const JobSpec &spec() const { return spec_; }
+    JobState state() const;
+    bool isCancelled() const { return isCancelled_; }
+    Millis acceptedSteady() const { return acceptedSteady_; }
+    Millis endedSteady() const { return endedSteady_; }
+
+    /// @brief Takes over stored progress.
+    void restore(const JobProgress &progress);
+    JobProgress progress() const;
+
+    /// @brief Begins the occurrences that are due; returns their numbers.
+    std::vector<std::int64_t> beginDue(Millis wall);
+
+    Occurrence *occurrence(std::int64_t number);
+    Task *task(const TaskId &id);
+    std::map<std::int64_t, Occurrence> &occurrences() { return occurrences_; }
+    const std::map<std::int64_t, Occurrence> &occurrences() const { return occurrences_; }
+
+    /// @brief Marks a task done; returns the steps that become ready by it.
+    std::vector<int> finishTask(const TaskId &id, Millis steady);
+
+    void noteStart() { hasStarted_ = true; }
+    void cancel(Millis steady);
+    void fail(Millis steady);
+
+    /// @brief The longest estimated chain of work from a step to the end.
+    Millis remainingChain(int step) const
+    {
+        return remainingChain_[static_cast<std::size_t>(step)];
+    }
+    Millis totalChain() const { return totalChain_; }
+    bool isPerpetual() const;
+
+private:
+    bool isStepReady(const Occurrence &occurrence, std::size_t step) const;
+    Occurrence &beginOccurrence(std::int64_t number);
+    std::int64_t occurrenceCount() const { return spec_.repeatCount > 0 ? spec_.repeatCount : 1; }
+
+    JobSpec spec_;
+    Millis acceptedSteady_;
+    Millis endedSteady_ = 0;
+    std::vector<Millis> remainingChain_;
+    Millis totalChain_ = 0;
+    std::map<std::int64_t, Occurrence> occurrences_; ///< begun and not finished
+    std::int64_t begunOccurrences_ = 0;
+    bool hasStarted_ = false;
+    bool isCancelled_ = false;
+    bool hasFailed_ = false;
+    bool isCompleted_ = false;
+};
+
+} // namespace chicorywick::scheduler
--- /dev/null
+++ b/packages/scheduler/src/job.cpp
@@ -0,0 +1,264 @@
+#include <chicorywick/scheduler/job.h>
+
+#include <algorithm>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// Steps refer only to earlier ones, so one pass from the end finds the longest chains.
+std::vector<Millis> longestChains(const std::vector<StepSpec> &steps)
+{
+    std::vector<Millis> successors(steps.size(), 0);
+    std::vector<Millis> chains(steps.size(), 0);
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        chains[i] = steps[i].estimatedMs + successors[i];
+        for (const int before : steps[i].after) {
+            Millis &longest = successors[static_cast<std::size_t>(before)];
+            longest = std::max(longest, chains[i]);
+        }
+    }
+    return chains;
+}
+
+JobState furthest(JobState left, JobState right)
+{
+    return std::max(left, right);
+}
+
+} // namespace
+
+bool Occurrence::isDone(const JobSpec &spec) const
+{
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        if (doneCounts[step] < spec.steps[step].taskCount)
+            return false;
+    }
+    return true;
+}
+
+JobProgress mergeProgress(const JobProgress &left, const JobProgress &right)
+{
+    JobProgress merged = left;
+    merged.state = furthest(left.state, right.state);
+    merged.begunOccurrences = std::max(left.begunOccurrences, right.begunOccurrences);
+    // An occurrence that one side has begun and does not list has finished there.
+    std::erase_if(merged.open, [&right](const OccurrenceProgress &mine) {
+        const bool isListed = std::any_of(
+                right.open.begin(), right.open.end(),
+                [&mine](const OccurrenceProgress &other) { return other.number == mine.number; });
+        return mine.number < right.begunOccurrences && !isListed;
+    });
+    for (const OccurrenceProgress &other : right.open) {
+        const auto mine = std::find_if(
+                merged.open.begin(), merged.open.end(),
+                [&other](const OccurrenceProgress &open) { return open.number == other.number; });
+        if (mine == merged.open.end()) {
+            if (other.number >= left.begunOccurrences)
+                merged.open.push_back(other);
+            continue;
+        }
+        mine->doneTasks.resize(std::max(mine->doneTasks.size(), other.doneTasks.size()));
+        for (std::size_t step = 0; step < other.doneTasks.size(); ++step)
+            mine->doneTasks[step].insert(other.doneTasks[step].begin(),
+                                         other.doneTasks[step].end());
+        for (const auto &[task, runs] : other.failedRuns)
+            mine->failedRuns[task].insert(runs.begin(), runs.end());
+    }
+    return merged;
+}
+
+Job::Job(JobSpec spec, Millis acceptedSteady)
+    : spec_(std::move(spec))
+    , acceptedSteady_(acceptedSteady)
+    , remainingChain_(longestChains(spec_.steps))
+{
+    for (const Millis chain : remainingChain_)
+        totalChain_ = std::max(totalChain_, chain);
+}
+
+JobState Job::state() const
+{
+    if (isCompleted_)
+        return JobState::Completed;
+    if (hasFailed_)
+        return JobState::Failed;
+    if (isCancelled_)
+        return JobState::Cancelled;
+    return hasStarted_ ? JobState::Running : JobState::Pending;
+}
+
+bool Job::isPerpetual() const
+{
+    return std::any_of(spec_.steps.begin(), spec_.steps.end(),
+                       [](const StepSpec &step) { return step.isPerpetual; });
+}
+
+Occurrence &Job::beginOccurrence(std::int64_t number)
+{
+    Occurrence occurrence{.number = number};
+    occurrence.doneCounts.resize(spec_.steps.size(), 0);
+    for (const StepSpec &step : spec_.steps)
+        occurrence.steps.emplace_back(static_cast<std::size_t>(step.taskCount));
+    return occurrences_.emplace(number, std::move(occurrence)).first->second;
+}
+
+bool Job::isStepReady(const Occurrence &occurrence, std::size_t step) const
+{
+    return std::all_of(spec_.steps[step].after.begin(), spec_.steps[step].after.end(),
+                       [&](int before) {
+                           const auto i = static_cast<std::size_t>(before);
+                           return occurrence.doneCounts[i] >= spec_.steps[i].taskCount;
+                       });
+}
+
+std::vector<std::int64_t> Job::beginDue(Millis wall)
+{
+    std::vector<std::int64_t> begun;
+    if (isTerminal(state()))
+        return begun;
+    while (begunOccurrences_ < occurrenceCount()) {
+        const Millis due = spec_.firstStartWall + begunOccurrences_ * spec_.intervalMs;
+        if (spec_.repeatCount > 0 && due > wall)
+            break;
+        Occurrence &occurrence = beginOccurrence(begunOccurrences_);
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!isStepReady(occurrence, step))
+                continue;
+            for (Task &task : occurrence.steps[step])
+                task.phase = TaskPhase::Ready;
+        }
+        begun.push_back(begunOccurrences_++);
+    }
+    return begun;
+}
+
+void Job::restore(const JobProgress &progress)
+{
+    isCompleted_ = progress.state == JobState::Completed;
+    hasFailed_ = progress.state == JobState::Failed;
+    isCancelled_ = isCancelled_ || progress.state == JobState::Cancelled;
+    hasStarted_ = progress.state != JobState::Pending;
+    begunOccurrences_ = progress.begunOccurrences;
+    for (const OccurrenceProgress &open : progress.open) {
+        Occurrence &occurrence = beginOccurrence(open.number);
+        for (std::size_t step = 0; step < open.doneTasks.size() && step < spec_.steps.size();
+             ++step)
+            for (const int index : open.doneTasks[step]) {
+                if (index < 0 || index >= spec_.steps[step].taskCount)
+                    continue;
+                occurrence.steps[step][static_cast<std::size_t>(index)].phase = TaskPhase::Done;
+                ++occurrence.doneCounts[step];
+            }
+        for (const auto &[place, runs] : open.failedRuns) {
+            const TaskId id{.job = spec_.id,
+                            .occurrence = open.number,
+                            .step = place.first,
+                            .index = place.second};
+            if (Task *failed = task(id)) {
+                failed->failedRuns = runs;
+                failed->run = runs.empty() ? 0 : *runs.rbegin();
+            }
+        }
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!isStepReady(occurrence, step))
+                continue;
+            for (Task &ready : occurrence.steps[step])
+                if (ready.phase == TaskPhase::Blocked)
+                    ready.phase = TaskPhase::Ready;
+        }
+    }
+}
+
+JobProgress Job::progress() const
+{
+    JobProgress progress{.state = state(), .begunOccurrences = begunOccurrences_};
+    if (isTerminal(progress.state))
+        return progress;
+    for (const auto &[number, occurrence] : occurrences_) {
+        OccurrenceProgress open{.number = number};
+        open.doneTasks.resize(occurrence.steps.size());
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                const Task &each = occurrence.steps[step][index];
+                if (each.phase == TaskPhase::Done)
+                    open.doneTasks[step].insert(static_cast<int>(index));
+                if (!each.failedRuns.empty())
+                    open.failedRuns[{static_cast<int>(step), static_cast<int>(index)}] =
+                            each.failedRuns;
+            }
+        progress.open.push_back(std::move(open));
+    }
+    return progress;
+}
+
+Occurrence *Job::occurrence(std::int64_t number)
+{
+    const auto found = occurrences_.find(number);
+    return found != occurrences_.end() ? &found->second : nullptr;
+}
+
+Task *Job::task(const TaskId &id)
+{
+    Occurrence *const owner = occurrence(id.occurrence);
+    if (owner == nullptr || id.step < 0 || id.index < 0)
+        return nullptr;
+    const auto step = static_cast<std::size_t>(id.step);
+    const auto index = static_cast<std::size_t>(id.index);
+    if (step >= owner->steps.size() || index >= owner->steps[step].size())
+        return nullptr;
+    return &owner->steps[step][index];
+}
+
+std::vector<int> Job::finishTask(const TaskId &id, Millis steady)
+{
+    std::vector<int> unblocked;
+    Task *const finished = task(id);
+    if (finished == nullptr || finished->phase == TaskPhase::Done)
+        return unblocked;
+    Occurrence &owner = *occurrence(id.occurrence);
+    finished->phase = TaskPhase::Done;
+    finished->phaseSince = steady;
+    if (++owner.doneCounts[static_cast<std::size_t>(id.step)]
+        < spec_.steps[static_cast<std::size_t>(id.step)].taskCount)
+        return unblocked;
+    for (std::size_t step = 0; step < owner.steps.size(); ++step) {
+        const bool follows =
+                std::count(spec_.steps[step].after.begin(), spec_.steps[step].after.end(), id.step)
+                > 0;
+        if (!follows || !isStepReady(owner, step))
+            continue;
+        for (Task &each : owner.steps[step])
+            if (each.phase == TaskPhase::Blocked) {
+                each.phase = TaskPhase::Ready;
+                each.phaseSince = steady;
+            }
+        unblocked.push_back(static_cast<int>(step));
+    }
+    if (owner.isDone(spec_)) {
+        occurrences_.erase(id.occurrence);
+        if (occurrences_.empty() && begunOccurrences_ >= occurrenceCount()) {
+            isCompleted_ = true;
+            endedSteady_ = steady;
+        }
+    }
+    return unblocked;
+}
+
+void Job::cancel(Millis steady)
+{
+    if (isTerminal(state()))
+        return;
+    isCancelled_ = true;
+    endedSteady_ = steady;
+}
+
+void Job::fail(Millis steady)
+{
+    if (isTerminal(state()))
+        return;
+    hasFailed_ = true;
+    endedSteady_ = steady;
+}
+
+} // namespace chicorywick::scheduler
--- /dev/null
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -0,0 +1,152 @@
+#include "scheduler_worker.h"
+
+#include <chicorywick/base/log_event.h>
+
+#include <algorithm>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// A worker that fails tasks of two jobs in a row without a success between gets none for a while;
+// one failing job alone says nothing about the worker.
+constexpr int kQuarantineFailures = 2;
+constexpr Millis kFirstQuarantineMs = 3'000;
+constexpr Millis kLongestQuarantineMs = 24'000;
+
+} // namespace
+
+void Scheduler::noteWorkerResult(Worker &worker, bool isGood, const std::string &job)
+{
+    if (isGood) {
+        worker.failuresInRow = 0;
+        worker.lastFailedJob.clear();
+        worker.quarantineMs = 0;
+        return;
+    }
+    if (worker.lastFailedJob == job)
+        return;
+    worker.lastFailedJob = job;
+    if (++worker.failuresInRow < kQuarantineFailures)
+        return;
+    worker.quarantineMs =
+            std::clamp(worker.quarantineMs * 2, kFirstQuarantineMs, kLongestQuarantineMs);
+    worker.quarantinedUntil = hooks_.clock().steady + worker.quarantineMs;
+    base::logEvent(base::Event::WorkerQuarantined,
+                   {{"worker", worker.entry.id},
+                    {"failures", std::to_string(worker.failuresInRow)},
+                    {"for_ms", std::to_string(worker.quarantineMs)}});
+}
+
+void Scheduler::release(const TaskId &id, Task &task)
+{
+    Worker *const worker = workerOf(task.worker);
+    if (worker != nullptr && worker->tasks.erase(id) > 0) {
+        const JobEntry *const entry = entryOf(id.job);
+        if (entry != nullptr)
+            worker->used -= reservedFor(entry->job.spec().steps[static_cast<std::size_t>(id.step)]);
+        worker->fullUntil = 0;
+        if (worker->tasks.empty())
+            worker->idleSince = hooks_.clock().steady;
+    }
+    task.worker.clear();
+    task.isStopConfirmed = false;
+    task.isStopPending = false;
+    task.percent = 0;
+    task.pacePercent = 100;
+}
+
+void Scheduler::requeue(JobEntry &entry, const TaskId &id, Task &task)
+{
+    release(id, task);
+    task.phase = TaskPhase::Ready;
+    task.phaseSince = hooks_.clock().steady;
+    enqueue(entry, id);
+}
+
+void Scheduler::handleDone(JobEntry &entry, const EndedTask &end)
+{
+    Task *const task = entry.job.task(end.task);
+    if (task == nullptr || task->phase == TaskPhase::Done)
+        return;
+    dequeue(entry, end.task);
+    const bool runsElsewhere = !task->worker.empty() && task->run != end.run;
+    if (runsElsewhere)
+        sendStop(end.task, task->run, task->worker);
+    release(end.task, *task);
+    entry.job.noteStart();
+    markDirty(end.task.job);
+    // A job that is over takes note of the end only for its own record.
+    const bool wasOver = isTerminal(entry.job.state());
+    const std::vector<int> unblocked = entry.job.finishTask(end.task, hooks_.clock().steady);
+    if (wasOver)
+        return;
+    if (isTerminal(entry.job.state())) {
+        finishJob(entry);
+        return;
+    }
+    if (!unblocked.empty())
+        enqueueReady(entry);
+}
+
+void Scheduler::handleFailure(JobEntry &entry, Worker &worker, const EndedTask &end)
+{
+    Task *const task = entry.job.task(end.task);
+    if (task == nullptr || task->phase == TaskPhase::Done)
+        return;
+    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(end.task.step)];
+    const QueuePolicy *const policy = policyOf(entry.job);
+    const bool isNew = task->failedRuns.insert(end.run).second;
+    if (isNew) {
+        markDirty(end.task.job);
+        noteWorkerResult(worker, false, end.task.job);
+    }
+    const bool isCurrent = task->worker == worker.entry.id && task->run <= end.run;
+    if (isCurrent) {
+        task->avoid = worker.entry.id;
+        requeue(entry, end.task, *task);
+    }
+    const int attempts = static_cast<int>(task->failedRuns.size());
+    const bool isSpent = policy != nullptr && !step.isPerpetual && attempts >= policy->maxAttempts;
+    base::logEvent(base::Event::JobAttemptLost, {{"task", end.task.text()},
+                                                 {"run", std::to_string(end.run)},
+                                                 {"worker", worker.entry.id},
+                                                 {"how", "failed"},
+                                                 {"attempts", std::to_string(attempts)}});
+    if (isSpent && !isTerminal(entry.job.state())) {
+        entry.job.fail(hooks_.clock().steady);
+        finishJob(entry);
+    }
+}
+
+void Scheduler::handleEnd(Worker &worker, const EndedTask &end)
+{
+    JobEntry *const entry = entryOf(end.task.job);
+    Task *const task = entry != nullptr ? entry->job.task(end.task) : nullptr;
+    if (task == nullptr)
+        return;
+    task->run = std::max(task->run, end.run);
+    const bool isCurrent = task->worker == worker.entry.id;
+    if (!end.checkpoint.empty())
+        task->checkpoint = end.checkpoint;
+    switch (end.kind) {
+    case EndKind::Done:
+        noteWorkerResult(worker, true, end.task.job);
+        handleDone(*entry, end);
+        break;
+    case EndKind::Failed:
+        handleFailure(*entry, worker, end);
+        break;
+    case EndKind::Stopped:
+    case EndKind::LeaseExpired:
+    case EndKind::GangBroken:
+    case EndKind::GangIncomplete:
+        if (isCurrent && task->phase != TaskPhase::Done)
+            requeue(*entry, end.task, *task);
+        break;
+    }
+    if (isTerminal(entry->job.state()) && isCurrent && !task->worker.empty())
+        release(end.task, *task);
+}
+
+} // namespace chicorywick::scheduler
--- /dev/null
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -0,0 +1,347 @@
+#include "scheduler_worker.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/scheduler/placement.h>
+
+#include <algorithm>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// One pass gives up after so many waiting tasks that fit nowhere; it bounds the work per event
+// when a queue is far longer than its pool can hold.
+constexpr int kMaxMisses = 24;
+// After a refusal for want of room, the worker's count and ours differ until its next reply.
+constexpr Millis kFullPauseMs = 200;
+// A perpetual task whose worker reports less is starting up, paced down or standing still.
+constexpr int kAtWorkPercent = 100;
+
+} // namespace
+
+void Scheduler::place()
+{
+    if (isPlacing_ || !hooks_.mayOrder())
+        return;
+    isPlacing_ = true;
+    reserved_.clear();
+    for (auto &[service, keys] : ready_) {
+        int misses = 0;
+        for (auto item = keys.begin(); item != keys.end() && misses < kMaxMisses;) {
+            const TaskId id = item->id;
+            ++item; // placing removes the key, and for a gang also its members'
+            JobEntry *const entry = entryOf(id.job);
+            if (entry == nullptr || isUncertain(*entry))
+                continue;
+            const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
+            if (!step.isGang) {
+                if (tryPlace(*entry, id))
+                    continue;
+                ++misses;
+                if (step.isPerpetual)
+                    reserve(*entry, id);
+                continue;
+            }
+            const bool isPlaced = tryPlaceGang(*entry, id);
+            misses += isPlaced ? 0 : 1;
+            if (isPlaced)
+                item = keys.begin();
+        }
+    }
+    isPlacing_ = false;
+}
+
+Scheduler::Worker *Scheduler::chooseWorker(JobEntry &entry, const TaskId &id,
+                                           const std::map<std::string, Resources> &planned)
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    const Task &task = *entry.job.task(id);
+    std::vector<Worker *> usable;
+    std::vector<PlacementCandidate> candidates;
+    std::map<std::string, int> ofStepByWorker;
+    const auto &siblings =
+            entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
+    for (const Task &sibling : siblings)
+        if (!sibling.worker.empty())
+            ++ofStepByWorker[sibling.worker];
+    for (auto &[workerId, worker] : workers_) {
+        const bool isCandidate = worker->entry.service == policy->service && isUsable(*worker)
+                                 && !reserved_.contains(workerId);
+        if (!isCandidate)
+            continue;
+        PlacementCandidate candidate{.index = usable.size(),
+                                     .free = worker->free(),
+                                     .labels = &worker->entry.labels,
+                                     .tasksOfStep = ofStepByWorker[workerId],
+                                     .isAvoided = task.avoid == workerId};
+        const auto plan = planned.find(workerId);
+        if (plan != planned.end())
+            candidate.free -= plan->second;
+        if (step.needsOneRack)
+            for (const auto &[other, count] : ofStepByWorker) {
+                const Worker *const holder = workerOf(other);
+                const bool isSameRack =
+                        holder != nullptr && holder->entry.labels == worker->entry.labels;
+                candidate.tasksOfStepInRack += isSameRack ? count : 0;
+            }
+        if (step.isPerpetual)
+            for (const TaskId &neighbour : worker->tasks) {
+                const JobEntry *const owner = entryOf(neighbour.job);
+                if (owner == nullptr)
+                    continue;
+                const StepSpec &other =
+                        owner->job.spec().steps[static_cast<std::size_t>(neighbour.step)];
+                candidate.servingTasks += other.latencyTargetMs > 0 ? 1 : 0;
+                candidate.fillingTasks += other.usesLeftoverCpu ? 1 : 0;
+            }
+        usable.push_back(worker.get());
+        candidates.push_back(candidate);
+    }
+    const auto chosen = choosePlacement(step, candidates);
+    return chosen ? usable[*chosen] : nullptr;
+}
+
+// Keeps the worker with the most room free for a perpetual task, which has to run however full the
+// service is; tasks that end there leave their room to it.
+void Scheduler::reserve(const JobEntry &entry, const TaskId &id)
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    const Job &job = entry.job;
+    const StepSpec &step = job.spec().steps[static_cast<std::size_t>(id.step)];
+    Worker *widest = nullptr;
+    for (auto &[workerId, worker] : workers_) {
+        const bool isCandidate = worker->entry.service == policy->service && isUsable(*worker)
+                                 && worker->entry.capacity.covers(reservedFor(step))
+                                 && !reserved_.contains(workerId);
+        if (!isCandidate)
+            continue;
+        const bool hasSibling = step.maxPerWorker > 0
+                                && std::count_if(worker->tasks.begin(), worker->tasks.end(),
+                                                 [&id](const TaskId &other) {
+                                                     return other.job == id.job
+                                                            && other.occurrence == id.occurrence
+                                                            && other.step == id.step;
+                                                 })
+                                           >= step.maxPerWorker;
+        if (hasSibling)
+            continue;
+        if (widest == nullptr || worker->free().cpuMillis > widest->free().cpuMillis)
+            widest = worker.get();
+    }
+    if (widest != nullptr)
+        reserved_.insert(widest->entry.id);
+}
+
+bool Scheduler::tryPlace(JobEntry &entry, const TaskId &id)
+{
+    Worker *const worker = chooseWorker(entry, id, {});
+    if (worker == nullptr)
+        return false;
+    Task &task = *entry.job.task(id);
+    ++task.run;
+    assign(entry, id, *worker);
+    sendStart(entry, id, *worker);
+    return true;
+}
+
+// All members start together with one run number, or none does.
+bool Scheduler::tryPlaceGang(JobEntry &entry, const TaskId &id)
+{
+    auto &members = entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
+    std::int64_t run = 0;
+    std::string checkpoint;
+    for (const Task &member : members) {
+        if (member.phase != TaskPhase::Ready)
+            return false; // members of the last run are still being stopped
+        run = std::max(run, member.run);
+        if (!member.checkpoint.empty())
+            checkpoint = member.checkpoint;
+    }
+    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    std::map<std::string, Resources> planned;
+    std::vector<Worker *> chosen;
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        TaskId member = id;
+        member.index = static_cast<int>(index);
+        Worker *const worker = chooseWorker(entry, member, planned);
+        if (worker == nullptr)
+            return false;
+        planned[worker->entry.id] += reservedFor(step);
+        chosen.push_back(worker);
+    }
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        TaskId member = id;
+        member.index = static_cast<int>(index);
+        members[index].run = run + 1;
+        members[index].checkpoint = checkpoint;
+        assign(entry, member, *chosen[index]);
+        sendStart(entry, member, *chosen[index]);
+    }
+    return true;
+}
+
+void Scheduler::assign(JobEntry &entry, const TaskId &id, Worker &worker)
+{
+    dequeue(entry, id);
+    Task &task = *entry.job.task(id);
+    task.phase = TaskPhase::Starting;
+    task.phaseSince = hooks_.clock().steady;
+    task.worker = worker.entry.id;
+    task.orderAnsweredAt = 0;
+    worker.tasks.insert(id);
+    worker.used += reservedFor(entry.job.spec().steps[static_cast<std::size_t>(id.step)]);
+}
+
+void Scheduler::sendStart(JobEntry &entry, const TaskId &id, Worker &worker)
+{
+    Task &task = *entry.job.task(id);
+    StartOrder order{.task = id,
+                     .run = task.run,
+                     .payload = entry.job.spec().payload,
+                     .checkpoint = task.checkpoint,
+                     .leaseUntil = leaseUntil(worker),
+                     .fence = settings_.fence};
+    worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
+    ++task.orderedStarts;
+    base::logEvent(
+            base::Event::JobStarted,
+            {{"task", id.text()}, {"run", std::to_string(task.run)}, {"worker", worker.entry.id}});
+    orders_.start(worker.address(), order,
+                  [this, alive = alive_, id, run = task.run,
+                   workerId = worker.entry.id](const OrderReply &reply) {
+                      if (*alive)
+                          handleStart(id, run, workerId, reply);
+                  });
+}
+
+void Scheduler::handleStart(const TaskId &id, std::int64_t run, const std::string &workerId,
+                            const OrderReply &reply)
+{
+    JobEntry *const entry = entryOf(id.job);
+    Task *const task = taskOf(id);
+    if (entry == nullptr || task == nullptr)
+        return;
+    const Millis now = hooks_.clock().steady;
+    task->orderedStarts = std::max(task->orderedStarts - 1, 0);
+    task->orderAnsweredAt = now;
+    Worker *const worker = workerOf(workerId);
+    const bool isCurrent = task->worker == workerId && task->run == run
+                           && task->phase != TaskPhase::Done && worker != nullptr;
+    if (reply.status == OrderStatus::Accepted)
+        entry->job.noteStart();
+    if (reply.status == OrderStatus::Fenced) {
+        hooks_.onFenced();
+        return;
+    }
+    if (!isCurrent)
+        return;
+    switch (reply.status) {
+    case OrderStatus::Accepted:
+        observeClock(*worker, reply.workerClock, now);
+        if (task->phase == TaskPhase::Starting) {
+            task->phase = TaskPhase::Running;
+            task->phaseSince = now;
+        }
+        // An idle worker's renewal waits without a lease; the next one must carry it.
+        if (now - worker->renewedAt > settings_.renewWaitMs)
+            renew(*worker);
+        return;
+    case OrderStatus::Unknown:
+        // A renewal that is sent from now on shows whether the start has arrived.
+        return;
+    case OrderStatus::NoRoom:
+        worker->fullUntil = now + kFullPauseMs;
+        break;
+    case OrderStatus::OldRun:
+    case OrderStatus::TooLate:
+    case OrderStatus::NoTicket:
+        break;
+    case OrderStatus::OtherLife:
+        worker->isReplaced = true;
+        loseTasks(*worker, "replaced");
+        place();
+        return;
+    case OrderStatus::NotSent:
+    case OrderStatus::Unhealthy:
+    case OrderStatus::Invalid:
+    case OrderStatus::Fenced:
+        worker->fullUntil = now + settings_.retryMs;
+        task->avoid = workerId;
+        break;
+    }
+    if (isTerminal(entry->job.state()))
+        release(id, *task);
+    else
+        requeue(*entry, id, *task);
+}
+
+void Scheduler::stop(const TaskId &id, Task &task)
+{
+    task.phase = TaskPhase::Stopping;
+    task.isStopPending = true;
+    task.isStopConfirmed = false;
+    sendStop(id, task.run, task.worker);
+}
+
+void Scheduler::sendStop(const TaskId &id, std::int64_t run, const std::string &workerId)
+{
+    Worker *const worker = workerOf(workerId);
+    if (worker == nullptr || !hooks_.mayOrder())
+        return;
+    orders_.stop(worker->address(), {.task = id, .run = run, .fence = settings_.fence},
+                 [this, alive = alive_, id, run, workerId](const OrderReply &reply) {
+                     if (!*alive)
+                         return;
+                     if (reply.status == OrderStatus::Fenced)
+                         return hooks_.onFenced();
+                     Task *const task = taskOf(id);
+                     if (task == nullptr || task->worker != workerId || task->run != run)
+                         return;
+                     task->isStopPending = false;
+                     task->orderAnsweredAt = hooks_.clock().steady;
+                     task->isStopConfirmed = reply.status == OrderStatus::Accepted
+                                             || reply.status == OrderStatus::OldRun;
+                 });
+}
+
+// Other tasks of the step that are at work now.
+int Scheduler::availableOthers(const JobEntry &entry, const TaskId &id) const
+{
+    const auto &occurrences = entry.job.occurrences();
+    const auto found = occurrences.find(id.occurrence);
+    if (found == occurrences.end())
+        return 0;
+    int available = 0;
+    const auto &siblings = found->second.steps[static_cast<std::size_t>(id.step)];
+    for (std::size_t index = 0; index < siblings.size(); ++index) {
+        const bool isAtWork = siblings[index].phase == TaskPhase::Running
+                              && siblings[index].percent >= kAtWorkPercent;
+        available += isAtWork && static_cast<int>(index) != id.index ? 1 : 0;
+    }
+    return available;
+}
+
+bool Scheduler::mayTakeAway(const JobEntry &entry, const TaskId &id) const
+{
+    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    const int away = step.taskCount - 1 - availableOthers(entry, id);
+    // Without a stated budget, one task at a time keeps the step working.
+    return away < std::max(step.maxUnavailable, 1);
+}
+
+bool Scheduler::mayDisrupt(const std::string &workerId) const
+{
+    const Worker *const worker = workerOf(workerId);
+    if (worker == nullptr)
+        return true;
+    return std::all_of(worker->tasks.begin(), worker->tasks.end(), [this](const TaskId &id) {
+        const JobEntry *const entry = entryOf(id.job);
+        if (entry == nullptr)
+            return true;
+        const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
+        return !step.isPerpetual || mayTakeAway(*entry, id);
+    });
+}
+
+} // namespace chicorywick::scheduler
--- /dev/null
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <chicorywick/scheduler/scheduler.h>
+
+namespace chicorywick::scheduler {
+
+/// @brief What the driver knows about one life of a worker.
+struct Scheduler::Worker
+{
+    WorkerEntry entry;
+    std::uint64_t life = 0; ///< changes when another incarnation takes the id
+    bool isListed = false;
+    bool isContacted = false; ///< it has answered this driver's fence
+    bool isReplaced = false;  ///< another incarnation answers at its address
+    bool isCordoned = false;
+    bool isExpected = false; ///< an earlier driver may have used it
+
+    Resources used;
+    std::set<TaskId> tasks;
+    Millis idleSince = 0;
+    Millis fullUntil = 0;
+
+    Millis clockAtReply = 0; ///< the worker's clock, 0: unknown
+    Millis replyAt = 0;
+    Millis firstTriedAt = 0;
+    Millis leaseSent = 0; ///< latest end of a lease that was ordered, on the worker's clock
+    bool isRenewing = false;
+    Millis retryAt = 0;
+    Millis renewedAt = 0;
+
+    std::int64_t seenEnds = 0;
+    std::int64_t ackedEnds = 0;
+    std::deque<std::pair<std::uint64_t, std::int64_t>> unstoredEnds; ///< batch, end number
+
+    int failuresInRow = 0;
+    std::string lastFailedJob;
+    Millis quarantinedUntil = 0;
+    Millis quarantineMs = 0;
+    Millis pacedAt = 0;
+
+    WorkerAddress address() const { return {.id = entry.id, .address = entry.address}; }
+
+    Resources free() const
+    {
+        Resources left = entry.capacity;
+        left -= used;
+        return left;
+    }
+};
+
+/// @brief What a running task takes from its worker's capacity.
+inline Resources reservedFor(const StepSpec &step)
+{
+    Resources demand = step.demand;
+    if (step.usesLeftoverCpu)
+        demand.cpuMillis = 0;
+    return demand;
+}
+
+} // namespace chicorywick::scheduler
--- /dev/null
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -0,0 +1,452 @@
+#include "scheduler_worker.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/scheduler/pacing.h>
+
+#include <algorithm>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// A worker returns at most so many ends at a time; the rest of such a reply is incomplete.
+constexpr std::size_t kFullEndList = 500;
+// Workers' clocks may run slow by this share.
+constexpr double kClockSkew = 0.02;
+// Added to a computed end of a lease for timers that fire late.
+constexpr Millis kLeaseSlackMs = 150;
+// A lease that has less than this left is renewed even while ends wait to be stored.
+constexpr Millis kUrgentLeaseMs = 3'000;
+
+} // namespace
+
+Scheduler::Worker *Scheduler::workerOf(const std::string &id)
+{
+    const auto found = workers_.find(id);
+    return found != workers_.end() ? found->second.get() : nullptr;
+}
+
+const Scheduler::Worker *Scheduler::workerOf(const std::string &id) const
+{
+    const auto found = workers_.find(id);
+    return found != workers_.end() ? found->second.get() : nullptr;
+}
+
+void Scheduler::expectWorkers(const std::vector<WorkerEntry> &workers)
+{
+    for (const WorkerEntry &entry : workers) {
+        if (workers_.contains(entry.id))
+            continue;
+        auto worker = std::make_unique<Worker>();
+        worker->entry = entry;
+        worker->life = nextLife_++;
+        worker->isExpected = true;
+        worker->firstTriedAt = hooks_.clock().steady;
+        storedRoster_.insert(entry.id);
+        renew(*workers_.emplace(entry.id, std::move(worker)).first->second);
+    }
+}
+
+void Scheduler::upsertWorker(const WorkerEntry &entry)
+{
+    Worker *known = workerOf(entry.id);
+    const bool isOtherLife =
+            known != nullptr
+            && (known->entry.born != entry.born || known->entry.address != entry.address
+                || known->entry.service != entry.service);
+    if (isOtherLife && known->entry.born > entry.born)
+        return; // an old entry that discovery has not replaced yet
+    if (isOtherLife) {
+        loseTasks(*known, "replaced");
+        orders_.forget(known->address());
+        workers_.erase(entry.id);
+        known = nullptr;
+    }
+    if (known == nullptr) {
+        auto worker = std::make_unique<Worker>();
+        worker->life = nextLife_++;
+        worker->idleSince = hooks_.clock().steady;
+        worker->firstTriedAt = worker->idleSince;
+        known = workers_.emplace(entry.id, std::move(worker)).first->second.get();
+        base::logEvent(base::Event::WorkerJoined, {{"worker", entry.id},
+                                                   {"service", entry.service},
+                                                   {"machine", entry.machine},
+                                                   {"address", entry.address}});
+    } else if (!known->entry.isDraining && entry.isDraining) {
+        base::logEvent(base::Event::WorkerLeaving,
+                       {{"worker", entry.id},
+                        {"service", entry.service},
+                        {"tasks", std::to_string(known->tasks.size())}});
+    }
+    known->entry = entry;
+    known->isListed = true;
+    if (entry.isDraining)
+        drainPerpetual(*known);
+    renew(*known);
+}
+
+void Scheduler::removeWorker(const std::string &id)
+{
+    if (Worker *const worker = workerOf(id))
+        worker->isListed = false;
+}
+
+std::vector<WorkerEntry> Scheduler::roster() const
+{
+    std::vector<WorkerEntry> entries;
+    for (const auto &[id, worker] : workers_)
+        entries.push_back(worker->entry);
+    return entries;
+}
+
+void Scheduler::rosterStored(const std::vector<WorkerEntry> &workers)
+{
+    storedRoster_.clear();
+    for (const WorkerEntry &entry : workers)
+        storedRoster_.insert(entry.id);
+    place();
+}
+
+Millis Scheduler::leaseUntil(const Worker &worker) const
+{
+    if (worker.clockAtReply == 0)
+        return 0;
+    return worker.clockAtReply + (hooks_.clock().steady - worker.replyAt) + settings_.leaseMs;
+}
+
+// True once every lease that was ordered has expired on the worker's clock, however slow it runs.
+bool Scheduler::isLeaseOver(const Worker &worker) const
+{
+    const Millis now = hooks_.clock().steady;
+    if (worker.clockAtReply == 0) {
+        const auto longest =
+                static_cast<Millis>(static_cast<double>(settings_.maxLeaseMs) * (1 + kClockSkew));
+        return now - worker.firstTriedAt > longest + kLeaseSlackMs;
+    }
+    const Millis left = std::max<Millis>(worker.leaseSent - worker.clockAtReply, 0);
+    const auto local = static_cast<Millis>(static_cast<double>(left) / (1 - kClockSkew));
+    return now > worker.replyAt + local + kLeaseSlackMs;
+}
+
+bool Scheduler::isUsable(const Worker &worker) const
+{
+    const Millis now = hooks_.clock().steady;
+    return worker.isListed && worker.isContacted && !worker.isReplaced && !worker.entry.isDraining
+           && !worker.isCordoned && worker.quarantinedUntil <= now && worker.fullUntil <= now
+           && now - worker.replyAt < settings_.silenceMs && storedRoster_.contains(worker.entry.id);
+}
+
+void Scheduler::renew(Worker &worker)
+{
+    const Millis now = hooks_.clock().steady;
+    if (worker.isRenewing || worker.isReplaced || worker.retryAt > now || !hooks_.mayOrder())
+        return;
+    // A reply that still lists unstored ends would return at once; wait for the store instead.
+    const bool isWaitingForStore = !worker.unstoredEnds.empty();
+    const bool isUrgent =
+            worker.clockAtReply == 0
+            || worker.leaseSent - (worker.clockAtReply + now - worker.replyAt) < kUrgentLeaseMs;
+    if (isWaitingForStore && !isUrgent) {
+        worker.retryAt = 0;
+        return;
+    }
+    RenewOrder order{.ackedEnds = worker.ackedEnds, .fence = settings_.fence};
+    if (worker.clockAtReply != 0 && !worker.tasks.empty())
+        order.leaseUntil = leaseUntil(worker);
+    if (worker.isContacted && !isWaitingForStore)
+        order.waitMs = worker.tasks.empty() ? settings_.idleRenewWaitMs : settings_.renewWaitMs;
+    worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
+    worker.isRenewing = true;
+    worker.renewedAt = now;
+    orders_.renew(worker.address(), order,
+                  [this, alive = alive_, id = worker.entry.id, life = worker.life,
+                   now](const RenewReply &reply) {
+                      if (*alive)
+                          handleRenewal(id, life, now, reply);
+                  });
+}
+
+void Scheduler::observeClock(Worker &worker, Millis workerClock, Millis sentAt)
+{
+    if (workerClock == 0)
+        return;
+    // The clock was read between sending and now. Taking the reply's time makes the estimate run
+    // late rather than early, so a lease is never thought to last shorter than it does.
+    worker.clockAtReply = workerClock;
+    worker.replyAt = hooks_.clock().steady;
+    (void)sentAt;
+}
+
+void Scheduler::handleRenewal(const std::string &id, std::uint64_t life, Millis sentAt,
+                              const RenewReply &reply)
+{
+    Worker *const worker = workerOf(id);
+    if (worker == nullptr || worker->life != life)
+        return;
+    worker->isRenewing = false;
+    const Millis now = hooks_.clock().steady;
+    if (reply.status == OrderStatus::Fenced) {
+        hooks_.onFenced();
+        return;
+    }
+    const bool isOtherLife =
+            reply.status == OrderStatus::OtherLife
+            || (reply.born != 0 && worker->entry.born != 0 && reply.born != worker->entry.born);
+    if (isOtherLife) {
+        worker->isReplaced = true;
+        worker->isContacted = false;
+        loseTasks(*worker, "replaced");
+        place();
+        return;
+    }
+    if (reply.status != OrderStatus::Accepted) {
+        worker->retryAt = now + settings_.retryMs;
+        return;
+    }
+    const bool isFirst = !worker->isContacted;
+    observeClock(*worker, reply.workerClock, sentAt);
+    worker->isContacted = true;
+    worker->retryAt = 0;
+    for (const RunningTask &running : reply.running)
+        observeRunning(*worker, running);
+    for (const EndedTask &end : reply.ended) {
+        if (end.number <= worker->seenEnds)
+            continue;
+        worker->seenEnds = end.number;
+        handleEnd(*worker, end);
+        const bool isDurable = !dirty_.contains(end.task.job) && worker->unstoredEnds.empty();
+        if (isDurable)
+            worker->ackedEnds = end.number;
+        else
+            worker->unstoredEnds.emplace_back(batch_, end.number);
+    }
+    observeAbsences(*worker, sentAt, reply);
+    pace(*worker);
+    if (worker->entry.isDraining || worker->isCordoned)
+        drainPerpetual(*worker);
+    if (isFirst || !reply.ended.empty() || !ready_.empty())
+        place();
+    Worker *const still = workerOf(id);
+    if (still != nullptr)
+        renew(*still);
+}
+
+void Scheduler::observeRunning(Worker &worker, const RunningTask &running)
+{
+    JobEntry *const entry = entryOf(running.task.job);
+    Task *const task = entry != nullptr ? entry->job.task(running.task) : nullptr;
+    if (task == nullptr) {
+        sendStop(running.task, running.run, worker.entry.id);
+        return;
+    }
+    if (task->worker == worker.entry.id && task->run == running.run) {
+        task->checkpoint = running.checkpoint.empty() ? task->checkpoint : running.checkpoint;
+        task->percent = running.percent;
+        task->load = running.load;
+        if (task->phase == TaskPhase::Starting) {
+            task->phase = TaskPhase::Running;
+            task->phaseSince = hooks_.clock().steady;
+        }
+        return;
+    }
+    const bool isFree = task->worker.empty() && task->phase == TaskPhase::Ready
+                        && running.run >= task->run && !isTerminal(entry->job.state());
+    task->run = std::max(task->run, running.run);
+    if (!isFree) {
+        sendStop(running.task, running.run, worker.entry.id);
+        return;
+    }
+    // Started by an earlier driver.
+    dequeue(*entry, running.task);
+    task->phase = TaskPhase::Running;
+    task->phaseSince = hooks_.clock().steady;
+    task->worker = worker.entry.id;
+    task->run = running.run;
+    task->checkpoint = running.checkpoint;
+    task->percent = running.percent;
+    worker.tasks.insert(running.task);
+    worker.used +=
+            reservedFor(entry->job.spec().steps[static_cast<std::size_t>(running.task.step)]);
+    entry->job.noteStart();
+}
+
+// A task that the worker neither runs nor lists as ended, in a reply to a renewal that was sent
+// after the task's order had been answered, is not there.
+void Scheduler::observeAbsences(Worker &worker, Millis sentAt, const RenewReply &reply)
+{
+    if (reply.ended.size() >= kFullEndList)
+        return;
+    std::set<TaskId> present;
+    for (const RunningTask &running : reply.running)
+        present.insert(running.task);
+    for (const TaskId &id : std::set(worker.tasks)) {
+        JobEntry *const entry = entryOf(id.job);
+        Task *const task = taskOf(id);
+        if (entry == nullptr || task == nullptr || present.contains(id))
+            continue;
+        if (task->orderedStarts > 0 || task->orderAnsweredAt >= sentAt)
+            continue;
+        if (task->phase == TaskPhase::Starting) {
+            // The start may still arrive; a stop makes the worker refuse it for good.
+            stop(id, *task);
+            continue;
+        }
+        if (task->phase == TaskPhase::Stopping && !task->isStopConfirmed)
+            continue;
+        base::logEvent(base::Event::JobAttemptLost, {{"task", id.text()},
+                                                     {"run", std::to_string(task->run)},
+                                                     {"worker", worker.entry.id},
+                                                     {"how", "absent"}});
+        if (isTerminal(entry->job.state()))
+            release(id, *task);
+        else
+            requeue(*entry, id, *task);
+    }
+}
+
+void Scheduler::loseTasks(Worker &worker, const char *reason)
+{
+    for (const TaskId &id : std::set(worker.tasks)) {
+        JobEntry *const entry = entryOf(id.job);
+        Task *const task = taskOf(id);
+        if (entry == nullptr || task == nullptr)
+            continue;
+        base::logEvent(base::Event::JobAttemptLost, {{"task", id.text()},
+                                                     {"run", std::to_string(task->run)},
+                                                     {"worker", worker.entry.id},
+                                                     {"how", reason}});
+        if (isTerminal(entry->job.state()) || task->phase == TaskPhase::Done)
+            release(id, *task);
+        else
+            requeue(*entry, id, *task);
+    }
+    worker.tasks.clear();
+    worker.used = {};
+}
+
+void Scheduler::retryWorkers()
+{
+    const Millis now = hooks_.clock().steady;
+    for (auto &[id, worker] : workers_) {
+        if (!worker->tasks.empty() && now - worker->replyAt > settings_.silenceMs
+            && isLeaseOver(*worker))
+            loseTasks(*worker, "lease-over");
+        for (const TaskId &task : std::set(worker->tasks)) {
+            Task *const state = taskOf(task);
+            const bool needsStop = state != nullptr && state->phase == TaskPhase::Stopping
+                                   && !state->isStopConfirmed && !state->isStopPending;
+            if (needsStop)
+                stop(task, *state);
+        }
+        renew(*worker);
+    }
+}
+
+void Scheduler::pruneWorkers()
+{
+    for (auto item = workers_.begin(); item != workers_.end();) {
+        Worker &worker = *item->second;
+        const bool isSilent =
+                worker.isReplaced
+                || (hooks_.clock().steady - std::max(worker.replyAt, worker.firstTriedAt)
+                            > settings_.silenceMs
+                    && isLeaseOver(worker));
+        if (worker.isListed || !worker.tasks.empty() || !isSilent) {
+            ++item;
+            continue;
+        }
+        base::logEvent(base::Event::WorkerGone,
+                       {{"worker", item->first}, {"service", worker.entry.service}});
+        orders_.forget(worker.address());
+        item = workers_.erase(item);
+    }
+}
+
+// Perpetual tasks leave a worker one at a time, as their disruption budgets permit. On a worker
+// that is leaving by itself they are lost anyway, so they leave at once.
+void Scheduler::drainPerpetual(Worker &worker)
+{
+    for (const TaskId &id : std::set(worker.tasks)) {
+        JobEntry *const entry = entryOf(id.job);
+        Task *const task = taskOf(id);
+        if (entry == nullptr || task == nullptr || task->phase != TaskPhase::Running)
+            continue;
+        const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
+        if (!step.isPerpetual || (!worker.entry.isDraining && !mayTakeAway(*entry, id)))
+            continue;
+        stop(id, *task);
+    }
+}
+
+void Scheduler::pace(Worker &worker)
+{
+    const Millis now = hooks_.clock().steady;
+    if (now - worker.pacedAt < kPaceIntervalMs)
+        return;
+    std::vector<ServingLoad> serving;
+    std::vector<std::pair<TaskId, Task *>> filling;
+    for (const TaskId &id : worker.tasks) {
+        Task *const task = taskOf(id);
+        const JobEntry *const entry = entryOf(id.job);
+        if (task == nullptr || entry == nullptr || task->phase != TaskPhase::Running)
+            continue;
+        const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
+        if (step.latencyTargetMs > 0)
+            serving.push_back({.tailMs = task->load, .targetMs = step.latencyTargetMs});
+        else if (step.usesLeftoverCpu)
+            filling.emplace_back(id, task);
+    }
+    if (filling.empty())
+        return;
+    worker.pacedAt = now;
+    for (auto &[id, task] : filling) {
+        const int percent = nextPace(task->pacePercent, serving);
+        if (percent == task->pacePercent)
+            continue;
+        base::logEvent(base::Event::JobThrottled, {{"task", id.text()},
+                                                   {"worker", worker.entry.id},
+                                                   {"from", std::to_string(task->pacePercent)},
+                                                   {"to", std::to_string(percent)}});
+        task->pacePercent = percent;
+        orders_.pace(worker.address(),
+                     {.task = id, .run = task->run, .percent = percent, .fence = settings_.fence},
+                     [this, alive = alive_](const OrderReply &reply) {
+                         if (*alive && reply.status == OrderStatus::Fenced)
+                             hooks_.onFenced();
+                     });
+    }
+}
+
+void Scheduler::setCordoned(const std::string &workerId, bool isCordoned)
+{
+    Worker *const worker = workerOf(workerId);
+    if (worker == nullptr || worker->isCordoned == isCordoned)
+        return;
+    worker->isCordoned = isCordoned;
+    if (isCordoned)
+        drainPerpetual(*worker);
+    else
+        place();
+}
+
+std::vector<WorkerView> Scheduler::workers() const
+{
+    std::vector<WorkerView> views;
+    for (const auto &[id, worker] : workers_) {
+        WorkerView view{.entry = worker->entry,
+                        .tasks = static_cast<int>(worker->tasks.size()),
+                        .isUsable = worker->isListed && worker->isContacted && !worker->isReplaced,
+                        .isCordoned = worker->isCordoned,
+                        .idleSince = worker->idleSince};
+        for (const TaskId &task : worker->tasks) {
+            const JobEntry *const entry = entryOf(task.job);
+            if (entry != nullptr
+                && entry->job.spec().steps[static_cast<std::size_t>(task.step)].isPerpetual)
+                ++view.perpetualTasks;
+        }
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+} // namespace chicorywick::scheduler
