Remember ended jobs, end leases of silent workers, read no task after its occurrence

(1) A restored ended job had an end time of 0 and was forgotten, with its rows, at once. (2) An end that finished its occurrence left a dangling reference. (3) Each unanswered renewal extended the lease that has to run out. (4) A timed-out request called back inside send().

Change: as the subject says; callbacks never run inside Client::send(). Fake workers in virtual time and eight tests of the scheduler, among them 30 seeds of lost answers, late orders, crashes and cuts.

--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -8,9 +8,8 @@
 #include <chicorywick/entry/leader_election.h>
 #include <chicorywick/entry/node.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <ctime>
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -174,9 +174,11 @@
         const auto now = std::chrono::steady_clock::now();
         while (!pool->waiting.empty() && !pool->isClosed) {
             if (pool->waiting.front().deadline <= now) {
-                PendingRequest late = std::move(pool->waiting.front());
+                // Callbacks never run inside send(): its caller may be in the middle of a change.
+                asio::post(pool->loop, [done = std::move(pool->waiting.front().done)] {
+                    done(base::makeError(base::Code::UpstreamUnreachable, "no free connection"));
+                });
                 pool->waiting.pop_front();
-                late.done(base::makeError(base::Code::UpstreamUnreachable, "no free connection"));
                 continue;
             }
             std::shared_ptr<Connection> connection;
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -83,8 +83,8 @@
     Millis acceptedSteady() const { return acceptedSteady_; }
     Millis endedSteady() const { return endedSteady_; }
 
-    /// @brief Takes over stored progress.
-    void restore(const JobProgress &progress);
+    /// @brief Takes over stored progress; an ended job counts as ended now.
+    void restore(const JobProgress &progress, Millis steady);
     JobProgress progress() const;
 
     /// @brief Begins the occurrences that are due; returns their numbers.
--- /dev/null
+++ b/packages/scheduler/src/fake_workers.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <chicorywick/base/rng.h>
+#include <chicorywick/scheduler/worker_orders.h>
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicorywick::scheduler {
+
+/// @brief Events in virtual time, in order of time and then of scheduling.
+class VirtualLoop
+{
+public:
+    Millis now() const { return now_; }
+    void after(Millis delay, std::function<void()> action);
+    void runUntil(Millis time);
+
+private:
+    struct Event
+    {
+        Millis time;
+        std::uint64_t sequence;
+        std::function<void()> action;
+
+        bool operator>(const Event &other) const
+        {
+            return std::pair(time, sequence) > std::pair(other.time, other.sequence);
+        }
+    };
+
+    Millis now_ = 1'000;
+    std::uint64_t sequence_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+};
+
+/// @brief Faults of calls to fake workers.
+struct CallFaults
+{
+    double lostAnswer = 0; ///< share of orders carried out without an answer
+    double lateOrder = 0;  ///< share of orders carried out seconds later, without an answer
+
+    bool operator==(const CallFaults &) const = default;
+};
+
+/// @brief Workers that behave as the platform's page on running tasks says, in virtual time. They
+/// record what breaks a promise of the scheduler.
+class FakeWorkers : public WorkerOrders
+{
+public:
+    explicit FakeWorkers(VirtualLoop &loop, std::uint64_t seed = 1)
+        : loop_(loop)
+        , rng_(seed)
+    {}
+
+    /// @brief Adds a worker that is listed and empty.
+    WorkerEntry add(const std::string &id, const std::string &service, Resources capacity,
+                    std::vector<std::string> labels = {});
+    void crash(const std::string &id);
+    void setReachable(const std::string &id, bool isReachable);
+    void setFaults(CallFaults faults) { faults_ = faults; }
+
+    /// @brief How a task ends; the default is success after its estimate.
+    std::function<EndKind(const TaskId &, std::int64_t run)> outcome;
+    Millis workMs = 500;
+
+    void start(const WorkerAddress &worker, const StartOrder &order,
+               std::function<void(const OrderReply &)> done) override;
+    void stop(const WorkerAddress &worker, const StopOrder &order,
+              std::function<void(const OrderReply &)> done) override;
+    void pace(const WorkerAddress &worker, const PaceOrder &order,
+              std::function<void(const OrderReply &)> done) override;
+    void renew(const WorkerAddress &worker, const RenewOrder &order,
+               std::function<void(const RenewReply &)> done) override;
+    void forget(const WorkerAddress & /*worker*/) override {}
+
+    /// @brief Promises that were broken, in words.
+    const std::vector<std::string> &violations() const { return violations_; }
+    int startsOf(const TaskId &task) const;
+    std::vector<std::string> placesOf(const TaskId &task) const;
+    int runningCount() const;
+    int acknowledgedEnds() const { return acknowledged_; }
+    void setDemand(const std::string &job, Resources demand) { demands_[job] = demand; }
+
+private:
+    struct Run
+    {
+        std::int64_t run = 0;
+        std::string checkpoint;
+        Millis startedAt = 0;
+        bool isPerpetual = false;
+    };
+    struct Worker
+    {
+        WorkerEntry entry;
+        bool isReachable = true;
+        std::uint64_t life = 0;
+        std::int64_t fence = 0;
+        Millis leaseUntil = 0;
+        std::int64_t nextEnd = 1;
+        std::map<TaskId, Run> running;
+        std::map<TaskId, std::int64_t> tombstones;
+        std::vector<EndedTask> ended;
+        std::vector<std::function<void()>> waiting;
+    };
+
+    Worker *reach(const WorkerAddress &address);
+    OrderReply carryOutStart(Worker &worker, const StartOrder &order);
+    OrderReply carryOutStop(Worker &worker, const StopOrder &order);
+    void end(Worker &worker, const TaskId &task, EndKind kind);
+    void expire(Worker &worker);
+    template <typename Order>
+    void deliver(const WorkerAddress &address, const Order &order,
+                 OrderReply (FakeWorkers::*carryOut)(Worker &, const Order &),
+                 const std::function<void(const OrderReply &)> &done);
+
+    VirtualLoop &loop_;
+    base::Rng rng_;
+    CallFaults faults_;
+    std::map<std::string, Worker> workers_;
+    std::map<std::string, Resources> demands_;
+    std::map<TaskId, int> starts_;
+    std::set<TaskId> doneAndAcknowledged_;
+    std::vector<std::string> violations_;
+    int acknowledged_ = 0;
+    std::uint64_t lives_ = 0;
+};
+
+} // namespace chicorywick::scheduler
--- /dev/null
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -0,0 +1,268 @@
+#include "fake_workers.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+constexpr Millis kTravelMs = 1;
+constexpr Millis kCallTimeoutMs = 700;
+constexpr Millis kLatestMs = 5'000;
+constexpr Millis kStopMs = 50;
+
+} // namespace
+
+void VirtualLoop::after(Millis delay, std::function<void()> action)
+{
+    events_.push({.time = now_ + delay, .sequence = sequence_++, .action = std::move(action)});
+}
+
+void VirtualLoop::runUntil(Millis time)
+{
+    while (!events_.empty() && events_.top().time <= time) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = std::max(now_, event.time);
+        event.action();
+    }
+    now_ = std::max(now_, time);
+}
+
+WorkerEntry FakeWorkers::add(const std::string &id, const std::string &service, Resources capacity,
+                             std::vector<std::string> labels)
+{
+    Worker &worker = workers_[id];
+    worker = {};
+    worker.life = ++lives_;
+    worker.entry = {.id = id,
+                    .service = service,
+                    .address = "10.0.0.1:80",
+                    .machine = "m-" + id,
+                    .labels = std::move(labels),
+                    .capacity = capacity,
+                    .born = loop_.now()};
+    return worker.entry;
+}
+
+void FakeWorkers::crash(const std::string &id)
+{
+    workers_.erase(id);
+}
+
+void FakeWorkers::setReachable(const std::string &id, bool isReachable)
+{
+    workers_.at(id).isReachable = isReachable;
+}
+
+FakeWorkers::Worker *FakeWorkers::reach(const WorkerAddress &address)
+{
+    const auto found = workers_.find(address.id);
+    if (found == workers_.end() || !found->second.isReachable)
+        return nullptr;
+    expire(found->second);
+    return &found->second;
+}
+
+void FakeWorkers::expire(Worker &worker)
+{
+    if (worker.leaseUntil == 0 || loop_.now() <= worker.leaseUntil)
+        return;
+    while (!worker.running.empty())
+        end(worker, worker.running.begin()->first, EndKind::LeaseExpired);
+}
+
+void FakeWorkers::end(Worker &worker, const TaskId &task, EndKind kind)
+{
+    const auto found = worker.running.find(task);
+    if (found == worker.running.end())
+        return;
+    worker.ended.push_back({.number = worker.nextEnd++,
+                            .task = task,
+                            .run = found->second.run,
+                            .kind = kind,
+                            .checkpoint = found->second.checkpoint});
+    worker.tombstones[task] = std::max(worker.tombstones[task], found->second.run);
+    worker.running.erase(found);
+    for (const auto &wake : std::exchange(worker.waiting, {}))
+        wake();
+}
+
+OrderReply FakeWorkers::carryOutStart(Worker &worker, const StartOrder &order)
+{
+    if (order.fence < worker.fence)
+        return {.status = OrderStatus::Fenced, .workerClock = loop_.now()};
+    worker.fence = order.fence;
+    if (order.leaseUntil <= loop_.now())
+        return {.status = OrderStatus::TooLate, .workerClock = loop_.now()};
+    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+    const auto present = worker.running.find(order.task);
+    if (present != worker.running.end() && present->second.run == order.run)
+        return {.status = OrderStatus::Accepted, .workerClock = loop_.now()};
+    if (worker.tombstones.contains(order.task) && worker.tombstones[order.task] >= order.run)
+        return {.status = OrderStatus::OldRun, .workerClock = loop_.now()};
+    Resources used;
+    for (const auto &[task, run] : worker.running)
+        used += demands_[task.job];
+    used += demands_[order.task.job];
+    if (!worker.entry.capacity.covers(used))
+        return {.status = OrderStatus::NoRoom, .workerClock = loop_.now()};
+    for (auto &[id, other] : workers_) {
+        expire(other);
+        if (other.running.contains(order.task))
+            violations_.push_back(order.task.text() + " runs twice");
+    }
+    if (doneAndAcknowledged_.contains(order.task))
+        violations_.push_back(order.task.text() + " started after it was done");
+    worker.running[order.task] = {
+            .run = order.run, .checkpoint = order.checkpoint, .startedAt = loop_.now()};
+    ++starts_[order.task];
+    const EndKind kind = outcome ? outcome(order.task, order.run) : EndKind::Done;
+    if (workMs > 0)
+        loop_.after(workMs, [this, id = worker.entry.id, life = worker.life, order, kind] {
+            const auto found = workers_.find(id);
+            if (found == workers_.end() || found->second.life != life)
+                return;
+            expire(found->second);
+            const auto run = found->second.running.find(order.task);
+            if (run != found->second.running.end() && run->second.run == order.run)
+                end(found->second, order.task, kind);
+        });
+    return {.status = OrderStatus::Accepted, .workerClock = loop_.now()};
+}
+
+OrderReply FakeWorkers::carryOutStop(Worker &worker, const StopOrder &order)
+{
+    if (order.fence < worker.fence)
+        return {.status = OrderStatus::Fenced, .workerClock = loop_.now()};
+    worker.fence = order.fence;
+    worker.tombstones[order.task] = std::max(worker.tombstones[order.task], order.run);
+    loop_.after(kStopMs, [this, id = worker.entry.id, life = worker.life, order] {
+        const auto found = workers_.find(id);
+        if (found != workers_.end() && found->second.life == life) {
+            const auto run = found->second.running.find(order.task);
+            if (run != found->second.running.end() && run->second.run <= order.run)
+                end(found->second, order.task, EndKind::Stopped);
+        }
+    });
+    return {.status = OrderStatus::Accepted, .workerClock = loop_.now()};
+}
+
+template <typename Order>
+void FakeWorkers::deliver(const WorkerAddress &address, const Order &order,
+                          OrderReply (FakeWorkers::*carryOut)(Worker &, const Order &),
+                          const std::function<void(const OrderReply &)> &done)
+{
+    const bool isLate = rng_.chance(faults_.lateOrder);
+    const bool isLost = isLate || rng_.chance(faults_.lostAnswer);
+    const Millis delay = isLate ? 2'000 + static_cast<Millis>(rng_.below(kLatestMs)) : kTravelMs;
+    const auto addressed = workers_.find(address.id);
+    const std::uint64_t life = addressed != workers_.end() ? addressed->second.life : 0;
+    loop_.after(delay, [this, address, order, carryOut, done, isLost, life] {
+        Worker *const worker = reach(address);
+        // An order that is carried out late waits in the worker's process and dies with it.
+        if (worker == nullptr || worker->life != life) {
+            if (!isLost)
+                loop_.after(kCallTimeoutMs, [done] { done({.status = OrderStatus::Unknown}); });
+            return;
+        }
+        const OrderReply reply = (this->*carryOut)(*worker, order);
+        if (!isLost)
+            loop_.after(kTravelMs, [done, reply] { done(reply); });
+    });
+    if (isLost)
+        loop_.after(kCallTimeoutMs, [done] { done({.status = OrderStatus::Unknown}); });
+}
+
+void FakeWorkers::start(const WorkerAddress &worker, const StartOrder &order,
+                        std::function<void(const OrderReply &)> done)
+{
+    deliver(worker, order, &FakeWorkers::carryOutStart, done);
+}
+
+void FakeWorkers::stop(const WorkerAddress &worker, const StopOrder &order,
+                       std::function<void(const OrderReply &)> done)
+{
+    deliver(worker, order, &FakeWorkers::carryOutStop, done);
+}
+
+void FakeWorkers::pace(const WorkerAddress & /*worker*/, const PaceOrder & /*order*/,
+                       std::function<void(const OrderReply &)> done)
+{
+    loop_.after(kTravelMs, [done] { done({.status = OrderStatus::Accepted}); });
+}
+
+void FakeWorkers::renew(const WorkerAddress &address, const RenewOrder &order,
+                        std::function<void(const RenewReply &)> done)
+{
+    loop_.after(kTravelMs, [this, address, order, done] {
+        Worker *const worker = reach(address);
+        if (worker == nullptr) {
+            loop_.after(order.waitMs + kCallTimeoutMs,
+                        [done] { done({.status = OrderStatus::Unknown}); });
+            return;
+        }
+        if (order.fence < worker->fence) {
+            loop_.after(kTravelMs, [done] { done({.status = OrderStatus::Fenced}); });
+            return;
+        }
+        worker->fence = order.fence;
+        worker->leaseUntil = std::max(worker->leaseUntil, order.leaseUntil);
+        std::erase_if(worker->ended, [this, &order](const EndedTask &end) {
+            const bool isAcked = end.number <= order.ackedEnds;
+            acknowledged_ += isAcked ? 1 : 0;
+            if (isAcked && end.kind == EndKind::Done)
+                doneAndAcknowledged_.insert(end.task);
+            return isAcked;
+        });
+        auto isAnswered = std::make_shared<bool>(false);
+        const auto answer = [this, address, done, isAnswered, life = worker->life] {
+            Worker *const now = reach(address);
+            if (*isAnswered || now == nullptr || now->life != life)
+                return;
+            *isAnswered = true;
+            RenewReply reply{.status = OrderStatus::Accepted,
+                             .workerClock = loop_.now(),
+                             .born = now->entry.born,
+                             .ended = now->ended};
+            for (const auto &[task, run] : now->running)
+                reply.running.push_back({.task = task, .run = run.run, .percent = 100});
+            loop_.after(kTravelMs, [done, reply] { done(reply); });
+        };
+        if (order.waitMs == 0 || !worker->ended.empty())
+            return answer();
+        worker->waiting.emplace_back(answer);
+        loop_.after(order.waitMs, answer);
+        loop_.after(order.waitMs + kCallTimeoutMs, [done, isAnswered] {
+            if (!std::exchange(*isAnswered, true))
+                done({.status = OrderStatus::Unknown});
+        });
+    });
+}
+
+int FakeWorkers::startsOf(const TaskId &task) const
+{
+    const auto found = starts_.find(task);
+    return found != starts_.end() ? found->second : 0;
+}
+
+std::vector<std::string> FakeWorkers::placesOf(const TaskId &task) const
+{
+    std::vector<std::string> places;
+    for (const auto &[id, worker] : workers_)
+        if (worker.running.contains(task))
+            places.push_back(id);
+    return places;
+}
+
+int FakeWorkers::runningCount() const
+{
+    int count = 0;
+    for (const auto &[id, worker] : workers_)
+        count += static_cast<int>(worker.running.size());
+    return count;
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -133,12 +133,14 @@
     return begun;
 }
 
-void Job::restore(const JobProgress &progress)
+void Job::restore(const JobProgress &progress, Millis steady)
 {
     isCompleted_ = progress.state == JobState::Completed;
     hasFailed_ = progress.state == JobState::Failed;
     isCancelled_ = isCancelled_ || progress.state == JobState::Cancelled;
     hasStarted_ = progress.state != JobState::Pending;
+    if (isTerminal(progress.state))
+        endedSteady_ = steady;
     begunOccurrences_ = progress.begunOccurrences;
     for (const OccurrenceProgress &open : progress.open) {
         Occurrence &occurrence = beginOccurrence(open.number);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -145,8 +145,11 @@
             requeue(*entry, end.task, *task);
         break;
     }
-    if (isTerminal(entry->job.state()) && isCurrent && !task->worker.empty())
-        release(end.task, *task);
+    // The end may have finished the task's occurrence, which removes the task.
+    Task *const remaining = taskOf(end.task);
+    const bool isOver = isTerminal(entry->job.state()) && isCurrent;
+    if (isOver && remaining != nullptr && !remaining->worker.empty())
+        release(end.task, *remaining);
 }
 
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -109,7 +109,7 @@
     JobEntry &entry = *owned;
     entry.sequence = nextSequence_++;
     if (progress) {
-        entry.job.restore(*progress);
+        entry.job.restore(*progress, now.steady);
         entry.uncertainUntil = now.steady + settings_.maxLeaseMs + settings_.maxLeaseMs / 20;
     }
     jobs_.emplace(spec.id, std::move(owned));
--- /dev/null
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -0,0 +1,277 @@
+#include "fake_workers.h"
+
+#include <chicorywick/scheduler/scheduler.h>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+constexpr Resources kWorkerSize{.cpuMillis = 16'000, .memoryMib = 32'768};
+constexpr Millis kStoreMs = 5;
+constexpr Millis kTickMs = 100;
+
+// A scheduler with fake workers and a store that accepts every batch after a moment.
+struct World
+{
+    VirtualLoop loop;
+    FakeWorkers workers;
+    std::unique_ptr<Scheduler> scheduler;
+    bool isStoreUp = true;
+    bool mayOrder = true;
+    bool isStoring = false;
+    std::map<std::string, JobProgress> stored;
+    std::int64_t term = 0;
+
+    explicit World(std::uint64_t seed = 1)
+        : workers(loop, seed)
+    {
+        lead();
+    }
+
+    // A new term of driving begins, with what the store holds.
+    void lead()
+    {
+        ++term;
+        isStoring = false;
+        scheduler = std::make_unique<Scheduler>(
+                workers,
+                SchedulerHooks{
+                        .clock = [this] { return Now{.steady = loop.now(), .wall = loop.now()}; },
+                        .mayOrder = [this] { return mayOrder; },
+                        .onFenced = [] {},
+                        .onProgress = [this] { store(); }},
+                SchedulerSettings{.fence = term});
+        scheduler->setQueues({{.name = "q",
+                               .service = "s",
+                               .maxAttempts = 2,
+                               .stretch = 1.6,
+                               .targetCompletionMs = 600}});
+        tick(term);
+    }
+
+    void tick(std::int64_t ofTerm)
+    {
+        if (ofTerm != term)
+            return;
+        scheduler->rosterStored(scheduler->roster());
+        scheduler->tick();
+        loop.after(kTickMs, [this, ofTerm] { tick(ofTerm); });
+    }
+
+    void store()
+    {
+        if (isStoring)
+            return;
+        isStoring = true;
+        loop.after(kStoreMs, [this, ofTerm = term] { write(ofTerm); });
+    }
+
+    void write(std::int64_t ofTerm)
+    {
+        if (ofTerm != term)
+            return;
+        if (!isStoreUp) {
+            loop.after(kTickMs, [this, ofTerm] { write(ofTerm); });
+            return;
+        }
+        const std::uint64_t batch = scheduler->batch();
+        for (const std::string &id : scheduler->takeDirtyJobs())
+            if (const auto progress = scheduler->progressOf(id))
+                stored[id] = *progress;
+        isStoring = false;
+        scheduler->progressStored(batch);
+    }
+
+    void addWorkers(int count, Resources size = kWorkerSize)
+    {
+        for (int i = 0; i < count; ++i)
+            scheduler->upsertWorker(workers.add("w" + std::to_string(i), "s", size));
+    }
+
+    void submit(const std::string &id, std::vector<StepSpec> steps)
+    {
+        scheduler->addJob(spec(id, std::move(steps)), std::nullopt);
+    }
+
+    JobSpec spec(const std::string &id, std::vector<StepSpec> steps) const
+    {
+        return {.id = id,
+                .queue = "q",
+                .payload = "p",
+                .steps = std::move(steps),
+                .submittedWall = loop.now()};
+    }
+
+    void run(Millis duration) { loop.runUntil(loop.now() + duration); }
+};
+
+StepSpec step(int tasks, std::vector<int> after = {})
+{
+    return {.taskCount = tasks,
+            .demand = {.cpuMillis = 1'000, .memoryMib = 1'000},
+            .estimatedMs = 500,
+            .after = std::move(after)};
+}
+
+} // namespace
+
+TEST_CASE("a job's steps run in order and complete the job")
+{
+    World world;
+    world.addWorkers(2);
+    world.submit("a", {step(4), step(2, {0})});
+    world.run(300);
+    CHECK(world.workers.startsOf({.job = "a", .step = 0, .index = 3}) == 1);
+    CHECK(world.workers.startsOf({.job = "a", .step = 1, .index = 0}) == 0);
+    world.run(1'500);
+    CHECK(world.scheduler->stateOf("a") == JobState::Completed);
+    CHECK(world.workers.acknowledgedEnds() == 6);
+    CHECK(world.workers.violations().empty());
+}
+
+// Guards against an end that is acknowledged and then lost with the driver.
+TEST_CASE("ends are acknowledged only once they are stored")
+{
+    World world;
+    world.addWorkers(1);
+    world.isStoreUp = false;
+    world.submit("a", {step(2)});
+    world.run(3'000);
+    CHECK(world.workers.acknowledgedEnds() == 0);
+    world.isStoreUp = true;
+    world.run(1'000);
+    CHECK(world.workers.acknowledgedEnds() == 2);
+}
+
+TEST_CASE("a task that fails is tried elsewhere, and the job fails after its attempts")
+{
+    World world;
+    world.addWorkers(2);
+    world.workers.outcome = [](const TaskId &task, std::int64_t) {
+        return task.job == "bad" ? EndKind::Failed : EndKind::Done;
+    };
+    world.submit("bad", {step(1)});
+    world.submit("good", {step(1)});
+    world.run(3'000);
+    CHECK(world.scheduler->stateOf("bad") == JobState::Failed);
+    CHECK(world.workers.startsOf({.job = "bad"}) == 2);
+    CHECK(world.scheduler->stateOf("good") == JobState::Completed);
+}
+
+TEST_CASE("a cancelled job's tasks are stopped and none is started")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(1);
+    world.submit("a", {step(40)});
+    world.run(500);
+    CHECK(world.workers.runningCount() > 0);
+    world.scheduler->cancelJob("a");
+    world.run(1'000);
+    CHECK(world.workers.runningCount() == 0);
+    CHECK(world.scheduler->stateOf("a") == JobState::Cancelled);
+}
+
+// Guards against a second run while a worker that cannot be reached may still run the first.
+TEST_CASE("tasks of an unreachable worker start elsewhere only after its lease")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(2);
+    world.submit("a", {step(1)});
+    world.run(500);
+    const auto places = world.workers.placesOf({.job = "a"});
+    REQUIRE(places.size() == 1);
+    world.workers.setReachable(places[0], false);
+    world.run(4'000);
+    CHECK(world.workers.startsOf({.job = "a"}) == 1);
+    world.run(6'000);
+    CHECK(world.workers.startsOf({.job = "a"}) == 2);
+    CHECK(world.workers.violations().empty());
+}
+
+// Guards against a new driver that starts tasks which its predecessor's workers still run.
+TEST_CASE("a successor takes over what runs and starts nothing twice")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(3);
+    const JobSpec spec = world.spec("a", {step(6)});
+    world.scheduler->addJob(spec, std::nullopt);
+    world.run(1'000);
+    const auto roster = world.scheduler->roster();
+    world.workers.setReachable("w1", false);
+    world.lead();
+    world.scheduler->expectWorkers(roster);
+    world.scheduler->addJob(spec, JobProgress{});
+    for (const WorkerEntry &entry : roster)
+        if (entry.id != "w1")
+            world.scheduler->upsertWorker(entry);
+    world.run(20'000);
+    CHECK(world.workers.violations().empty());
+    world.workers.setReachable("w1", true);
+    CHECK(world.workers.runningCount() >= 6);
+}
+
+// Guards against rows of ended jobs that a new driver removes before callers have asked for them.
+TEST_CASE("a successor remembers ended jobs for the whole retention time")
+{
+    World world;
+    world.addWorkers(1);
+    const JobSpec spec = world.spec("a", {step(1)});
+    world.scheduler->addJob(spec, std::nullopt);
+    world.run(2'000);
+    REQUIRE(world.stored["a"].state == JobState::Completed);
+    world.loop.runUntil(500'000);
+    world.lead();
+    world.scheduler->addJob(spec, world.stored["a"]);
+    world.run(100'000);
+    CHECK(world.scheduler->stateOf("a") == JobState::Completed);
+    CHECK(world.scheduler->takeForgottenJobs().empty());
+}
+
+// Plays lost answers, late orders, crashes and cuts; no task may run twice or after its end.
+TEST_CASE("faults of calls and workers make no task run twice and lose no job")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        World world(seed);
+        base::Rng rng(seed);
+        world.workers.setFaults({.lostAnswer = 0.05, .lateOrder = 0.03});
+        world.addWorkers(5);
+        int jobs = 0;
+        for (int round = 0; round < 60; ++round) {
+            world.submit("j" + std::to_string(jobs++), {step(3), step(2, {0})});
+            const std::string victim = "w" + std::to_string(rng.below(5));
+            const double dice = rng.uniform();
+            if (dice < 0.03) {
+                world.workers.crash(victim);
+                world.scheduler->upsertWorker(world.workers.add(victim, "s", kWorkerSize));
+            } else if (dice < 0.08) {
+                world.workers.setReachable(victim, false);
+            } else if (dice < 0.3) {
+                for (int i = 0; i < 5; ++i)
+                    world.workers.setReachable("w" + std::to_string(i), true);
+            }
+            world.isStoreUp = rng.uniform() > 0.1;
+            world.run(200);
+        }
+        for (int i = 0; i < 5; ++i)
+            world.workers.setReachable("w" + std::to_string(i), true);
+        world.isStoreUp = true;
+        world.workers.setFaults({});
+        world.run(40'000);
+        for (const std::string &violation : world.workers.violations())
+            FAIL_CHECK(violation);
+        for (int job = 0; job < jobs; ++job) {
+            CAPTURE(job);
+            CHECK(world.scheduler->stateOf("j" + std::to_string(job)) == JobState::Completed);
+        }
+    }
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -25,6 +25,7 @@
     Millis firstTriedAt = 0;
     Millis leaseSent = 0; ///< latest end of a lease that was ordered, on the worker's clock
     bool isRenewing = false;
+    bool hasFailed = false; ///< the last renewal got no answer
     Millis retryAt = 0;
     Millis renewedAt = 0;
 
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -151,8 +151,10 @@
         return;
     }
     RenewOrder order{.ackedEnds = worker.ackedEnds, .fence = settings_.fence};
+    // Renewals that may be lost must not extend the lease: its end has to come for a worker that
+    // stays silent, so that its tasks can start elsewhere.
     if (worker.clockAtReply != 0 && !worker.tasks.empty())
-        order.leaseUntil = leaseUntil(worker);
+        order.leaseUntil = worker.hasFailed ? worker.leaseSent : leaseUntil(worker);
     if (worker.isContacted && !isWaitingForStore)
         order.waitMs = worker.tasks.empty() ? settings_.idleRenewWaitMs : settings_.renewWaitMs;
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
@@ -199,7 +201,8 @@
         place();
         return;
     }
-    if (reply.status != OrderStatus::Accepted) {
+    worker->hasFailed = reply.status != OrderStatus::Accepted;
+    if (worker->hasFailed) {
         worker->retryAt = now + settings_.retryMs;
         return;
     }
