--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -67,10 +67,11 @@
                   .onFenced = hooks_.onFenced,
                   .onProgress = [this] { journal_->request(); }},
                  settings)
-    , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, scheduler_))
+    , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, scheduler_,
+                                                 hooks_.mayOrder))
     , waves_(std::make_shared<WaveRunner>(
               WaveRunnerPorts{.machines = ports.machines, .operators = ports.operators},
-              hooks_.clock, scheduler_, settings.fence))
+              DriverHooks(hooks_), scheduler_, settings.fence))
     , tickTimer_(*ports.loop)
 {}
 
@@ -210,7 +211,8 @@
 {
     const auto roster = scheduler_.roster();
     // Compared as stored: the rest of an entry changes with each heartbeat.
-    if (isStoringRoster_ || !isLoaded_ || encode(roster) == encode(storedRoster_))
+    if (isStoringRoster_ || !isLoaded_ || !hooks_.mayOrder()
+        || encode(roster) == encode(storedRoster_))
         return;
     isStoringRoster_ = true;
     const RowKey key = layout::rosterRow();
@@ -256,6 +258,8 @@
 
 void Driver::Impl::removeForgotten()
 {
+    if (!hooks_.mayOrder())
+        return;
     std::map<std::string, Transaction> byPart;
     for (const std::string &id : scheduler_.takeForgottenJobs()) {
         const RowKey job = layout::jobRow(id);
--- a/packages/entry/src/progress_journal.cpp
+++ b/packages/entry/src/progress_journal.cpp
@@ -20,10 +20,11 @@
 } // namespace
 
 ProgressJournal::ProgressJournal(boost::asio::io_context &loop, Table &table,
-                                 scheduler::Scheduler &scheduler)
+                                 scheduler::Scheduler &scheduler, std::function<bool()> mayWrite)
     : loop_(loop)
     , table_(table)
     , scheduler_(scheduler)
+    , mayWrite_(std::move(mayWrite))
     , timer_(loop)
 {}
 
@@ -62,6 +63,8 @@
 
 void ProgressJournal::writeChunk()
 {
+    if (!mayWrite_())
+        return retryLater();
     Transaction transaction;
     std::vector<std::string> ids;
     for (auto item = unwritten_.begin(); item != unwritten_.end() && ids.size() < kRowsPerWrite;) {
--- a/packages/entry/src/progress_journal.h
+++ b/packages/entry/src/progress_journal.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -19,7 +20,8 @@
 class ProgressJournal : public std::enable_shared_from_this<ProgressJournal>
 {
 public:
-    ProgressJournal(boost::asio::io_context &loop, Table &table, scheduler::Scheduler &scheduler);
+    ProgressJournal(boost::asio::io_context &loop, Table &table, scheduler::Scheduler &scheduler,
+                    std::function<bool()> mayWrite);
 
     void stop();
 
@@ -44,6 +46,7 @@
     boost::asio::io_context &loop_;
     Table &table_;
     scheduler::Scheduler &scheduler_;
+    std::function<bool()> mayWrite_; ///< false while another driver may have taken over
     boost::asio::steady_timer timer_;
     std::map<std::string, Version> versions_;
     std::set<std::string> unwritten_; ///< of the batch in hand
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -12,16 +12,19 @@
 
 // The list is read once so often while a wave is under way; an upkeep takes about two seconds.
 constexpr scheduler::Millis kListPeriodMs = 500;
+// Pause between the orders of two holders for one machine; the settings of both sites give 3 s.
+constexpr scheduler::Millis kHandOverMs = 3'000;
 // An order without an answer counts as carried out for so long, then it is repeated; repeating is
 // harmless.
 constexpr scheduler::Millis kUnknownOrderMs = 3'000;
 
 } // namespace
 
-WaveRunner::WaveRunner(WaveRunnerPorts ports, std::function<scheduler::Now()> clock,
-                       scheduler::Scheduler &scheduler, std::int64_t fence)
+WaveRunner::WaveRunner(WaveRunnerPorts ports, DriverHooks hooks, scheduler::Scheduler &scheduler,
+                       std::int64_t fence)
     : ports_(ports)
-    , clock_(std::move(clock))
+    , hooks_(std::move(hooks))
+    , beganAt_(hooks_.clock().steady)
     , scheduler_(scheduler)
     , fence_(fence)
 {}
@@ -38,6 +41,9 @@
 
 void WaveRunner::tick()
 {
+    // An earlier holder's orders must be older than a lease before a new holder gives its own.
+    if (!hooks_.mayOrder() || hooks_.clock().steady - beganAt_ < kHandOverMs)
+        return;
     const bool isActive = std::any_of(waves_.begin(), waves_.end(),
                                       [](const auto &item) { return !item.second.isCompleted; });
     if (!isActive) {
@@ -46,7 +52,7 @@
         cordoned_.clear();
         return;
     }
-    if (!isListing_ && clock_().steady - listedAt_ >= kListPeriodMs)
+    if (!isListing_ && hooks_.clock().steady - listedAt_ >= kListPeriodMs)
         requestList();
     if (!hasList_)
         return;
@@ -62,7 +68,7 @@
 void WaveRunner::requestList()
 {
     isListing_ = true;
-    listedAt_ = clock_().steady;
+    listedAt_ = hooks_.clock().steady;
     ports_.machines->list([self = shared_from_this(), askedAt = listedAt_](
                                   const base::Result<std::vector<Machine>> &machines) {
         self->isListing_ = false;
@@ -85,8 +91,9 @@
                                 || (listed->second.state == MachineState::Up
                                     && listed->second.workerId != item->second
                                     && wave.orderedAt[item->first] < askedAt);
-            const bool isStale = !wave.begun.contains(item->first)
-                                 && clock_().steady - wave.orderedAt[item->first] > kUnknownOrderMs;
+            const bool isStale =
+                    !wave.begun.contains(item->first)
+                    && hooks_.clock().steady - wave.orderedAt[item->first] > kUnknownOrderMs;
             item = isBack || isStale ? wave.down.erase(item) : std::next(item);
         }
 }
@@ -147,7 +154,7 @@
 {
     const std::int64_t number = wave.request.number;
     wave.down[machine] = machines_[machine].workerId;
-    wave.orderedAt[machine] = clock_().steady;
+    wave.orderedAt[machine] = hooks_.clock().steady;
     ports_.machines->maintain(
             machine, number, fence_,
             [self = shared_from_this(), number, machine](MachineOrderStatus status) {
@@ -160,7 +167,7 @@
                                 {"status", std::to_string(static_cast<int>(status))}});
                 if (status == MachineOrderStatus::Unknown)
                     return; // it stays down until the list or the time-out says otherwise
-                ordered.orderedAt[machine] = self->clock_().steady;
+                ordered.orderedAt[machine] = self->hooks_.clock().steady;
                 if (status == MachineOrderStatus::Accepted
                     || status == MachineOrderStatus::NoSuchMachine
                     || status == MachineOrderStatus::NotOfWave)
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/entry/driver.h>
 #include <chicorywick/entry/ports.h>
 #include <chicorywick/scheduler/scheduler.h>
 
@@ -20,8 +21,8 @@
 class WaveRunner : public std::enable_shared_from_this<WaveRunner>
 {
 public:
-    WaveRunner(WaveRunnerPorts ports, std::function<scheduler::Now()> clock,
-               scheduler::Scheduler &scheduler, std::int64_t fence);
+    WaveRunner(WaveRunnerPorts ports, DriverHooks hooks, scheduler::Scheduler &scheduler,
+               std::int64_t fence);
 
     void stop() { isStopped_ = true; }
     void setWaves(const std::vector<WaveRequest> &waves);
@@ -46,7 +47,8 @@
     void report(Wave &wave, bool isCompleted);
 
     WaveRunnerPorts ports_;
-    std::function<scheduler::Now()> clock_;
+    DriverHooks hooks_;
+    scheduler::Millis beganAt_;
     scheduler::Scheduler &scheduler_;
     std::int64_t fence_;
     std::map<std::int64_t, Wave> waves_;
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -58,9 +58,6 @@
     bool operator==(const JobProgress &) const = default;
 };
 
-/// @brief Both sides' facts about one job: ends and failures are never unlearnt.
-JobProgress mergeProgress(const JobProgress &left, const JobProgress &right);
-
 /// @brief One run of all steps of a job.
 struct Occurrence
 {
@@ -87,6 +84,9 @@
     void restore(const JobProgress &progress, Millis steady);
     JobProgress progress() const;
 
+    /// @brief Tasks of this job's open occurrences that stored progress shows as done.
+    std::vector<TaskId> tasksDoneIn(const JobProgress &progress) const;
+
     /// @brief Begins the occurrences that are due; returns their numbers.
     std::vector<std::int64_t> beginDue(Millis wall);
 
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -21,11 +21,6 @@
     return chains;
 }
 
-JobState furthest(JobState left, JobState right)
-{
-    return std::max(left, right);
-}
-
 } // namespace
 
 bool Occurrence::isDone(const JobSpec &spec) const
@@ -37,37 +32,6 @@
     return true;
 }
 
-JobProgress mergeProgress(const JobProgress &left, const JobProgress &right)
-{
-    JobProgress merged = left;
-    merged.state = furthest(left.state, right.state);
-    merged.begunOccurrences = std::max(left.begunOccurrences, right.begunOccurrences);
-    // An occurrence that one side has begun and does not list has finished there.
-    std::erase_if(merged.open, [&right](const OccurrenceProgress &mine) {
-        const bool isListed = std::any_of(
-                right.open.begin(), right.open.end(),
-                [&mine](const OccurrenceProgress &other) { return other.number == mine.number; });
-        return mine.number < right.begunOccurrences && !isListed;
-    });
-    for (const OccurrenceProgress &other : right.open) {
-        const auto mine = std::find_if(
-                merged.open.begin(), merged.open.end(),
-                [&other](const OccurrenceProgress &open) { return open.number == other.number; });
-        if (mine == merged.open.end()) {
-            if (other.number >= left.begunOccurrences)
-                merged.open.push_back(other);
-            continue;
-        }
-        mine->doneTasks.resize(std::max(mine->doneTasks.size(), other.doneTasks.size()));
-        for (std::size_t step = 0; step < other.doneTasks.size(); ++step)
-            mine->doneTasks[step].insert(other.doneTasks[step].begin(),
-                                         other.doneTasks[step].end());
-        for (const auto &[task, runs] : other.failedRuns)
-            mine->failedRuns[task].insert(runs.begin(), runs.end());
-    }
-    return merged;
-}
-
 Job::Job(JobSpec spec, Millis acceptedSteady)
     : spec_(std::move(spec))
     , acceptedSteady_(acceptedSteady)
@@ -194,6 +158,32 @@
     return progress;
 }
 
+std::vector<TaskId> Job::tasksDoneIn(const JobProgress &progress) const
+{
+    std::vector<TaskId> done;
+    for (const auto &[number, occurrence] : occurrences_) {
+        if (number >= progress.begunOccurrences)
+            continue;
+        const auto open = std::find_if(progress.open.begin(), progress.open.end(),
+                                       [number = number](const OccurrenceProgress &each) {
+                                           return each.number == number;
+                                       });
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                // An occurrence that has begun and is not listed has finished.
+                const bool isDone = open == progress.open.end()
+                                    || (step < open->doneTasks.size()
+                                        && open->doneTasks[step].contains(static_cast<int>(index)));
+                if (isDone)
+                    done.push_back({.job = spec_.id,
+                                    .occurrence = number,
+                                    .step = static_cast<int>(step),
+                                    .index = static_cast<int>(index)});
+            }
+    }
+    return done;
+}
+
 Occurrence *Job::occurrence(std::int64_t number)
 {
     const auto found = occurrences_.find(number);
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -127,19 +127,13 @@
     JobEntry *const entry = entryOf(id);
     if (entry == nullptr || isTerminal(entry->job.state()))
         return;
-    const Now now = hooks_.clock();
     if (progress.state == JobState::Failed) {
-        entry->job.fail(now.steady);
+        entry->job.fail(hooks_.clock().steady);
         finishJob(*entry);
         return;
     }
-    for (const OccurrenceProgress &open : progress.open)
-        for (std::size_t step = 0; step < open.doneTasks.size(); ++step)
-            for (const int index : open.doneTasks[step])
-                handleDone(*entry, EndedTask{.task = {.job = id,
-                                                      .occurrence = open.number,
-                                                      .step = static_cast<int>(step),
-                                                      .index = index}});
+    for (const TaskId &task : entry->job.tasksDoneIn(progress))
+        handleDone(*entry, EndedTask{.task = task});
     markDirty(id);
 }
 
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -234,6 +234,24 @@
     CHECK(world.scheduler->takeForgottenJobs().empty());
 }
 
+// Guards against a driver that was cut off and, back again, writes its old view of a job over the
+// end that its successor has stored.
+TEST_CASE("stored ends of another driver are taken over, whole jobs included")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(1);
+    world.submit("a", {step(2)});
+    world.submit("b", {step(2)});
+    world.run(500);
+    world.scheduler->mergeStored("a", {.state = JobState::Completed, .begunOccurrences = 1});
+    world.scheduler->mergeStored("b", {.state = JobState::Running,
+                                       .begunOccurrences = 1,
+                                       .open = {{.number = 0, .doneTasks = {{1}}}}});
+    CHECK(world.scheduler->stateOf("a") == JobState::Completed);
+    CHECK(world.scheduler->progressOf("b")->open[0].doneTasks[0] == std::set<int>{1});
+}
+
 // Plays lost answers, late orders, crashes and cuts; no task may run twice or after its end.
 TEST_CASE("faults of calls and workers make no task run twice and lose no job")
 {
