--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -69,9 +69,12 @@
                  settings)
     , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, scheduler_,
                                                  hooks_.mayOrder))
+    , inventory_(*ports.machines, hooks_.clock)
     , waves_(std::make_shared<WaveRunner>(
-              WaveRunnerPorts{.machines = ports.machines, .operators = ports.operators},
-              DriverHooks(hooks_), scheduler_, settings.fence))
+              WaveRunnerPorts{.machines = ports.machines, .operators = ports.operators}, hooks_,
+              scheduler_, inventory_, settings.fence))
+    , pools_(std::make_shared<PoolRunner>(*ports.machines, hooks_, scheduler_, inventory_,
+                                          settings.fence))
     , tickTimer_(*ports.loop)
 {}
 
@@ -86,6 +89,7 @@
     tickTimer_.cancel();
     journal_->stop();
     waves_->stop();
+    pools_->stop();
 }
 
 void Driver::Impl::configure(const Configuration &configuration)
@@ -94,6 +98,7 @@
     for (const QueueRoute &route : configuration.routes)
         queues.push_back(route.policy);
     scheduler_.setQueues(queues);
+    pools_->configure(configuration);
 }
 
 std::optional<scheduler::JobState> Driver::Impl::shownState(const std::string &id) const
@@ -253,6 +258,7 @@
     scheduler_.tick();
     storeRoster();
     waves_->tick();
+    pools_->tick();
     removeForgotten();
 }
 
--- a/packages/entry/src/driver_impl.h
+++ b/packages/entry/src/driver_impl.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "machine_inventory.h"
+#include "pool_runner.h"
 #include "progress_journal.h"
 #include "wave_runner.h"
 
@@ -45,7 +47,9 @@
     DriverHooks hooks_;
     scheduler::Scheduler scheduler_;
     std::shared_ptr<ProgressJournal> journal_;
+    MachineInventory inventory_;
     std::shared_ptr<WaveRunner> waves_;
+    std::shared_ptr<PoolRunner> pools_;
     boost::asio::steady_timer tickTimer_;
 
     bool isStopped_ = false;
--- /dev/null
+++ b/packages/entry/src/machine_inventory.cpp
@@ -0,0 +1,39 @@
+#include "machine_inventory.h"
+
+#include <chicorywick/base/log_event.h>
+
+namespace chicorywick::entry {
+
+MachineInventory::MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock)
+    : port_(port)
+    , clock_(std::move(clock))
+{}
+
+void MachineInventory::refresh(scheduler::Millis period)
+{
+    const scheduler::Millis now = clock_().steady;
+    if (state_->isListing || (state_->requestedAt != 0 && now - state_->requestedAt < period))
+        return;
+    state_->isListing = true;
+    state_->requestedAt = now;
+    port_.list([state = state_, now](const base::Result<std::vector<Machine>> &machines) {
+        state->isListing = false;
+        if (!machines) {
+            base::logEvent(base::Event::PlatformUnreachable,
+                           {{"call", "list-machines"}, {"reason", machines.error().message}});
+            return;
+        }
+        state->machines.clear();
+        for (const Machine &machine : machines.value())
+            state->machines.emplace(machine.name, machine);
+        state->askedAt = now;
+    });
+}
+
+std::string MachineInventory::workerOn(const std::string &machine) const
+{
+    const auto found = state_->machines.find(machine);
+    return found != state_->machines.end() ? found->second.workerId : std::string();
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/machine_inventory.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chicorywick/entry/driver.h>
+#include <chicorywick/entry/ports.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace chicorywick::entry {
+
+/// @brief The latest list of the platform's machines, shared by the planners that order them.
+class MachineInventory
+{
+public:
+    MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock);
+
+    /// @brief Asks for a new list if the last request is older than the period.
+    void refresh(scheduler::Millis period);
+
+    /// @brief When the list in hand was asked for; 0: there is none.
+    scheduler::Millis askedAt() const { return state_->askedAt; }
+    const std::map<std::string, Machine> &machines() const { return state_->machines; }
+
+    /// @brief The worker that runs on a machine, or an empty text.
+    std::string workerOn(const std::string &machine) const;
+
+private:
+    struct State
+    {
+        std::map<std::string, Machine> machines;
+        scheduler::Millis askedAt = 0;
+        scheduler::Millis requestedAt = 0;
+        bool isListing = false;
+    };
+
+    MachinePort &port_;
+    std::function<scheduler::Now()> clock_;
+    std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/pool_runner.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "machine_inventory.h"
+
+#include <chicorywick/entry/driver.h>
+#include <chicorywick/scheduler/pool_plan.h>
+#include <chicorywick/scheduler/scheduler.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace chicorywick::entry {
+
+/// @brief Moves machines between pools as their queues' demand turns.
+class PoolRunner : public std::enable_shared_from_this<PoolRunner>
+{
+public:
+    PoolRunner(MachinePort &machines, DriverHooks hooks, scheduler::Scheduler &scheduler,
+               MachineInventory &inventory, std::int64_t fence);
+
+    void stop() { isStopped_ = true; }
+    void configure(const Configuration &configuration);
+    void tick();
+
+private:
+    struct Move
+    {
+        std::string pool;
+        std::string worker; ///< the former one, empty if the machine was off
+        scheduler::Millis orderedAt = 0;
+    };
+
+    void noteArrivals();
+    std::vector<scheduler::PoolDemand> demands() const;
+    std::vector<scheduler::MovableMachine> movable() const;
+    void order(const scheduler::PoolMove &move);
+
+    MachinePort &machines_;
+    DriverHooks hooks_;
+    scheduler::Scheduler &scheduler_;
+    MachineInventory &inventory_;
+    std::int64_t fence_;
+    scheduler::Millis beganAt_;
+    std::set<std::string> services_; ///< those with queues
+    std::string sparePool_;
+    std::map<std::string, Move> moving_; ///< by machine
+    bool isStopped_ = false;
+};
+
+} // namespace chicorywick::entry
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -21,11 +21,12 @@
 } // namespace
 
 WaveRunner::WaveRunner(WaveRunnerPorts ports, DriverHooks hooks, scheduler::Scheduler &scheduler,
-                       std::int64_t fence)
+                       MachineInventory &inventory, std::int64_t fence)
     : ports_(ports)
     , hooks_(std::move(hooks))
     , beganAt_(hooks_.clock().steady)
     , scheduler_(scheduler)
+    , inventory_(inventory)
     , fence_(fence)
 {}
 
@@ -48,49 +49,35 @@
                                       [](const auto &item) { return !item.second.isCompleted; });
     if (!isActive) {
         for (const std::string &worker : cordoned_)
-            scheduler_.setCordoned(worker, false);
+            scheduler_.setCordoned(worker, scheduler::CordonReason::Maintenance, false);
         cordoned_.clear();
         return;
     }
-    if (!isListing_ && hooks_.clock().steady - listedAt_ >= kListPeriodMs)
-        requestList();
-    if (!hasList_)
+    inventory_.refresh(kListPeriodMs);
+    if (inventory_.askedAt() == 0)
         return;
+    noteReturns();
     std::set<std::string> before = std::exchange(cordoned_, {});
     for (auto &[number, wave] : waves_)
         if (!wave.isCompleted)
             plan(wave);
     for (const std::string &worker : before)
         if (!cordoned_.contains(worker))
-            scheduler_.setCordoned(worker, false);
+            scheduler_.setCordoned(worker, scheduler::CordonReason::Maintenance, false);
 }
 
-void WaveRunner::requestList()
+// Machines are back once a list that was asked for after their order shows another life of theirs.
+void WaveRunner::noteReturns()
 {
-    isListing_ = true;
-    listedAt_ = hooks_.clock().steady;
-    ports_.machines->list([self = shared_from_this(), askedAt = listedAt_](
-                                  const base::Result<std::vector<Machine>> &machines) {
-        self->isListing_ = false;
-        if (self->isStopped_ || !machines)
-            return;
-        self->applyList(machines.value(), askedAt);
-    });
-}
-
-void WaveRunner::applyList(const std::vector<Machine> &machines, scheduler::Millis askedAt)
-{
-    hasList_ = true;
-    machines_.clear();
-    for (const Machine &machine : machines)
-        machines_.emplace(machine.name, machine);
+    const auto &machines = inventory_.machines();
     for (auto &[number, wave] : waves_)
         for (auto item = wave.down.begin(); item != wave.down.end();) {
-            const auto listed = machines_.find(item->first);
-            const bool isBack = listed == machines_.end()
-                                || (listed->second.state == MachineState::Up
-                                    && listed->second.workerId != item->second
-                                    && wave.orderedAt[item->first] < askedAt);
+            const auto listed = machines.find(item->first);
+            const bool isBack =
+                    listed == machines.end()
+                    || (listed->second.state == MachineState::Up
+                        && (item->second.empty() || listed->second.workerId != item->second)
+                        && wave.orderedAt[item->first] < inventory_.askedAt());
             const bool isStale =
                     !wave.begun.contains(item->first)
                     && hooks_.clock().steady - wave.orderedAt[item->first] > kUnknownOrderMs;
@@ -105,15 +92,16 @@
     std::map<std::string, scheduler::WorkerView> views;
     for (scheduler::WorkerView &view : scheduler_.workers())
         views.emplace(view.entry.id, view);
+    const auto &machines = inventory_.machines();
     std::vector<scheduler::UpkeepCandidate> candidates;
     int down = static_cast<int>(wave.down.size());
     bool isLeft = false;
     for (const std::string &name : wave.request.machines) {
-        const auto listed = machines_.find(name);
+        const auto listed = machines.find(name);
         const bool isOurs = wave.down.contains(name);
-        if (listed != machines_.end() && listed->second.state == MachineState::Upkeep && !isOurs)
+        if (listed != machines.end() && listed->second.state == MachineState::Upkeep && !isOurs)
             ++down;
-        if (wave.begun.contains(name) || listed == machines_.end())
+        if (wave.begun.contains(name) || listed == machines.end())
             continue;
         isLeft = true;
         if (isOurs)
@@ -144,7 +132,7 @@
                                             {.maxAtOnce = wave.request.maxAtOnce, .downNow = down});
     for (const std::string &worker : next.cordoned) {
         cordoned_.insert(worker);
-        scheduler_.setCordoned(worker, true);
+        scheduler_.setCordoned(worker, scheduler::CordonReason::Maintenance, true);
     }
     for (const std::string &machine : next.begin)
         order(wave, machine);
@@ -153,7 +141,7 @@
 void WaveRunner::order(Wave &wave, const std::string &machine)
 {
     const std::int64_t number = wave.request.number;
-    wave.down[machine] = machines_[machine].workerId;
+    wave.down[machine] = inventory_.workerOn(machine);
     wave.orderedAt[machine] = hooks_.clock().steady;
     ports_.machines->maintain(
             machine, number, fence_,
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "machine_inventory.h"
+
 #include <chicorywick/entry/driver.h>
 #include <chicorywick/entry/ports.h>
 #include <chicorywick/scheduler/scheduler.h>
@@ -22,7 +24,7 @@
 {
 public:
     WaveRunner(WaveRunnerPorts ports, DriverHooks hooks, scheduler::Scheduler &scheduler,
-               std::int64_t fence);
+               MachineInventory &inventory, std::int64_t fence);
 
     void stop() { isStopped_ = true; }
     void setWaves(const std::vector<WaveRequest> &waves);
@@ -40,8 +42,7 @@
         bool isReporting = false;
     };
 
-    void requestList();
-    void applyList(const std::vector<Machine> &machines, scheduler::Millis askedAt);
+    void noteReturns();
     void plan(Wave &wave);
     void order(Wave &wave, const std::string &machine);
     void report(Wave &wave, bool isCompleted);
@@ -50,13 +51,10 @@
     DriverHooks hooks_;
     scheduler::Millis beganAt_;
     scheduler::Scheduler &scheduler_;
+    MachineInventory &inventory_;
     std::int64_t fence_;
     std::map<std::int64_t, Wave> waves_;
-    std::map<std::string, Machine> machines_;
     std::set<std::string> cordoned_;
-    scheduler::Millis listedAt_ = 0;
-    bool isListing_ = false;
-    bool hasList_ = false;
     bool isStopped_ = false;
 };
 
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -40,6 +40,9 @@
     std::function<void()> onProgress; ///< dirtyJobs() has become non-empty
 };
 
+/// @brief Why a worker gets no new tasks.
+enum class CordonReason { Maintenance, Move };
+
 /// @brief A worker's load, for the planners of maintenance and lending.
 struct WorkerView
 {
@@ -59,7 +62,9 @@
     std::int64_t waitingCpuMillis = 0;
     std::int64_t runningCpuMillis = 0;
     std::int64_t capacityCpuMillis = 0;
+    double arrivingCpuMillis = 0; ///< processor time submitted per time, a moving average
     int waitingTasks = 0;
+    int spreadWorkers = 0; ///< workers that the widest spread-out perpetual step needs
 
     bool operator==(const ServiceLoad &) const = default;
 };
@@ -111,8 +116,9 @@
     int waitingJobs(const std::string &queue) const;
     std::vector<std::string> takeForgottenJobs();
 
-    /// @brief No new tasks for the worker; perpetual ones move away as their budgets permit.
-    void setCordoned(const std::string &workerId, bool isCordoned);
+    /// @brief No new tasks for the worker while any reason holds. For maintenance, perpetual tasks
+    /// move away as their budgets permit.
+    void setCordoned(const std::string &workerId, CordonReason reason, bool isCordoned);
     std::vector<WorkerView> workers() const;
     std::map<std::string, ServiceLoad> loads() const;
 
@@ -144,6 +150,7 @@
     Task *taskOf(const TaskId &id);
     const QueuePolicy *policyOf(const Job &job) const;
     void markDirty(const std::string &id);
+    void noteArrival(const Job &job);
     void enqueueReady(JobEntry &entry);
     void enqueue(JobEntry &entry, const TaskId &id);
     void dequeue(JobEntry &entry, const TaskId &id);
@@ -203,6 +210,12 @@
     std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
     std::map<std::string, std::unique_ptr<Worker>> workers_;
     std::map<std::string, std::set<ReadyKey>> ready_; ///< by service
+    struct ArrivalRate
+    {
+        double cpuMillis = 0;
+        Millis at = 0;
+    };
+    std::map<std::string, ArrivalRate> arrivals_; ///< by service
     std::set<std::string> dirty_;
     std::set<std::string> storedRoster_;
     std::vector<std::string> forgotten_;
--- a/packages/scheduler/include/chicorywick/scheduler/upkeep_plan.h
+++ b/packages/scheduler/include/chicorywick/scheduler/upkeep_plan.h
@@ -31,7 +31,7 @@
 struct UpkeepPlan
 {
     std::vector<std::string> cordoned; ///< workers that get no new tasks
-    std::vector<std::string> begin; ///< machines whose upkeep begins now
+    std::vector<std::string> begin;    ///< machines whose upkeep begins now
 
     bool operator==(const UpkeepPlan &) const = default;
 };
--- /dev/null
+++ b/packages/scheduler/src/pool_plan.cpp
@@ -0,0 +1,79 @@
+#include <chicorywick/scheduler/pool_plan.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// Tasks of uneven size fill a machine to about this share.
+constexpr double kPackingShare = 0.85;
+
+} // namespace
+
+int machinesFor(double cpuMillis, std::int64_t machineCpuMillis)
+{
+    if (machineCpuMillis <= 0)
+        return 0;
+    return static_cast<int>(
+            std::ceil(cpuMillis / (kPackingShare * static_cast<double>(machineCpuMillis))));
+}
+
+std::vector<PoolMove> planPoolMoves(std::span<const PoolDemand> pools,
+                                    std::span<const MovableMachine> movable,
+                                    const std::string &sparePool, const PoolPolicy &policy)
+{
+    std::map<std::string, int> surplus;
+    for (const PoolDemand &pool : pools)
+        surplus[pool.service] = pool.machines - std::max(pool.wanted, pool.kept);
+    std::vector<const MovableMachine *> offers;
+    for (const MovableMachine &machine : movable)
+        offers.push_back(&machine);
+    std::stable_sort(offers.begin(), offers.end(),
+                     [](const MovableMachine *left, const MovableMachine *right) {
+                         return std::pair(!left->isParked, -left->idleMs)
+                                < std::pair(!right->isParked, -right->idleMs);
+                     });
+    std::vector<const PoolDemand *> needy;
+    for (const PoolDemand &pool : pools)
+        if (pool.wanted > pool.machines)
+            needy.push_back(&pool);
+    std::stable_sort(needy.begin(), needy.end(),
+                     [](const PoolDemand *left, const PoolDemand *right) {
+                         return left->wanted - left->machines > right->wanted - right->machines;
+                     });
+    std::vector<PoolMove> moves;
+    const auto isFull = [&] { return static_cast<int>(moves.size()) >= policy.maxMoves; };
+    for (const PoolDemand *pool : needy) {
+        int missing = pool->wanted - pool->machines;
+        for (const MovableMachine *&offer : offers) {
+            if (missing == 0 || isFull())
+                break;
+            if (offer == nullptr || offer->pool == pool->service)
+                continue;
+            const bool isLendable =
+                    offer->isParked
+                    || (surplus[offer->pool] > 0 && offer->idleMs >= policy.lendAfterMs);
+            if (!isLendable)
+                continue;
+            if (!offer->isParked)
+                --surplus[offer->pool];
+            moves.push_back({.machine = offer->machine, .pool = pool->service});
+            offer = nullptr;
+            --missing;
+        }
+    }
+    for (const MovableMachine *offer : offers) {
+        const bool isParkable = offer != nullptr && !offer->isParked && !sparePool.empty()
+                                && surplus[offer->pool] > 0 && offer->idleMs >= policy.parkAfterMs
+                                && !isFull();
+        if (!isParkable)
+            continue;
+        --surplus[offer->pool];
+        moves.push_back({.machine = offer->machine, .pool = sparePool});
+    }
+    return moves;
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -3,6 +3,7 @@
 #include <chicorywick/base/log_event.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chicorywick::scheduler {
@@ -16,6 +17,8 @@
 constexpr int kOnTimeBand = 1;
 constexpr int kLateBand = 2;
 constexpr int kOverdueBand = 3;
+// Window of the moving average of submitted work: short enough to follow a queue that turns busy.
+constexpr double kWindowMs = 700;
 // Bands change as slack is used up; twice a second keeps the queue's order close to the truth.
 constexpr Millis kBandRefreshMs = 500;
 
@@ -98,6 +101,23 @@
         hooks_.onProgress();
 }
 
+void Scheduler::noteArrival(const Job &job)
+{
+    const QueuePolicy *const policy = policyOf(job);
+    if (policy == nullptr)
+        return;
+    double work = 0;
+    for (const StepSpec &step : job.spec().steps)
+        if (!step.isPerpetual)
+            work += static_cast<double>(step.taskCount) * static_cast<double>(step.demand.cpuMillis)
+                    * static_cast<double>(step.estimatedMs);
+    ArrivalRate &rate = arrivals_[policy->service];
+    const Millis now = hooks_.clock().steady;
+    rate.cpuMillis = rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kWindowMs)
+                     + work / kWindowMs;
+    rate.at = now;
+}
+
 void Scheduler::addJob(const JobSpec &spec, const std::optional<JobProgress> &progress)
 {
     if (jobs_.contains(spec.id))
@@ -118,6 +138,8 @@
                                               {"queue", spec.queue},
                                               {"age_ms", std::to_string(age)},
                                               {"resumed", progress ? "1" : "0"}});
+    if (!progress)
+        noteArrival(entry.job);
     enqueueReady(entry);
     place();
 }
@@ -363,6 +385,20 @@
                             .cpuMillis;
             ++load.waitingTasks;
         }
+    const Millis now = hooks_.clock().steady;
+    for (const auto &[service, rate] : arrivals_)
+        loads[service].arrivingCpuMillis =
+                rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kWindowMs);
+    for (const auto &[id, entry] : jobs_) {
+        const QueuePolicy *const policy = policyOf(entry->job);
+        if (policy == nullptr || isTerminal(entry->job.state()))
+            continue;
+        int &spread = loads[policy->service].spreadWorkers;
+        for (const StepSpec &step : entry->job.spec().steps)
+            if (step.isPerpetual && step.maxPerWorker > 0)
+                spread = std::max(spread,
+                                  (step.taskCount + step.maxPerWorker - 1) / step.maxPerWorker);
+    }
     return loads;
 }
 
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -16,6 +16,8 @@
 constexpr Millis kFullPauseMs = 200;
 // A perpetual task whose worker reports less is starting up, paced down or standing still.
 constexpr int kAtWorkPercent = 100;
+// What a silent worker last said of its tasks is no evidence that they are at work.
+constexpr Millis kFreshMs = 1'500;
 
 } // namespace
 
@@ -315,8 +317,10 @@
     int available = 0;
     const auto &siblings = found->second.steps[static_cast<std::size_t>(id.step)];
     for (std::size_t index = 0; index < siblings.size(); ++index) {
-        const bool isAtWork = siblings[index].phase == TaskPhase::Running
-                              && siblings[index].percent >= kAtWorkPercent;
+        const Worker *const worker = workerOf(siblings[index].worker);
+        const bool isAtWork = worker != nullptr && siblings[index].phase == TaskPhase::Running
+                              && siblings[index].percent >= kAtWorkPercent
+                              && hooks_.clock().steady - worker->replyAt < kFreshMs;
         available += isAtWork && static_cast<int>(index) != id.index ? 1 : 0;
     }
     return available;
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -12,7 +12,7 @@
     bool isListed = false;
     bool isContacted = false; ///< it has answered this driver's fence
     bool isReplaced = false;  ///< another incarnation answers at its address
-    bool isCordoned = false;
+    std::set<CordonReason> cordons;
     bool isExpected = false; ///< an earlier driver may have used it
 
     Resources used;
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -132,7 +132,7 @@
 {
     const Millis now = hooks_.clock().steady;
     return worker.isListed && worker.isContacted && !worker.isReplaced && !worker.entry.isDraining
-           && !worker.isCordoned && worker.quarantinedUntil <= now && worker.fullUntil <= now
+           && worker.cordons.empty() && worker.quarantinedUntil <= now && worker.fullUntil <= now
            && now - worker.replyAt < settings_.silenceMs && storedRoster_.contains(worker.entry.id);
 }
 
@@ -225,7 +225,7 @@
     }
     observeAbsences(*worker, sentAt, reply);
     pace(*worker);
-    if (worker->entry.isDraining || worker->isCordoned)
+    if (worker->entry.isDraining || worker->cordons.contains(CordonReason::Maintenance))
         drainPerpetual(*worker);
     if (isFirst || !reply.ended.empty() || !ready_.empty())
         place();
@@ -420,16 +420,18 @@
     }
 }
 
-void Scheduler::setCordoned(const std::string &workerId, bool isCordoned)
+void Scheduler::setCordoned(const std::string &workerId, CordonReason reason, bool isCordoned)
 {
     Worker *const worker = workerOf(workerId);
-    if (worker == nullptr || worker->isCordoned == isCordoned)
+    if (worker == nullptr || worker->cordons.contains(reason) == isCordoned)
         return;
-    worker->isCordoned = isCordoned;
-    if (isCordoned)
+    if (!isCordoned) {
+        worker->cordons.erase(reason);
+        return place();
+    }
+    worker->cordons.insert(reason);
+    if (reason == CordonReason::Maintenance)
         drainPerpetual(*worker);
-    else
-        place();
 }
 
 std::vector<WorkerView> Scheduler::workers() const
@@ -439,7 +441,7 @@
         WorkerView view{.entry = worker->entry,
                         .tasks = static_cast<int>(worker->tasks.size()),
                         .isUsable = worker->isListed && worker->isContacted && !worker->isReplaced,
-                        .isCordoned = worker->isCordoned,
+                        .isCordoned = !worker->cordons.empty(),
                         .idleSince = worker->idleSince};
         for (const TaskId &task : worker->tasks) {
             const JobEntry *const entry = entryOf(task.job);
