Stop repeating starts at dead workers; keep cordons while a machine is down

Change: a failed start marks the worker until a renewal is answered; cordons last while the machine is down; the worker of a move comes from the scheduler. Idle machines beyond two a pool are parked after 1.5 s.

--- a/packages/entry/src/pool_runner.cpp
+++ b/packages/entry/src/pool_runner.cpp
@@ -105,8 +105,9 @@
         const std::int64_t machineSize = size.contains(service) ? size[service] : anySize;
         demands.push_back({.service = service,
                            .machines = machines[service],
-                           .wanted = scheduler::machinesFor(wanted, machineSize),
-                           .kept = load.spreadWorkers + kBaseMachines});
+                           .wanted = std::max(scheduler::machinesFor(wanted, machineSize),
+                                              load.spreadWorkers),
+                           .kept = kBaseMachines});
     }
     return demands;
 }
@@ -134,7 +135,11 @@
 
 void PoolRunner::order(const scheduler::PoolMove &move)
 {
-    const std::string worker = inventory_.workerOn(move.machine);
+    // The inventory may be older than the worker that runs there now.
+    std::string worker;
+    for (const scheduler::WorkerView &view : scheduler_.workers())
+        if (view.entry.machine == move.machine && view.isUsable)
+            worker = view.entry.id;
     moving_[move.machine] = {
             .pool = move.pool, .worker = worker, .orderedAt = hooks_.clock().steady};
     scheduler_.setCordoned(worker, scheduler::CordonReason::Move, true);
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -101,10 +101,16 @@
         const bool isOurs = wave.down.contains(name);
         if (listed != machines.end() && listed->second.state == MachineState::Upkeep && !isOurs)
             ++down;
-        if (wave.begun.contains(name) || listed == machines.end())
+        if (listed == machines.end())
             continue;
-        isLeft = true;
-        if (isOurs)
+        isLeft = isLeft || !wave.begun.contains(name);
+        if (isOurs) {
+            // Its worker stays listed for a while; nothing may start there.
+            if (const std::string &worker = wave.down[name]; !worker.empty())
+                cordoned_.insert(worker);
+            continue;
+        }
+        if (wave.begun.contains(name))
             continue;
         const Machine &machine = listed->second;
         scheduler::UpkeepCandidate candidate{.machine = name,
--- a/packages/scheduler/include/chicorywick/scheduler/pool_plan.h
+++ b/packages/scheduler/include/chicorywick/scheduler/pool_plan.h
@@ -42,7 +42,7 @@
 /// @brief What a move is worth against keeping a machine where it is.
 struct PoolPolicy
 {
-    Millis parkAfterMs = 4'000; ///< idle time after which a machine that is not wanted is parked
+    Millis parkAfterMs = 1'500; ///< idle time after which a machine that is not wanted is parked
     Millis lendAfterMs = 300;   ///< idle time after which a pool lends to one in need
     int maxMoves = 12;          ///< at a time
 
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -83,6 +83,7 @@
     int startsOf(const TaskId &task) const;
     std::vector<std::string> placesOf(const TaskId &task) const;
     int runningCount() const;
+    int ordersSent() const { return ordersSent_; }
     int acknowledgedEnds() const { return acknowledged_; }
     void setDemand(const std::string &job, Resources demand) { demands_[job] = demand; }
 
@@ -127,6 +128,7 @@
     std::set<TaskId> doneAndAcknowledged_;
     std::vector<std::string> violations_;
     int acknowledged_ = 0;
+    int ordersSent_ = 0;
     std::uint64_t lives_ = 0;
 };
 
--- a/packages/scheduler/src/fake_workers_test.cpp
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -158,8 +158,14 @@
     const bool isLate = rng_.chance(faults_.lateOrder);
     const bool isLost = isLate || rng_.chance(faults_.lostAnswer);
     const Millis delay = isLate ? 2'000 + static_cast<Millis>(rng_.below(kLatestMs)) : kTravelMs;
+    ++ordersSent_;
     const auto addressed = workers_.find(address.id);
-    const std::uint64_t life = addressed != workers_.end() ? addressed->second.life : 0;
+    // A process that is gone refuses connections at once.
+    if (addressed == workers_.end()) {
+        loop_.after(kTravelMs, [done] { done({.status = OrderStatus::NotSent}); });
+        return;
+    }
+    const std::uint64_t life = addressed->second.life;
     loop_.after(delay, [this, address, order, carryOut, done, isLost, life] {
         Worker *const worker = reach(address);
         // An order that is carried out late waits in the worker's process and dies with it.
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -238,6 +238,14 @@
     }
     if (!isCurrent)
         return;
+    if (reply.status != OrderStatus::Accepted)
+        base::logEvent(base::Event::JobAttemptLost,
+                       {{"task", id.text()},
+                        {"run", std::to_string(run)},
+                        {"worker", workerId},
+                        {"how", "not-started"},
+                        {"status", std::to_string(static_cast<int>(reply.status))}});
+    Millis fullUntil = 0;
     switch (reply.status) {
     case OrderStatus::Accepted:
         observeClock(*worker, reply.workerClock, now);
@@ -251,12 +259,13 @@
         return;
     case OrderStatus::Unknown:
         // A renewal that is sent from now on shows whether the start has arrived.
+        worker->isSuspect = true;
         return;
     case OrderStatus::NoRoom:
-        worker->fullUntil = now + kFullPauseMs;
+    case OrderStatus::TooLate:
+        fullUntil = now + kFullPauseMs;
         break;
     case OrderStatus::OldRun:
-    case OrderStatus::TooLate:
     case OrderStatus::NoTicket:
         break;
     case OrderStatus::OtherLife:
@@ -268,7 +277,8 @@
     case OrderStatus::Unhealthy:
     case OrderStatus::Invalid:
     case OrderStatus::Fenced:
-        worker->fullUntil = now + settings_.retryMs;
+        // Nothing more is sent there until a renewal is answered again.
+        worker->isSuspect = true;
         task->avoid = workerId;
         break;
     }
@@ -276,6 +286,7 @@
         release(id, *task);
     else
         requeue(*entry, id, *task);
+    worker->fullUntil = fullUntil;
 }
 
 void Scheduler::stop(const TaskId &id, Task &task)
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -252,6 +252,20 @@
     CHECK(world.scheduler->progressOf("b")->open[0].doneTasks[0] == std::set<int>{1});
 }
 
+// Guards against starts that are repeated as fast as a dead worker refuses them: a machine that
+// went down for its upkeep got 400 of them for one task.
+TEST_CASE("a worker that cannot be reached gets no start after the first until it answers")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(1);
+    world.run(300);
+    world.workers.crash("w0");
+    world.submit("a", {step(1)});
+    world.run(2'000);
+    CHECK(world.workers.ordersSent() <= 3);
+}
+
 // Plays lost answers, late orders, crashes and cuts; no task may run twice or after its end.
 TEST_CASE("faults of calls and workers make no task run twice and lose no job")
 {
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -26,6 +26,7 @@
     Millis leaseSent = 0; ///< latest end of a lease that was ordered, on the worker's clock
     bool isRenewing = false;
     bool hasFailed = false; ///< the last renewal got no answer
+    bool isSuspect = false; ///< an order failed since the last answered renewal
     Millis retryAt = 0;
     Millis renewedAt = 0;
 
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -132,8 +132,9 @@
 {
     const Millis now = hooks_.clock().steady;
     return worker.isListed && worker.isContacted && !worker.isReplaced && !worker.entry.isDraining
-           && worker.cordons.empty() && worker.quarantinedUntil <= now && worker.fullUntil <= now
-           && now - worker.replyAt < settings_.silenceMs && storedRoster_.contains(worker.entry.id);
+           && worker.cordons.empty() && !worker.isSuspect && worker.quarantinedUntil <= now
+           && worker.fullUntil <= now && now - worker.replyAt < settings_.silenceMs
+           && storedRoster_.contains(worker.entry.id);
 }
 
 void Scheduler::renew(Worker &worker)
@@ -209,6 +210,7 @@
     const bool isFirst = !worker->isContacted;
     observeClock(*worker, reply.workerClock, sentAt);
     worker->isContacted = true;
+    worker->isSuspect = false;
     worker->retryAt = 0;
     for (const RunningTask &running : reply.running)
         observeRunning(*worker, running);
