--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -12,9 +12,9 @@
 /// @brief Times of the election; milliseconds.
 struct ElectionSettings
 {
-    scheduler::Millis leaseMs = 2500; ///< from the sending of the latest successful write
-    scheduler::Millis renewEveryMs = 700;
-    scheduler::Millis takeoverDelayMs = 400; ///< added to the lease before a successor claims
+    scheduler::Millis leaseMs = 2000; ///< from the sending of the latest successful write
+    scheduler::Millis renewEveryMs = 500;
+    scheduler::Millis takeoverDelayMs = 300; ///< added to the lease before a successor claims
     scheduler::Millis retryMs = 200;
 
     bool operator==(const ElectionSettings &) const = default;
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -314,10 +314,9 @@
         driverTerm_ = election_.term();
         base::logEvent(base::Event::OwnershipTaken, {{"term", std::to_string(driverTerm_)}});
         scheduler::SchedulerSettings scheduling;
-        constexpr scheduler::Millis kLeaseMarginMs = 500;
         scheduling.fence = driverTerm_;
         scheduling.maxLeaseMs = settings_.maxLeaseMs;
-        scheduling.leaseMs = settings_.maxLeaseMs - kLeaseMarginMs;
+        scheduling.leaseMs = std::min(scheduling.leaseMs, settings_.maxLeaseMs);
         scheduling.retentionMs = settings_.statusRetentionMs;
         driver_ = std::make_unique<Driver>(
                 ports_,
--- a/packages/entry/src/pool_runner.cpp
+++ b/packages/entry/src/pool_runner.cpp
@@ -86,7 +86,9 @@
     std::map<std::string, std::int64_t> size;
     for (const scheduler::WorkerView &view : scheduler_.workers()) {
         size[view.entry.service] = view.entry.capacity.cpuMillis;
-        if (view.isUsable && !view.entry.isDraining && !moving_.contains(view.entry.machine))
+        const bool counts = view.isUsable && !view.entry.isDraining && !view.isCordoned
+                            && !moving_.contains(view.entry.machine);
+        if (counts)
             ++machines[view.entry.service];
     }
     std::int64_t anySize = 0;
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -162,6 +162,8 @@
                 if (status == MachineOrderStatus::Unknown)
                     return; // it stays down until the list or the time-out says otherwise
                 ordered.orderedAt[machine] = self->hooks_.clock().steady;
+                if (status == MachineOrderStatus::Accepted)
+                    self->scheduler_.endWorker(ordered.down[machine]);
                 if (status == MachineOrderStatus::Accepted
                     || status == MachineOrderStatus::NoSuchMachine
                     || status == MachineOrderStatus::NotOfWave)
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -97,6 +97,9 @@
                 return self->fail(false, failure.message());
             beast::error_code ignored;
             self->stream_.socket().set_option(Tcp::no_delay(true), ignored);
+            // Closing resets the connection: a request that was given up during a partition must
+            // not be delivered when the partition heals.
+            self->stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
             self->write();
         });
     }
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -93,6 +93,9 @@
     void upsertWorker(const WorkerEntry &entry);
     void removeWorker(const std::string &id);
 
+    /// @brief The worker's life has ended by an order to its machine.
+    void endWorker(const std::string &id);
+
     /// @brief Workers that may be given tasks only after the list of them was stored.
     std::vector<WorkerEntry> roster() const;
     void rosterStored(const std::vector<WorkerEntry> &workers);
@@ -180,6 +183,8 @@
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseOver(const Worker &worker) const;
     bool isUsable(const Worker &worker) const;
+    void replaceWorker(Worker &worker);
+    void replaceFormerLives(const WorkerEntry &entry);
     void loseTasks(Worker &worker, const char *reason);
     void retryWorkers();
     void pruneWorkers();
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -269,8 +269,7 @@
     case OrderStatus::NoTicket:
         break;
     case OrderStatus::OtherLife:
-        worker->isReplaced = true;
-        loseTasks(*worker, "replaced");
+        replaceWorker(*worker);
         place();
         return;
     case OrderStatus::NotSent:
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -252,6 +252,25 @@
     CHECK(world.scheduler->progressOf("b")->open[0].doneTasks[0] == std::set<int>{1});
 }
 
+// Guards against a wait for the lease of a worker whose machine already runs another one, and
+// against a successor that waits for workers which ended long ago.
+TEST_CASE("another worker of the same machine proves that the former one has ended")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(1);
+    world.submit("a", {step(1)});
+    world.run(500);
+    REQUIRE(world.workers.startsOf({.job = "a"}) == 1);
+    world.workers.crash("w0");
+    WorkerEntry next = world.workers.add("x0", "s", kWorkerSize);
+    next.machine = "m-w0";
+    world.scheduler->upsertWorker(next);
+    world.run(500);
+    CHECK(world.workers.startsOf({.job = "a"}) == 2);
+    CHECK(world.scheduler->roster().size() == 1);
+}
+
 // Guards against starts that are repeated as fast as a dead worker refuses them: a machine that
 // went down for its upkeep got 400 of them for one task.
 TEST_CASE("a worker that cannot be reached gets no start after the first until it answers")
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -80,11 +80,45 @@
     }
     known->entry = entry;
     known->isListed = true;
+    replaceFormerLives(entry);
+    if (known->isReplaced)
+        return;
     if (entry.isDraining)
         drainPerpetual(*known);
     renew(*known);
 }
 
+// A machine runs one worker at a time, so the latest life that is known of proves the others ended.
+void Scheduler::replaceFormerLives(const WorkerEntry &entry)
+{
+    if (entry.machine.empty())
+        return;
+    Worker *latest = workerOf(entry.id);
+    for (auto &[id, worker] : workers_)
+        if (worker->entry.machine == entry.machine && worker->entry.born > latest->entry.born)
+            latest = worker.get();
+    for (auto &[id, worker] : workers_)
+        if (worker->entry.machine == entry.machine && worker.get() != latest)
+            replaceWorker(*worker);
+}
+
+void Scheduler::replaceWorker(Worker &worker)
+{
+    if (worker.isReplaced)
+        return;
+    worker.isReplaced = true;
+    worker.isContacted = false;
+    loseTasks(worker, "replaced");
+}
+
+void Scheduler::endWorker(const std::string &id)
+{
+    if (Worker *const worker = workerOf(id)) {
+        replaceWorker(*worker);
+        place();
+    }
+}
+
 void Scheduler::removeWorker(const std::string &id)
 {
     if (Worker *const worker = workerOf(id))
@@ -95,7 +129,8 @@
 {
     std::vector<WorkerEntry> entries;
     for (const auto &[id, worker] : workers_)
-        entries.push_back(worker->entry);
+        if (!worker->isReplaced)
+            entries.push_back(worker->entry);
     return entries;
 }
 
@@ -196,9 +231,7 @@
             reply.status == OrderStatus::OtherLife
             || (reply.born != 0 && worker->entry.born != 0 && reply.born != worker->entry.born);
     if (isOtherLife) {
-        worker->isReplaced = true;
-        worker->isContacted = false;
-        loseTasks(*worker, "replaced");
+        replaceWorker(*worker);
         place();
         return;
     }
@@ -377,7 +410,11 @@
         if (entry == nullptr || task == nullptr || task->phase != TaskPhase::Running)
             continue;
         const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
-        if (!step.isPerpetual || (!worker.entry.isDraining && !mayTakeAway(*entry, id)))
+        // Without a place elsewhere, the task serves its users better where it is.
+        const bool mayStop =
+                worker.entry.isDraining
+                || (mayTakeAway(*entry, id) && chooseWorker(*entry, id, {}) != nullptr);
+        if (!step.isPerpetual || !mayStop)
             continue;
         stop(id, *task);
     }
