Adopt what runs at a take-over, remember a wave's machines, let an upkeep's answer prove nothing

Change: only another worker of the machine, or a move, ends a worker; machines whose upkeep has begun are stored with the leader's rows; running tasks without a known worker are adopted whatever their phase.

--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -4,6 +4,7 @@
 #include <chicorywick/scheduler/job.h>
 #include <chicorywick/scheduler/model.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,10 @@
 std::string encode(const std::vector<scheduler::WorkerEntry> &roster);
 base::Result<std::vector<scheduler::WorkerEntry>> decodeRoster(const std::string &text);
 
+/// @brief The machines of a wave whose upkeep has begun.
+std::string encodeBegun(const std::set<std::string> &machines);
+base::Result<std::set<std::string>> decodeBegun(const std::string &text);
+
 /// @brief The name of a job state towards callers and in stored rows.
 const char *jobStateName(scheduler::JobState state);
 
--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -70,9 +70,10 @@
     , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, scheduler_,
                                                  hooks_.mayOrder))
     , inventory_(*ports.machines, hooks_.clock)
-    , waves_(std::make_shared<WaveRunner>(
-              WaveRunnerPorts{.machines = ports.machines, .operators = ports.operators}, hooks_,
-              scheduler_, inventory_, settings.fence))
+    , waves_(std::make_shared<WaveRunner>(WaveRunnerPorts{.machines = ports.machines,
+                                                          .operators = ports.operators,
+                                                          .table = ports.table},
+                                          hooks_, scheduler_, inventory_, settings.fence))
     , pools_(std::make_shared<PoolRunner>(*ports.machines, hooks_, scheduler_, inventory_,
                                           settings.fence))
     , tickTimer_(*ports.loop)
--- a/packages/entry/src/driver_loading.cpp
+++ b/packages/entry/src/driver_loading.cpp
@@ -17,13 +17,14 @@
 void Driver::Impl::loadRoster()
 {
     const RowKey key = layout::rosterRow();
-    ports_.table->read({.table = key.table, .part = key.part, .from = key.key}, kReadTimeout,
+    ports_.table->read({.table = key.table, .part = key.part}, kReadTimeout,
                        [self = shared_from_this()](const base::Result<RowPage> &page) {
                            if (self->isStopped_)
                                return;
                            if (!page)
                                return self->later([self] { self->loadRoster(); });
                            for (const Row &row : page.value().rows) {
+                               self->waves_->restore(row);
                                const auto roster = decodeRoster(row.value);
                                if (row.key.key != layout::rosterRow().key || !roster)
                                    continue;
--- a/packages/entry/src/layout.cpp
+++ b/packages/entry/src/layout.cpp
@@ -1,10 +1,13 @@
 #include <chicorywick/entry/layout.h>
 
+#include <charconv>
+
 namespace chicorywick::entry::layout {
 
 namespace {
 
 constexpr const char *kCancelSuffix = ".cancel";
+const std::string kWavePrefix = "wave-";
 
 } // namespace
 
@@ -42,6 +45,21 @@
     return {.table = kLeader, .part = kLeader, .key = "roster"};
 }
 
+RowKey waveRow(std::int64_t number)
+{
+    return {.table = kLeader, .part = kLeader, .key = kWavePrefix + std::to_string(number)};
+}
+
+std::optional<std::int64_t> waveOf(const std::string &key)
+{
+    if (!key.starts_with(kWavePrefix))
+        return std::nullopt;
+    std::int64_t number = 0;
+    const char *last = key.data() + key.size();
+    const auto [end, error] = std::from_chars(key.data() + kWavePrefix.size(), last, number);
+    return error == std::errc() && end == last ? std::optional(number) : std::nullopt;
+}
+
 std::string cancelledJob(const std::string &key)
 {
     const std::string suffix = kCancelSuffix;
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -190,4 +190,16 @@
     });
 }
 
+std::string encodeBegun(const std::set<std::string> &machines)
+{
+    return Json(machines).dump();
+}
+
+base::Result<std::set<std::string>> decodeBegun(const std::string &text)
+{
+    using Machines = std::set<std::string>;
+    return decodeWith<Machines>(text, "wave row",
+                                [](const Json &json) { return json.get<Machines>(); });
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -1,6 +1,8 @@
 #include "wave_runner.h"
 
 #include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
 #include <chicorywick/scheduler/upkeep_plan.h>
 
 #include <algorithm>
@@ -12,6 +14,7 @@
 
 // The list is read once so often while a wave is under way; an upkeep takes about two seconds.
 constexpr scheduler::Millis kListPeriodMs = 500;
+constexpr auto kWriteTimeout = std::chrono::milliseconds(1'000);
 // Pause between the orders of two holders for one machine; the settings of both sites give 3 s.
 constexpr scheduler::Millis kHandOverMs = 3'000;
 // An order without an answer counts as carried out for so long, then it is repeated; repeating is
@@ -162,17 +165,37 @@
                 if (status == MachineOrderStatus::Unknown)
                     return; // it stays down until the list or the time-out says otherwise
                 ordered.orderedAt[machine] = self->hooks_.clock().steady;
-                if (status == MachineOrderStatus::Accepted)
-                    self->scheduler_.endWorker(ordered.down[machine]);
                 if (status == MachineOrderStatus::Accepted
                     || status == MachineOrderStatus::NoSuchMachine
                     || status == MachineOrderStatus::NotOfWave)
-                    ordered.begun.insert(machine);
+                    self->noteBegun(ordered, machine);
                 if (status != MachineOrderStatus::Accepted)
                     ordered.down.erase(machine);
             });
 }
 
+// Stored for the next driver, which would otherwise empty every machine of the wave again.
+void WaveRunner::noteBegun(Wave &wave, const std::string &machine)
+{
+    wave.begun.insert(machine);
+    ports_.table->transact(
+            {.writes = {{.key = layout::waveRow(wave.request.number),
+                         .value = encodeBegun(wave.begun)}}},
+            kWriteTimeout, [](const base::Result<TransactionResult> &result) {
+                if (!result)
+                    base::logEvent(base::Event::PlatformUnreachable,
+                                   {{"call", "store-wave"}, {"reason", result.error().message}});
+            });
+}
+
+void WaveRunner::restore(const Row &row)
+{
+    const auto number = layout::waveOf(row.key.key);
+    const auto begun = decodeBegun(row.value);
+    if (number && begun)
+        waves_[*number].begun = begun.value();
+}
+
 void WaveRunner::report(Wave &wave, bool isCompleted)
 {
     if (wave.isReporting)
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -17,6 +17,7 @@
 {
     MachinePort *machines = nullptr;
     OperatorPort *operators = nullptr;
+    Table *table = nullptr;
 };
 
 /// @brief Carries out the operators' maintenance waves one machine after another.
@@ -27,6 +28,8 @@
                MachineInventory &inventory, std::int64_t fence);
 
     void stop() { isStopped_ = true; }
+    /// @brief Takes over what an earlier driver has stored of a wave.
+    void restore(const Row &row);
     void setWaves(const std::vector<WaveRequest> &waves);
     void tick();
 
@@ -45,6 +48,7 @@
     void noteReturns();
     void plan(Wave &wave);
     void order(Wave &wave, const std::string &machine);
+    void noteBegun(Wave &wave, const std::string &machine);
     void report(Wave &wave, bool isCompleted);
 
     WaveRunnerPorts ports_;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -19,13 +19,15 @@
 /// @brief Times of the scheduler; milliseconds.
 struct SchedulerSettings
 {
-    std::int64_t fence = 0;    ///< token of this term of driving
-    Millis maxLeaseMs = 6000;  ///< longest lease that a worker grants
-    Millis leaseMs = 5500;     ///< requested at each renewal
-    Millis renewWaitMs = 1000; ///< how long a busy worker may hold a renewal open
-    Millis idleRenewWaitMs = 2000;
+    std::int64_t fence = 0;   ///< token of this term of driving
+    Millis maxLeaseMs = 6000; ///< longest lease that a worker grants
+    /// Requested at each renewal: outlasts a change of drivers, which takes about three seconds,
+    /// and is what tasks of a silent worker wait before they start elsewhere.
+    Millis leaseMs = 4000;
+    Millis renewWaitMs = 700; ///< how long a busy worker may hold a renewal open
+    Millis idleRenewWaitMs = 1200;
     Millis retryMs = 250;         ///< pause after an order without a response
-    Millis silenceMs = 2500;      ///< without a response for so long, a worker gets no new tasks
+    Millis silenceMs = 1700;      ///< without a response for so long, a worker gets no new tasks
     Millis retentionMs = 130'000; ///< how long ended jobs are remembered
 
     bool operator==(const SchedulerSettings &) const = default;
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -187,7 +187,9 @@
     const auto places = world.workers.placesOf({.job = "a"});
     REQUIRE(places.size() == 1);
     world.workers.setReachable(places[0], false);
-    world.run(4'000);
+    // The last renewal was at most one renewal's wait ago.
+    const SchedulerSettings settings;
+    world.run(settings.leaseMs - settings.renewWaitMs - 100);
     CHECK(world.workers.startsOf({.job = "a"}) == 1);
     world.run(6'000);
     CHECK(world.workers.startsOf({.job = "a"}) == 2);
@@ -271,6 +273,32 @@
     CHECK(world.scheduler->roster().size() == 1);
 }
 
+// Guards against a successor that stops a running task of a step whose predecessors' ends it has
+// not seen, and starts it again beside the run that is still there.
+TEST_CASE("a successor adopts tasks that run although earlier steps seem unfinished")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(2);
+    const JobSpec spec = world.spec("a", {step(1), step(1, {0})});
+    const auto roster = world.scheduler->roster();
+    world.run(100);
+    const TaskId second{.job = "a", .step = 1};
+    world.workers.start(
+            {.id = "w0", .address = "10.0.0.1:80"},
+            {.task = second, .run = 1, .leaseUntil = world.loop.now() + 5'000, .fence = 1},
+            [](const OrderReply &) {});
+    world.run(100);
+    world.lead();
+    world.scheduler->expectWorkers(roster);
+    world.scheduler->addJob(spec, JobProgress{});
+    for (const WorkerEntry &entry : roster)
+        world.scheduler->upsertWorker(entry);
+    world.run(2'000);
+    CHECK(world.workers.placesOf(second).size() == 1);
+    CHECK(world.workers.startsOf(second) == 1);
+}
+
 // Guards against starts that are repeated as fast as a dead worker refuses them: a machine that
 // went down for its upkeep got 400 of them for one task.
 TEST_CASE("a worker that cannot be reached gets no start after the first until it answers")
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -287,14 +287,15 @@
         }
         return;
     }
-    const bool isFree = task->worker.empty() && task->phase == TaskPhase::Ready
-                        && running.run >= task->run && !isTerminal(entry->job.state());
-    task->run = std::max(task->run, running.run);
+    // A task that an earlier driver has started. It may seem blocked, because the ends of the steps
+    // before it were not stored yet, and its run may be older than one that never arrived.
+    const bool isFree = task->worker.empty() && task->phase != TaskPhase::Done
+                        && !isTerminal(entry->job.state());
     if (!isFree) {
+        task->run = std::max(task->run, running.run);
         sendStop(running.task, running.run, worker.entry.id);
         return;
     }
-    // Started by an earlier driver.
     dequeue(*entry, running.task);
     task->phase = TaskPhase::Running;
     task->phaseSince = hooks_.clock().steady;
