Relay submissions while the store is out of reach, read little at a take-over, lead again at once after a restart

Change: submissions and cancellations go through the leading daemon while the store does not answer here; a restarted daemon takes its former self's row at once; rows of ended jobs keep no specification; a new holder counts the time since the former one's last renewal towards the pause of machine orders, which stay close to the renewals. Tests of the election, among them 200 seeds of lost answers, pauses and restarts: at most one leader at a time.

--- a/packages/entry/include/chicorywick/entry/driver.h
+++ b/packages/entry/include/chicorywick/entry/driver.h
@@ -28,6 +28,7 @@
 {
     std::function<scheduler::Now()> clock;
     std::function<bool()> mayOrder;
+    std::function<bool()> mayOrderMachines; ///< the former driver's orders are old enough
     std::function<void()> onFenced;
 };
 
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -16,6 +16,8 @@
     scheduler::Millis renewEveryMs = 500;
     scheduler::Millis takeoverDelayMs = 300; ///< added to the lease before a successor claims
     scheduler::Millis retryMs = 200;
+    scheduler::Millis machinePauseMs = 3000; ///< between two holders' orders for a machine
+    scheduler::Millis machineOrderMs = 800;  ///< after a renewal, machines may be ordered so long
 
     bool operator==(const ElectionSettings &) const = default;
 };
@@ -51,6 +53,10 @@
     /// @brief True while no other daemon can have claimed the row.
     bool isLeading(scheduler::Millis now) const;
 
+    /// @brief True while machines may be ordered: two holders' orders for one machine lie a whole
+    /// pause apart, so orders keep close to the renewals and a new holder waits.
+    bool mayOrderMachines(scheduler::Millis now) const;
+
     /// @brief True while the row names this daemon, whether or not its lease is known to hold.
     bool holdsRow() const { return holdsRow_; }
 
@@ -73,6 +79,7 @@
     bool holdsRow_ = false;
     Version term_ = 0;
     scheduler::Millis leaseFrom_ = 0;
+    scheduler::Millis machinesFrom_ = 0;
     std::int64_t beat_ = 0;
 
     bool isWriting_ = false;
--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -14,6 +14,9 @@
 constexpr auto kWatchTime = 2000ms;
 constexpr auto kWriteTimeout = 1000ms;
 constexpr auto kRetryPause = 200ms;
+// Value of the row of a job that has ended.
+constexpr const char *kEndedJob = "{}";
+constexpr scheduler::Millis kShrinkPeriodMs = 1'000;
 // Finished jobs whose rows are removed at a time: a job has three rows.
 constexpr std::size_t kRemovalsPerWrite = 30;
 
@@ -133,13 +136,18 @@
         scheduler_.cancelJob(cancelled);
         return;
     }
+    const auto progress = loadedProgress_.find(row.key.key);
+    if (row.value == kEndedJob) {
+        if (progress != loadedProgress_.end())
+            scheduler_.addJob({.id = row.key.key}, progress->second);
+        return;
+    }
     const auto spec = decodeJob(row.value);
     if (!spec) {
         base::logEvent(base::Event::JobRefused,
                        {{"job", row.key.key}, {"reason", spec.error().message}});
         return;
     }
-    const auto progress = loadedProgress_.find(row.key.key);
     // While loading, a job without progress may also have been started by an earlier driver.
     std::optional<scheduler::JobProgress> known;
     if (progress != loadedProgress_.end())
@@ -260,9 +268,34 @@
     storeRoster();
     waves_->tick();
     pools_->tick();
+    shrinkEnded();
     removeForgotten();
 }
 
+// The specification of a job that has ended is dropped, so that a successor reads little. The row
+// stays: it tells a late repetition of the submission that the job exists.
+void Driver::Impl::shrinkEnded()
+{
+    const scheduler::Millis now = hooks_.clock().steady;
+    if (now - shrunkAt_ < kShrinkPeriodMs || !hooks_.mayOrder())
+        return;
+    shrunkAt_ = now;
+    std::map<std::string, Transaction> byPart;
+    for (const std::string &id : journal_->takeEnded()) {
+        const RowKey job = layout::jobRow(id);
+        byPart[job.part].writes.push_back({.key = job, .value = kEndedJob});
+    }
+    for (const auto &[part, transaction] : byPart)
+        ports_.table->transact(transaction, kWriteTimeout,
+                               [](const base::Result<TransactionResult> &result) {
+                                   // A row that keeps its specification costs a longer load only.
+                                   if (!result)
+                                       base::logEvent(base::Event::PlatformUnreachable,
+                                                      {{"call", "shrink-jobs"},
+                                                       {"reason", result.error().message}});
+                               });
+}
+
 void Driver::Impl::removeForgotten()
 {
     if (!hooks_.mayOrder())
--- a/packages/entry/src/driver_impl.h
+++ b/packages/entry/src/driver_impl.h
@@ -41,6 +41,7 @@
     void storeRoster();
     void scheduleTick();
     void tick();
+    void shrinkEnded();
     void removeForgotten();
 
     DriverPorts ports_;
@@ -61,6 +62,7 @@
     Version rosterVersion_ = 0;
     std::vector<scheduler::WorkerEntry> storedRoster_;
     bool isStoringRoster_ = false;
+    scheduler::Millis shrunkAt_ = 0;
 };
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -22,7 +22,8 @@
 constexpr int kUnavailable = 503;
 constexpr int kOutcomeUnknown = 504;
 
-constexpr auto kStoreTimeout = 800ms;
+// Far above the store's usual few milliseconds; a slow store answers within a quarter of a second.
+constexpr auto kStoreTimeout = 600ms;
 constexpr auto kRetryPause = 60ms;
 // A submission that the store refuses is tried again this often before the caller is told.
 constexpr int kMaxAttempts = 3;
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "driver_answer.h"
+
 #include <chicorywick/entry/caller_codec.h>
 #include <chicorywick/entry/route_table.h>
 #include <chicorywick/entry/table.h>
@@ -13,14 +15,6 @@
 
 namespace chicorywick::entry {
 
-/// @brief What a driver knows of a job or a queue, asked for in this process or over the network.
-struct DriverAnswer
-{
-    bool isAnswered = false; ///< false: no driver could be asked
-    std::optional<scheduler::JobState> state;
-    int waiting = 0;
-};
-
 /// @brief How the intake reaches the driver.
 struct DriverQuery
 {
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -1,7 +1,19 @@
 #include <chicorywick/entry/leader_election.h>
 
+#include <algorithm>
+
 namespace chicorywick::entry {
 
+namespace {
+
+// The node of a holder "node#incarnation".
+std::string nodeOf(const std::string &holder)
+{
+    return holder.substr(0, holder.find('#'));
+}
+
+} // namespace
+
 LeaderElection::LeaderElection(std::string holder, std::string peerAddress,
                                scheduler::Millis claimJitterMs, ElectionSettings settings)
     : holder_(std::move(holder))
@@ -46,10 +58,18 @@
             record.holder.clear();
     } else {
         const bool isFree = version_ == 0 || record_.holder.empty();
-        const scheduler::Millis patience =
-                (isFree ? 0 : settings_.leaseMs + settings_.takeoverDelayMs) + claimJitterMs_;
+        // A node runs one process, so its former incarnation has ended.
+        const bool isFormerSelf = nodeOf(record_.holder) == nodeOf(holder_);
+        scheduler::Millis patience = settings_.leaseMs + settings_.takeoverDelayMs + claimJitterMs_;
+        if (isFree)
+            patience = claimJitterMs_;
+        if (isFormerSelf)
+            patience = 0;
         if (isReleasing_ || now - changedAt_ < patience)
             return std::nullopt;
+        // The former holder gave its last order at most machineOrderMs after its last renewal.
+        const scheduler::Millis quiet = isFree ? 0 : now - changedAt_ - settings_.machineOrderMs;
+        machinesFrom_ = now + settings_.machinePauseMs - std::max<scheduler::Millis>(quiet, 0);
     }
     ++beat_;
     isWriting_ = true;
@@ -82,6 +102,11 @@
     nextWriteAt_ = now + settings_.retryMs;
 }
 
+bool LeaderElection::mayOrderMachines(scheduler::Millis now) const
+{
+    return isLeading(now) && now >= machinesFrom_ && now - leaseFrom_ < settings_.machineOrderMs;
+}
+
 bool LeaderElection::isLeading(scheduler::Millis now) const
 {
     return holdsRow_ && !isReleasing_ && now - leaseFrom_ < settings_.leaseMs;
--- /dev/null
+++ b/packages/entry/src/leader_election_test.cpp
@@ -0,0 +1,136 @@
+#include <chicorywick/base/rng.h>
+#include <chicorywick/entry/leader_election.h>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+namespace chicorywick::entry {
+
+namespace {
+
+// The leader row with its version, and daemons whose writes reach it or not.
+struct SharedRow
+{
+    Version version = 0;
+    LeaderRecord record;
+};
+
+void write(SharedRow &row, LeaderElection &election, scheduler::Millis now)
+{
+    const auto next = election.nextWrite(now);
+    if (!next)
+        return;
+    if (next->expected != row.version) {
+        election.writeFailed(now);
+        election.observe(row.version, row.record, now);
+        return;
+    }
+    row.record = next->record;
+    election.committed(++row.version, now);
+}
+
+} // namespace
+
+TEST_CASE("one daemon claims a free row and renews it; a successor waits for the lease")
+{
+    SharedRow row;
+    LeaderElection first("a#1", "a:1", 0);
+    LeaderElection second("b#1", "b:1", 0);
+    first.observe(0, {}, 0);
+    second.observe(0, {}, 0);
+    write(row, first, 0);
+    CHECK(first.isLeading(0));
+    CHECK(first.term() == 1);
+    second.observe(row.version, row.record, 0);
+    write(row, second, 1'000);
+    CHECK(!second.isLeading(1'000));
+    const ElectionSettings settings;
+    CHECK(!first.isLeading(settings.leaseMs));
+    write(row, second, settings.leaseMs + settings.takeoverDelayMs);
+    CHECK(second.isLeading(settings.leaseMs + settings.takeoverDelayMs));
+}
+
+// Guards against an outage of a whole lease after all processes were restarted.
+TEST_CASE("a restarted daemon takes its former self's row at once, another one does not")
+{
+    SharedRow row{.version = 7, .record = {.holder = "a#1", .peerAddress = "a:1", .term = 3}};
+    LeaderElection other("b#2", "b:1", 0);
+    LeaderElection same("a#2", "a:1", 0);
+    other.observe(row.version, row.record, 0);
+    same.observe(row.version, row.record, 0);
+    write(row, other, 0);
+    CHECK(!other.isLeading(0));
+    write(row, same, 0);
+    CHECK(same.isLeading(0));
+    CHECK(same.term() == 8);
+}
+
+TEST_CASE("a released row is claimed at once")
+{
+    SharedRow row;
+    LeaderElection first("a#1", "a:1", 0);
+    LeaderElection second("b#1", "b:1", 0);
+    first.observe(0, {}, 0);
+    write(row, first, 0);
+    first.release();
+    CHECK(!first.isLeading(0));
+    write(row, first, 10);
+    second.observe(row.version, row.record, 20);
+    write(row, second, 20);
+    CHECK(second.isLeading(20));
+}
+
+// Plays lost answers, failed writes, pauses and restarts of four daemons.
+TEST_CASE("at most one daemon counts itself as leader at any moment")
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        base::Rng rng(seed);
+        SharedRow row;
+        std::vector<std::unique_ptr<LeaderElection>> daemons;
+        std::vector<scheduler::Millis> pausedUntil(4, 0);
+        const auto restart = [&](std::size_t i, scheduler::Millis now) {
+            daemons[i] = std::make_unique<LeaderElection>(
+                    std::string(1, static_cast<char>('a' + i)) + "#" + std::to_string(now), "p",
+                    static_cast<scheduler::Millis>(rng.below(250)));
+        };
+        for (std::size_t i = 0; i < 4; ++i) {
+            daemons.emplace_back();
+            restart(i, 0);
+        }
+        int led = 0;
+        for (scheduler::Millis now = 1; now < 60'000; now += 50) {
+            for (std::size_t i = 0; i < daemons.size(); ++i) {
+                if (rng.chance(0.001))
+                    pausedUntil[i] = now + static_cast<scheduler::Millis>(rng.below(5'000));
+                if (rng.chance(0.0005))
+                    restart(i, now);
+                if (now < pausedUntil[i])
+                    continue;
+                if (rng.chance(0.5))
+                    daemons[i]->observe(row.version, row.record, now);
+                const auto next = daemons[i]->nextWrite(now);
+                if (!next)
+                    continue;
+                const bool isCarriedOut = next->expected == row.version && !rng.chance(0.1);
+                if (isCarriedOut) {
+                    row.record = next->record;
+                    ++row.version;
+                }
+                if (isCarriedOut && !rng.chance(0.2))
+                    daemons[i]->committed(row.version, now);
+                else
+                    daemons[i]->writeFailed(now);
+            }
+            int leaders = 0;
+            for (const auto &daemon : daemons)
+                leaders += daemon->isLeading(now) ? 1 : 0;
+            CHECK(leaders <= 1);
+            led += leaders;
+        }
+        CHECK(led > 500);
+    }
+}
+
+} // namespace chicorywick::entry
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -1,5 +1,6 @@
 #include "intake.h"
 #include "peer_queries.h"
+#include "relayed_table.h"
 
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/base/rng.h>
@@ -65,7 +66,8 @@
                     settings_.peers.host + ":" + std::to_string(settings_.peers.port),
                     static_cast<scheduler::Millis>(rng_.below(kClaimSpreadMs)))
         , peers_(std::make_shared<PeerQueries>(loop_))
-        , intake_(std::make_shared<Intake>(loop_, *ports.table, codec, driverQuery(), systemNow))
+        , relayed_(*ports.table, peers_, systemNow)
+        , intake_(std::make_shared<Intake>(loop_, relayed_, codec, driverQuery(), systemNow))
         , electionTimer_(loop_)
     {}
 
@@ -86,7 +88,8 @@
         peerServer_ = std::make_unique<http::Server>(
                 loop_, [self = shared_from_this()](const http::Request &request,
                                                    const http::Responder &respond) {
-                    respond(answerPeer(request, self->driver_.get()));
+                    if (!relayTransaction(request, *self->ports_.table, respond))
+                        respond(answerPeer(request, self->driver_.get()));
                 });
         for (const auto &[server, endpoint] : {std::pair(callers_.get(), settings_.callers),
                                                std::pair(readiness_.get(), settings_.readiness),
@@ -325,6 +328,10 @@
                                     [self = shared_from_this()] {
                                         return self->election_.isLeading(systemNow().steady);
                                     },
+                            .mayOrderMachines =
+                                    [self = shared_from_this()] {
+                                        return self->election_.mayOrderMachines(systemNow().steady);
+                                    },
                             .onFenced = [self = shared_from_this()] { self->onFenced(); }},
                 scheduling);
         driver_->configure(*configuration_);
@@ -367,6 +374,7 @@
     base::Rng rng_;
     LeaderElection election_;
     std::shared_ptr<PeerQueries> peers_;
+    RelayedTable relayed_;
     std::shared_ptr<Intake> intake_;
     boost::asio::steady_timer electionTimer_;
     std::unique_ptr<http::Server> callers_;
--- a/packages/entry/src/peer_queries.cpp
+++ b/packages/entry/src/peer_queries.cpp
@@ -12,10 +12,16 @@
 
 constexpr const char *kStatePath = "/jobs/";
 constexpr const char *kWaitingPath = "/queues/";
+constexpr const char *kTransactPath = "/transactions";
 // Far above a round trip; a leader that is slower is asked through the store instead.
 constexpr auto kTimeout = 300ms;
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
+constexpr int kOutcomeUnknown = 504;
+// Below the intake's own time-out, so that the leader's answer arrives in time.
+constexpr auto kRelayTimeout = 500ms;
 constexpr std::size_t kConnections = 4;
 
 // The answer on the wire: the number of a job state (-1: not known) and the jobs that wait.
@@ -39,6 +45,42 @@
     return answer;
 }
 
+nlohmann::json encodeKey(const RowKey &key)
+{
+    return {key.table, key.part, key.key};
+}
+
+RowKey decodeKey(const nlohmann::json &json)
+{
+    return {.table = json.at(0), .part = json.at(1), .key = json.at(2)};
+}
+
+std::string encode(const Transaction &transaction)
+{
+    nlohmann::json json{{"conditions", nlohmann::json::array()},
+                        {"writes", nlohmann::json::array()}};
+    for (const RowCondition &condition : transaction.conditions)
+        json["conditions"].push_back({encodeKey(condition.key), condition.version});
+    for (const RowWrite &write : transaction.writes)
+        json["writes"].push_back({encodeKey(write.key), write.value});
+    return json.dump();
+}
+
+base::Result<Transaction> decodeTransaction(const std::string &text)
+{
+    try {
+        const auto json = nlohmann::json::parse(text);
+        Transaction transaction;
+        for (const auto &each : json.at("conditions"))
+            transaction.conditions.push_back({.key = decodeKey(each.at(0)), .version = each.at(1)});
+        for (const auto &each : json.at("writes"))
+            transaction.writes.push_back({.key = decodeKey(each.at(0)), .value = each.at(1)});
+        return transaction;
+    } catch (const nlohmann::json::exception &error) {
+        return base::makeError(base::Code::PeerMessageRefused, error.what());
+    }
+}
+
 } // namespace
 
 void PeerQueries::setLeader(const std::string &address)
@@ -66,6 +108,47 @@
                   });
 }
 
+void PeerQueries::transact(const Transaction &transaction, std::chrono::milliseconds timeout,
+                           Callback<TransactionResult> done)
+{
+    client_->send({.method = "POST", .target = kTransactPath, .body = encode(transaction)}, timeout,
+                  [done = std::move(done)](const base::Result<http::Response> &response) {
+                      const bool mayHaveRun =
+                              response
+                                      ? response.value().status == kOutcomeUnknown
+                                      : response.error().code == base::Code::UpstreamOutcomeUnknown;
+                      if (mayHaveRun)
+                          return done(base::makeError(base::Code::PlatformUnknownOutcome, "relay"));
+                      const bool isAnswer = response
+                                            && (response.value().status == kOk
+                                                || response.value().status == kConflict);
+                      if (!isAnswer)
+                          return done(base::makeError(base::Code::PlatformUnavailable, "relay"));
+                      // The rows in the conditions are not relayed; the caller needs the fact only.
+                      done(TransactionResult{.isCommitted = response.value().status == kOk});
+                  });
+}
+
+bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond)
+{
+    if (request.target != kTransactPath)
+        return false;
+    const auto transaction = decodeTransaction(request.body);
+    if (!transaction) {
+        respond({.status = kBadRequest});
+        return true;
+    }
+    table.transact(transaction.value(), kRelayTimeout,
+                   [respond](const base::Result<TransactionResult> &result) {
+                       if (result)
+                           return respond({.status = result.value().isCommitted ? kOk : kConflict});
+                       const bool mayHaveRun =
+                               result.error().code == base::Code::PlatformUnknownOutcome;
+                       respond({.status = mayHaveRun ? kOutcomeUnknown : kUnavailable});
+                   });
+    return true;
+}
+
 void PeerQueries::askState(const std::string &id, std::function<void(DriverAnswer)> done)
 {
     ask(kStatePath + id, std::move(done));
--- a/packages/entry/src/peer_queries.h
+++ b/packages/entry/src/peer_queries.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include "intake.h"
+#include "driver_answer.h"
 
 #include <chicorywick/entry/driver.h>
+#include <chicorywick/entry/table.h>
 #include <chicorywick/http/client.h>
+#include <chicorywick/http/server.h>
 
 #include <memory>
 #include <string>
@@ -20,6 +22,10 @@
 
     void setLeader(const std::string &address);
     void askState(const std::string &id, std::function<void(DriverAnswer)> done);
+    /// @brief Has the leading daemon make a call of the store.
+    void transact(const Transaction &transaction, std::chrono::milliseconds timeout,
+                  Callback<TransactionResult> done);
+    bool hasLeader() const { return client_ != nullptr; }
     void askWaiting(const std::string &queue, std::function<void(DriverAnswer)> done);
 
 private:
@@ -36,4 +42,7 @@
 /// @brief Serves the questions that PeerQueries asks; driver may be null.
 http::Response answerPeer(const http::Request &request, const Driver *driver);
 
+/// @brief Serves PeerQueries::transact(); false if the request is another one.
+bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond);
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/pool_runner.cpp
+++ b/packages/entry/src/pool_runner.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr scheduler::Millis kListPeriodMs = 1'000;
-// Pause between the orders of two holders for one machine; the settings of both sites give 3 s.
-constexpr scheduler::Millis kHandOverMs = 3'000;
 // A moved machine joins its pool after about 1.5 s; much later it is taken to have failed.
 constexpr scheduler::Millis kMoveTimeoutMs = 6'000;
 // The arriving work is a mean over a second; demand rises further while it is being averaged.
@@ -27,7 +25,6 @@
     , scheduler_(scheduler)
     , inventory_(inventory)
     , fence_(fence)
-    , beganAt_(hooks_.clock().steady)
 {}
 
 void PoolRunner::configure(const Configuration &configuration)
@@ -43,8 +40,7 @@
 
 void PoolRunner::tick()
 {
-    const bool mayMove = hooks_.mayOrder() && hooks_.clock().steady - beganAt_ >= kHandOverMs
-                         && !sparePool_.empty();
+    const bool mayMove = hooks_.mayOrderMachines() && !sparePool_.empty();
     if (!mayMove)
         return;
     inventory_.refresh(kListPeriodMs);
--- a/packages/entry/src/pool_runner.h
+++ b/packages/entry/src/pool_runner.h
@@ -42,7 +42,6 @@
     scheduler::Scheduler &scheduler_;
     MachineInventory &inventory_;
     std::int64_t fence_;
-    scheduler::Millis beganAt_;
     std::set<std::string> services_; ///< those with queues
     std::string sparePool_;
     std::map<std::string, Move> moving_; ///< by machine
--- a/packages/entry/src/progress_journal.cpp
+++ b/packages/entry/src/progress_journal.cpp
@@ -4,6 +4,8 @@
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
+#include <algorithm>
+
 namespace chicorywick::entry {
 
 namespace {
@@ -109,6 +111,9 @@
     for (const std::string &id : ids) {
         versions_[id] = result.value().version;
         unwritten_.erase(id);
+        const auto state = scheduler_.stateOf(id);
+        if (state && scheduler::isTerminal(*state) && !scheduler_.isDirty(id))
+            ended_.push_back(id);
     }
     if (!unwritten_.empty())
         return writeChunk();
@@ -118,6 +123,16 @@
         request();
 }
 
+std::vector<std::string> ProgressJournal::takeEnded()
+{
+    // One call of the store takes 100 entries.
+    constexpr std::size_t kMaxTaken = 90;
+    const std::size_t count = std::min(ended_.size(), kMaxTaken);
+    std::vector<std::string> taken(ended_.end() - static_cast<std::ptrdiff_t>(count), ended_.end());
+    ended_.resize(ended_.size() - count);
+    return taken;
+}
+
 void ProgressJournal::retryLater()
 {
     timer_.expires_after(kRetryPause);
--- a/packages/entry/src/progress_journal.h
+++ b/packages/entry/src/progress_journal.h
@@ -36,6 +36,9 @@
 
     void forget(const std::string &id) { versions_.erase(id); }
 
+    /// @brief Jobs whose final state was stored since the last call; at most 90.
+    std::vector<std::string> takeEnded();
+
 private:
     void flush();
     void writeChunk();
@@ -50,6 +53,7 @@
     boost::asio::steady_timer timer_;
     std::map<std::string, Version> versions_;
     std::set<std::string> unwritten_; ///< of the batch in hand
+    std::vector<std::string> ended_;
     std::uint64_t batch_ = 0;
     bool isBusy_ = false;
     bool isStopped_ = false;
--- /dev/null
+++ b/packages/entry/src/relayed_table.cpp
@@ -0,0 +1,51 @@
+#include "relayed_table.h"
+
+namespace chicorywick::entry {
+
+namespace {
+
+// After a failed call, the leader is asked first for so long.
+constexpr scheduler::Millis kSilenceMs = 1'500;
+
+} // namespace
+
+RelayedTable::RelayedTable(Table &store, std::shared_ptr<PeerQueries> peers,
+                           std::function<scheduler::Now()> clock)
+    : store_(store)
+    , peers_(std::move(peers))
+    , clock_(std::move(clock))
+{}
+
+void RelayedTable::transact(const Transaction &transaction, std::chrono::milliseconds timeout,
+                            Callback<TransactionResult> done)
+{
+    if (clock_().steady < *silentUntil_ && peers_->hasLeader())
+        return peers_->transact(transaction, timeout, std::move(done));
+    store_.transact(
+            transaction, timeout,
+            [peers = peers_, clock = clock_, silentUntil = silentUntil_, transaction, timeout,
+             done = std::move(done)](const base::Result<TransactionResult> &result) {
+                if (result)
+                    return done(result.value());
+                *silentUntil = clock().steady + kSilenceMs;
+                // Only a call that did nothing may be made again elsewhere at once.
+                const bool didNothing = result.error().code != base::Code::PlatformUnknownOutcome;
+                if (didNothing && peers->hasLeader())
+                    return peers->transact(transaction, timeout, done);
+                done(result.error());
+            });
+}
+
+void RelayedTable::read(const RowRange &range, std::chrono::milliseconds timeout,
+                        Callback<RowPage> done)
+{
+    store_.read(range, timeout, std::move(done));
+}
+
+void RelayedTable::watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+                         Callback<RowPage> done)
+{
+    store_.watch(table, after, wait, std::move(done));
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/relayed_table.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "peer_queries.h"
+
+#include <chicorywick/entry/table.h>
+
+#include <functional>
+#include <memory>
+
+namespace chicorywick::entry {
+
+/// @brief The store, reached through the leading daemon while it does not answer here.
+class RelayedTable : public Table
+{
+public:
+    RelayedTable(Table &store, std::shared_ptr<PeerQueries> peers,
+                 std::function<scheduler::Now()> clock);
+
+    void transact(const Transaction &transaction, std::chrono::milliseconds timeout,
+                  Callback<TransactionResult> done) override;
+    void read(const RowRange &range, std::chrono::milliseconds timeout,
+              Callback<RowPage> done) override;
+    void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+               Callback<RowPage> done) override;
+
+private:
+    Table &store_;
+    std::shared_ptr<PeerQueries> peers_;
+    std::function<scheduler::Now()> clock_;
+    std::shared_ptr<scheduler::Millis> silentUntil_ = std::make_shared<scheduler::Millis>(0);
+};
+
+} // namespace chicorywick::entry
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -15,8 +15,6 @@
 // The list is read once so often while a wave is under way; an upkeep takes about two seconds.
 constexpr scheduler::Millis kListPeriodMs = 500;
 constexpr auto kWriteTimeout = std::chrono::milliseconds(1'000);
-// Pause between the orders of two holders for one machine; the settings of both sites give 3 s.
-constexpr scheduler::Millis kHandOverMs = 3'000;
 // An order without an answer counts as carried out for so long, then it is repeated; repeating is
 // harmless.
 constexpr scheduler::Millis kUnknownOrderMs = 3'000;
@@ -27,7 +25,6 @@
                        MachineInventory &inventory, std::int64_t fence)
     : ports_(ports)
     , hooks_(std::move(hooks))
-    , beganAt_(hooks_.clock().steady)
     , scheduler_(scheduler)
     , inventory_(inventory)
     , fence_(fence)
@@ -45,8 +42,7 @@
 
 void WaveRunner::tick()
 {
-    // An earlier holder's orders must be older than a lease before a new holder gives its own.
-    if (!hooks_.mayOrder() || hooks_.clock().steady - beganAt_ < kHandOverMs)
+    if (!hooks_.mayOrderMachines())
         return;
     const bool isActive = std::any_of(waves_.begin(), waves_.end(),
                                       [](const auto &item) { return !item.second.isCompleted; });
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -53,7 +53,6 @@
 
     WaveRunnerPorts ports_;
     DriverHooks hooks_;
-    scheduler::Millis beganAt_;
     scheduler::Scheduler &scheduler_;
     MachineInventory &inventory_;
     std::int64_t fence_;
