--- a/apps/chicorywickd/deployment.cpp
+++ b/apps/chicorywickd/deployment.cpp
@@ -1,10 +1,12 @@
 #include "deployment.h"
 
 #include <chicorywick/base/log_event.h>
+#include <chicorywick/base/log_stream.h>
 #include <chicorywick/entry/node.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <platform/caller_format.h>
 #include <platform/discovery_client.h>
 #include <platform/machine_client.h>
@@ -12,6 +14,7 @@
 #include <platform/settings_format.h>
 #include <platform/store_client.h>
 #include <platform/worker_client.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <iostream>
@@ -48,6 +51,19 @@
     });
 }
 
+// Lines wait in a buffer for so long: one system call then writes many of them.
+constexpr auto kLogFlushPeriod = std::chrono::milliseconds(100);
+
+void flushRegularly(base::LogStream &log, boost::asio::steady_timer &timer)
+{
+    log.flush();
+    timer.expires_after(kLogFlushPeriod);
+    timer.async_wait([&log, &timer](const boost::system::error_code &error) {
+        if (!error)
+            flushRegularly(log, timer);
+    });
+}
+
 } // namespace
 
 int runDeployment(const std::string &settingsFile, bool checkOnly)
@@ -61,7 +77,15 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context loop(1);
-    adapter::StoreClient store(loop, settings.value().store);
+    entry::Metrics metrics;
+    base::LogStream log(STDOUT_FILENO, settings.value().node.name,
+                        [] { return entry::systemNow().wall; });
+    base::setEventWriter([&](base::Event event, std::initializer_list<base::LogField> fields) {
+        metrics.observe(event, fields);
+        log.write(event, fields);
+    });
+    adapter::StoreClient platformStore(loop, settings.value().store);
+    entry::MeasuredTable store(platformStore, metrics);
     adapter::DiscoveryClient discovery(store);
     adapter::OperatorClient operators(store);
     adapter::MachineClient machines(loop, settings.value().machines, settings.value().node.name);
@@ -74,12 +98,16 @@
                       .orders = &workers,
                       .machines = &machines,
                       .operators = &operators},
-                     callers);
+                     callers, metrics);
+    boost::asio::steady_timer logTimer(loop);
+    flushRegularly(log, logTimer);
     if (const auto started = node.start(); !started)
         return refuse(started.error());
     boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     awaitSignal(signals, node, loop, settingsFile);
     loop.run();
+    log.flush();
+    base::setEventWriter({});
     return 0;
 }
 
--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <initializer_list>
 #include <span>
 #include <string>
@@ -104,6 +105,12 @@
 /// @brief The text of a log line: number, name, then key=value fields, quoted where needed.
 std::string formatEvent(Event event, std::initializer_list<LogField> fields);
 
+/// @brief Takes events instead of glog.
+using EventWriter = std::function<void(Event, std::initializer_list<LogField>)>;
+
+/// @brief Sets where events go; called once, before any thread logs. An empty writer means glog.
+void setEventWriter(EventWriter writer);
+
 /// @brief Writes one line to the log.
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -103,6 +103,12 @@
          "the stored jobs are loaded and driven"},
 });
 
+EventWriter &eventWriter()
+{
+    static EventWriter writer;
+    return writer;
+}
+
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
@@ -147,8 +153,15 @@
     return line;
 }
 
+void setEventWriter(EventWriter writer)
+{
+    eventWriter() = std::move(writer);
+}
+
 void logEvent(Event event, std::initializer_list<LogField> fields)
 {
+    if (eventWriter())
+        return eventWriter()(event, fields);
     const std::string line = formatEvent(event, fields);
     switch (eventInfo(event).severity) {
     case Severity::Info:
--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -2,6 +2,7 @@
 
 #include <chicorywick/entry/caller_codec.h>
 #include <chicorywick/entry/driver.h>
+#include <chicorywick/entry/metrics.h>
 #include <chicorywick/http/message.h>
 
 #include <functional>
@@ -29,7 +30,8 @@
 class Node
 {
 public:
-    Node(NodeSettings settings, DriverPorts ports, const CallerCodec &codec);
+    Node(NodeSettings settings, DriverPorts ports, const CallerCodec &codec,
+         const Metrics &metrics);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
--- /dev/null
+++ b/packages/entry/src/metrics.cpp
@@ -0,0 +1,161 @@
+#include <chicorywick/entry/metrics.h>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <charconv>
+#include <map>
+
+namespace chicorywick::entry {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1'000;
+
+const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+                                                          0.5,   1,    2.5,   5,    10,  30};
+
+std::string valueOf(std::initializer_list<base::LogField> fields, std::string_view key)
+{
+    for (const base::LogField &field : fields)
+        if (field.key == key)
+            return field.value;
+    return {};
+}
+
+double secondsOf(std::initializer_list<base::LogField> fields, std::string_view key)
+{
+    const std::string text = valueOf(fields, key);
+    std::int64_t millis = 0;
+    std::from_chars(text.data(), text.data() + text.size(), millis);
+    return static_cast<double>(millis) / kMillisPerSecond;
+}
+
+const char *resultOf(base::Code code)
+{
+    switch (code) {
+    case base::Code::PlatformUnavailable:
+        return "unavailable";
+    case base::Code::PlatformUnknownOutcome:
+        return "unknown";
+    case base::Code::RateLimited:
+        return "rate-limited";
+    case base::Code::HistoryUnavailable:
+        return "history-unavailable";
+    default:
+        return "malformed";
+    }
+}
+
+} // namespace
+
+struct Metrics::Families
+{
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &events =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_events_total")
+                    .Help("Logged events by name, including lines that the log left out")
+                    .Register(registry);
+    prometheus::Family<prometheus::Histogram> &jobs =
+            prometheus::BuildHistogram()
+                    .Name("chicorywick_job_seconds")
+                    .Help("Time from a submission to the end of its job, by state")
+                    .Register(registry);
+    prometheus::Family<prometheus::Histogram> &waits =
+            prometheus::BuildHistogram()
+                    .Name("chicorywick_task_wait_seconds")
+                    .Help("Time from a task's readiness to its start order")
+                    .Register(registry);
+    prometheus::Family<prometheus::Histogram> &submissions =
+            prometheus::BuildHistogram()
+                    .Name("chicorywick_submission_seconds")
+                    .Help("Time to answer a submission, by outcome")
+                    .Register(registry);
+    prometheus::Family<prometheus::Histogram> &store =
+            prometheus::BuildHistogram()
+                    .Name("chicorywick_store_call_seconds")
+                    .Help("Duration of calls of the platform's store, by call and result")
+                    .Register(registry);
+    std::map<base::Event, prometheus::Counter *> counters;
+    prometheus::Histogram &wait = waits.Add({}, kSeconds);
+    prometheus::Histogram &accepted = submissions.Add({{"outcome", "accepted"}}, kSeconds);
+    prometheus::Histogram &refused = submissions.Add({{"outcome", "refused"}}, kSeconds);
+};
+
+Metrics::Metrics()
+    : families_(std::make_unique<Families>())
+{
+    for (const base::EventInfo &info : base::allEvents())
+        families_->counters[info.event] =
+                &families_->events.Add({{"event", std::string(info.name)}});
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::observe(base::Event event, std::initializer_list<base::LogField> fields)
+{
+    families_->counters.at(event)->Increment();
+    switch (event) {
+    case base::Event::JobStarted:
+        families_->wait.Observe(secondsOf(fields, "waited_ms"));
+        break;
+    case base::Event::JobFinished:
+        families_->jobs.Add({{"state", valueOf(fields, "state")}}, kSeconds)
+                .Observe(secondsOf(fields, "age_ms"));
+        break;
+    case base::Event::JobSubmitted:
+        families_->accepted.Observe(secondsOf(fields, "took_ms"));
+        break;
+    case base::Event::JobRefused:
+        families_->refused.Observe(secondsOf(fields, "took_ms"));
+        break;
+    default:
+        break;
+    }
+}
+
+void Metrics::observeStoreCall(const char *call, const char *result, double seconds)
+{
+    families_->store.Add({{"call", call}, {"result", result}}, kSeconds).Observe(seconds);
+}
+
+std::string Metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(families_->registry.Collect());
+}
+
+template <typename T>
+Callback<T> MeasuredTable::measured(const char *call, Callback<T> done)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    return [&metrics = metrics_, call, begun, done = std::move(done)](base::Result<T> result) {
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+        metrics.observeStoreCall(call, result ? "ok" : resultOf(result.error().code), took.count());
+        done(std::move(result));
+    };
+}
+
+void MeasuredTable::transact(const Transaction &transaction, std::chrono::milliseconds timeout,
+                             Callback<TransactionResult> done)
+{
+    store_.transact(transaction, timeout, measured("transact", std::move(done)));
+}
+
+void MeasuredTable::read(const RowRange &range, std::chrono::milliseconds timeout,
+                         Callback<RowPage> done)
+{
+    store_.read(range, timeout, measured("read", std::move(done)));
+}
+
+void MeasuredTable::watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+                          Callback<RowPage> done)
+{
+    // The duration of a watch is the time for which nothing changed; its results are what counts.
+    store_.watch(table, after, wait, measured("watch", std::move(done)));
+}
+
+} // namespace chicorywick::entry
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -56,7 +56,7 @@
 class Node::Impl : public std::enable_shared_from_this<Node::Impl>
 {
 public:
-    Impl(NodeSettings settings, DriverPorts ports, const CallerCodec &codec)
+    Impl(NodeSettings settings, DriverPorts ports, const CallerCodec &codec, const Metrics &metrics)
         : settings_(std::move(settings))
         , ports_(ports)
         , loop_(*ports.loop)
@@ -69,6 +69,7 @@
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, driverQuery(), systemNow))
         , electionTimer_(loop_)
+        , metrics_(metrics)
     {}
 
     base::Result<void> start()
@@ -91,9 +92,17 @@
                     if (!relayTransaction(request, *self->ports_.table, respond))
                         respond(answerPeer(request, self->driver_.get()));
                 });
-        for (const auto &[server, endpoint] : {std::pair(callers_.get(), settings_.callers),
-                                               std::pair(readiness_.get(), settings_.readiness),
-                                               std::pair(peerServer_.get(), settings_.peers)}) {
+        metricsServer_ = std::make_unique<http::Server>(
+                loop_,
+                [self = shared_from_this()](const http::Request &, const http::Responder &respond) {
+                    respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                             .body = self->metrics_.text()});
+                });
+        for (const auto &[server, endpoint] :
+             {std::pair(callers_.get(), settings_.callers),
+              std::pair(readiness_.get(), settings_.readiness),
+              std::pair(peerServer_.get(), settings_.peers),
+              std::pair(metricsServer_.get(), settings_.metrics)}) {
             if (const auto bound = server->listen(endpoint); !bound)
                 return bound;
         }
@@ -380,6 +389,8 @@
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> readiness_;
     std::unique_ptr<http::Server> peerServer_;
+    std::unique_ptr<http::Server> metricsServer_;
+    const Metrics &metrics_;
     std::unique_ptr<Driver> driver_;
     Version driverTerm_ = 0;
     std::optional<Configuration> configuration_;
@@ -392,8 +403,9 @@
     scheduler::Millis stopRequestedAt_ = 0;
 };
 
-Node::Node(NodeSettings settings, DriverPorts ports, const CallerCodec &codec)
-    : impl_(std::make_shared<Impl>(std::move(settings), ports, codec))
+Node::Node(NodeSettings settings, DriverPorts ports, const CallerCodec &codec,
+           const Metrics &metrics)
+    : impl_(std::make_shared<Impl>(std::move(settings), ports, codec, metrics))
 {}
 
 Node::~Node() = default;
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -29,6 +29,7 @@
     std::string avoid;  ///< the worker on which the last run failed
     std::string checkpoint;
     Millis phaseSince = 0;
+    Millis readySince = 0;      ///< when the current run could have started
     Millis orderAnsweredAt = 0; ///< when the latest start or stop order was answered
     int orderedStarts = 0;      ///< start orders of which the answer is outstanding
     bool isStopConfirmed = false;
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -188,6 +188,7 @@
     dequeue(entry, id);
     Task &task = *entry.job.task(id);
     task.phase = TaskPhase::Starting;
+    task.readySince = std::max(task.phaseSince, entry.job.acceptedSteady());
     task.phaseSince = hooks_.clock().steady;
     task.worker = worker.entry.id;
     task.orderAnsweredAt = 0;
@@ -206,9 +207,14 @@
                      .fence = settings_.fence};
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     ++task.orderedStarts;
-    base::logEvent(
-            base::Event::JobStarted,
-            {{"task", id.text()}, {"run", std::to_string(task.run)}, {"worker", worker.entry.id}});
+    const Millis now = hooks_.clock().steady;
+    base::logEvent(base::Event::JobStarted,
+                   {{"task", id.text()},
+                    {"run", std::to_string(task.run)},
+                    {"worker", worker.entry.id},
+                    {"waited_ms", std::to_string(now - task.readySince)},
+                    {"free_cpu", std::to_string(worker.free().cpuMillis)},
+                    {"worker_age_ms", std::to_string(now - worker.replyAt)}});
     orders_.start(worker.address(), order,
                   [this, alive = alive_, id, run = task.run,
                    workerId = worker.entry.id](const OrderReply &reply) {
