Bound how long a silent watch of the jobs can hide a cancellation

Change: the jobs are watched for 0.8 s at a time, so a silent connection hides rows for 1.6 s at most.

--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -11,7 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto kTickPeriod = 100ms;
-constexpr auto kWatchTime = 2000ms;
+// A cancellation has to be known within three seconds, also after a watch whose connection went silent.
+constexpr auto kWatchTime = 800ms;
 constexpr auto kWriteTimeout = 1000ms;
 constexpr auto kRetryPause = 200ms;
 // Value of the row of a job that has ended.
