--- /dev/null
+++ b/tests/hosted/hosted_deployment.cpp
@@ -0,0 +1,175 @@
+#include "hosted_deployment.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <httplib.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+
+namespace chicorywick::hosted {
+
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+constexpr int kPortsPerDaemon = 4;
+
+// Ports that were free a moment ago; they are held open together, so that they differ.
+std::vector<std::uint16_t> freePorts(boost::asio::io_context &loop, int count)
+{
+    std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
+    std::vector<std::uint16_t> ports;
+    for (int i = 0; i < count; ++i) {
+        acceptors.push_back(std::make_unique<tcp::acceptor>(
+                loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)));
+        ports.push_back(acceptors.back()->local_endpoint().port());
+    }
+    return ports;
+}
+
+httplib::Client clientOf(std::uint16_t port)
+{
+    httplib::Client client("127.0.0.1", port);
+    client.set_connection_timeout(1s);
+    client.set_read_timeout(3s);
+    client.set_default_headers({{"Host", "work.example"}, {"X-Deadline-Ms", "3000"}});
+    return client;
+}
+
+std::string address(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+HostedDeployment::HostedDeployment(int daemons, int runners, std::uint64_t seed)
+    : store_(loop_, seed)
+{
+    std::string directory = std::filesystem::temp_directory_path() / "chicorywick-hosted-XXXXXX";
+    directory_ = ::mkdtemp(directory.data());
+    store_.put("op", "config",
+               R"({"version":1,"routes":[{"name":"r","host":"work.example","path_prefix":"/q/",)"
+               R"("service":"s","max_attempts":2,"stretch":1.6,"target_completion_ms":600}],)"
+               R"("services":[{"name":"s"}],"limits":{}})");
+    for (int i = 0; i < runners; ++i) {
+        runners_.push_back(
+                std::make_unique<HostedRunner>(loop_, "i-" + std::to_string(i), record_));
+        store_.put("servers", runners_.back()->id(), runners_.back()->registration("s"));
+    }
+    const auto ports = freePorts(loop_, daemons * kPortsPerDaemon);
+    for (int i = 0; i < daemons; ++i)
+        ports_.emplace_back(ports.begin() + i * kPortsPerDaemon,
+                            ports.begin() + (i + 1) * kPortsPerDaemon);
+    thread_ = std::thread([this] {
+        const auto work = boost::asio::make_work_guard(loop_);
+        loop_.run();
+    });
+    daemons_.resize(static_cast<std::size_t>(daemons));
+    for (int i = 0; i < daemons; ++i)
+        startDaemon(i);
+}
+
+HostedDeployment::~HostedDeployment()
+{
+    for (const auto &daemon : daemons_)
+        daemon->signal(SIGCONT);
+    daemons_.clear();
+    loop_.stop();
+    thread_.join();
+    std::filesystem::remove_all(directory_);
+}
+
+std::string HostedDeployment::settingsFile(int number) const
+{
+    const auto &ports = ports_[static_cast<std::size_t>(number)];
+    const std::string path = directory_ + "/daemon-" + std::to_string(number) + ".json";
+    const json settings{{"name", "edge-" + std::to_string(number)},
+                        {"host", "127.0.0.1"},
+                        {"callers", address(ports[0])},
+                        {"readiness", address(ports[1])},
+                        {"peer_port", ports[2]},
+                        {"metrics_port", ports[3]},
+                        {"store", address(store_.port())},
+                        {"machine_control", address(store_.port())},
+                        {"max_lease_ms", 6'000},
+                        {"stop_grace_s", 6},
+                        {"status_retention_s", 120}};
+    std::ofstream(path) << settings.dump();
+    return path;
+}
+
+void HostedDeployment::startDaemon(int number)
+{
+    daemons_[static_cast<std::size_t>(number)] = std::make_unique<e2e::ChildProcess>(
+            std::vector<std::string>{CHICORYWICKD, "--deployment", settingsFile(number)});
+}
+
+bool HostedDeployment::waitUntilReady()
+{
+    for (const auto &ports : ports_) {
+        const bool isReady = e2e::waitUntil(20s, [&ports] {
+            const auto response = clientOf(ports[1]).Get("/ready");
+            return response && response->status == 200;
+        });
+        if (!isReady)
+            return false;
+    }
+    return true;
+}
+
+int HostedDeployment::submit(int daemon, const std::string &id) const
+{
+    const json body{{"spec", "work"},
+                    {"steps",
+                     {{{"count", 3}, {"cpu", 1'000}, {"mem_mb", 500}, {"estimated_ms", 300}},
+                      {{"count", 2},
+                       {"cpu", 1'000},
+                       {"mem_mb", 500},
+                       {"estimated_ms", 300},
+                       {"after", {0}}}}}};
+    const auto response = clientOf(ports_[static_cast<std::size_t>(daemon)][0])
+                                  .Post("/q/" + id, body.dump(), "application/json");
+    return response ? response->status : 0;
+}
+
+std::optional<std::string> HostedDeployment::stateOf(int daemon, const std::string &id) const
+{
+    const auto response = clientOf(ports_[static_cast<std::size_t>(daemon)][0]).Get("/q/" + id);
+    if (!response || response->status != 200)
+        return std::nullopt;
+    return json::parse(response->body).at("state").get<std::string>();
+}
+
+void HostedDeployment::onLoop(const std::function<void()> &action)
+{
+    std::promise<void> done;
+    boost::asio::post(loop_, [&] {
+        action();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void HostedDeployment::setStoreFaults(const StoreFaults &faults)
+{
+    onLoop([&] { store_.setFaults(faults); });
+}
+
+void HostedDeployment::setRunnerSilent(int number, bool isSilent)
+{
+    onLoop([&] { runners_[static_cast<std::size_t>(number)]->setSilent(isSilent); });
+}
+
+std::vector<std::string> HostedDeployment::violations()
+{
+    std::vector<std::string> found;
+    onLoop([&] { found = record_.violations; });
+    return found;
+}
+
+} // namespace chicorywick::hosted
--- /dev/null
+++ b/tests/hosted/hosted_store.cpp
@@ -0,0 +1,199 @@
+#include "hosted_store.h"
+
+#include <chicorywick/base/rng.h>
+
+#include <platform/base64.h>
+
+#include <stdexcept>
+
+namespace chicorywick::hosted {
+
+namespace {
+
+constexpr std::size_t kPageRows = 500;
+
+std::string decoded(const std::string &text)
+{
+    std::string plain;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            plain += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+        } else {
+            plain += text[i];
+        }
+    }
+    return plain;
+}
+
+std::map<std::string, std::string> queryOf(const std::string &target)
+{
+    std::map<std::string, std::string> query;
+    std::size_t at = target.find('?');
+    while (at != std::string::npos && at + 1 < target.size()) {
+        const std::size_t end = target.find('&', at + 1);
+        const std::string pair = target.substr(at + 1, end - at - 1);
+        const std::size_t equals = pair.find('=');
+        query[pair.substr(0, equals)] = decoded(pair.substr(equals + 1));
+        at = end;
+    }
+    return query;
+}
+
+http::Response answer(int status, const json &body)
+{
+    return {.status = status,
+            .headers = {{"Content-Type", "application/json"}},
+            .body = body.dump()};
+}
+
+} // namespace
+
+HostedStore::HostedStore(boost::asio::io_context &loop, std::uint64_t seed)
+    : loop_(loop)
+    , server_(loop, [this](const http::Request &request,
+                           const http::Responder &respond) { handle(request, respond); })
+    , random_(seed)
+{
+    if (!server_.listen({.host = "127.0.0.1"}))
+        throw std::runtime_error("the store stand-in cannot listen");
+}
+
+void HostedStore::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    rows_[{table, "", key}] = {.value = adapter::toBase64(value), .version = ++version_};
+    wakeWatches();
+}
+
+void HostedStore::handle(const http::Request &request, const http::Responder &respond)
+{
+    if (faults_.isDown)
+        return respond({.status = 503});
+    if (request.target == "/rows-tx")
+        return transact(json::parse(request.body), respond);
+    if (request.target.starts_with("/rows-get?"))
+        return read(queryOf(request.target), respond);
+    if (request.target.starts_with("/rows-feed?"))
+        return watch(queryOf(request.target), respond);
+    respond({.status = 404});
+}
+
+void HostedStore::transact(const json &body, const http::Responder &respond)
+{
+    const auto keyOf = [](const json &row) {
+        return Key(row.at("table"), row.value("part", ""), row.at("key"));
+    };
+    json current = json::array();
+    bool holds = true;
+    for (const json &condition : body.at("expected_rev")) {
+        const Key key = keyOf(condition);
+        const auto found = rows_.find(key);
+        const bool exists = found != rows_.end() && !found->second.isRemoved;
+        const std::int64_t version = exists ? found->second.version : 0;
+        holds = holds && version == condition.at("row_version").get<std::int64_t>();
+        if (exists)
+            current.push_back(rowJson(key, found->second));
+    }
+    if (!holds)
+        return respond(answer(412, {{"rows", current}, {"row_version", version_}}));
+    ++version_;
+    for (const json &row : body.at("puts"))
+        rows_[keyOf(row)] = {.value = row.at("value"), .version = version_};
+    for (const json &row : body.at("remove"))
+        rows_[keyOf(row)] = {.version = version_, .isRemoved = true};
+    const std::int64_t written = version_;
+    wakeWatches();
+    base::Rng rng(++random_);
+    if (!rng.chance(faults_.lostAnswers))
+        respond(answer(200, {{"row_version", written}}));
+}
+
+void HostedStore::read(const std::map<std::string, std::string> &query,
+                       const http::Responder &respond)
+{
+    const auto valueOf = [&query](const char *name) {
+        const auto found = query.find(name);
+        return found != query.end() ? found->second : std::string();
+    };
+    json rows = json::array();
+    bool hasMore = false;
+    const Key first(valueOf("table"), valueOf("part"), valueOf("from"));
+    for (auto item = rows_.lower_bound(first); item != rows_.end(); ++item) {
+        const auto &[table, part, key] = item->first;
+        const bool isInRange = table == valueOf("table") && part == valueOf("part")
+                               && (valueOf("to").empty() || key < valueOf("to"));
+        if (!isInRange)
+            break;
+        if (item->second.isRemoved)
+            continue;
+        hasMore = rows.size() == kPageRows;
+        if (hasMore)
+            break;
+        rows.push_back(rowJson(item->first, item->second));
+    }
+    respond(answer(200, {{"rows", rows}, {"has_more", hasMore}, {"row_version", version_}}));
+}
+
+void HostedStore::watch(const std::map<std::string, std::string> &query,
+                        const http::Responder &respond)
+{
+    const std::string table = query.at("table");
+    const std::int64_t after = std::stoll(query.at("after"));
+    const json rows = changes(table, after);
+    if (!rows.empty())
+        return respond(answer(200, {{"rows", rows}, {"row_version", version_}}));
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+            loop_, std::chrono::milliseconds(std::stoll(query.at("wait_ms"))));
+    const auto entry = watches_.insert(
+            watches_.end(), {.table = table, .after = after, .respond = respond, .timer = timer});
+    timer->async_wait([this, entry](const boost::system::error_code &error) {
+        if (error)
+            return;
+        const http::Responder waiting = entry->respond;
+        watches_.erase(entry);
+        waiting(answer(200, {{"rows", json::array()}, {"row_version", version_}}));
+    });
+}
+
+json HostedStore::changes(const std::string &table, std::int64_t after) const
+{
+    std::map<std::int64_t, std::vector<json>> ordered;
+    for (const auto &[key, row] : rows_)
+        if (std::get<0>(key) == table && row.version > after)
+            ordered[row.version].push_back(rowJson(key, row));
+    json rows = json::array();
+    for (const auto &[version, ofVersion] : ordered)
+        for (const json &row : ofVersion)
+            rows.push_back(row);
+    return rows;
+}
+
+void HostedStore::wakeWatches()
+{
+    for (auto item = watches_.begin(); item != watches_.end();) {
+        const json rows = changes(item->table, item->after);
+        if (rows.empty()) {
+            ++item;
+            continue;
+        }
+        const http::Responder respond = item->respond;
+        item->timer->cancel();
+        item = watches_.erase(item);
+        respond(answer(200, {{"rows", rows}, {"row_version", version_}}));
+    }
+}
+
+json HostedStore::rowJson(const Key &key, const Row &row) const
+{
+    json value{{"table", std::get<0>(key)},
+               {"part", std::get<1>(key)},
+               {"key", std::get<2>(key)},
+               {"row_version", row.version}};
+    if (row.isRemoved)
+        value["tombstone"] = true;
+    else
+        value["value"] = row.value;
+    return value;
+}
+
+} // namespace chicorywick::hosted
--- /dev/null
+++ b/tests/hosted/hosted_store.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chicorywick/http/server.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <list>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace chicorywick::hosted {
+
+using nlohmann::json;
+
+/// @brief Faults of the store stand-in.
+struct StoreFaults
+{
+    bool isDown = false;
+    double lostAnswers = 0; ///< share of transactions carried out without an answer
+
+    bool operator==(const StoreFaults &) const = default;
+};
+
+/// @brief A stand-in for the platform's metadata store: rows, conditions, feeds. Used from its
+/// loop.
+class HostedStore
+{
+public:
+    explicit HostedStore(boost::asio::io_context &loop, std::uint64_t seed);
+
+    std::uint16_t port() const { return server_.port(); }
+    void put(const std::string &table, const std::string &key, const std::string &value);
+    void setFaults(const StoreFaults &faults) { faults_ = faults; }
+
+private:
+    struct Row
+    {
+        std::string value; ///< base64, as it came
+        std::int64_t version = 0;
+        bool isRemoved = false;
+    };
+    using Key = std::tuple<std::string, std::string, std::string>;
+    struct Watch
+    {
+        std::string table;
+        std::int64_t after = 0;
+        http::Responder respond;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    void handle(const http::Request &request, const http::Responder &respond);
+    void transact(const json &body, const http::Responder &respond);
+    void read(const std::map<std::string, std::string> &query, const http::Responder &respond);
+    void watch(const std::map<std::string, std::string> &query, const http::Responder &respond);
+    json changes(const std::string &table, std::int64_t after) const;
+    void wakeWatches();
+    json rowJson(const Key &key, const Row &row) const;
+
+    boost::asio::io_context &loop_;
+    http::Server server_;
+    std::map<Key, Row> rows_;
+    std::list<Watch> watches_;
+    std::int64_t version_ = 0;
+    StoreFaults faults_;
+    std::uint64_t random_;
+};
+
+} // namespace chicorywick::hosted
