Shorten the election, bound uncertainty by the former leases, report no finished wave again

Change: the leader row tells the longest worker lease, which bounds what an earlier driver may have left; jobs stored after the claim are not uncertain; leader lease 1.5 s.

--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -12,10 +12,11 @@
 /// @brief Times of the election; milliseconds.
 struct ElectionSettings
 {
-    scheduler::Millis leaseMs = 2000; ///< from the sending of the latest successful write
-    scheduler::Millis renewEveryMs = 500;
-    scheduler::Millis takeoverDelayMs = 300; ///< added to the lease before a successor claims
+    scheduler::Millis leaseMs = 1500; ///< from the sending of the latest successful write
+    scheduler::Millis renewEveryMs = 400;
+    scheduler::Millis takeoverDelayMs = 200; ///< added to the lease before a successor claims
     scheduler::Millis retryMs = 200;
+    scheduler::Millis workerLeaseMs = 0;     ///< written for the successor
     scheduler::Millis machinePauseMs = 3000; ///< between two holders' orders for a machine
     scheduler::Millis machineOrderMs = 800;  ///< after a renewal, machines may be ordered so long
 
@@ -63,6 +64,9 @@
     /// @brief The version of this daemon's claim; orders carry it as their fencing token.
     Version term() const { return term_; }
 
+    /// @brief The longest lease that the holder before this daemon gave to workers; 0: not known.
+    scheduler::Millis formerWorkerLease() const { return formerWorkerLease_; }
+
     const LeaderRecord &record() const { return record_; }
 
 private:
@@ -78,6 +82,7 @@
 
     bool holdsRow_ = false;
     Version term_ = 0;
+    scheduler::Millis formerWorkerLease_ = 0;
     scheduler::Millis leaseFrom_ = 0;
     scheduler::Millis machinesFrom_ = 0;
     std::int64_t beat_ = 0;
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -17,6 +17,7 @@
     std::string peerAddress;
     std::int64_t term = 0; ///< version of the row at the claim, 0 in the claim itself
     std::int64_t beat = 0;
+    std::int64_t workerLeaseMs = 0; ///< longest lease that the holder gives to workers
 
     bool operator==(const LeaderRecord &) const = default;
 };
--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -11,7 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto kTickPeriod = 100ms;
-// A cancellation has to be known within three seconds, also after a watch whose connection went silent.
+// A cancellation has to be known within three seconds, also after a watch whose connection went
+// silent.
 constexpr auto kWatchTime = 800ms;
 constexpr auto kWriteTimeout = 1000ms;
 constexpr auto kRetryPause = 200ms;
@@ -81,6 +82,7 @@
     , pools_(std::make_shared<PoolRunner>(*ports.machines, hooks_, scheduler_, inventory_,
                                           settings.fence))
     , tickTimer_(*ports.loop)
+    , fence_(settings.fence)
 {}
 
 void Driver::Impl::start()
@@ -149,11 +151,12 @@
                        {{"job", row.key.key}, {"reason", spec.error().message}});
         return;
     }
-    // While loading, a job without progress may also have been started by an earlier driver.
+    // A job without progress may also have been started by an earlier driver, unless it was stored
+    // after this driver's claim: earlier drivers had stopped by then.
     std::optional<scheduler::JobProgress> known;
     if (progress != loadedProgress_.end())
         known = progress->second;
-    else if (!isLoaded_)
+    else if (!isLoaded_ && row.version < fence_)
         known = scheduler::JobProgress{};
     scheduler_.addJob(spec.value(), known);
     if (cancelled_.contains(spec.value().id))
--- a/packages/entry/src/driver_impl.h
+++ b/packages/entry/src/driver_impl.h
@@ -53,6 +53,7 @@
     std::shared_ptr<PoolRunner> pools_;
     boost::asio::steady_timer tickTimer_;
 
+    Version fence_;
     bool isStopped_ = false;
     bool isLoaded_ = false;
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -49,7 +49,10 @@
 {
     if (isWriting_ || !hasObserved_ || now < nextWriteAt_)
         return std::nullopt;
-    LeaderRecord record{.holder = holder_, .peerAddress = peerAddress_, .beat = beat_ + 1};
+    LeaderRecord record{.holder = holder_,
+                        .peerAddress = peerAddress_,
+                        .beat = beat_ + 1,
+                        .workerLeaseMs = settings_.workerLeaseMs};
     if (holdsRow_) {
         if (!isReleasing_ && now - leaseFrom_ < settings_.renewEveryMs)
             return std::nullopt;
@@ -67,6 +70,7 @@
             patience = 0;
         if (isReleasing_ || now - changedAt_ < patience)
             return std::nullopt;
+        formerWorkerLease_ = record_.workerLeaseMs;
         // The former holder gave its last order at most machineOrderMs after its last renewal.
         const scheduler::Millis quiet = isFree ? 0 : now - changedAt_ - settings_.machineOrderMs;
         machinesFrom_ = now + settings_.machinePauseMs - std::max<scheduler::Millis>(quiet, 0);
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -30,7 +30,7 @@
 // Without an answer of the store for so long, nothing can be accepted here.
 constexpr scheduler::Millis kStoreSilenceMs = 2'500;
 // Spread of the successors' claims.
-constexpr std::uint64_t kClaimSpreadMs = 250;
+constexpr std::uint64_t kClaimSpreadMs = 150;
 // The balancer leaves a daemon out after two failed probes, a second apart; requests go on coming
 // until then, and on open connections also later.
 constexpr scheduler::Millis kLeaveRotationMs = 2'600;
@@ -64,7 +64,8 @@
         , rng_(std::hash<std::string>()(settings_.name + incarnation_))
         , election_(settings_.name + "#" + incarnation_,
                     settings_.peers.host + ":" + std::to_string(settings_.peers.port),
-                    static_cast<scheduler::Millis>(rng_.below(kClaimSpreadMs)))
+                    static_cast<scheduler::Millis>(rng_.below(kClaimSpreadMs)),
+                    ElectionSettings{.workerLeaseMs = scheduler::SchedulerSettings().leaseMs})
         , peers_(std::make_shared<PeerQueries>(loop_))
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, driverQuery(), systemNow))
@@ -329,6 +330,8 @@
         scheduling.fence = driverTerm_;
         scheduling.maxLeaseMs = settings_.maxLeaseMs;
         scheduling.leaseMs = std::min(scheduling.leaseMs, settings_.maxLeaseMs);
+        const scheduler::Millis former = election_.formerWorkerLease();
+        scheduling.formerLeaseMs = former != 0 ? former : settings_.maxLeaseMs;
         scheduling.retentionMs = settings_.statusRetentionMs;
         driver_ = std::make_unique<Driver>(
                 ports_,
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -88,7 +88,8 @@
     return Json{{"holder", record.holder},
                 {"peer", record.peerAddress},
                 {"term", record.term},
-                {"beat", record.beat}}
+                {"beat", record.beat},
+                {"lease", record.workerLeaseMs}}
             .dump();
 }
 
@@ -98,7 +99,8 @@
         return LeaderRecord{.holder = json.at("holder"),
                             .peerAddress = json.at("peer"),
                             .term = json.at("term"),
-                            .beat = json.at("beat")};
+                            .beat = json.at("beat"),
+                            .workerLeaseMs = json.value("lease", std::int64_t{0})};
     });
 }
 
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -86,8 +86,6 @@
 
 void WaveRunner::plan(Wave &wave)
 {
-    if (!wave.isReportedRunning)
-        report(wave, false);
     std::map<std::string, scheduler::WorkerView> views;
     for (scheduler::WorkerView &view : scheduler_.workers())
         views.emplace(view.entry.id, view);
@@ -128,6 +126,9 @@
         }
         candidates.push_back(std::move(candidate));
     }
+    // A wave that an earlier driver has finished is not reported as running again.
+    if (isLeft && !wave.isReportedRunning)
+        report(wave, false);
     if (!isLeft && wave.down.empty()) {
         if (!wave.isReporting)
             report(wave, true);
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -28,6 +28,7 @@
     Millis idleRenewWaitMs = 1200;
     Millis retryMs = 250;         ///< pause after an order without a response
     Millis silenceMs = 1700;      ///< without a response for so long, a worker gets no new tasks
+    Millis formerLeaseMs = 6000;  ///< longest lease that an earlier driver may have given
     Millis retentionMs = 130'000; ///< how long ended jobs are remembered
 
     bool operator==(const SchedulerSettings &) const = default;
@@ -212,6 +213,7 @@
     WorkerOrders &orders_;
     SchedulerHooks hooks_;
     SchedulerSettings settings_;
+    Millis beganAt_; ///< earlier drivers gave their last orders before
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::map<std::string, QueuePolicy> queues_;
     std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -22,6 +22,13 @@
 // Bands change as slack is used up; twice a second keeps the queue's order close to the truth.
 constexpr Millis kBandRefreshMs = 500;
 
+// Longest local time that a lease can last on a worker whose clock runs slow.
+Millis formerLeaseEnd(Millis leaseMs)
+{
+    constexpr Millis kSlackMs = 200;
+    return leaseMs + leaseMs * 3 / 100 + kSlackMs;
+}
+
 const char *stateName(JobState state)
 {
     switch (state) {
@@ -45,6 +52,7 @@
     : orders_(orders)
     , hooks_(std::move(hooks))
     , settings_(settings)
+    , beganAt_(hooks_.clock().steady)
 {}
 
 Scheduler::~Scheduler()
@@ -130,7 +138,7 @@
     entry.sequence = nextSequence_++;
     if (progress) {
         entry.job.restore(*progress, now.steady);
-        entry.uncertainUntil = now.steady + settings_.maxLeaseMs + settings_.maxLeaseMs / 20;
+        entry.uncertainUntil = beganAt_ + formerLeaseEnd(settings_.formerLeaseMs);
     }
     jobs_.emplace(spec.id, std::move(owned));
     entry.job.beginDue(now.wall);
