Order no upkeep of a machine whose worker cannot be seen

Cause: a machine whose worker had been cut off from discovery counted as empty, so its upkeep could end running tasks. Change: such a machine waits, unless its pool runs no tasks.

--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -106,6 +106,12 @@
         queues.push_back(route.policy);
     scheduler_.setQueues(queues);
     pools_->configure(configuration);
+    std::set<std::string> unused;
+    for (const auto &[name, setup] : configuration.services)
+        unused.insert(name);
+    for (const QueueRoute &route : configuration.routes)
+        unused.erase(route.policy.service);
+    waves_->setUnusedPools(unused);
 }
 
 std::optional<scheduler::JobState> Driver::Impl::shownState(const std::string &id) const
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -121,8 +121,8 @@
             // Emptying takes effect only once no start can be on its way.
             if (!view->second.isCordoned && candidate.tasks == 0)
                 candidate.tasks = view->second.isUsable ? 1 : 0;
-        } else {
-            candidate.workerId.clear();
+        } else if (!machine.workerId.empty() && !unusedPools_.contains(machine.pool)) {
+            continue; // a worker that cannot be seen from here may be running tasks
         }
         candidates.push_back(std::move(candidate));
     }
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -31,6 +31,9 @@
     /// @brief Takes over what an earlier driver has stored of a wave.
     void restore(const Row &row);
     void setWaves(const std::vector<WaveRequest> &waves);
+
+    /// @brief Pools whose machines run no tasks.
+    void setUnusedPools(std::set<std::string> pools) { unusedPools_ = std::move(pools); }
     void tick();
 
 private:
@@ -58,6 +61,7 @@
     std::int64_t fence_;
     std::map<std::int64_t, Wave> waves_;
     std::set<std::string> cordoned_;
+    std::set<std::string> unusedPools_;
     bool isStopped_ = false;
 };
 
