--- /dev/null
+++ b/packages/entry/src/intake_test.cpp
@@ -0,0 +1,235 @@
+#include "intake.h"
+
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A store in memory whose next transactions can be made to fail.
+class FakeTable : public Table
+{
+public:
+    std::map<RowKey, Row> rows;
+    std::vector<std::pair<base::Code, bool>> failures; ///< code, and whether the call is made
+    int calls = 0;
+
+    void transact(const Transaction &transaction, std::chrono::milliseconds /*timeout*/,
+                  Callback<TransactionResult> done) override
+    {
+        ++calls;
+        if (!failures.empty()) {
+            const auto [code, isMade] = failures.front();
+            failures.erase(failures.begin());
+            if (isMade)
+                apply(transaction);
+            return done(base::makeError(code));
+        }
+        done(TransactionResult{.isCommitted = apply(transaction), .version = version_});
+    }
+
+    void read(const RowRange &range, std::chrono::milliseconds /*timeout*/,
+              Callback<RowPage> done) override
+    {
+        RowPage page{.version = version_};
+        for (const auto &[key, row] : rows)
+            if (key.table == range.table && key.part == range.part && key.key >= range.from
+                && (range.to.empty() || key.key < range.to))
+                page.rows.push_back(row);
+        done(std::move(page));
+    }
+
+    void watch(const std::string & /*table*/, Version /*after*/, std::chrono::milliseconds /*wait*/,
+               Callback<RowPage> /*done*/) override
+    {}
+
+private:
+    bool apply(const Transaction &transaction)
+    {
+        for (const RowCondition &condition : transaction.conditions)
+            if ((rows.contains(condition.key) ? rows[condition.key].version : 0)
+                != condition.version)
+                return false;
+        ++version_;
+        for (const RowWrite &write : transaction.writes)
+            rows[write.key] = {.key = write.key, .value = write.value, .version = version_};
+        return true;
+    }
+
+    Version version_ = 0;
+};
+
+class FakeCodec : public CallerCodec
+{
+public:
+    base::Result<scheduler::JobSpec> decodeSubmission(const std::string &body) const override
+    {
+        if (body == "bad")
+            return base::makeError(base::Code::MalformedInput);
+        scheduler::JobSpec spec{.payload = body};
+        spec.steps.push_back({.taskCount = 1});
+        if (body == "cycle")
+            spec.steps.back().after = {0};
+        return spec;
+    }
+    std::string encodeState(scheduler::JobState state) const override
+    {
+        return jobStateName(state);
+    }
+    std::string encodeWaiting(int jobs) const override { return std::to_string(jobs); }
+    std::optional<scheduler::Millis> timeLimit(const http::Headers & /*headers*/) const override
+    {
+        return std::nullopt;
+    }
+};
+
+struct Fixture
+{
+    boost::asio::io_context loop;
+    FakeTable table;
+    FakeCodec codec;
+    DriverAnswer driver;
+    std::shared_ptr<Intake> intake = std::make_shared<Intake>(
+            loop, table, codec,
+            DriverQuery{
+                    .state =
+                            [this](const std::string &,
+                                   const std::function<void(DriverAnswer)> &done) { done(driver); },
+                    .waiting = [this](const std::string &, const std::function<void(DriverAnswer)>
+                                                                   &done) { done(driver); }},
+            [] { return scheduler::Now{.steady = 1'000, .wall = 1'000}; });
+
+    Fixture()
+    {
+        intake->configure({.version = 1,
+                           .routes = {{.host = "h",
+                                       .pathPrefix = "/q/",
+                                       .policy = {.name = "r", .service = "s"}}}});
+    }
+
+    http::Response call(const std::string &method, const std::string &target,
+                        const std::string &body = "work", const std::string &host = "h:80")
+    {
+        http::Response received{.status = 0};
+        intake->handle(
+                {.method = method, .target = target, .headers = {{"host", host}}, .body = body},
+                [&](http::Response response) { received = std::move(response); });
+        loop.restart();
+        loop.run_for(400ms);
+        return received;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a submission is stored once, and its repetition is answered like the first")
+{
+    Fixture fixture;
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
+    CHECK(fixture.table.rows.size() == 1);
+}
+
+TEST_CASE("what no queue, no codec or no rule allows is refused with its number")
+{
+    Fixture fixture;
+    CHECK(fixture.call("POST", "/other/a1").status == 404);
+    CHECK(fixture.call("POST", "/q/a1", "work", "elsewhere").status == 404);
+    CHECK(fixture.call("POST", "/q/a1", "bad").status == 400);
+    CHECK(fixture.call("POST", "/q/a1", "cycle").status == 400);
+    CHECK(fixture.call("POST", "/q/a1", std::string(5'000, 'x')).headers.at("X-Result-Code")
+          == "2003");
+    CHECK(fixture.call("POST", "/q/a%20b").status == 400);
+    CHECK(fixture.call("PUT", "/q/a1").status == 405);
+    CHECK(fixture.table.rows.empty());
+}
+
+// Guards against a refusal of a job that runs: a call without an answer may have been carried out.
+TEST_CASE("a submission whose fate is unknown is never answered as refused")
+{
+    Fixture fixture;
+    using base::Code;
+    fixture.table.failures = {{Code::PlatformUnknownOutcome, true}};
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
+    fixture.table.failures = {{Code::PlatformUnknownOutcome, false},
+                              {Code::PlatformUnavailable, false},
+                              {Code::PlatformUnavailable, false}};
+    CHECK(fixture.call("POST", "/q/a2").status == 504);
+    fixture.table.failures = {{Code::PlatformUnavailable, false},
+                              {Code::RateLimited, false},
+                              {Code::PlatformUnavailable, false}};
+    const auto refused = fixture.call("POST", "/q/a3");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.contains("Retry-After"));
+    CHECK(!fixture.table.rows.contains(layout::jobRow("a3")));
+}
+
+TEST_CASE("states come from the driver, else from the rows; an unknown job is gone")
+{
+    Fixture fixture;
+    CHECK(fixture.call("GET", "/q/a1").status == 410);
+    fixture.call("POST", "/q/a1");
+    CHECK(fixture.call("GET", "/q/a1").body == "pending");
+    fixture.table.rows[layout::progressRow("a1")] = {
+            .key = layout::progressRow("a1"),
+            .value = encode(scheduler::JobProgress{.state = scheduler::JobState::Completed})};
+    CHECK(fixture.call("GET", "/q/a1").body == "completed");
+    fixture.driver = {.isAnswered = true, .state = scheduler::JobState::Running, .waiting = 3};
+    CHECK(fixture.call("GET", "/q/a1").body == "running");
+    CHECK(fixture.call("GET", "/q/").body == "3");
+}
+
+TEST_CASE("a cancellation is stored for a job that exists")
+{
+    Fixture fixture;
+    CHECK(fixture.call("DELETE", "/q/a1").status == 410);
+    fixture.call("POST", "/q/a1");
+    CHECK(fixture.call("DELETE", "/q/a1").status == 200);
+    CHECK(fixture.table.rows.contains(layout::cancelRow("a1")));
+    CHECK(layout::cancelledJob(layout::cancelRow("a1").key) == "a1");
+    CHECK(layout::cancelledJob("a1").empty());
+}
+
+TEST_CASE("the longest prefix of a host finds the queue")
+{
+    const RouteTable table({{.host = "h", .pathPrefix = "/a/", .policy = {.name = "short"}},
+                            {.host = "h", .pathPrefix = "/a/b/", .policy = {.name = "long"}}});
+    CHECK(table.match("h", "/a/b/x")->policy.name == "long");
+    CHECK(table.match("h:80", "/a/x?y=1")->rest == "x");
+    CHECK(!table.match("g", "/a/x"));
+}
+
+TEST_CASE("records survive their encoding, and a text that is none is an error")
+{
+    const LeaderRecord leader{
+            .holder = "n#1", .peerAddress = "a:1", .term = 3, .beat = 4, .workerLeaseMs = 4'000};
+    CHECK(decodeLeader(encode(leader)).value() == leader);
+    scheduler::JobSpec spec{.id = "a",
+                            .queue = "q",
+                            .payload = "p",
+                            .repeatCount = 2,
+                            .firstStartWall = 5,
+                            .intervalMs = 6,
+                            .submittedWall = 7};
+    spec.steps.push_back({.taskCount = 2, .after = {0}, .isGang = true, .preferredRack = "r"});
+    CHECK(decodeJob(encode(spec)).value() == spec);
+    scheduler::JobProgress progress{.state = scheduler::JobState::Running, .begunOccurrences = 1};
+    progress.open.push_back({.number = 0, .doneTasks = {{1, 2}}, .failedRuns = {{{0, 3}, {1}}}});
+    CHECK(decodeProgress(encode(progress)).value() == progress);
+    CHECK(decodeBegun(encodeBegun({"m"})).value() == std::set<std::string>{"m"});
+    for (const char *bad : {"", "{", "[]", "{}", "7"}) {
+        CHECK(!decodeLeader(bad));
+        CHECK(!decodeJob(bad));
+        CHECK(!decodeProgress(bad));
+    }
+    CHECK(!decodeRoster("[7]"));
+}
+
+} // namespace chicorywick::entry
