Count a restarted perpetual task as away until its start-up is over

Workers show full pace from the start on, so it counted as at work. Change: a task is at work when it has run for twice its estimate, 1.5 s at least.

--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -14,8 +14,11 @@
 constexpr int kMaxMisses = 24;
 // After a refusal for want of room, the worker's count and ours differ until its next reply.
 constexpr Millis kFullPauseMs = 200;
-// A perpetual task whose worker reports less is starting up, paced down or standing still.
+// A perpetual task whose worker reports less is paced down.
 constexpr int kAtWorkPercent = 100;
+// Start-ups vary, and estimates are rough; a slow worker needs longer still.
+constexpr Millis kStartUpFactor = 2;
+constexpr Millis kShortestStartUpMs = 1'500;
 // What a silent worker last said of its tasks is no evidence that they are at work.
 constexpr Millis kFreshMs = 1'500;
 
@@ -331,12 +334,17 @@
     if (found == occurrences.end())
         return 0;
     int available = 0;
+    const Millis now = hooks_.clock().steady;
+    // A worker shows a task at full pace from its start on, also while it starts up.
+    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    const Millis startUp = std::max(kShortestStartUpMs, kStartUpFactor * step.estimatedMs);
     const auto &siblings = found->second.steps[static_cast<std::size_t>(id.step)];
     for (std::size_t index = 0; index < siblings.size(); ++index) {
         const Worker *const worker = workerOf(siblings[index].worker);
         const bool isAtWork = worker != nullptr && siblings[index].phase == TaskPhase::Running
                               && siblings[index].percent >= kAtWorkPercent
-                              && hooks_.clock().steady - worker->replyAt < kFreshMs;
+                              && now - siblings[index].phaseSince >= startUp
+                              && now - worker->replyAt < kFreshMs;
         available += isAtWork && static_cast<int>(index) != id.index ? 1 : 0;
     }
     return available;
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -299,6 +299,36 @@
     CHECK(world.workers.startsOf(second) == 1);
 }
 
+// Guards against a second perpetual task that is stopped for maintenance while the first one, moved
+// a moment before, still starts up elsewhere.
+TEST_CASE("a moved perpetual task counts as away until its start-up is over")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(3);
+    StepSpec perpetual = step(2);
+    perpetual.isPerpetual = true;
+    perpetual.maxPerWorker = 1;
+    perpetual.maxUnavailable = 1;
+    perpetual.estimatedMs = 900;
+    world.submit("a", {perpetual});
+    world.run(4'000);
+    const TaskId first{.job = "a", .index = 0};
+    const TaskId second{.job = "a", .index = 1};
+    REQUIRE(world.workers.placesOf(first).size() == 1);
+    const std::string left = world.workers.placesOf(first)[0];
+    world.scheduler->setCordoned(left, CordonReason::Maintenance, true);
+    world.run(300);
+    REQUIRE(world.workers.startsOf(first) == 2);
+    world.scheduler->setCordoned(left, CordonReason::Maintenance, false);
+    world.scheduler->setCordoned(world.workers.placesOf(second)[0], CordonReason::Maintenance,
+                                 true);
+    world.run(1'400);
+    CHECK(world.workers.startsOf(second) == 1);
+    world.run(3'000);
+    CHECK(world.workers.startsOf(second) == 2);
+}
+
 // Guards against starts that are repeated as fast as a dead worker refuses them: a machine that
 // went down for its upkeep got 400 of them for one task.
 TEST_CASE("a worker that cannot be reached gets no start after the first until it answers")
