--- a/packages/entry/include/chicorywick/entry/layout.h
+++ b/packages/entry/include/chicorywick/entry/layout.h
@@ -13,8 +13,9 @@
 inline constexpr const char *kProgress = "progress";
 inline constexpr const char *kLeader = "leader";
 
-/// @brief Parts of the jobs table; submissions to different parts do not wait for each other.
-inline constexpr int kJobParts = 4;
+/// @brief Parts of the jobs table. The store changes a part once per transaction time: a store that
+/// is fifty times slower takes five submissions a second and part.
+inline constexpr int kJobParts = 16;
 
 std::string jobPart(int number);
 RowKey jobRow(const std::string &id);
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -4,6 +4,7 @@
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/model.h>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,7 @@
     scheduler::Millis renewEveryMs = 400;
     scheduler::Millis takeoverDelayMs = 200; ///< added to the lease before a successor claims
     scheduler::Millis retryMs = 200;
+    scheduler::Millis hedgeMs = 350;         ///< after it, an unanswered write is not waited for
     scheduler::Millis workerLeaseMs = 0;     ///< written for the successor
     scheduler::Millis machinePauseMs = 3000; ///< between two holders' orders for a machine
     scheduler::Millis machineOrderMs = 800;  ///< after a renewal, machines may be ordered so long
@@ -45,8 +47,8 @@
 
     /// @brief The write that is due, if any; its outcome is reported by one of the next calls.
     std::optional<LeaderWrite> nextWrite(scheduler::Millis now);
-    void committed(Version version, scheduler::Millis now);
-    void writeFailed(scheduler::Millis now);
+    void committed(const LeaderWrite &write, Version version, scheduler::Millis now);
+    void writeFailed(const LeaderWrite &write, scheduler::Millis now);
 
     /// @brief Gives the row up; nextWrite() then returns the release.
     void release() { isReleasing_ = true; }
@@ -87,9 +89,10 @@
     scheduler::Millis machinesFrom_ = 0;
     std::int64_t beat_ = 0;
 
-    bool isWriting_ = false;
-    LeaderRecord written_;
-    scheduler::Millis writeSentAt_ = 0;
+    scheduler::Millis sentAt(std::int64_t beat) const;
+
+    std::map<std::int64_t, scheduler::Millis> sent_; ///< sending times of this daemon's writes
+    std::int64_t unanswered_ = 0; ///< beat of the write that is waited for, 0: none
     scheduler::Millis nextWriteAt_ = 0;
     bool isReleasing_ = false;
 };
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -25,6 +25,11 @@
 // Far above the store's usual few milliseconds; a slow store answers within a quarter of a second.
 constexpr auto kStoreTimeout = 600ms;
 constexpr auto kRetryPause = 60ms;
+// The usual answer takes about ten milliseconds; after this time a second attempt is made beside.
+constexpr auto kHedgeTime = 500ms;
+constexpr std::chrono::milliseconds kShortestTimeout = 100ms;
+// Far above the answer of a store that is fifty times slower than usual.
+constexpr std::chrono::milliseconds kLongestTimeout = 1'200ms;
 // A submission that the store refuses is tried again this often before the caller is told.
 constexpr int kMaxAttempts = 3;
 // Time left for the response to travel before the caller gives up.
@@ -73,6 +78,8 @@
     scheduler::Millis receivedAt = 0;
     scheduler::Millis answerBy = 0;
     int attempts = 0;
+    int outstanding = 0;
+    bool isAnswered = false;
     bool mayBeStored = false; ///< an attempt without an answer may have been carried out
 };
 
@@ -142,17 +149,40 @@
     store(submission);
 }
 
+// The row is written only if it does not exist, so a second attempt beside the first does no harm.
+// It covers an answer that was lost, while the first still has time if the store is merely slow.
 void Intake::store(const std::shared_ptr<Submission> &submission)
 {
+    const scheduler::Millis left = submission->answerBy - clock_().steady;
     ++submission->attempts;
+    ++submission->outstanding;
     const RowKey key = layout::jobRow(submission->spec.id);
     const Transaction transaction{.conditions = {{.key = key, .version = 0}},
                                   .writes = {{.key = key, .value = submission->value}}};
     table_.transact(
-            transaction, kStoreTimeout,
+            transaction,
+            std::clamp(std::chrono::milliseconds(left), kShortestTimeout, kLongestTimeout),
             [self = shared_from_this(), submission](const base::Result<TransactionResult> &result) {
-                self->handleStored(submission, result);
+                --submission->outstanding;
+                if (!submission->isAnswered)
+                    self->handleStored(submission, result);
             });
+    retryAfter(submission, kHedgeTime);
+}
+
+void Intake::retryAfter(const std::shared_ptr<Submission> &submission,
+                        std::chrono::milliseconds pause)
+{
+    if (submission->attempts >= kMaxAttempts)
+        return;
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, pause);
+    timer->async_wait([self = shared_from_this(), submission, timer,
+                       attempts = submission->attempts](const boost::system::error_code &) {
+        const bool isDue = !submission->isAnswered && submission->attempts == attempts
+                           && self->clock_().steady < submission->answerBy;
+        if (isDue)
+            self->store(submission);
+    });
 }
 
 void Intake::handleStored(const std::shared_ptr<Submission> &submission,
@@ -161,6 +191,7 @@
     const scheduler::Millis now = clock_().steady;
     const std::string took = std::to_string(now - submission->receivedAt);
     if (result) {
+        submission->isAnswered = true;
         // A row that exists already was stored by an earlier attempt of the same submission.
         base::logEvent(base::Event::JobSubmitted,
                        {{"job", submission->spec.id},
@@ -170,13 +201,11 @@
         return submission->respond(http::Response{.status = kOk});
     }
     submission->mayBeStored = submission->mayBeStored || isUnknown(result.error());
-    const bool triesAgain = submission->attempts < kMaxAttempts && now < submission->answerBy;
-    if (triesAgain) {
-        auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kRetryPause);
-        timer->async_wait([self = shared_from_this(), submission,
-                           timer](const boost::system::error_code &) { self->store(submission); });
+    if (submission->attempts < kMaxAttempts && now < submission->answerBy)
+        return retryAfter(submission, kRetryPause);
+    if (submission->outstanding > 0)
         return;
-    }
+    submission->isAnswered = true;
     base::logEvent(base::Event::JobRefused, {{"job", submission->spec.id},
                                              {"queue", submission->spec.queue},
                                              {"took_ms", took},
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -37,6 +37,7 @@
 
     void submit(const RouteMatch &route, const http::Request &request, http::Responder respond);
     void store(const std::shared_ptr<Submission> &submission);
+    void retryAfter(const std::shared_ptr<Submission> &submission, std::chrono::milliseconds pause);
     void handleStored(const std::shared_ptr<Submission> &submission,
                       const base::Result<TransactionResult> &result);
     void tellState(const std::string &id, http::Responder respond);
--- a/packages/entry/src/layout.cpp
+++ b/packages/entry/src/layout.cpp
@@ -1,3 +1,4 @@
+#include <chicorywick/base/hash.h>
 #include <chicorywick/entry/layout.h>
 
 #include <charconv>
@@ -18,8 +19,7 @@
 
 RowKey jobRow(const std::string &id)
 {
-    // Callers choose ids at random, so their last character spreads them.
-    const int number = id.empty() ? 0 : id.back() % kJobParts;
+    const auto number = static_cast<int>(base::hash64(id) % kJobParts);
     return {.table = kJobs, .part = jobPart(number), .key = id};
 }
 
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -35,19 +35,20 @@
         holdsRow_ = false;
         return;
     }
-    // A write of ours whose answer was lost. The lease counts from its sending, if it is the
-    // latest one; an older one extends nothing.
+    // Perhaps a write of ours whose answer was lost; the lease counts from its sending.
     if (!holdsRow_) {
         holdsRow_ = true;
         term_ = record.term != 0 ? record.term : version;
     }
-    if (record.beat == written_.beat)
-        leaseFrom_ = writeSentAt_;
+    leaseFrom_ = std::max(leaseFrom_, sentAt(record.beat));
+    if (record.beat == unanswered_)
+        unanswered_ = 0;
 }
 
 std::optional<LeaderWrite> LeaderElection::nextWrite(scheduler::Millis now)
 {
-    if (isWriting_ || !hasObserved_ || now < nextWriteAt_)
+    const bool isWaiting = unanswered_ != 0 && now - sentAt(unanswered_) < settings_.hedgeMs;
+    if (isWaiting || !hasObserved_ || now < nextWriteAt_)
         return std::nullopt;
     LeaderRecord record{.holder = holder_,
                         .peerAddress = peerAddress_,
@@ -76,33 +77,45 @@
         machinesFrom_ = now + settings_.machinePauseMs - std::max<scheduler::Millis>(quiet, 0);
     }
     ++beat_;
-    isWriting_ = true;
-    written_ = record;
-    writeSentAt_ = now;
+    unanswered_ = beat_;
+    sent_[beat_] = now;
+    constexpr std::size_t kRemembered = 32;
+    if (sent_.size() > kRemembered)
+        sent_.erase(sent_.begin());
     return LeaderWrite{.record = record, .expected = version_};
 }
 
-void LeaderElection::committed(Version version, scheduler::Millis now)
+scheduler::Millis LeaderElection::sentAt(std::int64_t beat) const
 {
-    isWriting_ = false;
-    if (version > version_) {
-        version_ = version;
-        record_ = written_;
-        changedAt_ = now;
-    }
-    if (version != version_ || written_.holder != holder_) {
+    const auto found = sent_.find(beat);
+    return found != sent_.end() ? found->second : 0;
+}
+
+void LeaderElection::committed(const LeaderWrite &write, Version version, scheduler::Millis now)
+{
+    if (write.record.beat == unanswered_)
+        unanswered_ = 0;
+    // The row has been seen to move on since.
+    if (version < version_)
+        return;
+    version_ = version;
+    record_ = write.record;
+    changedAt_ = now;
+    if (write.record.holder != holder_) {
         holdsRow_ = false;
         return;
     }
     if (!holdsRow_)
-        term_ = version;
+        term_ = write.record.term != 0 ? write.record.term : version;
     holdsRow_ = true;
-    leaseFrom_ = writeSentAt_;
+    leaseFrom_ = std::max(leaseFrom_, sentAt(write.record.beat));
 }
 
-void LeaderElection::writeFailed(scheduler::Millis now)
+void LeaderElection::writeFailed(const LeaderWrite &write, scheduler::Millis now)
 {
-    isWriting_ = false;
+    if (write.record.beat != unanswered_)
+        return;
+    unanswered_ = 0;
     nextWriteAt_ = now + settings_.retryMs;
 }
 
--- a/packages/entry/src/leader_election_test.cpp
+++ b/packages/entry/src/leader_election_test.cpp
@@ -22,12 +22,12 @@
     if (!next)
         return;
     if (next->expected != row.version) {
-        election.writeFailed(now);
+        election.writeFailed(*next, now);
         election.observe(row.version, row.record, now);
         return;
     }
     row.record = next->record;
-    election.committed(++row.version, now);
+    election.committed(*next, ++row.version, now);
 }
 
 } // namespace
@@ -81,6 +81,26 @@
     CHECK(second.isLeading(20));
 }
 
+// Guards against a leader that gives up its row because one answer of a slow store was lost.
+TEST_CASE("a renewal without an answer is repeated, and the row shows whether it was made")
+{
+    SharedRow row;
+    LeaderElection leader("a#1", "a:1", 0);
+    leader.observe(0, {}, 0);
+    write(row, leader, 0);
+    const auto lost = leader.nextWrite(400);
+    REQUIRE(lost);
+    row.record = lost->record; // made, but not answered
+    ++row.version;
+    CHECK(!leader.nextWrite(600));
+    CHECK(leader.nextWrite(800));
+    leader.observe(row.version, row.record, 810);
+    const ElectionSettings settings;
+    CHECK(leader.isLeading(400 + settings.leaseMs - 1));
+    CHECK(!leader.isLeading(400 + settings.leaseMs));
+    CHECK(leader.term() == 1);
+}
+
 // Plays lost answers, failed writes, pauses and restarts of four daemons.
 TEST_CASE("at most one daemon counts itself as leader at any moment")
 {
@@ -119,9 +139,9 @@
                     ++row.version;
                 }
                 if (isCarriedOut && !rng.chance(0.2))
-                    daemons[i]->committed(row.version, now);
+                    daemons[i]->committed(*next, row.version, now);
                 else
-                    daemons[i]->writeFailed(now);
+                    daemons[i]->writeFailed(*next, now);
             }
             int leaders = 0;
             for (const auto &daemon : daemons)
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -302,14 +302,14 @@
                 {.conditions = {{.key = key, .version = write.expected}},
                  .writes = {{.key = key, .value = encode(write.record)}}},
                 kElectionTimeout,
-                [self = shared_from_this()](const base::Result<TransactionResult> &result) {
+                [self = shared_from_this(), write](const base::Result<TransactionResult> &result) {
                     const scheduler::Millis now = systemNow().steady;
                     if (result && result.value().isCommitted) {
-                        self->election_.committed(result.value().version, now);
+                        self->election_.committed(write, result.value().version, now);
                         self->followElection();
                         return;
                     }
-                    self->election_.writeFailed(now);
+                    self->election_.writeFailed(write, now);
                     if (result)
                         self->observeRows(result.value().current);
                 });
--- a/packages/entry/src/peer_queries.cpp
+++ b/packages/entry/src/peer_queries.cpp
@@ -20,8 +20,8 @@
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr int kOutcomeUnknown = 504;
-// Below the intake's own time-out, so that the leader's answer arrives in time.
-constexpr auto kRelayTimeout = 500ms;
+// The caller's own time-out ends the wait; this one only frees the connection.
+constexpr auto kRelayTimeout = 2500ms;
 constexpr std::size_t kConnections = 4;
 
 // The answer on the wire: the number of a job state (-1: not known) and the jobs that wait.
--- a/packages/entry/src/progress_journal.cpp
+++ b/packages/entry/src/progress_journal.cpp
@@ -14,8 +14,10 @@
 
 // Ends that come within this time share one write; it is small against a task's run time.
 constexpr auto kGatherTime = 15ms;
-constexpr auto kRetryPause = 150ms;
-constexpr auto kWriteTimeout = 1000ms;
+constexpr auto kRetryPause = 50ms;
+// A lost answer costs one time-out; a slow store doubles it.
+constexpr auto kShortestTimeout = 400ms;
+constexpr auto kLongestTimeout = 2000ms;
 // The store takes 100 entries a call; each row needs two, a condition and a value.
 constexpr std::size_t kRowsPerWrite = 48;
 
@@ -28,6 +30,7 @@
     , scheduler_(scheduler)
     , mayWrite_(std::move(mayWrite))
     , timer_(loop)
+    , timeout_(kShortestTimeout)
 {}
 
 void ProgressJournal::stop()
@@ -87,7 +90,7 @@
         return;
     }
     table_.transact(
-            transaction, kWriteTimeout,
+            transaction, timeout_,
             [self = shared_from_this(), ids](const base::Result<TransactionResult> &result) {
                 if (!self->isStopped_)
                     self->handleResult(ids, result);
@@ -97,8 +100,11 @@
 void ProgressJournal::handleResult(const std::vector<std::string> &ids,
                                    const base::Result<TransactionResult> &result)
 {
-    if (!result)
+    if (!result) {
+        timeout_ = std::min<std::chrono::milliseconds>(timeout_ * 2, kLongestTimeout);
         return retryLater();
+    }
+    timeout_ = std::max<std::chrono::milliseconds>(timeout_ / 2, kShortestTimeout);
     if (!result.value().isCommitted) {
         for (const Row &row : result.value().current) {
             versions_[row.key.key] = row.version;
--- a/packages/entry/src/progress_journal.h
+++ b/packages/entry/src/progress_journal.h
@@ -51,6 +51,7 @@
     scheduler::Scheduler &scheduler_;
     std::function<bool()> mayWrite_; ///< false while another driver may have taken over
     boost::asio::steady_timer timer_;
+    std::chrono::milliseconds timeout_;
     std::map<std::string, Version> versions_;
     std::set<std::string> unwritten_; ///< of the batch in hand
     std::vector<std::string> ended_;
