--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -39,7 +39,7 @@
     base::Result<void> start();
 
     /// @brief Leaves the rotation, hands over its duties, finishes requests, then calls back.
-    void stop(std::function<void()> stopped);
+    void stop(const std::function<void()> &stopped);
 
 private:
     class Impl;
--- a/packages/entry/include/chicorywick/entry/table.h
+++ b/packages/entry/include/chicorywick/entry/table.h
@@ -109,7 +109,7 @@
 };
 
 /// @brief Reads all pages of a range; the version is that of the first page.
-void readAll(Table &table, RowRange range, std::chrono::milliseconds timeout,
-             Callback<RowPage> done);
+void readAll(Table &table, const RowRange &range, std::chrono::milliseconds timeout,
+             const Callback<RowPage> &done);
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -108,16 +108,16 @@
     if (route->rest.empty()) {
         if (request.method != "GET")
             return respond(refusal(kMethodNotAllowed, base::Code::UnknownMethod));
-        return tellWaiting(route->policy.name, std::move(respond));
+        return tellWaiting(route->policy.name, respond);
     }
     if (!isJobId(route->rest))
         return respond(refusal(kBadRequest, base::Code::InvalidArgument));
     if (request.method == "POST")
         return submit(*route, request, std::move(respond));
     if (request.method == "GET")
-        return tellState(route->rest, std::move(respond));
+        return tellState(route->rest, respond);
     if (request.method == "DELETE")
-        return cancel(route->rest, std::move(respond));
+        return cancel(route->rest, respond);
     respond(refusal(kMethodNotAllowed, base::Code::UnknownMethod));
 }
 
@@ -222,7 +222,7 @@
     return json(kOk, codec_.encodeState(state));
 }
 
-void Intake::tellState(const std::string &id, http::Responder respond)
+void Intake::tellState(const std::string &id, const http::Responder &respond)
 {
     driver_.state(id, [self = shared_from_this(), id, respond](const DriverAnswer &answer) {
         if (answer.isAnswered && answer.state)
@@ -232,7 +232,7 @@
 }
 
 // The driver has not met the job or cannot be asked; the stored rows are the truth.
-void Intake::readState(const std::string &id, http::Responder respond)
+void Intake::readState(const std::string &id, const http::Responder &respond)
 {
     const RowKey key = layout::progressRow(id);
     table_.read({.table = key.table, .part = key.part, .from = id, .to = id + '\x01', .limit = 1},
@@ -249,8 +249,8 @@
                 });
 }
 
-void Intake::ifJobExists(const std::string &id, http::Responder respond,
-                         std::function<void()> exists)
+void Intake::ifJobExists(const std::string &id, const http::Responder &respond,
+                         const std::function<void()> &exists)
 {
     const RowKey key = layout::jobRow(id);
     table_.read({.table = key.table, .part = key.part, .from = id, .to = id + '\x01', .limit = 1},
@@ -263,14 +263,14 @@
                 });
 }
 
-void Intake::cancel(const std::string &id, http::Responder respond)
+void Intake::cancel(const std::string &id, const http::Responder &respond)
 {
     ifJobExists(id, respond, [self = shared_from_this(), id, respond] {
         self->storeCancellation(id, 1, respond);
     });
 }
 
-void Intake::storeCancellation(const std::string &id, int attempts, http::Responder respond)
+void Intake::storeCancellation(const std::string &id, int attempts, const http::Responder &respond)
 {
     table_.transact({.writes = {{.key = layout::cancelRow(id), .value = "{}"}}}, kStoreTimeout,
                     [self = shared_from_this(), id, attempts,
@@ -286,7 +286,7 @@
                     });
 }
 
-void Intake::tellWaiting(const std::string &queue, http::Responder respond)
+void Intake::tellWaiting(const std::string &queue, const http::Responder &respond)
 {
     driver_.waiting(queue, [self = shared_from_this(), respond](const DriverAnswer &answer) {
         if (!answer.isAnswered)
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -40,12 +40,13 @@
     void retryAfter(const std::shared_ptr<Submission> &submission, std::chrono::milliseconds pause);
     void handleStored(const std::shared_ptr<Submission> &submission,
                       const base::Result<TransactionResult> &result);
-    void tellState(const std::string &id, http::Responder respond);
-    void readState(const std::string &id, http::Responder respond);
-    void cancel(const std::string &id, http::Responder respond);
-    void storeCancellation(const std::string &id, int attempts, http::Responder respond);
-    void ifJobExists(const std::string &id, http::Responder respond, std::function<void()> exists);
-    void tellWaiting(const std::string &queue, http::Responder respond);
+    void tellState(const std::string &id, const http::Responder &respond);
+    void readState(const std::string &id, const http::Responder &respond);
+    void cancel(const std::string &id, const http::Responder &respond);
+    void storeCancellation(const std::string &id, int attempts, const http::Responder &respond);
+    void ifJobExists(const std::string &id, const http::Responder &respond,
+                     const std::function<void()> &exists);
+    void tellWaiting(const std::string &queue, const http::Responder &respond);
     http::Response stateResponse(scheduler::JobState state) const;
 
     boost::asio::io_context &loop_;
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -115,7 +115,7 @@
         return base::ok();
     }
 
-    void stop(std::function<void()> stopped)
+    void stop(const std::function<void()> &stopped)
     {
         base::logEvent(base::Event::DaemonDraining, {{"node", settings_.name}});
         isStopping_ = true;
@@ -123,7 +123,7 @@
         dropDriver("stop");
         callers_->drain();
         stopRequestedAt_ = systemNow().steady;
-        pollStop(std::move(stopped));
+        pollStop(stopped);
     }
 
 private:
@@ -365,7 +365,7 @@
         boost::asio::post(loop_, [driver = std::shared_ptr<Driver>(std::move(driver_))] {});
     }
 
-    void pollStop(std::function<void()> stopped)
+    void pollStop(const std::function<void()> &stopped)
     {
         const scheduler::Millis waited = systemNow().steady - stopRequestedAt_;
         const bool isIdle = callers_->inFlight() == 0 && waited > kLeaveRotationMs;
@@ -418,9 +418,9 @@
     return impl_->start();
 }
 
-void Node::stop(std::function<void()> stopped)
+void Node::stop(const std::function<void()> &stopped)
 {
-    impl_->stop(std::move(stopped));
+    impl_->stop(stopped);
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/table.cpp
+++ b/packages/entry/src/table.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-void readNext(Table &table, RowRange range, std::chrono::milliseconds timeout,
-              const std::shared_ptr<RowPage> &collected, Callback<RowPage> done)
+void readNext(Table &table, const RowRange &range, std::chrono::milliseconds timeout,
+              const std::shared_ptr<RowPage> &collected, const Callback<RowPage> &done)
 {
     table.read(range, timeout,
                [&table, range, timeout, collected, done](base::Result<RowPage> page) {
@@ -29,10 +29,10 @@
 
 } // namespace
 
-void readAll(Table &table, RowRange range, std::chrono::milliseconds timeout,
-             Callback<RowPage> done)
+void readAll(Table &table, const RowRange &range, std::chrono::milliseconds timeout,
+             const Callback<RowPage> &done)
 {
-    readNext(table, std::move(range), timeout, std::make_shared<RowPage>(), std::move(done));
+    readNext(table, range, timeout, std::make_shared<RowPage>(), done);
 }
 
 } // namespace chicorywick::entry
