Let ends of other runs leave the run in hand alone

(2) A 'lapsed' end with a higher run number on a healed worker raised the task's run number, so its real run looked foreign and was stopped. Change: an end counts for the run in hand only from the same worker and not below its number; the highest run heard of is kept apart from the run in hand. Measured: the new test fails without the change (4 starts, two at a time) and passes with it; scheduler_tests 23 cases pass.

--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -23,7 +23,8 @@
 struct Task
 {
     TaskPhase phase = TaskPhase::Blocked;
-    std::int64_t run = 0; ///< the highest run number used
+    std::int64_t run = 0;        ///< number of the current run
+    std::int64_t highestRun = 0; ///< of all runs heard of; the next run is above it
     std::set<std::int64_t> failedRuns;
     std::string worker; ///< empty unless Starting, Running or Stopping
     std::string avoid;  ///< the worker on which the last run failed
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -123,7 +123,7 @@
                             .index = place.second};
             if (Task *failed = task(id)) {
                 failed->failedRuns = runs;
-                failed->run = runs.empty() ? 0 : *runs.rbegin();
+                failed->highestRun = runs.empty() ? 0 : *runs.rbegin();
             }
         }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -125,9 +125,11 @@
     Task *const task = entry != nullptr ? entry->job.task(end.task) : nullptr;
     if (task == nullptr)
         return;
-    task->run = std::max(task->run, end.run);
-    const bool isCurrent = task->worker == worker.entry.id;
-    if (!end.checkpoint.empty())
+    // Ends that were not acknowledged are listed again, also to a new driver and beside later runs
+    // of the task; they say nothing about the run in hand.
+    const bool isCurrent = task->worker == worker.entry.id && end.run >= task->run;
+    task->highestRun = std::max(task->highestRun, end.run);
+    if (!end.checkpoint.empty() && (isCurrent || task->worker.empty()))
         task->checkpoint = end.checkpoint;
     switch (end.kind) {
     case EndKind::Done:
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -144,7 +144,7 @@
     if (worker == nullptr)
         return false;
     Task &task = *entry.job.task(id);
-    ++task.run;
+    task.run = ++task.highestRun;
     assign(entry, id, *worker);
     sendStart(entry, id, *worker);
     return true;
@@ -159,7 +159,7 @@
     for (const Task &member : members) {
         if (member.phase != TaskPhase::Ready)
             return false; // members of the last run are still being stopped
-        run = std::max(run, member.run);
+        run = std::max(run, member.highestRun);
         if (!member.checkpoint.empty())
             checkpoint = member.checkpoint;
     }
@@ -179,6 +179,7 @@
         TaskId member = id;
         member.index = static_cast<int>(index);
         members[index].run = run + 1;
+        members[index].highestRun = run + 1;
         members[index].checkpoint = checkpoint;
         assign(entry, member, *chosen[index]);
         sendStart(entry, member, *chosen[index]);
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -329,6 +329,45 @@
     CHECK(world.workers.startsOf(second) == 2);
 }
 
+// Guards against an old end, listed again after a take-over, that ends the run in hand, and against
+// one of a higher run elsewhere that makes the run in hand look foreign.
+TEST_CASE("ends of other runs leave the run in hand alone")
+{
+    World world;
+    world.workers.workMs = 0;
+    world.addWorkers(2);
+    const JobSpec spec = world.spec("a", {step(1)});
+    const auto roster = world.scheduler->roster();
+    world.run(100);
+    const TaskId task{.job = "a"};
+    const auto ignore = [](const OrderReply &) {};
+    const auto startAndStop = [&](const std::string &worker, std::int64_t run, bool stops) {
+        const WorkerAddress address{.id = worker, .address = "10.0.0.1:80"};
+        world.workers.start(
+                address,
+                {.task = task, .run = run, .leaseUntil = world.loop.now() + 5'000, .fence = 1},
+                ignore);
+        world.run(100);
+        if (stops)
+            world.workers.stop(address, {.task = task, .run = run, .fence = 1}, ignore);
+        world.run(200);
+    };
+    world.mayOrder = false; // the first driver acknowledges nothing more
+    startAndStop("w1", 7, true);
+    startAndStop("w0", 1, true);
+    startAndStop("w0", 2, false);
+    world.mayOrder = true;
+    world.lead();
+    world.scheduler->expectWorkers(roster);
+    world.scheduler->addJob(spec, JobProgress{});
+    for (const WorkerEntry &entry : roster)
+        world.scheduler->upsertWorker(entry);
+    world.run(4'000);
+    CHECK(world.workers.startsOf(task) == 3);
+    CHECK(world.workers.placesOf(task) == std::vector<std::string>{"w0"});
+    CHECK(world.workers.violations().empty());
+}
+
 // Guards against starts that are repeated as fast as a dead worker refuses them: a machine that
 // went down for its upkeep got 400 of them for one task.
 TEST_CASE("a worker that cannot be reached gets no start after the first until it answers")
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -291,8 +291,8 @@
     // before it were not stored yet, and its run may be older than one that never arrived.
     const bool isFree = task->worker.empty() && task->phase != TaskPhase::Done
                         && !isTerminal(entry->job.state());
+    task->highestRun = std::max(task->highestRun, running.run);
     if (!isFree) {
-        task->run = std::max(task->run, running.run);
         sendStop(running.task, running.run, worker.entry.id);
         return;
     }
