Give the renewals of workers a file of their own

Change: clocks, leases and renewals move to scheduler_renewals.cpp as they were; the parameter goes. No behaviour changes. Measured: scheduler_tests (1860 checks), entry_tests and hosted_tests (30 checks) pass; format and clang-tidy are clean on the three sources.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -174,7 +174,7 @@
     void release(const TaskId &id, Task &task);
     void noteWorkerResult(Worker &worker, bool isGood, const std::string &job);
 
-    // Workers (scheduler_workers.cpp)
+    // Workers (scheduler_workers.cpp) and their renewals (scheduler_renewals.cpp)
     Worker *workerOf(const std::string &id);
     const Worker *workerOf(const std::string &id) const;
     void renew(Worker &worker);
@@ -182,7 +182,7 @@
                        const RenewReply &reply);
     void observeRunning(Worker &worker, const RunningTask &running);
     void observeAbsences(Worker &worker, Millis sentAt, const RenewReply &reply);
-    void observeClock(Worker &worker, Millis workerClock, Millis sentAt);
+    void observeClock(Worker &worker, Millis workerClock);
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseOver(const Worker &worker) const;
     bool isUsable(const Worker &worker) const;
--- /dev/null
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -0,0 +1,222 @@
+#include "scheduler_worker.h"
+
+#include <chicorywick/base/log_event.h>
+
+#include <algorithm>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// A worker returns at most so many ends at a time; the rest of such a reply is incomplete.
+constexpr std::size_t kFullEndList = 500;
+// Workers' clocks may run slow by this share.
+constexpr double kClockSkew = 0.02;
+// Added to a computed end of a lease for timers that fire late.
+constexpr Millis kLeaseSlackMs = 150;
+// A lease that has less than this left is renewed even while ends wait to be stored.
+constexpr Millis kUrgentLeaseMs = 3'000;
+
+} // namespace
+
+Millis Scheduler::leaseUntil(const Worker &worker) const
+{
+    if (worker.clockAtReply == 0)
+        return 0;
+    return worker.clockAtReply + (hooks_.clock().steady - worker.replyAt) + settings_.leaseMs;
+}
+
+// True once every lease that was ordered has expired on the worker's clock, however slow it runs.
+bool Scheduler::isLeaseOver(const Worker &worker) const
+{
+    const Millis now = hooks_.clock().steady;
+    if (worker.clockAtReply == 0) {
+        const auto longest =
+                static_cast<Millis>(static_cast<double>(settings_.maxLeaseMs) * (1 + kClockSkew));
+        return now - worker.firstTriedAt > longest + kLeaseSlackMs;
+    }
+    const Millis left = std::max<Millis>(worker.leaseSent - worker.clockAtReply, 0);
+    const auto local = static_cast<Millis>(static_cast<double>(left) / (1 - kClockSkew));
+    return now > worker.replyAt + local + kLeaseSlackMs;
+}
+
+bool Scheduler::isUsable(const Worker &worker) const
+{
+    const Millis now = hooks_.clock().steady;
+    return worker.isListed && worker.isContacted && !worker.isReplaced && !worker.entry.isDraining
+           && worker.cordons.empty() && !worker.isSuspect && worker.quarantinedUntil <= now
+           && worker.fullUntil <= now && now - worker.replyAt < settings_.silenceMs
+           && storedRoster_.contains(worker.entry.id);
+}
+
+void Scheduler::renew(Worker &worker)
+{
+    const Millis now = hooks_.clock().steady;
+    if (worker.isRenewing || worker.isReplaced || worker.retryAt > now || !hooks_.mayOrder())
+        return;
+    // A reply that still lists unstored ends would return at once; wait for the store instead.
+    const bool isWaitingForStore = !worker.unstoredEnds.empty();
+    const bool isUrgent =
+            worker.clockAtReply == 0
+            || worker.leaseSent - (worker.clockAtReply + now - worker.replyAt) < kUrgentLeaseMs;
+    if (isWaitingForStore && !isUrgent) {
+        worker.retryAt = 0;
+        return;
+    }
+    RenewOrder order{.ackedEnds = worker.ackedEnds, .fence = settings_.fence};
+    // Renewals that may be lost must not extend the lease: its end has to come for a worker that
+    // stays silent, so that its tasks can start elsewhere.
+    if (worker.clockAtReply != 0 && !worker.tasks.empty())
+        order.leaseUntil = worker.hasFailed ? worker.leaseSent : leaseUntil(worker);
+    if (worker.isContacted && !isWaitingForStore)
+        order.waitMs = worker.tasks.empty() ? settings_.idleRenewWaitMs : settings_.renewWaitMs;
+    worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
+    worker.isRenewing = true;
+    worker.renewedAt = now;
+    orders_.renew(worker.address(), order,
+                  [this, alive = alive_, id = worker.entry.id, life = worker.life,
+                   now](const RenewReply &reply) {
+                      if (*alive)
+                          handleRenewal(id, life, now, reply);
+                  });
+}
+
+void Scheduler::observeClock(Worker &worker, Millis workerClock)
+{
+    if (workerClock == 0)
+        return;
+    // The clock was read between sending and now. Taking the reply's time makes the estimate run
+    // late rather than early, so a lease is never thought to last shorter than it does.
+    worker.clockAtReply = workerClock;
+    worker.replyAt = hooks_.clock().steady;
+}
+
+void Scheduler::handleRenewal(const std::string &id, std::uint64_t life, Millis sentAt,
+                              const RenewReply &reply)
+{
+    Worker *const worker = workerOf(id);
+    if (worker == nullptr || worker->life != life)
+        return;
+    worker->isRenewing = false;
+    const Millis now = hooks_.clock().steady;
+    if (reply.status == OrderStatus::Fenced) {
+        hooks_.onFenced();
+        return;
+    }
+    const bool isOtherLife =
+            reply.status == OrderStatus::OtherLife
+            || (reply.born != 0 && worker->entry.born != 0 && reply.born != worker->entry.born);
+    if (isOtherLife) {
+        replaceWorker(*worker);
+        place();
+        return;
+    }
+    worker->hasFailed = reply.status != OrderStatus::Accepted;
+    if (worker->hasFailed) {
+        worker->retryAt = now + settings_.retryMs;
+        return;
+    }
+    const bool isFirst = !worker->isContacted;
+    observeClock(*worker, reply.workerClock);
+    worker->isContacted = true;
+    worker->isSuspect = false;
+    worker->retryAt = 0;
+    for (const RunningTask &running : reply.running)
+        observeRunning(*worker, running);
+    for (const EndedTask &end : reply.ended) {
+        if (end.number <= worker->seenEnds)
+            continue;
+        worker->seenEnds = end.number;
+        handleEnd(*worker, end);
+        const bool isDurable = !dirty_.contains(end.task.job) && worker->unstoredEnds.empty();
+        if (isDurable)
+            worker->ackedEnds = end.number;
+        else
+            worker->unstoredEnds.emplace_back(batch_, end.number);
+    }
+    observeAbsences(*worker, sentAt, reply);
+    pace(*worker);
+    if (worker->entry.isDraining || worker->cordons.contains(CordonReason::Maintenance))
+        drainPerpetual(*worker);
+    if (isFirst || !reply.ended.empty() || !ready_.empty())
+        place();
+    Worker *const still = workerOf(id);
+    if (still != nullptr)
+        renew(*still);
+}
+
+void Scheduler::observeRunning(Worker &worker, const RunningTask &running)
+{
+    JobEntry *const entry = entryOf(running.task.job);
+    Task *const task = entry != nullptr ? entry->job.task(running.task) : nullptr;
+    if (task == nullptr) {
+        sendStop(running.task, running.run, worker.entry.id);
+        return;
+    }
+    if (task->worker == worker.entry.id && task->run == running.run) {
+        task->checkpoint = running.checkpoint.empty() ? task->checkpoint : running.checkpoint;
+        task->percent = running.percent;
+        task->load = running.load;
+        if (task->phase == TaskPhase::Starting) {
+            task->phase = TaskPhase::Running;
+            task->phaseSince = hooks_.clock().steady;
+        }
+        return;
+    }
+    // A task that an earlier driver has started. It may seem blocked, because the ends of the steps
+    // before it were not stored yet, and its run may be older than one that never arrived.
+    const bool isFree = task->worker.empty() && task->phase != TaskPhase::Done
+                        && !isTerminal(entry->job.state());
+    task->highestRun = std::max(task->highestRun, running.run);
+    if (!isFree) {
+        sendStop(running.task, running.run, worker.entry.id);
+        return;
+    }
+    dequeue(*entry, running.task);
+    task->phase = TaskPhase::Running;
+    task->phaseSince = hooks_.clock().steady;
+    task->worker = worker.entry.id;
+    task->run = running.run;
+    task->checkpoint = running.checkpoint;
+    task->percent = running.percent;
+    worker.tasks.insert(running.task);
+    worker.used +=
+            reservedFor(entry->job.spec().steps[static_cast<std::size_t>(running.task.step)]);
+    entry->job.noteStart();
+}
+
+// A task that the worker neither runs nor lists as ended, in a reply to a renewal that was sent
+// after the task's order had been answered, is not there.
+void Scheduler::observeAbsences(Worker &worker, Millis sentAt, const RenewReply &reply)
+{
+    if (reply.ended.size() >= kFullEndList)
+        return;
+    std::set<TaskId> present;
+    for (const RunningTask &running : reply.running)
+        present.insert(running.task);
+    for (const TaskId &id : std::set(worker.tasks)) {
+        JobEntry *const entry = entryOf(id.job);
+        Task *const task = taskOf(id);
+        if (entry == nullptr || task == nullptr || present.contains(id))
+            continue;
+        if (task->orderedStarts > 0 || task->orderAnsweredAt >= sentAt)
+            continue;
+        if (task->phase == TaskPhase::Starting) {
+            // The start may still arrive; a stop makes the worker refuse it for good.
+            stop(id, *task);
+            continue;
+        }
+        if (task->phase == TaskPhase::Stopping && !task->isStopConfirmed)
+            continue;
+        base::logEvent(base::Event::JobAttemptLost, {{"task", id.text()},
+                                                     {"run", std::to_string(task->run)},
+                                                     {"worker", worker.entry.id},
+                                                     {"how", "absent"}});
+        if (isTerminal(entry->job.state()))
+            release(id, *task);
+        else
+            requeue(*entry, id, *task);
+    }
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -258,7 +258,7 @@
     Millis fullUntil = 0;
     switch (reply.status) {
     case OrderStatus::Accepted:
-        observeClock(*worker, reply.workerClock, now);
+        observeClock(*worker, reply.workerClock);
         if (task->phase == TaskPhase::Starting) {
             task->phase = TaskPhase::Running;
             task->phaseSince = now;
