--- a/packages/entry/include/chicorywick/entry/layout.h
+++ b/packages/entry/include/chicorywick/entry/layout.h
@@ -12,17 +12,23 @@
 inline constexpr const char *kJobs = "jobs";
 inline constexpr const char *kProgress = "progress";
 inline constexpr const char *kLeader = "leader";
+inline constexpr const char *kRoster =
+        "roster"; ///< read by drivers only; all daemons watch kLeader
 
 /// @brief Parts of the jobs table. The store changes a part once per transaction time: a store that
 /// is fifty times slower takes five submissions a second and part.
 inline constexpr int kJobParts = 16;
 
+/// @brief Rows of the list of workers: a change writes a few kilobytes at thousands of workers, and
+/// all rows fit into one call of the store.
+inline constexpr int kRosterRows = 32;
+
 std::string jobPart(int number);
 RowKey jobRow(const std::string &id);
 RowKey cancelRow(const std::string &id);
 RowKey progressRow(const std::string &id);
 RowKey leaderRow();
-RowKey rosterRow();
+RowKey rosterRow(const std::string &worker);
 RowKey waveRow(std::int64_t number);
 
 /// @brief The wave that a row of the leader table is about, if any.
--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -74,6 +74,7 @@
                  settings)
     , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, scheduler_,
                                                  hooks_.mayOrder))
+    , roster_(std::make_shared<RosterJournal>(*ports.table, scheduler_, hooks_.mayOrder))
     , inventory_(*ports.machines, hooks_.clock)
     , waves_(std::make_shared<WaveRunner>(WaveRunnerPorts{.machines = ports.machines,
                                                           .operators = ports.operators,
@@ -87,7 +88,7 @@
 
 void Driver::Impl::start()
 {
-    loadRoster();
+    loadWaves();
 }
 
 void Driver::Impl::stop()
@@ -95,6 +96,7 @@
     isStopped_ = true;
     tickTimer_.cancel();
     journal_->stop();
+    roster_->stop();
     waves_->stop();
     pools_->stop();
 }
@@ -228,37 +230,7 @@
         for (const scheduler::WorkerEntry &entry : scheduler_.roster())
             if (!present.contains(entry.id))
                 scheduler_.removeWorker(entry.id);
-    storeRoster();
-}
-
-void Driver::Impl::storeRoster()
-{
-    const auto roster = scheduler_.roster();
-    // Compared as stored: the rest of an entry changes with each heartbeat.
-    if (isStoringRoster_ || !isLoaded_ || !hooks_.mayOrder()
-        || encode(roster) == encode(storedRoster_))
-        return;
-    isStoringRoster_ = true;
-    const RowKey key = layout::rosterRow();
-    ports_.table->transact(
-            {.conditions = {{.key = key, .version = rosterVersion_}},
-             .writes = {{.key = key, .value = encode(roster)}}},
-            kWriteTimeout,
-            [self = shared_from_this(), roster](const base::Result<TransactionResult> &result) {
-                if (self->isStopped_)
-                    return;
-                self->isStoringRoster_ = false;
-                if (!result)
-                    return; // the next tick tries again
-                if (!result.value().isCommitted) {
-                    for (const Row &row : result.value().current)
-                        self->rosterVersion_ = row.version;
-                    return;
-                }
-                self->rosterVersion_ = result.value().version;
-                self->storedRoster_ = roster;
-                self->scheduler_.rosterStored(roster);
-            });
+    roster_->update();
 }
 
 void Driver::Impl::scheduleTick()
@@ -275,7 +247,7 @@
 void Driver::Impl::tick()
 {
     scheduler_.tick();
-    storeRoster();
+    roster_->update();
     waves_->tick();
     pools_->tick();
     shrinkEnded();
--- a/packages/entry/src/driver_impl.h
+++ b/packages/entry/src/driver_impl.h
@@ -3,6 +3,7 @@
 #include "machine_inventory.h"
 #include "pool_runner.h"
 #include "progress_journal.h"
+#include "roster_journal.h"
 #include "wave_runner.h"
 
 #include <chicorywick/entry/driver.h>
@@ -25,7 +26,8 @@
     int waitingJobs(const std::string &queue) const { return scheduler_.waitingJobs(queue); }
 
 private:
-    // Loading: roster, progress, jobs, workers, in this order (driver_loading.cpp).
+    // Loading: waves, roster, progress, jobs, workers, in this order (driver_loading.cpp).
+    void loadWaves();
     void loadRoster();
     void loadProgress();
     void loadJobs(int part);
@@ -38,7 +40,6 @@
     void reloadJobs();
     void watchWorkers();
     void applyWorkers(const WorkerList &list, bool isWhole);
-    void storeRoster();
     void scheduleTick();
     void tick();
     void shrinkEnded();
@@ -48,6 +49,7 @@
     DriverHooks hooks_;
     scheduler::Scheduler scheduler_;
     std::shared_ptr<ProgressJournal> journal_;
+    std::shared_ptr<RosterJournal> roster_;
     MachineInventory inventory_;
     std::shared_ptr<WaveRunner> waves_;
     std::shared_ptr<PoolRunner> pools_;
@@ -60,9 +62,6 @@
     std::set<std::string> cancelled_; ///< cancellations read before their jobs
     Version jobsVersion_ = 0;
     Version workersVersion_ = 0;
-    Version rosterVersion_ = 0;
-    std::vector<scheduler::WorkerEntry> storedRoster_;
-    bool isStoringRoster_ = false;
     scheduler::Millis shrunkAt_ = 0;
 };
 
--- a/packages/entry/src/driver_loading.cpp
+++ b/packages/entry/src/driver_loading.cpp
@@ -14,25 +14,32 @@
 
 } // namespace
 
+void Driver::Impl::loadWaves()
+{
+    readAll(*ports_.table, {.table = layout::kLeader, .part = layout::kLeader}, kReadTimeout,
+            [self = shared_from_this()](const base::Result<RowPage> &page) {
+                if (self->isStopped_)
+                    return;
+                if (!page)
+                    return self->later([self] { self->loadWaves(); });
+                for (const Row &row : page.value().rows)
+                    self->waves_->restore(row);
+                self->loadRoster();
+            });
+}
+
 void Driver::Impl::loadRoster()
 {
-    const RowKey key = layout::rosterRow();
-    ports_.table->read({.table = key.table, .part = key.part}, kReadTimeout,
-                       [self = shared_from_this()](const base::Result<RowPage> &page) {
-                           if (self->isStopped_)
-                               return;
-                           if (!page)
-                               return self->later([self] { self->loadRoster(); });
-                           for (const Row &row : page.value().rows) {
-                               self->waves_->restore(row);
-                               const auto roster = decodeRoster(row.value);
-                               if (row.key.key != layout::rosterRow().key || !roster)
-                                   continue;
-                               self->rosterVersion_ = row.version;
-                               self->storedRoster_ = roster.value();
-                           }
-                           self->loadProgress();
-                       });
+    readAll(*ports_.table, {.table = layout::kRoster, .part = layout::kRoster}, kReadTimeout,
+            [self = shared_from_this()](const base::Result<RowPage> &page) {
+                if (self->isStopped_)
+                    return;
+                if (!page)
+                    return self->later([self] { self->loadRoster(); });
+                for (const Row &row : page.value().rows)
+                    self->roster_->learn(row);
+                self->loadProgress();
+            });
 }
 
 void Driver::Impl::loadProgress()
@@ -88,7 +95,7 @@
         if (!list)
             return self->later([self] { self->loadWorkers(); });
         if (!self->isLoaded_)
-            self->scheduler_.expectWorkers(self->storedRoster_);
+            self->scheduler_.expectWorkers(self->roster_->loaded());
         self->applyWorkers(list.value(), true);
         if (!self->isLoaded_)
             self->finishLoading();
@@ -103,7 +110,7 @@
     loadedProgress_.clear();
     base::logEvent(base::Event::LeadershipReady,
                    {{"workers", std::to_string(scheduler_.roster().size())}});
-    storeRoster();
+    roster_->update();
     watchJobs();
     watchWorkers();
     scheduleTick();
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -1,3 +1,4 @@
+#include "fake_table.h"
 #include "intake.h"
 
 #include <chicorywick/entry/layout.h>
@@ -5,67 +6,12 @@
 
 #include <doctest/doctest.h>
 
-#include <map>
-
 namespace chicorywick::entry {
 
 namespace {
 
 using namespace std::chrono_literals;
 
-// A store in memory whose next transactions can be made to fail.
-class FakeTable : public Table
-{
-public:
-    std::map<RowKey, Row> rows;
-    std::vector<std::pair<base::Code, bool>> failures; ///< code, and whether the call is made
-    int calls = 0;
-
-    void transact(const Transaction &transaction, std::chrono::milliseconds /*timeout*/,
-                  Callback<TransactionResult> done) override
-    {
-        ++calls;
-        if (!failures.empty()) {
-            const auto [code, isMade] = failures.front();
-            failures.erase(failures.begin());
-            if (isMade)
-                apply(transaction);
-            return done(base::makeError(code));
-        }
-        done(TransactionResult{.isCommitted = apply(transaction), .version = version_});
-    }
-
-    void read(const RowRange &range, std::chrono::milliseconds /*timeout*/,
-              Callback<RowPage> done) override
-    {
-        RowPage page{.version = version_};
-        for (const auto &[key, row] : rows)
-            if (key.table == range.table && key.part == range.part && key.key >= range.from
-                && (range.to.empty() || key.key < range.to))
-                page.rows.push_back(row);
-        done(std::move(page));
-    }
-
-    void watch(const std::string & /*table*/, Version /*after*/, std::chrono::milliseconds /*wait*/,
-               Callback<RowPage> /*done*/) override
-    {}
-
-private:
-    bool apply(const Transaction &transaction)
-    {
-        for (const RowCondition &condition : transaction.conditions)
-            if ((rows.contains(condition.key) ? rows[condition.key].version : 0)
-                != condition.version)
-                return false;
-        ++version_;
-        for (const RowWrite &write : transaction.writes)
-            rows[write.key] = {.key = write.key, .value = write.value, .version = version_};
-        return true;
-    }
-
-    Version version_ = 0;
-};
-
 class FakeCodec : public CallerCodec
 {
 public:
--- a/packages/entry/src/layout.cpp
+++ b/packages/entry/src/layout.cpp
@@ -40,9 +40,10 @@
     return {.table = kLeader, .part = kLeader, .key = "leader"};
 }
 
-RowKey rosterRow()
+RowKey rosterRow(const std::string &worker)
 {
-    return {.table = kLeader, .part = kLeader, .key = "roster"};
+    const auto number = static_cast<int>(base::hash64(worker) % kRosterRows);
+    return {.table = kRoster, .part = kRoster, .key = "workers-" + std::to_string(number)};
 }
 
 RowKey waveRow(std::int64_t number)
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -242,9 +242,14 @@
     void observeRows(const std::vector<Row> &rows)
     {
         for (const Row &row : rows) {
+            if (row.key.key != layout::leaderRow().key || row.isRemoved)
+                continue; // rows of waves
             const auto record = decodeLeader(row.value);
-            if (row.key.key != layout::leaderRow().key || row.isRemoved || !record)
+            if (!record) {
+                base::logEvent(base::Event::PlatformUnreachable,
+                               {{"call", "read-leader"}, {"reason", record.error().message}});
                 continue;
+            }
             election_.observe(row.version, record.value(), systemNow().steady);
         }
         peers_->setLeader(election_.record().peerAddress);
--- /dev/null
+++ b/packages/entry/src/roster_journal.cpp
@@ -0,0 +1,103 @@
+#include "roster_journal.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kWriteTimeout = 1000ms;
+
+} // namespace
+
+RosterJournal::RosterJournal(Table &table, scheduler::Scheduler &scheduler,
+                             std::function<bool()> mayWrite)
+    : table_(table)
+    , scheduler_(scheduler)
+    , mayWrite_(std::move(mayWrite))
+{}
+
+void RosterJournal::learn(const Row &row)
+{
+    parts_[row.key.key] = {.value = row.isRemoved ? std::string() : row.value,
+                           .version = row.version};
+}
+
+std::vector<scheduler::WorkerEntry> RosterJournal::loaded() const
+{
+    std::vector<scheduler::WorkerEntry> all;
+    for (const auto &[key, part] : parts_) {
+        const auto entries = decodeRoster(part.value);
+        if (entries)
+            all.insert(all.end(), entries.value().begin(), entries.value().end());
+        else
+            base::logEvent(
+                    base::Event::PlatformUnreachable,
+                    {{"call", "load-roster"}, {"row", key}, {"reason", entries.error().message}});
+    }
+    return all;
+}
+
+void RosterJournal::update()
+{
+    const std::uint64_t changes = scheduler_.rosterChanges();
+    if (isBusy_ || isStopped_ || changes == storedChanges_ || !mayWrite_())
+        return;
+    const std::vector<scheduler::WorkerEntry> roster = scheduler_.roster();
+    std::map<std::string, std::vector<scheduler::WorkerEntry>> byRow;
+    for (const auto &[key, part] : parts_)
+        byRow[key]; // a row that has become empty is written too
+    for (const scheduler::WorkerEntry &entry : roster)
+        byRow[layout::rosterRow(entry.id).key].push_back(entry);
+    Transaction transaction;
+    std::map<std::string, std::string> values;
+    for (const auto &[key, entries] : byRow) {
+        std::string value = encode(entries);
+        const auto part = parts_.find(key);
+        if (part != parts_.end() && part->second.value == value)
+            continue;
+        const RowKey row{.table = layout::kRoster, .part = layout::kRoster, .key = key};
+        const Version version = part != parts_.end() ? part->second.version : 0;
+        transaction.conditions.push_back({.key = row, .version = version});
+        transaction.writes.push_back({.key = row, .value = value});
+        values.emplace(key, std::move(value));
+    }
+    if (values.empty()) {
+        storedChanges_ = changes;
+        scheduler_.rosterStored(roster);
+        return;
+    }
+    isBusy_ = true;
+    table_.transact(transaction, kWriteTimeout,
+                    [self = shared_from_this(), changes, values,
+                     roster](const base::Result<TransactionResult> &result) {
+                        if (!self->isStopped_)
+                            self->handleResult(changes, values, roster, result);
+                    });
+}
+
+void RosterJournal::handleResult(std::uint64_t changes,
+                                 const std::map<std::string, std::string> &values,
+                                 const std::vector<scheduler::WorkerEntry> &roster,
+                                 const base::Result<TransactionResult> &result)
+{
+    isBusy_ = false;
+    if (!result)
+        return; // the next update tries again
+    if (!result.value().isCommitted) {
+        // An earlier driver's last write, or one of ours whose answer was lost.
+        for (const Row &row : result.value().current)
+            learn(row);
+        return;
+    }
+    for (const auto &[key, value] : values)
+        parts_[key] = {.value = value, .version = result.value().version};
+    storedChanges_ = changes;
+    scheduler_.rosterStored(roster);
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/roster_journal_test.cpp
@@ -0,0 +1,118 @@
+#include "fake_table.h"
+#include "roster_journal.h"
+
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
+#include <doctest/doctest.h>
+
+namespace chicorywick::entry {
+
+namespace {
+
+// Workers that never answer: the list does not depend on them.
+class SilentWorkers : public scheduler::WorkerOrders
+{
+public:
+    void start(const scheduler::WorkerAddress & /*worker*/, const scheduler::StartOrder & /*order*/,
+               std::function<void(const scheduler::OrderReply &)> /*done*/) override
+    {}
+    void stop(const scheduler::WorkerAddress & /*worker*/, const scheduler::StopOrder & /*order*/,
+              std::function<void(const scheduler::OrderReply &)> /*done*/) override
+    {}
+    void pace(const scheduler::WorkerAddress & /*worker*/, const scheduler::PaceOrder & /*order*/,
+              std::function<void(const scheduler::OrderReply &)> /*done*/) override
+    {}
+    void renew(const scheduler::WorkerAddress & /*worker*/, const scheduler::RenewOrder & /*order*/,
+               std::function<void(const scheduler::RenewReply &)> /*done*/) override
+    {}
+    void forget(const scheduler::WorkerAddress & /*worker*/) override {}
+};
+
+struct Fixture
+{
+    FakeTable table;
+    SilentWorkers workers;
+    scheduler::Scheduler scheduler{workers,
+                                   {.clock = [] { return scheduler::Now{.steady = 1'000}; },
+                                    .mayOrder = [] { return true; },
+                                    .onFenced = [] {},
+                                    .onProgress = {}},
+                                   {}};
+    std::shared_ptr<RosterJournal> journal =
+            std::make_shared<RosterJournal>(table, scheduler, [] { return true; });
+
+    void add(const std::string &id)
+    {
+        scheduler.upsertWorker(
+                {.id = id, .service = "s", .address = "10.0.0.1:1", .machine = "m-" + id});
+    }
+
+    // What the next driver would read.
+    std::size_t storedWorkers() const
+    {
+        std::size_t count = 0;
+        for (const auto &[key, row] : table.rows)
+            count += decodeRoster(row.value).value().size();
+        return count;
+    }
+};
+
+} // namespace
+
+// Guards against a write of the whole list for each worker that comes or goes.
+TEST_CASE("a change of the roster writes the row that it touches")
+{
+    Fixture fixture;
+    for (int i = 0; i < 500; ++i)
+        fixture.add("w" + std::to_string(i));
+    fixture.journal->update();
+    CHECK(fixture.table.last.writes.size() == layout::kRosterRows);
+    CHECK(fixture.storedWorkers() == 500);
+    fixture.add("w500");
+    fixture.journal->update();
+    CHECK(fixture.table.last.writes.size() == 1);
+    CHECK(fixture.storedWorkers() == 501);
+}
+
+// Guards against a store call in each tick while nothing changes.
+TEST_CASE("a roster that is stored already is not written again")
+{
+    Fixture fixture;
+    fixture.add("w");
+    fixture.journal->update();
+    const int calls = fixture.table.calls;
+    fixture.add("w");
+    fixture.journal->update();
+    CHECK(fixture.table.calls == calls);
+}
+
+// Guards against a roster that stays unstored, and workers unused, after a lost answer.
+TEST_CASE("a write whose answer is lost is found and repeated")
+{
+    Fixture fixture;
+    fixture.table.failures = {{base::Code::PlatformUnknownOutcome, true}};
+    fixture.add("w");
+    for (int i = 0; i < 3; ++i)
+        fixture.journal->update();
+    CHECK(fixture.storedWorkers() == 1);
+    const int calls = fixture.table.calls;
+    fixture.journal->update();
+    CHECK(fixture.table.calls == calls);
+}
+
+// Guards against a successor that does not know the workers of its predecessor.
+TEST_CASE("the next driver reads the roster from all rows")
+{
+    Fixture fixture;
+    for (int i = 0; i < 100; ++i)
+        fixture.add("w" + std::to_string(i));
+    fixture.journal->update();
+    Fixture next;
+    next.table.rows = fixture.table.rows;
+    for (const auto &[key, row] : next.table.rows)
+        next.journal->learn(row);
+    CHECK(next.journal->loaded().size() == 100);
+}
+
+} // namespace chicorywick::entry
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -66,8 +66,7 @@
     std::int64_t runningCpuMillis = 0;
     std::int64_t capacityCpuMillis = 0;
     double arrivingCpuMillis = 0; ///< processor time submitted per time, a moving average
-    int waitingTasks = 0;
-    int spreadWorkers = 0; ///< workers that the widest spread-out perpetual step needs
+    int spreadWorkers = 0;        ///< workers that the widest spread-out perpetual step needs
 
     bool operator==(const ServiceLoad &) const = default;
 };
@@ -101,6 +100,9 @@
 
     /// @brief Workers that may be given tasks only after the list of them was stored.
     std::vector<WorkerEntry> roster() const;
+
+    /// @brief Grows whenever roster() changes.
+    std::uint64_t rosterChanges() const { return rosterChanges_; }
     void rosterStored(const std::vector<WorkerEntry> &workers);
 
     /// @brief Forgets ended jobs, begins due occurrences, retries, places what waits.
@@ -128,6 +130,9 @@
     std::vector<WorkerView> workers() const;
     std::map<std::string, ServiceLoad> loads() const;
 
+    /// @brief Workers looked at for placing so far, the measure of this scheduler's work.
+    std::uint64_t examinedWorkers() const { return examinedWorkers_; }
+
     /// @brief True if a task that ends now would exceed no disruption budget on the worker.
     bool mayDisrupt(const std::string &workerId) const;
 
@@ -150,7 +155,7 @@
         std::map<TaskId, ReadyKey> ready;
     };
 
-    // Jobs (scheduler_jobs.cpp)
+    // Jobs (scheduler_jobs.cpp) and the queue of their ready tasks (scheduler_queue.cpp)
     JobEntry *entryOf(const std::string &id);
     const JobEntry *entryOf(const std::string &id) const;
     Task *taskOf(const TaskId &id);
@@ -164,7 +169,8 @@
     void stopAllTasks(JobEntry &entry);
     void finishJob(JobEntry &entry);
     void refreshBands();
-    bool isUncertain(const JobEntry &entry) const;
+    void watchEnded(const JobEntry &entry);
+    void forgetEnded();
 
     // Ends (scheduler_ends.cpp)
     void handleEnd(Worker &worker, const EndedTask &end);
@@ -177,6 +183,9 @@
     // Workers (scheduler_workers.cpp) and their renewals (scheduler_renewals.cpp)
     Worker *workerOf(const std::string &id);
     const Worker *workerOf(const std::string &id) const;
+    Worker &addWorker(const WorkerEntry &entry);
+    void dropWorker(const std::string &id);
+    const std::vector<Worker *> &workersFor(const std::string &service) const;
     void renew(Worker &worker);
     void handleRenewal(const std::string &id, std::uint64_t life, Millis sentAt,
                        const RenewReply &reply);
@@ -196,6 +205,8 @@
 
     // Starts (scheduler_starts.cpp)
     void place();
+    void placeService(const std::string &service);
+    bool hasSilentFormerWorker(const std::string &service) const;
     bool tryPlace(JobEntry &entry, const TaskId &id);
     void reserve(const JobEntry &entry, const TaskId &id);
     bool tryPlaceGang(JobEntry &entry, const TaskId &id);
@@ -217,8 +228,22 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::map<std::string, QueuePolicy> queues_;
     std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
+    std::unordered_map<std::string, JobEntry *> openJobs_; ///< not in a final state
+    std::set<std::string> recurringJobs_;
+    std::set<std::string> perpetualJobs_;
+    std::deque<std::pair<Millis, std::string>> endedJobs_; ///< in order of their ends
     std::map<std::string, std::unique_ptr<Worker>> workers_;
-    std::map<std::string, std::set<ReadyKey>> ready_; ///< by service
+    std::map<std::string, std::vector<Worker *>> workersByService_;
+    std::unordered_map<std::string, std::vector<Worker *>> workersByMachine_;
+    struct ReadyQueue
+    {
+        std::set<ReadyKey> keys;
+        std::int64_t waitingCpuMillis = 0;
+    };
+    std::map<std::string, ReadyQueue> ready_; ///< by service
+    std::set<std::string> unplaced_; ///< services whose queue or room has changed since a pass
+    std::uint64_t rosterChanges_ = 1;
+    std::uint64_t examinedWorkers_ = 0;
     struct ArrivalRate
     {
         double cpuMillis = 0;
@@ -226,7 +251,6 @@
     };
     std::map<std::string, ArrivalRate> arrivals_; ///< by service
     std::set<std::string> dirty_;
-    std::set<std::string> storedRoster_;
     std::vector<std::string> forgotten_;
     std::uint64_t batch_ = 0;
     std::uint64_t storedBatch_ = 0;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -44,8 +44,9 @@
     if (worker != nullptr && worker->tasks.erase(id) > 0) {
         const JobEntry *const entry = entryOf(id.job);
         if (entry != nullptr)
-            worker->used -= reservedFor(entry->job.spec().steps[static_cast<std::size_t>(id.step)]);
+            worker->used -= reservedFor(stepOf(entry->job, id));
         worker->fullUntil = 0;
+        unplaced_.insert(worker->entry.service);
         if (worker->tasks.empty())
             worker->idleSince = hooks_.clock().steady;
     }
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -3,25 +3,12 @@
 #include <chicorywick/base/log_event.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace chicorywick::scheduler {
 
 namespace {
 
-// A job that ends within three objectives earns its late worth; the users' pages set the factor.
-constexpr int kLateFactor = 3;
-// Bands of the ready queue.
-constexpr int kPerpetualBand = 0;
-constexpr int kOnTimeBand = 1;
-constexpr int kLateBand = 2;
-constexpr int kOverdueBand = 3;
-// Window of the moving average of submitted work: short enough to follow a queue that turns busy.
-constexpr double kWindowMs = 700;
-// Bands change as slack is used up; twice a second keeps the queue's order close to the truth.
-constexpr Millis kBandRefreshMs = 500;
-
 // Longest local time that a lease can last on a worker whose clock runs slow.
 Millis formerLeaseEnd(Millis leaseMs)
 {
@@ -91,11 +78,11 @@
         next.emplace(queue.name, queue);
     if (next == queues_)
         return;
-    for (auto &[id, entry] : jobs_)
+    for (const auto &[id, entry] : openJobs_)
         for (const auto &[task, key] : std::map(entry->ready))
             dequeue(*entry, task);
     queues_ = std::move(next);
-    for (auto &[id, entry] : jobs_)
+    for (const auto &[id, entry] : openJobs_)
         enqueueReady(*entry);
     place();
 }
@@ -109,23 +96,6 @@
         hooks_.onProgress();
 }
 
-void Scheduler::noteArrival(const Job &job)
-{
-    const QueuePolicy *const policy = policyOf(job);
-    if (policy == nullptr)
-        return;
-    double work = 0;
-    for (const StepSpec &step : job.spec().steps)
-        if (!step.isPerpetual)
-            work += static_cast<double>(step.taskCount) * static_cast<double>(step.demand.cpuMillis)
-                    * static_cast<double>(step.estimatedMs);
-    ArrivalRate &rate = arrivals_[policy->service];
-    const Millis now = hooks_.clock().steady;
-    rate.cpuMillis = rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kWindowMs)
-                     + work / kWindowMs;
-    rate.at = now;
-}
-
 void Scheduler::addJob(const JobSpec &spec, const std::optional<JobProgress> &progress)
 {
     if (jobs_.contains(spec.id))
@@ -142,6 +112,15 @@
     }
     jobs_.emplace(spec.id, std::move(owned));
     entry.job.beginDue(now.wall);
+    if (isTerminal(entry.job.state())) {
+        watchEnded(entry);
+    } else {
+        openJobs_.emplace(spec.id, &entry);
+        if (spec.repeatCount > 0)
+            recurringJobs_.insert(spec.id);
+        if (entry.job.isPerpetual())
+            perpetualJobs_.insert(spec.id);
+    }
     base::logEvent(base::Event::JobAccepted, {{"job", spec.id},
                                               {"queue", spec.queue},
                                               {"age_ms", std::to_string(age)},
@@ -182,6 +161,7 @@
     for (const auto &[task, key] : std::map(entry.ready))
         dequeue(entry, task);
     stopAllTasks(entry);
+    watchEnded(entry);
     markDirty(entry.job.spec().id);
     base::logEvent(
             base::Event::JobFinished,
@@ -207,118 +187,43 @@
             }
 }
 
-Scheduler::ReadyKey Scheduler::keyOf(const JobEntry &entry, const TaskId &id) const
+void Scheduler::tick()
 {
-    const QueuePolicy *const policy = policyOf(entry.job);
-    const Millis now = hooks_.clock().steady;
-    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
-    const Millis objective =
-            policy == nullptr ? entry.job.totalChain()
-                              : static_cast<Millis>(policy->stretch
-                                                    * static_cast<double>(entry.job.totalChain()))
-                                        + policy->targetCompletionMs;
-    Millis due = entry.job.acceptedSteady() + objective;
-    const Millis chain = entry.job.remainingChain(id.step);
-    int band = kOnTimeBand;
-    if (step.isPerpetual)
-        band = kPerpetualBand;
-    else if (due - chain < now) {
-        due += (kLateFactor - 1) * objective;
-        band = due - chain < now ? kOverdueBand : kLateBand;
+    const Now now = hooks_.clock();
+    forgetEnded();
+    for (const std::string &id : std::vector(recurringJobs_.begin(), recurringJobs_.end())) {
+        JobEntry &entry = *entryOf(id);
+        if (entry.job.beginDue(now.wall).empty())
+            continue;
+        markDirty(id);
+        enqueueReady(entry);
     }
-    const int priority = policy != nullptr ? policy->priority : 0;
-    constexpr int kBandsPerPriority = 4;
-    return {.band = step.isPerpetual ? kPerpetualBand : priority * kBandsPerPriority + band,
-            .latestStart = due - chain,
-            .sequence = entry.sequence,
-            .id = id};
-}
-
-void Scheduler::enqueue(JobEntry &entry, const TaskId &id)
-{
-    const QueuePolicy *const policy = policyOf(entry.job);
-    if (policy == nullptr || isTerminal(entry.job.state()) || entry.ready.contains(id))
-        return;
-    const ReadyKey key = keyOf(entry, id);
-    entry.ready.emplace(id, key);
-    ready_[policy->service].insert(key);
-}
-
-void Scheduler::dequeue(JobEntry &entry, const TaskId &id)
-{
-    const auto found = entry.ready.find(id);
-    if (found == entry.ready.end())
-        return;
-    if (const QueuePolicy *const policy = policyOf(entry.job))
-        ready_[policy->service].erase(found->second);
-    entry.ready.erase(found);
+    refreshBands();
+    retryWorkers();
+    pruneWorkers();
+    // Pauses of workers end by time alone, which no event tells.
+    for (const auto &[service, queue] : ready_)
+        unplaced_.insert(service);
+    place();
 }
 
-void Scheduler::enqueueReady(JobEntry &entry)
+void Scheduler::watchEnded(const JobEntry &entry)
 {
-    for (const auto &[number, occurrence] : entry.job.occurrences())
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
-            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-                if (occurrence.steps[step][index].phase != TaskPhase::Ready)
-                    continue;
-                enqueue(entry, {.job = entry.job.spec().id,
-                                .occurrence = number,
-                                .step = static_cast<int>(step),
-                                .index = static_cast<int>(index)});
-            }
+    const std::string &id = entry.job.spec().id;
+    openJobs_.erase(id);
+    recurringJobs_.erase(id);
+    perpetualJobs_.erase(id);
+    endedJobs_.emplace_back(entry.job.endedSteady(), id);
 }
 
-void Scheduler::refreshBands()
+void Scheduler::forgetEnded()
 {
     const Millis now = hooks_.clock().steady;
-    if (now - bandsRefreshedAt_ < kBandRefreshMs)
-        return;
-    bandsRefreshedAt_ = now;
-    for (auto &[id, entry] : jobs_) {
-        for (const auto &[task, key] : std::map(entry->ready)) {
-            if (keyOf(*entry, task).band == key.band)
-                continue;
-            dequeue(*entry, task);
-            enqueue(*entry, task);
-        }
-    }
-}
-
-// Until every worker that an earlier driver may have used has answered or its lease is over, a task
-// without a known worker may still run on a silent one.
-bool Scheduler::isUncertain(const JobEntry &entry) const
-{
-    if (entry.uncertainUntil <= hooks_.clock().steady)
-        return false;
-    const QueuePolicy *const policy = policyOf(entry.job);
-    return std::any_of(workers_.begin(), workers_.end(), [policy](const auto &item) {
-        const Worker &worker = *item.second;
-        const bool isOfService = policy == nullptr || worker.entry.service == policy->service;
-        return isOfService && worker.isExpected && !worker.isContacted && !worker.isReplaced;
-    });
-}
-
-void Scheduler::tick()
-{
-    const Now now = hooks_.clock();
-    for (auto item = jobs_.begin(); item != jobs_.end();) {
-        JobEntry &entry = *item->second;
-        if (isTerminal(entry.job.state())) {
-            if (now.steady - entry.job.endedSteady() > settings_.retentionMs) {
-                forgotten_.push_back(item->first);
-                item = jobs_.erase(item);
-                continue;
-            }
-        } else if (!entry.job.beginDue(now.wall).empty()) {
-            markDirty(item->first);
-            enqueueReady(entry);
-        }
-        ++item;
+    while (!endedJobs_.empty() && now - endedJobs_.front().first > settings_.retentionMs) {
+        forgotten_.push_back(endedJobs_.front().second);
+        jobs_.erase(endedJobs_.front().second);
+        endedJobs_.pop_front();
     }
-    refreshBands();
-    retryWorkers();
-    pruneWorkers();
-    place();
 }
 
 std::vector<std::string> Scheduler::takeDirtyJobs()
@@ -365,49 +270,4 @@
     return entry->job.state();
 }
 
-int Scheduler::waitingJobs(const std::string &queue) const
-{
-    return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(), [&queue](const auto &item) {
-        const Job &job = item.second->job;
-        return job.spec().queue == queue && job.state() == JobState::Pending;
-    }));
-}
-
-std::map<std::string, ServiceLoad> Scheduler::loads() const
-{
-    std::map<std::string, ServiceLoad> loads;
-    for (const auto &[id, worker] : workers_) {
-        ServiceLoad &load = loads[worker->entry.service];
-        if (isUsable(*worker))
-            load.capacityCpuMillis += worker->entry.capacity.cpuMillis;
-        load.runningCpuMillis += worker->used.cpuMillis;
-    }
-    for (const auto &[service, keys] : ready_)
-        for (const ReadyKey &key : keys) {
-            const JobEntry *const entry = entryOf(key.id.job);
-            if (entry == nullptr)
-                continue;
-            ServiceLoad &load = loads[service];
-            load.waitingCpuMillis +=
-                    reservedFor(entry->job.spec().steps[static_cast<std::size_t>(key.id.step)])
-                            .cpuMillis;
-            ++load.waitingTasks;
-        }
-    const Millis now = hooks_.clock().steady;
-    for (const auto &[service, rate] : arrivals_)
-        loads[service].arrivingCpuMillis =
-                rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kWindowMs);
-    for (const auto &[id, entry] : jobs_) {
-        const QueuePolicy *const policy = policyOf(entry->job);
-        if (policy == nullptr || isTerminal(entry->job.state()))
-            continue;
-        int &spread = loads[policy->service].spreadWorkers;
-        for (const StepSpec &step : entry->job.spec().steps)
-            if (step.isPerpetual && step.maxPerWorker > 0)
-                spread = std::max(spread,
-                                  (step.taskCount + step.maxPerWorker - 1) / step.maxPerWorker);
-    }
-    return loads;
-}
-
 } // namespace chicorywick::scheduler
--- /dev/null
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -0,0 +1,167 @@
+#include "scheduler_worker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// A job that ends within three objectives earns its late worth; the users' pages set the factor.
+constexpr int kLateFactor = 3;
+// Bands of the ready queue.
+constexpr int kPerpetualBand = 0;
+constexpr int kOnTimeBand = 1;
+constexpr int kLateBand = 2;
+constexpr int kOverdueBand = 3;
+// Window of the moving average of submitted work: short enough to follow a queue that turns busy.
+constexpr double kWindowMs = 700;
+// Bands change as slack is used up; twice a second keeps the queue's order close to the truth.
+constexpr Millis kBandRefreshMs = 500;
+
+} // namespace
+
+void Scheduler::noteArrival(const Job &job)
+{
+    const QueuePolicy *const policy = policyOf(job);
+    if (policy == nullptr)
+        return;
+    double work = 0;
+    for (const StepSpec &step : job.spec().steps)
+        if (!step.isPerpetual)
+            work += static_cast<double>(step.taskCount) * static_cast<double>(step.demand.cpuMillis)
+                    * static_cast<double>(step.estimatedMs);
+    ArrivalRate &rate = arrivals_[policy->service];
+    const Millis now = hooks_.clock().steady;
+    rate.cpuMillis = rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kWindowMs)
+                     + work / kWindowMs;
+    rate.at = now;
+}
+
+Scheduler::ReadyKey Scheduler::keyOf(const JobEntry &entry, const TaskId &id) const
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    const Millis now = hooks_.clock().steady;
+    const StepSpec &step = stepOf(entry.job, id);
+    const Millis objective =
+            policy == nullptr ? entry.job.totalChain()
+                              : static_cast<Millis>(policy->stretch
+                                                    * static_cast<double>(entry.job.totalChain()))
+                                        + policy->targetCompletionMs;
+    Millis due = entry.job.acceptedSteady() + objective;
+    const Millis chain = entry.job.remainingChain(id.step);
+    int band = kOnTimeBand;
+    if (step.isPerpetual)
+        band = kPerpetualBand;
+    else if (due - chain < now) {
+        due += (kLateFactor - 1) * objective;
+        band = due - chain < now ? kOverdueBand : kLateBand;
+    }
+    const int priority = policy != nullptr ? policy->priority : 0;
+    constexpr int kBandsPerPriority = 4;
+    return {.band = step.isPerpetual ? kPerpetualBand : priority * kBandsPerPriority + band,
+            .latestStart = due - chain,
+            .sequence = entry.sequence,
+            .id = id};
+}
+
+void Scheduler::enqueue(JobEntry &entry, const TaskId &id)
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    if (policy == nullptr || isTerminal(entry.job.state()) || entry.ready.contains(id))
+        return;
+    const ReadyKey key = keyOf(entry, id);
+    entry.ready.emplace(id, key);
+    ReadyQueue &queue = ready_[policy->service];
+    queue.keys.insert(key);
+    queue.waitingCpuMillis += reservedFor(stepOf(entry.job, id)).cpuMillis;
+    unplaced_.insert(policy->service);
+}
+
+void Scheduler::dequeue(JobEntry &entry, const TaskId &id)
+{
+    const auto found = entry.ready.find(id);
+    if (found == entry.ready.end())
+        return;
+    if (const QueuePolicy *const policy = policyOf(entry.job)) {
+        ReadyQueue &queue = ready_[policy->service];
+        queue.keys.erase(found->second);
+        queue.waitingCpuMillis -= reservedFor(stepOf(entry.job, id)).cpuMillis;
+    }
+    entry.ready.erase(found);
+}
+
+void Scheduler::enqueueReady(JobEntry &entry)
+{
+    for (const auto &[number, occurrence] : entry.job.occurrences())
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                if (occurrence.steps[step][index].phase != TaskPhase::Ready)
+                    continue;
+                enqueue(entry, {.job = entry.job.spec().id,
+                                .occurrence = number,
+                                .step = static_cast<int>(step),
+                                .index = static_cast<int>(index)});
+            }
+}
+
+void Scheduler::refreshBands()
+{
+    const Millis now = hooks_.clock().steady;
+    if (now - bandsRefreshedAt_ < kBandRefreshMs)
+        return;
+    bandsRefreshedAt_ = now;
+    std::vector<TaskId> changed;
+    for (const auto &[id, entry] : openJobs_) {
+        changed.clear();
+        for (const auto &[task, key] : entry->ready)
+            if (keyOf(*entry, task).band != key.band)
+                changed.push_back(task);
+        for (const TaskId &task : changed) {
+            dequeue(*entry, task);
+            enqueue(*entry, task);
+        }
+    }
+}
+
+int Scheduler::waitingJobs(const std::string &queue) const
+{
+    return static_cast<int>(
+            std::count_if(openJobs_.begin(), openJobs_.end(), [&queue](const auto &item) {
+                const Job &job = item.second->job;
+                return job.spec().queue == queue && job.state() == JobState::Pending;
+            }));
+}
+
+std::map<std::string, ServiceLoad> Scheduler::loads() const
+{
+    std::map<std::string, ServiceLoad> loads;
+    for (const auto &[service, workers] : workersByService_) {
+        ServiceLoad &load = loads[service];
+        for (const Worker *const worker : workers) {
+            if (isUsable(*worker))
+                load.capacityCpuMillis += worker->entry.capacity.cpuMillis;
+            load.runningCpuMillis += worker->used.cpuMillis;
+        }
+    }
+    for (const auto &[service, queue] : ready_)
+        loads[service].waitingCpuMillis = queue.waitingCpuMillis;
+    const Millis now = hooks_.clock().steady;
+    for (const auto &[service, rate] : arrivals_)
+        loads[service].arrivingCpuMillis =
+                rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kWindowMs);
+    for (const std::string &id : perpetualJobs_) {
+        const Job &job = entryOf(id)->job;
+        const QueuePolicy *const policy = policyOf(job);
+        if (policy == nullptr)
+            continue;
+        int &spread = loads[policy->service].spreadWorkers;
+        for (const StepSpec &step : job.spec().steps)
+            if (step.isPerpetual && step.maxPerWorker > 0)
+                spread = std::max(spread,
+                                  (step.taskCount + step.maxPerWorker - 1) / step.maxPerWorker);
+    }
+    return loads;
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -3,6 +3,7 @@
 #include <chicorywick/base/log_event.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace chicorywick::scheduler {
 
@@ -46,7 +47,7 @@
     return worker.isListed && worker.isContacted && !worker.isReplaced && !worker.entry.isDraining
            && worker.cordons.empty() && !worker.isSuspect && worker.quarantinedUntil <= now
            && worker.fullUntil <= now && now - worker.replyAt < settings_.silenceMs
-           && storedRoster_.contains(worker.entry.id);
+           && worker.isInStoredRoster;
 }
 
 void Scheduler::renew(Worker &worker)
@@ -116,7 +117,10 @@
         worker->retryAt = now + settings_.retryMs;
         return;
     }
-    const bool isFirst = !worker->isContacted;
+    const bool isNewlyUsable = !worker->isContacted || worker->isSuspect
+                               || now - worker->replyAt >= settings_.silenceMs;
+    if (isNewlyUsable)
+        unplaced_.insert(worker->entry.service);
     observeClock(*worker, reply.workerClock);
     worker->isContacted = true;
     worker->isSuspect = false;
@@ -138,8 +142,7 @@
     pace(*worker);
     if (worker->entry.isDraining || worker->cordons.contains(CordonReason::Maintenance))
         drainPerpetual(*worker);
-    if (isFirst || !reply.ended.empty() || !ready_.empty())
-        place();
+    place();
     Worker *const still = workerOf(id);
     if (still != nullptr)
         renew(*still);
@@ -191,13 +194,19 @@
 {
     if (reply.ended.size() >= kFullEndList)
         return;
-    std::set<TaskId> present;
+    std::vector<const TaskId *> present;
     for (const RunningTask &running : reply.running)
-        present.insert(running.task);
-    for (const TaskId &id : std::set(worker.tasks)) {
+        present.push_back(&running.task);
+    const auto isBefore = [](const TaskId *left, const TaskId *right) { return *left < *right; };
+    std::sort(present.begin(), present.end(), isBefore);
+    std::vector<TaskId> absent;
+    for (const TaskId &id : worker.tasks)
+        if (!std::binary_search(present.begin(), present.end(), &id, isBefore))
+            absent.push_back(id);
+    for (const TaskId &id : absent) {
         JobEntry *const entry = entryOf(id.job);
         Task *const task = taskOf(id);
-        if (entry == nullptr || task == nullptr || present.contains(id))
+        if (entry == nullptr || task == nullptr)
             continue;
         if (task->orderedStarts > 0 || task->orderAnsweredAt >= sentAt)
             continue;
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -4,14 +4,16 @@
 #include <chicorywick/scheduler/placement.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorywick::scheduler {
 
 namespace {
 
-// One pass gives up after so many waiting tasks that fit nowhere; it bounds the work per event
-// when a queue is far longer than its pool can hold.
+// One pass gives up after so many kinds of waiting tasks that fit nowhere, and after so many tasks;
+// both bound the work per event when a queue is far longer than its pool can hold.
 constexpr int kMaxMisses = 24;
+constexpr int kMaxExamined = 400;
 // After a refusal for want of room, the worker's count and ours differ until its next reply.
 constexpr Millis kFullPauseMs = 200;
 // A perpetual task whose worker reports less is paced down.
@@ -22,6 +24,14 @@
 // What a silent worker last said of its tasks is no evidence that they are at work.
 constexpr Millis kFreshMs = 1'500;
 
+// True if no worker can take a task of the step when none could take one of the other.
+bool asksNoLessThan(const StepSpec &step, const StepSpec &other)
+{
+    const bool isOtherPlain = other.maxPerWorker == 0;
+    return isOtherPlain && reservedFor(step).covers(reservedFor(other))
+           && (other.requiredLabel.empty() || other.requiredLabel == step.requiredLabel);
+}
+
 } // namespace
 
 void Scheduler::place()
@@ -29,38 +39,69 @@
     if (isPlacing_ || !hooks_.mayOrder())
         return;
     isPlacing_ = true;
+    // Services that change during the pass wait for the next event.
+    for (const std::string &service : std::exchange(unplaced_, {}))
+        placeService(service);
+    isPlacing_ = false;
+}
+
+void Scheduler::placeService(const std::string &service)
+{
+    const auto queue = ready_.find(service);
+    if (queue == ready_.end() || queue->second.keys.empty())
+        return;
+    std::set<ReadyKey> &keys = queue->second.keys;
     reserved_.clear();
-    for (auto &[service, keys] : ready_) {
-        int misses = 0;
-        for (auto item = keys.begin(); item != keys.end() && misses < kMaxMisses;) {
-            const TaskId id = item->id;
-            ++item; // placing removes the key, and for a gang also its members'
-            JobEntry *const entry = entryOf(id.job);
-            if (entry == nullptr || isUncertain(*entry))
-                continue;
-            const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
-            if (!step.isGang) {
-                if (tryPlace(*entry, id))
-                    continue;
-                ++misses;
-                if (step.isPerpetual)
-                    reserve(*entry, id);
-                continue;
-            }
+    const bool isAnySilent = hasSilentFormerWorker(service);
+    const Millis now = hooks_.clock().steady;
+    std::vector<const StepSpec *> misfits;
+    int misses = 0;
+    int examined = 0;
+    for (auto item = keys.begin();
+         item != keys.end() && misses < kMaxMisses && examined < kMaxExamined; ++examined) {
+        const TaskId id = item->id;
+        ++item; // placing removes the key, and for a gang also its members'
+        JobEntry *const entry = entryOf(id.job);
+        if (entry == nullptr || (isAnySilent && entry->uncertainUntil > now))
+            continue;
+        const StepSpec &step = stepOf(entry->job, id);
+        if (step.isGang) {
             const bool isPlaced = tryPlaceGang(*entry, id);
             misses += isPlaced ? 0 : 1;
             if (isPlaced)
                 item = keys.begin();
+            continue;
         }
+        const bool isHopeless =
+                std::any_of(misfits.begin(), misfits.end(), [&step](const StepSpec *misfit) {
+                    return asksNoLessThan(step, *misfit);
+                });
+        if (!isHopeless && tryPlace(*entry, id))
+            continue;
+        if (!isHopeless) {
+            ++misses;
+            misfits.push_back(&step);
+        }
+        if (step.isPerpetual)
+            reserve(*entry, id);
     }
-    isPlacing_ = false;
+}
+
+// Until every worker that an earlier driver may have used has answered or its lease is over, a task
+// without a known worker may still run on a silent one.
+bool Scheduler::hasSilentFormerWorker(const std::string &service) const
+{
+    const auto &workers = workersFor(service);
+    return std::any_of(workers.begin(), workers.end(), [](const Worker *worker) {
+        return worker->isExpected && !worker->isContacted && !worker->isReplaced;
+    });
 }
 
 Scheduler::Worker *Scheduler::chooseWorker(JobEntry &entry, const TaskId &id,
                                            const std::map<std::string, Resources> &planned)
 {
     const QueuePolicy *const policy = policyOf(entry.job);
-    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    const StepSpec &step = stepOf(entry.job, id);
     const Task &task = *entry.job.task(id);
     std::vector<Worker *> usable;
     std::vector<PlacementCandidate> candidates;
@@ -70,16 +111,20 @@
     for (const Task &sibling : siblings)
         if (!sibling.worker.empty())
             ++ofStepByWorker[sibling.worker];
-    for (auto &[workerId, worker] : workers_) {
-        const bool isCandidate = worker->entry.service == policy->service && isUsable(*worker)
-                                 && !reserved_.contains(workerId);
+    const Resources demand = reservedFor(step);
+    for (Worker *const worker : workersFor(policy->service)) {
+        ++examinedWorkers_;
+        const std::string &workerId = worker->entry.id;
+        const bool isCandidate =
+                worker->free().covers(demand) && isUsable(*worker) && !reserved_.contains(workerId);
         if (!isCandidate)
             continue;
         PlacementCandidate candidate{.index = usable.size(),
                                      .free = worker->free(),
                                      .labels = &worker->entry.labels,
-                                     .tasksOfStep = ofStepByWorker[workerId],
                                      .isAvoided = task.avoid == workerId};
+        if (const auto count = ofStepByWorker.find(workerId); count != ofStepByWorker.end())
+            candidate.tasksOfStep = count->second;
         const auto plan = planned.find(workerId);
         if (plan != planned.end())
             candidate.free -= plan->second;
@@ -100,7 +145,7 @@
                 candidate.servingTasks += other.latencyTargetMs > 0 ? 1 : 0;
                 candidate.fillingTasks += other.usesLeftoverCpu ? 1 : 0;
             }
-        usable.push_back(worker.get());
+        usable.push_back(worker);
         candidates.push_back(candidate);
     }
     const auto chosen = choosePlacement(step, candidates);
@@ -115,10 +160,10 @@
     const Job &job = entry.job;
     const StepSpec &step = job.spec().steps[static_cast<std::size_t>(id.step)];
     Worker *widest = nullptr;
-    for (auto &[workerId, worker] : workers_) {
-        const bool isCandidate = worker->entry.service == policy->service && isUsable(*worker)
+    for (Worker *const worker : workersFor(policy->service)) {
+        const bool isCandidate = isUsable(*worker)
                                  && worker->entry.capacity.covers(reservedFor(step))
-                                 && !reserved_.contains(workerId);
+                                 && !reserved_.contains(worker->entry.id);
         if (!isCandidate)
             continue;
         const bool hasSibling = step.maxPerWorker > 0
@@ -132,7 +177,7 @@
         if (hasSibling)
             continue;
         if (widest == nullptr || worker->free().cpuMillis > widest->free().cpuMillis)
-            widest = worker.get();
+            widest = worker;
     }
     if (widest != nullptr)
         reserved_.insert(widest->entry.id);
@@ -163,7 +208,7 @@
         if (!member.checkpoint.empty())
             checkpoint = member.checkpoint;
     }
-    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    const StepSpec &step = stepOf(entry.job, id);
     std::map<std::string, Resources> planned;
     std::vector<Worker *> chosen;
     for (std::size_t index = 0; index < members.size(); ++index) {
@@ -197,7 +242,7 @@
     task.worker = worker.entry.id;
     task.orderAnsweredAt = 0;
     worker.tasks.insert(id);
-    worker.used += reservedFor(entry.job.spec().steps[static_cast<std::size_t>(id.step)]);
+    worker.used += reservedFor(stepOf(entry.job, id));
 }
 
 void Scheduler::sendStart(JobEntry &entry, const TaskId &id, Worker &worker)
@@ -337,7 +382,7 @@
     int available = 0;
     const Millis now = hooks_.clock().steady;
     // A worker shows a task at full pace from its start on, also while it starts up.
-    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    const StepSpec &step = stepOf(entry.job, id);
     const Millis startUp = std::max(kShortestStartUpMs, kStartUpFactor * step.estimatedMs);
     const auto &siblings = found->second.steps[static_cast<std::size_t>(id.step)];
     for (std::size_t index = 0; index < siblings.size(); ++index) {
@@ -353,7 +398,7 @@
 
 bool Scheduler::mayTakeAway(const JobEntry &entry, const TaskId &id) const
 {
-    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(id.step)];
+    const StepSpec &step = stepOf(entry.job, id);
     const int away = step.taskCount - 1 - availableOthers(entry, id);
     // Without a stated budget, one task at a time keeps the step working.
     return away < std::max(step.maxUnavailable, 1);
@@ -368,7 +413,7 @@
         const JobEntry *const entry = entryOf(id.job);
         if (entry == nullptr)
             return true;
-        const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
+        const StepSpec &step = stepOf(entry->job, id);
         return !step.isPerpetual || mayTakeAway(*entry, id);
     });
 }
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -422,4 +422,27 @@
     }
 }
 
+// Guards against a driver that falls behind when queues are long: at 350 workers and full queues,
+// passes over all services for each end took all of its processor time.
+TEST_CASE("the work for an end does not grow with the waiting tasks or other services' workers")
+{
+    World world;
+    const auto workPerTask = [&world](int jobs, int otherWorkers) {
+        for (int i = 0; i < otherWorkers; ++i)
+            world.scheduler->upsertWorker(
+                    world.workers.add("o" + std::to_string(i), "other", kWorkerSize));
+        const std::uint64_t before = world.scheduler->examinedWorkers();
+        for (int i = 0; i < jobs; ++i)
+            world.submit("j" + std::to_string(otherWorkers) + "-" + std::to_string(i), {step(8)});
+        world.run(20'000);
+        return static_cast<double>(world.scheduler->examinedWorkers() - before) / (jobs * 8);
+    };
+    world.addWorkers(20);
+    const double few = workPerTask(100, 0);
+    const double many = workPerTask(1'000, 300);
+    // A full service costs one fruitless look at its workers for each arrival, end and tick.
+    CHECK(few < 3 * 20);
+    CHECK(many < 3 * 20);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -14,6 +14,7 @@
     bool isReplaced = false;  ///< another incarnation answers at its address
     std::set<CordonReason> cordons;
     bool isExpected = false; ///< an earlier driver may have used it
+    bool isInStoredRoster = false;
 
     Resources used;
     std::set<TaskId> tasks;
@@ -50,6 +51,12 @@
     }
 };
 
+/// @brief The step that a task is of.
+inline const StepSpec &stepOf(const Job &job, const TaskId &id)
+{
+    return job.spec().steps[static_cast<std::size_t>(id.step)];
+}
+
 /// @brief What a running task takes from its worker's capacity.
 inline Resources reservedFor(const StepSpec &step)
 {
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -4,6 +4,7 @@
 #include <chicorywick/scheduler/pacing.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace chicorywick::scheduler {
 
@@ -19,18 +20,49 @@
     return found != workers_.end() ? found->second.get() : nullptr;
 }
 
+Scheduler::Worker &Scheduler::addWorker(const WorkerEntry &entry)
+{
+    auto owned = std::make_unique<Worker>();
+    Worker &worker = *owned;
+    worker.entry = entry;
+    worker.life = nextLife_++;
+    worker.firstTriedAt = hooks_.clock().steady;
+    workers_.insert_or_assign(entry.id, std::move(owned));
+    workersByService_[entry.service].push_back(&worker);
+    workersByMachine_[entry.machine].push_back(&worker);
+    ++rosterChanges_;
+    return worker;
+}
+
+void Scheduler::dropWorker(const std::string &id)
+{
+    Worker *const worker = workerOf(id);
+    std::erase(workersByService_[worker->entry.service], worker);
+    const auto ofMachine = workersByMachine_.find(worker->entry.machine);
+    std::erase(ofMachine->second, worker);
+    if (ofMachine->second.empty())
+        workersByMachine_.erase(ofMachine);
+    orders_.forget(worker->address());
+    workers_.erase(id);
+    ++rosterChanges_;
+}
+
+const std::vector<Scheduler::Worker *> &Scheduler::workersFor(const std::string &service) const
+{
+    static const std::vector<Worker *> kNone;
+    const auto found = workersByService_.find(service);
+    return found != workersByService_.end() ? found->second : kNone;
+}
+
 void Scheduler::expectWorkers(const std::vector<WorkerEntry> &workers)
 {
     for (const WorkerEntry &entry : workers) {
         if (workers_.contains(entry.id))
             continue;
-        auto worker = std::make_unique<Worker>();
-        worker->entry = entry;
-        worker->life = nextLife_++;
-        worker->isExpected = true;
-        worker->firstTriedAt = hooks_.clock().steady;
-        storedRoster_.insert(entry.id);
-        renew(*workers_.emplace(entry.id, std::move(worker)).first->second);
+        Worker &worker = addWorker(entry);
+        worker.isExpected = true;
+        worker.isInStoredRoster = true;
+        renew(worker);
     }
 }
 
@@ -45,16 +77,12 @@
         return; // an old entry that discovery has not replaced yet
     if (isOtherLife) {
         loseTasks(*known, "replaced");
-        orders_.forget(known->address());
-        workers_.erase(entry.id);
+        dropWorker(entry.id);
         known = nullptr;
     }
     if (known == nullptr) {
-        auto worker = std::make_unique<Worker>();
-        worker->life = nextLife_++;
-        worker->idleSince = hooks_.clock().steady;
-        worker->firstTriedAt = worker->idleSince;
-        known = workers_.emplace(entry.id, std::move(worker)).first->second.get();
+        known = &addWorker(entry);
+        known->idleSince = hooks_.clock().steady;
         base::logEvent(base::Event::WorkerJoined, {{"worker", entry.id},
                                                    {"service", entry.service},
                                                    {"machine", entry.machine},
@@ -65,6 +93,12 @@
                         {"service", entry.service},
                         {"tasks", std::to_string(known->tasks.size())}});
     }
+    // Service, address and birth are those of this life; the machine is known from discovery only.
+    if (known->entry.machine != entry.machine) {
+        std::erase(workersByMachine_[known->entry.machine], known);
+        workersByMachine_[entry.machine].push_back(known);
+        ++rosterChanges_;
+    }
     known->entry = entry;
     known->isListed = true;
     replaceFormerLives(entry);
@@ -80,12 +114,13 @@
 {
     if (entry.machine.empty())
         return;
+    const std::vector<Worker *> &lives = workersByMachine_.at(entry.machine);
     Worker *latest = workerOf(entry.id);
-    for (auto &[id, worker] : workers_)
-        if (worker->entry.machine == entry.machine && worker->entry.born > latest->entry.born)
-            latest = worker.get();
-    for (auto &[id, worker] : workers_)
-        if (worker->entry.machine == entry.machine && worker.get() != latest)
+    for (Worker *const worker : lives)
+        if (worker->entry.born > latest->entry.born)
+            latest = worker;
+    for (Worker *const worker : lives)
+        if (worker != latest)
             replaceWorker(*worker);
 }
 
@@ -95,6 +130,7 @@
         return;
     worker.isReplaced = true;
     worker.isContacted = false;
+    ++rosterChanges_;
     loseTasks(worker, "replaced");
 }
 
@@ -123,9 +159,14 @@
 
 void Scheduler::rosterStored(const std::vector<WorkerEntry> &workers)
 {
-    storedRoster_.clear();
-    for (const WorkerEntry &entry : workers)
-        storedRoster_.insert(entry.id);
+    for (const WorkerEntry &entry : workers) {
+        Worker *const worker = workerOf(entry.id);
+        if (worker != nullptr && worker->entry.address == entry.address
+            && worker->entry.born == entry.born)
+            worker->isInStoredRoster = true;
+    }
+    for (const auto &[service, queue] : ready_)
+        unplaced_.insert(service);
     place();
 }
 
@@ -156,13 +197,15 @@
         if (!worker->tasks.empty() && now - worker->replyAt > settings_.silenceMs
             && isLeaseOver(*worker))
             loseTasks(*worker, "lease-over");
-        for (const TaskId &task : std::set(worker->tasks)) {
-            Task *const state = taskOf(task);
-            const bool needsStop = state != nullptr && state->phase == TaskPhase::Stopping
-                                   && !state->isStopConfirmed && !state->isStopPending;
-            if (needsStop)
-                stop(task, *state);
+        std::vector<TaskId> unstopped;
+        for (const TaskId &task : worker->tasks) {
+            const Task *const state = taskOf(task);
+            if (state != nullptr && state->phase == TaskPhase::Stopping && !state->isStopConfirmed
+                && !state->isStopPending)
+                unstopped.push_back(task);
         }
+        for (const TaskId &task : unstopped)
+            stop(task, *taskOf(task));
         renew(*worker);
     }
 }
@@ -182,8 +225,8 @@
         }
         base::logEvent(base::Event::WorkerGone,
                        {{"worker", item->first}, {"service", worker.entry.service}});
-        orders_.forget(worker.address());
-        item = workers_.erase(item);
+        const std::string id = (item++)->first;
+        dropWorker(id);
     }
 }
 
@@ -253,6 +296,7 @@
         return;
     if (!isCordoned) {
         worker->cordons.erase(reason);
+        unplaced_.insert(worker->entry.service);
         return place();
     }
     worker->cordons.insert(reason);
