Let large machines lead

Change: a claim of a machine with less memory than the largest holder so far waits up to 0.7 s, the first claim of all waits by its own memory, and a machine that is larger by a third asks a leader to yield once it has held the row for 2 s. Memory is the only size that a process can read.

Ruled out: a fixed list of leaders; machines come and go at new addresses.

--- a/apps/chicorywickd/deployment.cpp
+++ b/apps/chicorywickd/deployment.cpp
@@ -14,6 +14,7 @@
 #include <platform/settings_format.h>
 #include <platform/store_client.h>
 #include <platform/worker_client.h>
+#include <sys/sysinfo.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -51,6 +52,17 @@
     });
 }
 
+// The only sign of a machine's size that a process can read; the processor's share is not told.
+std::int64_t machineMemoryMib()
+{
+    struct sysinfo info
+    {};
+    if (::sysinfo(&info) != 0)
+        return 0;
+    constexpr std::uint64_t kBytesPerMib = 1ULL << 20U;
+    return static_cast<std::int64_t>(info.totalram * info.mem_unit / kBytesPerMib);
+}
+
 // Lines wait in a buffer for so long: one system call then writes many of them.
 constexpr auto kLogFlushPeriod = std::chrono::milliseconds(100);
 
@@ -91,7 +103,9 @@
     adapter::MachineClient machines(loop, settings.value().machines, settings.value().node.name);
     adapter::WorkerClient workers(loop);
     const adapter::CallerFormat callers;
-    entry::Node node(settings.value().node,
+    entry::NodeSettings nodeSettings = settings.value().node;
+    nodeSettings.memoryMib = machineMemoryMib();
+    entry::Node node(nodeSettings,
                      {.loop = &loop,
                       .table = &store,
                       .discovery = &discovery,
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -21,6 +21,11 @@
     scheduler::Millis workerLeaseMs = 0;     ///< written for the successor
     scheduler::Millis machinePauseMs = 3000; ///< between two holders' orders for a machine
     scheduler::Millis machineOrderMs = 800;  ///< after a renewal, machines may be ordered so long
+    std::int64_t memoryMib = 0;              ///< of this machine, 0: not known
+    /// A small machine's claim waits up to so long for a larger one's; the wait is an outage when
+    /// no larger one is up, so it is short against the lease.
+    scheduler::Millis smallMachineDelayMs = 700;
+    scheduler::Millis firstClaimDelayMs = 300; ///< of a machine with kCommonMemoryMib
 
     bool operator==(const ElectionSettings &) const = default;
 };
@@ -50,9 +55,18 @@
     void committed(const LeaderWrite &write, Version version, scheduler::Millis now);
     void writeFailed(const LeaderWrite &write, scheduler::Millis now);
 
-    /// @brief Gives the row up; nextWrite() then returns the release.
+    /// @brief Gives the row up for good; nextWrite() then returns the release.
     void release() { isReleasing_ = true; }
 
+    /// @brief Gives the row up to a larger machine, and may claim it again later.
+    void yield() { isYielding_ = holdsRow_; }
+
+    /// @brief True if a machine is so much larger than the holder's that a change pays.
+    bool isOutgrownBy(std::int64_t memoryMib) const;
+
+    /// @brief True if this machine should ask the holder to yield.
+    bool shouldTakeOver(scheduler::Millis now) const;
+
     /// @brief True while no other daemon can have claimed the row.
     bool isLeading(scheduler::Millis now) const;
 
@@ -90,11 +104,14 @@
     std::int64_t beat_ = 0;
 
     scheduler::Millis sentAt(std::int64_t beat) const;
+    scheduler::Millis sizeDelay() const;
 
     std::map<std::int64_t, scheduler::Millis> sent_; ///< sending times of this daemon's writes
     std::int64_t unanswered_ = 0; ///< beat of the write that is waited for, 0: none
     scheduler::Millis nextWriteAt_ = 0;
     bool isReleasing_ = false;
+    bool isYielding_ = false;
+    scheduler::Millis holderSince_ = 0; ///< when the holder was first seen
 };
 
 } // namespace chicorywick::entry
--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -19,6 +19,7 @@
     http::Endpoint readiness;
     http::Endpoint peers;
     http::Endpoint metrics;
+    std::int64_t memoryMib = 0;                    ///< of the machine; a larger one leads first
     scheduler::Millis maxLeaseMs = 6'000;          ///< longest lease that a worker grants
     scheduler::Millis stopGraceMs = 6'000;         ///< from a stop signal to a kill
     scheduler::Millis statusRetentionMs = 120'000; ///< how long ended jobs must be known
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -18,6 +18,8 @@
     std::int64_t term = 0; ///< version of the row at the claim, 0 in the claim itself
     std::int64_t beat = 0;
     std::int64_t workerLeaseMs = 0; ///< longest lease that the holder gives to workers
+    std::int64_t memoryMib = 0;     ///< of the holder's machine, 0: not known
+    std::int64_t mostMemoryMib = 0; ///< of the largest machine that has held the row
 
     bool operator==(const LeaderRecord &) const = default;
 };
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -12,6 +12,16 @@
     return holder.substr(0, holder.find('#'));
 }
 
+// The memory of a machine that claims a row without history after firstClaimDelayMs.
+constexpr std::int64_t kCommonMemoryMib = 512;
+// The smallest and the longest share of firstClaimDelayMs that sizes make.
+constexpr double kLeastDelayShare = 0.25;
+constexpr double kMostDelayShare = 4;
+// Machines within a quarter of each other count as equal; a change of leaders costs more.
+constexpr double kEqualShare = 0.75;
+// A holder is left alone at first: a change right after a change doubles the time without a driver.
+constexpr scheduler::Millis kHolderRestMs = 2'000;
+
 } // namespace
 
 LeaderElection::LeaderElection(std::string holder, std::string peerAddress,
@@ -27,12 +37,15 @@
     if (hasObserved_ && version <= version_)
         return;
     const bool isMine = record.holder == holder_;
+    if (record.holder != record_.holder)
+        holderSince_ = now;
     hasObserved_ = true;
     version_ = version;
     record_ = record;
     changedAt_ = now;
     if (!isMine) {
         holdsRow_ = false;
+        isYielding_ = false;
         return;
     }
     // Perhaps a write of ours whose answer was lost; the lease counts from its sending.
@@ -53,20 +66,23 @@
     LeaderRecord record{.holder = holder_,
                         .peerAddress = peerAddress_,
                         .beat = beat_ + 1,
-                        .workerLeaseMs = settings_.workerLeaseMs};
+                        .workerLeaseMs = settings_.workerLeaseMs,
+                        .memoryMib = settings_.memoryMib,
+                        .mostMemoryMib = std::max(record_.mostMemoryMib, settings_.memoryMib)};
     if (holdsRow_) {
-        if (!isReleasing_ && now - leaseFrom_ < settings_.renewEveryMs)
+        const bool isLeaving = isReleasing_ || isYielding_;
+        if (!isLeaving && now - leaseFrom_ < settings_.renewEveryMs)
             return std::nullopt;
         record.term = term_;
-        if (isReleasing_)
+        if (isLeaving)
             record.holder.clear();
     } else {
         const bool isFree = version_ == 0 || record_.holder.empty();
         // A node runs one process, so its former incarnation has ended.
         const bool isFormerSelf = nodeOf(record_.holder) == nodeOf(holder_);
-        scheduler::Millis patience = settings_.leaseMs + settings_.takeoverDelayMs + claimJitterMs_;
-        if (isFree)
-            patience = claimJitterMs_;
+        scheduler::Millis patience = claimJitterMs_ + sizeDelay();
+        if (!isFree)
+            patience += settings_.leaseMs + settings_.takeoverDelayMs;
         if (isFormerSelf)
             patience = 0;
         if (isReleasing_ || now - changedAt_ < patience)
@@ -103,6 +119,7 @@
     changedAt_ = now;
     if (write.record.holder != holder_) {
         holdsRow_ = false;
+        isYielding_ = false;
         return;
     }
     if (!holdsRow_)
@@ -124,9 +141,41 @@
     return isLeading(now) && now >= machinesFrom_ && now - leaseFrom_ < settings_.machineOrderMs;
 }
 
+// How long larger machines get to claim first. Driving costs processor time by the size of the
+// fleet, and a machine's memory is the only sign of its size that a process can read.
+scheduler::Millis LeaderElection::sizeDelay() const
+{
+    if (settings_.memoryMib == 0)
+        return 0;
+    const auto own = static_cast<double>(settings_.memoryMib);
+    if (record_.mostMemoryMib == 0) {
+        const double share = std::clamp(static_cast<double>(kCommonMemoryMib) / own,
+                                        kLeastDelayShare, kMostDelayShare);
+        return static_cast<scheduler::Millis>(static_cast<double>(settings_.firstClaimDelayMs)
+                                              * share);
+    }
+    const double size = own / static_cast<double>(record_.mostMemoryMib);
+    if (size >= kEqualShare)
+        return 0;
+    return static_cast<scheduler::Millis>(static_cast<double>(settings_.smallMachineDelayMs)
+                                          * (1 - size));
+}
+
+bool LeaderElection::isOutgrownBy(std::int64_t memoryMib) const
+{
+    return record_.memoryMib != 0
+           && static_cast<double>(record_.memoryMib) < kEqualShare * static_cast<double>(memoryMib);
+}
+
+bool LeaderElection::shouldTakeOver(scheduler::Millis now) const
+{
+    return !holdsRow_ && !isReleasing_ && !record_.holder.empty()
+           && isOutgrownBy(settings_.memoryMib) && now - holderSince_ >= kHolderRestMs;
+}
+
 bool LeaderElection::isLeading(scheduler::Millis now) const
 {
-    return holdsRow_ && !isReleasing_ && now - leaseFrom_ < settings_.leaseMs;
+    return holdsRow_ && !isReleasing_ && !isYielding_ && now - leaseFrom_ < settings_.leaseMs;
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/leader_election_test.cpp
+++ b/packages/entry/src/leader_election_test.cpp
@@ -153,4 +153,69 @@
     }
 }
 
+// Guards against a small machine that drives a large fleet and falls behind.
+TEST_CASE("a larger machine claims a free row and a dead holder's row first")
+{
+    SharedRow row{.version = 3, .record = {.mostMemoryMib = 512}};
+    const auto election = [](const std::string &name, std::int64_t memoryMib) {
+        return LeaderElection(name + "#1", name + ":1", 0, {.memoryMib = memoryMib});
+    };
+    LeaderElection small = election("a", 160);
+    LeaderElection large = election("b", 512);
+    LeaderElection alike = election("c", 400);
+    for (LeaderElection *each : {&small, &large, &alike})
+        each->observe(row.version, row.record, 0);
+    CHECK(!small.nextWrite(0));
+    CHECK(alike.nextWrite(0));
+    write(row, large, 0);
+    CHECK(large.isLeading(0));
+    small.observe(row.version, row.record, 0);
+    const ElectionSettings settings;
+    CHECK(!small.nextWrite(settings.leaseMs + settings.takeoverDelayMs));
+    // With no larger one up, the small one drives soon.
+    CHECK(small.nextWrite(settings.leaseMs + settings.takeoverDelayMs
+                          + settings.smallMachineDelayMs));
+}
+
+// Guards against a fleet that stays with a small leader after its large machines have come back.
+TEST_CASE("a small leader yields to a larger machine, and not to an equal one")
+{
+    SharedRow row{.version = 3, .record = {.mostMemoryMib = 512}};
+    LeaderElection small("a#1", "a:1", 0, {.memoryMib = 160});
+    LeaderElection large("b#1", "b:1", 0, {.memoryMib = 512});
+    small.observe(row.version, row.record, 0);
+    write(row, small, 700);
+    REQUIRE(small.isLeading(700));
+    large.observe(row.version, row.record, 700);
+    CHECK(!large.shouldTakeOver(1'000));
+    CHECK(large.shouldTakeOver(3'000));
+    CHECK(!small.isOutgrownBy(180));
+    CHECK(small.isOutgrownBy(512));
+    write(row, small, 3'000);
+    small.yield();
+    CHECK(!small.isLeading(3'000));
+    write(row, small, 3'000);
+    CHECK(row.record.holder.empty());
+    write(row, small, 3'000);
+    CHECK(row.record.holder.empty());
+    large.observe(row.version, row.record, 3'000);
+    write(row, large, 3'000);
+    CHECK(large.isLeading(3'000));
+    CHECK(!large.shouldTakeOver(9'000));
+}
+
+// Guards against a daemon that yielded once and never claims again.
+TEST_CASE("a daemon that yielded claims again when the larger one is gone")
+{
+    SharedRow row{.version = 3, .record = {.mostMemoryMib = 512}};
+    LeaderElection small("a#1", "a:1", 0, {.memoryMib = 160});
+    small.observe(row.version, row.record, 0);
+    write(row, small, 700);
+    small.yield();
+    write(row, small, 800);
+    CHECK(row.record.holder.empty());
+    write(row, small, 1'500);
+    CHECK(small.isLeading(1'500));
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -37,6 +37,8 @@
 constexpr scheduler::Millis kStopMarginMs = 1'500;
 constexpr auto kStopPoll = 50ms;
 constexpr std::size_t kIncarnationLength = 8;
+// Pause between two requests to a leader on a smaller machine.
+constexpr scheduler::Millis kYieldPeriodMs = 1'000;
 
 scheduler::Millis millisOf(clockid_t clock)
 {
@@ -65,7 +67,8 @@
         , election_(settings_.name + "#" + incarnation_,
                     settings_.peers.host + ":" + std::to_string(settings_.peers.port),
                     static_cast<scheduler::Millis>(rng_.below(kClaimSpreadMs)),
-                    ElectionSettings{.workerLeaseMs = scheduler::SchedulerSettings().leaseMs})
+                    ElectionSettings{.workerLeaseMs = scheduler::SchedulerSettings().leaseMs,
+                                     .memoryMib = settings_.memoryMib})
         , peers_(std::make_shared<PeerQueries>(loop_))
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, driverQuery(), systemNow))
@@ -90,6 +93,10 @@
         peerServer_ = std::make_unique<http::Server>(
                 loop_, [self = shared_from_this()](const http::Request &request,
                                                    const http::Responder &respond) {
+                    if (const auto larger = yieldRequestOf(request)) {
+                        self->considerYield(*larger);
+                        return respond({});
+                    }
                     if (!relayTransaction(request, *self->ports_.table, respond))
                         respond(answerPeer(request, self->driver_.get()));
                 });
@@ -292,6 +299,7 @@
         followElection();
         if (const auto write = election_.nextWrite(systemNow().steady))
             writeLeader(*write);
+        askForYield();
         electionTimer_.expires_after(kElectionPeriod);
         electionTimer_.async_wait(
                 [self = shared_from_this()](const boost::system::error_code &error) {
@@ -300,6 +308,26 @@
                 });
     }
 
+    // Asks a leader on a much smaller machine to hand over.
+    void askForYield()
+    {
+        const scheduler::Millis now = systemNow().steady;
+        const bool isDue = now - yieldAskedAt_ >= kYieldPeriodMs;
+        if (!isDue || isStopping_ || !isReady() || !election_.shouldTakeOver(now))
+            return;
+        yieldAskedAt_ = now;
+        peers_->askForYield(settings_.memoryMib);
+    }
+
+    void considerYield(std::int64_t memoryMib)
+    {
+        if (!driver_ || !driver_->isLoaded() || !election_.isLeading(systemNow().steady)
+            || !election_.isOutgrownBy(memoryMib))
+            return;
+        dropDriver("larger-machine");
+        election_.yield();
+    }
+
     void writeLeader(const LeaderWrite &write)
     {
         const RowKey key = layout::leaderRow();
@@ -408,6 +436,7 @@
     scheduler::Millis storeAnsweredAt_ = 0;
     bool isStoreSilent_ = false;
     bool isStopping_ = false;
+    scheduler::Millis yieldAskedAt_ = 0;
     scheduler::Millis stopRequestedAt_ = 0;
 };
 
--- a/packages/entry/src/peer_queries.cpp
+++ b/packages/entry/src/peer_queries.cpp
@@ -1,9 +1,12 @@
 #include "peer_queries.h"
 
+#include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/records.h>
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace chicorywick::entry {
 
 namespace {
@@ -13,6 +16,7 @@
 constexpr const char *kStatePath = "/jobs/";
 constexpr const char *kWaitingPath = "/queues/";
 constexpr const char *kTransactPath = "/transactions";
+const std::string kYieldPath = "/yield/";
 // Far above a round trip; a leader that is slower is asked through the store instead.
 constexpr auto kTimeout = 300ms;
 constexpr int kOk = 200;
@@ -159,6 +163,31 @@
     ask(kWaitingPath + queue, std::move(done));
 }
 
+void PeerQueries::askForYield(std::int64_t memoryMib)
+{
+    if (!client_)
+        return;
+    client_->send({.method = "POST", .target = kYieldPath + std::to_string(memoryMib)}, kTimeout,
+                  [](const base::Result<http::Response> &response) {
+                      // The request is repeated; the row shows whether the leader has yielded.
+                      if (!response)
+                          base::logEvent(base::Event::PlatformUnreachable,
+                                         {{"call", "ask-for-yield"},
+                                          {"reason", response.error().message}});
+                  });
+}
+
+std::optional<std::int64_t> yieldRequestOf(const http::Request &request)
+{
+    if (!request.target.starts_with(kYieldPath))
+        return std::nullopt;
+    std::int64_t memoryMib = 0;
+    const char *last = request.target.data() + request.target.size();
+    const auto [end, error] =
+            std::from_chars(request.target.data() + kYieldPath.size(), last, memoryMib);
+    return error == std::errc() && end == last ? std::optional(memoryMib) : std::nullopt;
+}
+
 DriverAnswer answerState(const Driver &driver, const std::string &id)
 {
     return {.isAnswered = driver.isLoaded(), .state = driver.shownState(id)};
--- a/packages/entry/src/peer_queries.h
+++ b/packages/entry/src/peer_queries.h
@@ -7,7 +7,9 @@
 #include <chicorywick/http/client.h>
 #include <chicorywick/http/server.h>
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chicorywick::entry {
@@ -28,6 +30,9 @@
     bool hasLeader() const { return client_ != nullptr; }
     void askWaiting(const std::string &queue, std::function<void(DriverAnswer)> done);
 
+    /// @brief Asks the leading daemon to hand over to a machine of this memory.
+    void askForYield(std::int64_t memoryMib);
+
 private:
     void ask(const std::string &target, std::function<void(DriverAnswer)> done);
 
@@ -42,6 +47,9 @@
 /// @brief Serves the questions that PeerQueries asks; driver may be null.
 http::Response answerPeer(const http::Request &request, const Driver *driver);
 
+/// @brief The memory of the machine that asks for the lead; nothing if the request is another one.
+std::optional<std::int64_t> yieldRequestOf(const http::Request &request);
+
 /// @brief Serves PeerQueries::transact(); false if the request is another one.
 bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond);
 
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -85,11 +85,10 @@
 
 std::string encode(const LeaderRecord &record)
 {
-    return Json{{"holder", record.holder},
-                {"peer", record.peerAddress},
-                {"term", record.term},
-                {"beat", record.beat},
-                {"lease", record.workerLeaseMs}}
+    return Json{{"holder", record.holder},       {"peer", record.peerAddress},
+                {"term", record.term},           {"beat", record.beat},
+                {"lease", record.workerLeaseMs}, {"memory", record.memoryMib},
+                {"most", record.mostMemoryMib}}
             .dump();
 }
 
@@ -100,7 +99,9 @@
                             .peerAddress = json.at("peer"),
                             .term = json.at("term"),
                             .beat = json.at("beat"),
-                            .workerLeaseMs = json.value("lease", std::int64_t{0})};
+                            .workerLeaseMs = json.value("lease", std::int64_t{0}),
+                            .memoryMib = json.value("memory", std::int64_t{0}),
+                            .mostMemoryMib = json.value("most", std::int64_t{0})};
     });
 }
 
