--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -194,7 +194,7 @@
     void observeClock(Worker &worker, Millis workerClock);
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseOver(const Worker &worker) const;
-    bool isUsable(const Worker &worker) const;
+    bool isUsable(const Worker &worker, Millis now) const;
     void replaceWorker(Worker &worker);
     void replaceFormerLives(const WorkerEntry &entry);
     void loseTasks(Worker &worker, const char *reason);
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -136,17 +136,17 @@
 std::map<std::string, ServiceLoad> Scheduler::loads() const
 {
     std::map<std::string, ServiceLoad> loads;
+    const Millis now = hooks_.clock().steady;
     for (const auto &[service, workers] : workersByService_) {
         ServiceLoad &load = loads[service];
         for (const Worker *const worker : workers) {
-            if (isUsable(*worker))
+            if (isUsable(*worker, now))
                 load.capacityCpuMillis += worker->entry.capacity.cpuMillis;
             load.runningCpuMillis += worker->used.cpuMillis;
         }
     }
     for (const auto &[service, queue] : ready_)
         loads[service].waitingCpuMillis = queue.waitingCpuMillis;
-    const Millis now = hooks_.clock().steady;
     for (const auto &[service, rate] : arrivals_)
         loads[service].arrivingCpuMillis =
                 rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kWindowMs);
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -41,9 +41,9 @@
     return now > worker.replyAt + local + kLeaseSlackMs;
 }
 
-bool Scheduler::isUsable(const Worker &worker) const
+// The time is passed on, because reading the clock for each worker cost more than the check.
+bool Scheduler::isUsable(const Worker &worker, Millis now) const
 {
-    const Millis now = hooks_.clock().steady;
     return worker.isListed && worker.isContacted && !worker.isReplaced && !worker.entry.isDraining
            && worker.cordons.empty() && !worker.isSuspect && worker.quarantinedUntil <= now
            && worker.fullUntil <= now && now - worker.replyAt < settings_.silenceMs
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -112,11 +112,12 @@
         if (!sibling.worker.empty())
             ++ofStepByWorker[sibling.worker];
     const Resources demand = reservedFor(step);
+    const Millis now = hooks_.clock().steady;
     for (Worker *const worker : workersFor(policy->service)) {
         ++examinedWorkers_;
         const std::string &workerId = worker->entry.id;
-        const bool isCandidate =
-                worker->free().covers(demand) && isUsable(*worker) && !reserved_.contains(workerId);
+        const bool isCandidate = worker->free().covers(demand) && isUsable(*worker, now)
+                                 && !reserved_.contains(workerId);
         if (!isCandidate)
             continue;
         PlacementCandidate candidate{.index = usable.size(),
@@ -160,8 +161,9 @@
     const Job &job = entry.job;
     const StepSpec &step = job.spec().steps[static_cast<std::size_t>(id.step)];
     Worker *widest = nullptr;
+    const Millis now = hooks_.clock().steady;
     for (Worker *const worker : workersFor(policy->service)) {
-        const bool isCandidate = isUsable(*worker)
+        const bool isCandidate = isUsable(*worker, now)
                                  && worker->entry.capacity.covers(reservedFor(step))
                                  && !reserved_.contains(worker->entry.id);
         if (!isCandidate)
--- a/tests/e2e/child_process.h
+++ b/tests/e2e/child_process.h
@@ -26,6 +26,7 @@
                             std::chrono::seconds limit = std::chrono::seconds(20));
 
     void signal(int number) const;
+    pid_t pid() const { return pid_; }
 
     /// @brief The exit status, or nothing if the process still runs after the time limit.
     std::optional<int> waitForExit(std::chrono::seconds limit);
--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -165,6 +165,13 @@
     onLoop([&] { runners_[static_cast<std::size_t>(number)]->setSilent(isSilent); });
 }
 
+int HostedDeployment::acknowledgedTasks()
+{
+    int count = 0;
+    onLoop([&] { count = static_cast<int>(record_.doneAndAcknowledged.size()); });
+    return count;
+}
+
 std::vector<std::string> HostedDeployment::violations()
 {
     std::vector<std::string> found;
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -40,6 +40,9 @@
     void setRunnerSilent(int number, bool isSilent);
     std::vector<std::string> violations();
 
+    /// @brief Tasks that were done and whose ends the daemons have acknowledged.
+    int acknowledgedTasks();
+
 private:
     void onLoop(const std::function<void()> &action);
     std::string settingsFile(int number) const;
