Let the holder of the lead renew first after an outage of the store

Change: a watch of the leader row that failed starts the patience of the other daemons anew; a row that does not change while the store is silent says nothing about its holder.

Ruled out: driving on without the store; a successor could not know when silent workers are free.

--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -50,6 +50,10 @@
     /// @brief The row as it was seen at a moment; an absent row has version 0.
     void observe(Version version, const LeaderRecord &record, scheduler::Millis now);
 
+    /// @brief The store answers again after a time without answers, in which a row that did not
+    /// change said nothing about its holder.
+    void storeReturned(scheduler::Millis now);
+
     /// @brief The write that is due, if any; its outcome is reported by one of the next calls.
     std::optional<LeaderWrite> nextWrite(scheduler::Millis now);
     void committed(const LeaderWrite &write, Version version, scheduler::Millis now);
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -58,6 +58,14 @@
         unanswered_ = 0;
 }
 
+// Without this, an outage of the store ended with a race of all daemons for the row, and the holder
+// who still knew every task could lose it to one that had to load them.
+void LeaderElection::storeReturned(scheduler::Millis now)
+{
+    if (!holdsRow_)
+        changedAt_ = now;
+}
+
 std::optional<LeaderWrite> LeaderElection::nextWrite(scheduler::Millis now)
 {
     const bool isWaiting = unanswered_ != 0 && now - sentAt(unanswered_) < settings_.hedgeMs;
--- a/packages/entry/src/leader_election_test.cpp
+++ b/packages/entry/src/leader_election_test.cpp
@@ -218,4 +218,30 @@
     CHECK(small.isLeading(1'500));
 }
 
+// Guards against a change of leaders at the end of each outage of the store: grown Hanbit scale-1
+// lost five seconds to a small machine that won the race and had to load everything.
+TEST_CASE("after an outage of the store the holder renews before another one claims")
+{
+    SharedRow row;
+    LeaderElection holder("a#1", "a:1", 0);
+    LeaderElection other("b#1", "b:1", 0);
+    holder.observe(0, {}, 0);
+    other.observe(0, {}, 0);
+    write(row, holder, 0);
+    other.observe(row.version, row.record, 0);
+    constexpr scheduler::Millis kOutageEnd = 6'000;
+    other.storeReturned(kOutageEnd);
+    write(row, other, kOutageEnd);
+    CHECK(!other.isLeading(kOutageEnd));
+    write(row, holder, kOutageEnd + 300);
+    CHECK(holder.isLeading(kOutageEnd + 300));
+    CHECK(holder.term() == 1);
+    // A holder that has ended meanwhile is succeeded after the usual patience.
+    const ElectionSettings settings;
+    constexpr scheduler::Millis kSeen = kOutageEnd + 400;
+    other.observe(row.version, row.record, kSeen);
+    write(row, other, kSeen + settings.leaseMs + settings.takeoverDelayMs);
+    CHECK(other.isLeading(kSeen + settings.leaseMs + settings.takeoverDelayMs));
+}
+
 } // namespace chicorywick::entry
