Claim the lead only while its row is watched

Change: a row whose watch fails is not claimed; patience begins anew when the watch is answered.

Ruled out: waiting only after the first answered watch, which the claims in flight forestall.

--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -50,9 +50,9 @@
     /// @brief The row as it was seen at a moment; an absent row has version 0.
     void observe(Version version, const LeaderRecord &record, scheduler::Millis now);
 
-    /// @brief The store answers again after a time without answers, in which a row that did not
-    /// change said nothing about its holder.
-    void storeReturned(scheduler::Millis now);
+    /// @brief Whether the store answers watches of the row. While it does not, a row that does not
+    /// change says nothing about its holder, and is not claimed.
+    void setWatched(bool isWatched, scheduler::Millis now);
 
     /// @brief The write that is due, if any; its outcome is reported by one of the next calls.
     std::optional<LeaderWrite> nextWrite(scheduler::Millis now);
@@ -113,6 +113,7 @@
     std::map<std::int64_t, scheduler::Millis> sent_; ///< sending times of this daemon's writes
     std::int64_t unanswered_ = 0; ///< beat of the write that is waited for, 0: none
     scheduler::Millis nextWriteAt_ = 0;
+    bool isWatched_ = true;
     bool isReleasing_ = false;
     bool isYielding_ = false;
     scheduler::Millis holderSince_ = 0; ///< when the holder was first seen
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -60,10 +60,11 @@
 
 // Without this, an outage of the store ended with a race of all daemons for the row, and the holder
 // who still knew every task could lose it to one that had to load them.
-void LeaderElection::storeReturned(scheduler::Millis now)
+void LeaderElection::setWatched(bool isWatched, scheduler::Millis now)
 {
-    if (!holdsRow_)
+    if (isWatched && !isWatched_ && !holdsRow_)
         changedAt_ = now;
+    isWatched_ = isWatched;
 }
 
 std::optional<LeaderWrite> LeaderElection::nextWrite(scheduler::Millis now)
@@ -93,7 +94,7 @@
             patience += settings_.leaseMs + settings_.takeoverDelayMs;
         if (isFormerSelf)
             patience = 0;
-        if (isReleasing_ || now - changedAt_ < patience)
+        if (isReleasing_ || !isWatched_ || now - changedAt_ < patience)
             return std::nullopt;
         formerWorkerLease_ = record_.workerLeaseMs;
         // The former holder gave its last order at most machineOrderMs after its last renewal.
--- a/packages/entry/src/leader_election_test.cpp
+++ b/packages/entry/src/leader_election_test.cpp
@@ -230,7 +230,10 @@
     write(row, holder, 0);
     other.observe(row.version, row.record, 0);
     constexpr scheduler::Millis kOutageEnd = 6'000;
-    other.storeReturned(kOutageEnd);
+    other.setWatched(false, 1'000);
+    write(row, other, kOutageEnd - 100);
+    CHECK(!other.isLeading(kOutageEnd - 100));
+    other.setWatched(true, kOutageEnd);
     write(row, other, kOutageEnd);
     CHECK(!other.isLeading(kOutageEnd));
     write(row, holder, kOutageEnd + 300);
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -13,7 +13,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <ctime>
-#include <utility>
 
 namespace chicorywick::entry {
 
@@ -286,12 +285,9 @@
                             [self = shared_from_this()](const base::Result<RowPage> &page) {
                                 if (!page && page.error().code == base::Code::HistoryUnavailable)
                                     return self->loadLeader();
-                                if (!page) {
-                                    self->isLeaderRowSilent_ = true;
+                                self->election_.setWatched(page.has_value(), systemNow().steady);
+                                if (!page)
                                     return self->later([self] { self->watchLeader(); });
-                                }
-                                if (std::exchange(self->isLeaderRowSilent_, false))
-                                    self->election_.storeReturned(systemNow().steady);
                                 self->leaderVersion_ =
                                         std::max(self->leaderVersion_, page.value().version);
                                 self->observeRows(page.value().rows);
@@ -440,7 +436,6 @@
     Version leaderVersion_ = 0;
     scheduler::Millis storeAnsweredAt_ = 0;
     bool isStoreSilent_ = false;
-    bool isLeaderRowSilent_ = false;
     bool isStopping_ = false;
     scheduler::Millis yieldAskedAt_ = 0;
     scheduler::Millis stopRequestedAt_ = 0;
