Announce stored rows to the leader

Cause: the leader heard of jobs from its watch of the jobs table only.

Change: the daemon that stores a submission or a cancellation tells the leader of the row; the watch stays and covers lost messages. The stand-in of the store can keep its watches silent.

Conclusion: kept for the silent second; the test fails without the announcement.

--- a/packages/entry/include/chicorywick/entry/driver.h
+++ b/packages/entry/include/chicorywick/entry/driver.h
@@ -46,6 +46,10 @@
     void configure(const Configuration &configuration);
     void setWaves(const std::vector<WaveRequest> &waves);
 
+    /// @brief A row of the jobs table that another daemon has stored. Watches hear of it too, but
+    /// they can be silent for a second or more without an error.
+    void learn(const Row &row);
+
     /// @brief True once everything stored is loaded; until then states are not known.
     bool isLoaded() const;
 
--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -48,6 +48,11 @@
     impl_->setWaves(waves);
 }
 
+void Driver::learn(const Row &row)
+{
+    impl_->learn(row);
+}
+
 bool Driver::isLoaded() const
 {
     return impl_->isLoaded();
@@ -153,6 +158,8 @@
             scheduler_.addJob({.id = row.key.key}, progress->second);
         return;
     }
+    if (scheduler_.stateOf(row.key.key))
+        return; // announced by the daemon that stored it
     const auto spec = decodeJob(row.value);
     if (!spec) {
         base::logEvent(base::Event::JobRefused,
@@ -171,6 +178,13 @@
         scheduler_.cancelJob(spec.value().id);
 }
 
+// Before the load is complete the row is left to it, because it may name an earlier driver's job.
+void Driver::Impl::learn(const Row &row)
+{
+    if (isLoaded_ && !isStopped_)
+        applyJobRow(row);
+}
+
 void Driver::Impl::watchJobs()
 {
     ports_.table->watch(layout::kJobs, jobsVersion_, kWatchTime,
--- a/packages/entry/src/driver_impl.h
+++ b/packages/entry/src/driver_impl.h
@@ -21,6 +21,7 @@
     void stop();
     void configure(const Configuration &configuration);
     void setWaves(const std::vector<WaveRequest> &waves) { waves_->setWaves(waves); }
+    void learn(const Row &row);
     bool isLoaded() const { return isLoaded_; }
     std::optional<scheduler::JobState> shownState(const std::string &id) const;
     int waitingJobs(const std::string &queue) const { return scheduler_.waitingJobs(queue); }
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -38,6 +38,7 @@
 // After a refusal another entry instance may serve the caller at once.
 constexpr const char *kRetryAfterSeconds = "1";
 constexpr std::size_t kMaxIdLength = 64;
+constexpr const char *kCancelValue = "{}";
 
 bool isJobId(const std::string &text)
 {
@@ -198,6 +199,10 @@
                         {"queue", submission->spec.queue},
                         {"took_ms", took},
                         {"repeated", result.value().isCommitted ? "0" : "1"}});
+        if (result.value().isCommitted)
+            driver_.announce({.key = layout::jobRow(submission->spec.id),
+                              .value = submission->value,
+                              .version = result.value().version});
         return submission->respond(http::Response{.status = kOk});
     }
     submission->mayBeStored = submission->mayBeStored || isUnknown(result.error());
@@ -272,11 +277,15 @@
 
 void Intake::storeCancellation(const std::string &id, int attempts, const http::Responder &respond)
 {
-    table_.transact({.writes = {{.key = layout::cancelRow(id), .value = "{}"}}}, kStoreTimeout,
+    table_.transact({.writes = {{.key = layout::cancelRow(id), .value = kCancelValue}}},
+                    kStoreTimeout,
                     [self = shared_from_this(), id, attempts,
                      respond](const base::Result<TransactionResult> &result) {
                         if (result) {
                             base::logEvent(base::Event::JobCancelled, {{"job", id}});
+                            self->driver_.announce({.key = layout::cancelRow(id),
+                                                    .value = kCancelValue,
+                                                    .version = result.value().version});
                             return respond(http::Response{.status = kOk});
                         }
                         if (attempts < kMaxAttempts)
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -20,6 +20,9 @@
 {
     std::function<void(const std::string &id, std::function<void(DriverAnswer)>)> state;
     std::function<void(const std::string &queue, std::function<void(DriverAnswer)>)> waiting;
+    /// Tells the driver of a row of the jobs table that was stored; it learns it from the store
+    /// too.
+    std::function<void(const Row &row)> announce;
 };
 
 /// @brief Serves callers: stores submissions and cancellations, tells states.
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -42,14 +42,17 @@
     FakeTable table;
     FakeCodec codec;
     DriverAnswer driver;
+    std::vector<Row> announced;
     std::shared_ptr<Intake> intake = std::make_shared<Intake>(
             loop, table, codec,
             DriverQuery{
                     .state =
                             [this](const std::string &,
                                    const std::function<void(DriverAnswer)> &done) { done(driver); },
-                    .waiting = [this](const std::string &, const std::function<void(DriverAnswer)>
-                                                                   &done) { done(driver); }},
+                    .waiting =
+                            [this](const std::string &,
+                                   const std::function<void(DriverAnswer)> &done) { done(driver); },
+                    .announce = [this](const Row &row) { announced.push_back(row); }},
             [] { return scheduler::Now{.steady = 1'000, .wall = 1'000}; });
 
     Fixture()
@@ -117,6 +120,27 @@
     CHECK(!fixture.table.rows.contains(layout::jobRow("a3")));
 }
 
+// Guards against jobs that wait until a watch that went silent is noticed, and against a driver
+// that is told of a job that was not stored.
+TEST_CASE("the driver is told of each row that was stored, and of no other")
+{
+    Fixture fixture;
+    fixture.call("POST", "/q/a1");
+    REQUIRE(fixture.announced.size() == 1);
+    CHECK(fixture.announced[0].value == fixture.table.rows[layout::jobRow("a1")].value);
+    CHECK(fixture.announced[0].version == fixture.table.rows[layout::jobRow("a1")].version);
+    fixture.call("POST", "/q/a1");
+    CHECK(fixture.announced.size() == 1);
+    fixture.table.failures = {{base::Code::PlatformUnavailable, false},
+                              {base::Code::RateLimited, false},
+                              {base::Code::PlatformUnavailable, false}};
+    fixture.call("POST", "/q/a2");
+    CHECK(fixture.announced.size() == 1);
+    fixture.call("DELETE", "/q/a1");
+    REQUIRE(fixture.announced.size() == 2);
+    CHECK(fixture.announced[1].key == layout::cancelRow("a1"));
+}
+
 TEST_CASE("states come from the driver, else from the rows; an unknown job is gone")
 {
     Fixture fixture;
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -97,6 +97,11 @@
                         self->considerYield(*larger);
                         return respond({});
                     }
+                    if (const auto row = announcedRow(request)) {
+                        if (self->driver_ && !row->key.key.empty())
+                            self->driver_->learn(*row);
+                        return respond({});
+                    }
                     if (!relayTransaction(request, *self->ports_.table, respond))
                         respond(answerPeer(request, self->driver_.get()));
                 });
@@ -153,6 +158,12 @@
                             if (driver_)
                                 return done(answerWaiting(*driver_, queue));
                             peers_->askWaiting(queue, std::move(done));
+                        },
+                .announce =
+                        [this](const Row &row) {
+                            if (driver_)
+                                return driver_->learn(row);
+                            peers_->announce(row);
                         }};
     }
 
--- a/packages/entry/src/peer_queries.cpp
+++ b/packages/entry/src/peer_queries.cpp
@@ -16,6 +16,7 @@
 constexpr const char *kStatePath = "/jobs/";
 constexpr const char *kWaitingPath = "/queues/";
 constexpr const char *kTransactPath = "/transactions";
+constexpr const char *kRowsPath = "/rows";
 const std::string kYieldPath = "/yield/";
 // Far above a round trip; a leader that is slower is asked through the store instead.
 constexpr auto kTimeout = 300ms;
@@ -163,6 +164,31 @@
     ask(kWaitingPath + queue, std::move(done));
 }
 
+void PeerQueries::announce(const Row &row)
+{
+    if (!client_)
+        return;
+    const nlohmann::json body{encodeKey(row.key), row.value, row.version};
+    client_->send({.method = "POST", .target = kRowsPath, .body = body.dump()}, kTimeout,
+                  [](const base::Result<http::Response> & /*response*/) {
+                      // The leader also hears of the row from the store.
+                  });
+}
+
+std::optional<Row> announcedRow(const http::Request &request)
+{
+    if (request.target != kRowsPath)
+        return std::nullopt;
+    try {
+        const auto json = nlohmann::json::parse(request.body);
+        return Row{.key = decodeKey(json.at(0)), .value = json.at(1), .version = json.at(2)};
+    } catch (const nlohmann::json::exception &error) {
+        base::logEvent(base::Event::PlatformUnreachable,
+                       {{"call", "announced-row"}, {"reason", error.what()}});
+        return Row{};
+    }
+}
+
 void PeerQueries::askForYield(std::int64_t memoryMib)
 {
     if (!client_)
--- a/packages/entry/src/peer_queries.h
+++ b/packages/entry/src/peer_queries.h
@@ -30,6 +30,9 @@
     bool hasLeader() const { return client_ != nullptr; }
     void askWaiting(const std::string &queue, std::function<void(DriverAnswer)> done);
 
+    /// @brief Tells the leading daemon of a row of the jobs table; a lost message does no harm.
+    void announce(const Row &row);
+
     /// @brief Asks the leading daemon to hand over to a machine of this memory.
     void askForYield(std::int64_t memoryMib);
 
@@ -50,6 +53,9 @@
 /// @brief The memory of the machine that asks for the lead; nothing if the request is another one.
 std::optional<std::int64_t> yieldRequestOf(const http::Request &request);
 
+/// @brief The row that another daemon announces; nothing if the request is another one.
+std::optional<Row> announcedRow(const http::Request &request);
+
 /// @brief Serves PeerQueries::transact(); false if the request is another one.
 bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond);
 
--- a/tests/hosted/hosted_store.cpp
+++ b/tests/hosted/hosted_store.cpp
@@ -140,7 +140,7 @@
     const std::string table = query.at("table");
     const std::int64_t after = std::stoll(query.at("after"));
     const json rows = changes(table, after);
-    if (!rows.empty())
+    if (!rows.empty() && !faults_.areWatchesSilent)
         return respond(answer(200, {{"rows", rows}, {"row_version", version_}}));
     auto timer = std::make_shared<boost::asio::steady_timer>(
             loop_, std::chrono::milliseconds(std::stoll(query.at("wait_ms"))));
@@ -150,8 +150,9 @@
         if (error)
             return;
         const http::Responder waiting = entry->respond;
+        const std::int64_t seen = faults_.areWatchesSilent ? entry->after : version_;
         watches_.erase(entry);
-        waiting(answer(200, {{"rows", json::array()}, {"row_version", version_}}));
+        waiting(answer(200, {{"rows", json::array()}, {"row_version", seen}}));
     });
 }
 
@@ -170,6 +171,8 @@
 
 void HostedStore::wakeWatches()
 {
+    if (faults_.areWatchesSilent)
+        return;
     for (auto item = watches_.begin(); item != watches_.end();) {
         const json rows = changes(item->table, item->after);
         if (rows.empty()) {
--- a/tests/hosted/hosted_store.h
+++ b/tests/hosted/hosted_store.h
@@ -18,7 +18,8 @@
 struct StoreFaults
 {
     bool isDown = false;
-    double lostAnswers = 0; ///< share of transactions carried out without an answer
+    bool areWatchesSilent = false; ///< watches hear of no change; all else works
+    double lostAnswers = 0;        ///< share of transactions carried out without an answer
 
     bool operator==(const StoreFaults &) const = default;
 };
--- a/tests/hosted/hosted_test.cpp
+++ b/tests/hosted/hosted_test.cpp
@@ -30,6 +30,23 @@
     CHECK(deployment.violations().empty());
 }
 
+// Guards against accepted jobs that stand still while the store's watches are silent without an
+// error, as they are for a second before its history is dropped.
+TEST_CASE("a job starts while the store's watches are silent")
+{
+    HostedDeployment deployment(3, 2, 4);
+    REQUIRE(deployment.waitUntilReady());
+    REQUIRE(deployment.submit(0, "first") == 200);
+    REQUIRE(completes(deployment, 0, "first"));
+    deployment.setStoreFaults({.areWatchesSilent = true});
+    for (int daemon = 0; daemon < 3; ++daemon) {
+        const std::string id = "silent" + std::to_string(daemon);
+        REQUIRE(deployment.submit(daemon, id) == 200);
+        CHECK(completes(deployment, daemon, id));
+    }
+    CHECK(deployment.violations().empty());
+}
+
 // Guards against accepted jobs that are lost, and against tasks that run twice, when every daemon
 // is killed in turn.
 TEST_CASE("accepted jobs survive the kill of every daemon")
