Move up to 48 machines a pass

Cause: at the beginning of a peak of the grown sites the planner ordered 120 machines a second, twelve each tenth of a second, and two connections took the orders; a pool of 77 that has to grow by a hundred took seconds.

--- a/packages/scheduler/include/chicorywick/scheduler/pool_plan.h
+++ b/packages/scheduler/include/chicorywick/scheduler/pool_plan.h
@@ -44,7 +44,7 @@
 {
     Millis parkAfterMs = 1'500; ///< idle time after which a machine that is not wanted is parked
     Millis lendAfterMs = 300;   ///< idle time after which a pool lends to one in need
-    int maxMoves = 12;          ///< at a time
+    int maxMoves = 48;          ///< at a time; a pool of 80 doubles within two passes
 
     bool operator==(const PoolPolicy &) const = default;
 };
