--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -169,7 +169,7 @@
     void stopAllTasks(JobEntry &entry);
     void finishJob(JobEntry &entry);
     void refreshBands();
-    void watchEnded(const JobEntry &entry);
+    void noteEnded(const JobEntry &entry);
     void forgetEnded();
 
     // Ends (scheduler_ends.cpp)
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -113,7 +113,7 @@
     jobs_.emplace(spec.id, std::move(owned));
     entry.job.beginDue(now.wall);
     if (isTerminal(entry.job.state())) {
-        watchEnded(entry);
+        noteEnded(entry);
     } else {
         openJobs_.emplace(spec.id, &entry);
         if (spec.repeatCount > 0)
@@ -161,7 +161,7 @@
     for (const auto &[task, key] : std::map(entry.ready))
         dequeue(entry, task);
     stopAllTasks(entry);
-    watchEnded(entry);
+    noteEnded(entry);
     markDirty(entry.job.spec().id);
     base::logEvent(
             base::Event::JobFinished,
@@ -207,7 +207,7 @@
     place();
 }
 
-void Scheduler::watchEnded(const JobEntry &entry)
+void Scheduler::noteEnded(const JobEntry &entry)
 {
     const std::string &id = entry.job.spec().id;
     openJobs_.erase(id);
