--- a/packages/entry/include/chicorywick/entry/table.h
+++ b/packages/entry/include/chicorywick/entry/table.h
@@ -112,4 +112,10 @@
 void readAll(Table &table, const RowRange &range, std::chrono::milliseconds timeout,
              const Callback<RowPage> &done);
 
+/// @brief The range of one row.
+RowRange rangeOf(const RowKey &key);
+
+/// @brief For a write that nobody waits for: a failure is logged under the name of the call.
+Callback<TransactionResult> logFailureOf(const char *call);
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/driver.cpp
+++ b/packages/entry/src/driver.cpp
@@ -281,15 +281,9 @@
         const RowKey job = layout::jobRow(id);
         byPart[job.part].writes.push_back({.key = job, .value = kEndedJob});
     }
+    // A row that keeps its specification costs a longer load only.
     for (const auto &[part, transaction] : byPart)
-        ports_.table->transact(transaction, kWriteTimeout,
-                               [](const base::Result<TransactionResult> &result) {
-                                   // A row that keeps its specification costs a longer load only.
-                                   if (!result)
-                                       base::logEvent(base::Event::PlatformUnreachable,
-                                                      {{"call", "shrink-jobs"},
-                                                       {"reason", result.error().message}});
-                               });
+        ports_.table->transact(transaction, kWriteTimeout, logFailureOf("shrink-jobs"));
 }
 
 void Driver::Impl::removeForgotten()
@@ -312,14 +306,9 @@
             const auto end = transaction.removals.begin()
                              + static_cast<std::ptrdiff_t>(std::min(from + kRemovalsPerWrite,
                                                                     transaction.removals.size()));
+            // Rows that stay are found and removed by the next driver.
             ports_.table->transact({.removals = {begin, end}}, kWriteTimeout,
-                                   [](const base::Result<TransactionResult> &result) {
-                                       // Rows that stay are found and removed by the next driver.
-                                       if (!result)
-                                           base::logEvent(base::Event::PlatformUnreachable,
-                                                          {{"call", "remove-jobs"},
-                                                           {"reason", result.error().message}});
-                                   });
+                                   logFailureOf("remove-jobs"));
         }
 }
 
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -239,9 +239,7 @@
 // The driver has not met the job or cannot be asked; the stored rows are the truth.
 void Intake::readState(const std::string &id, const http::Responder &respond)
 {
-    const RowKey key = layout::progressRow(id);
-    table_.read({.table = key.table, .part = key.part, .from = id, .to = id + '\x01', .limit = 1},
-                kStoreTimeout,
+    table_.read(rangeOf(layout::progressRow(id)), kStoreTimeout,
                 [self = shared_from_this(), id, respond](const base::Result<RowPage> &page) {
                     if (!page)
                         return respond(refusal(kUnavailable, page.error().code));
@@ -257,9 +255,8 @@
 void Intake::ifJobExists(const std::string &id, const http::Responder &respond,
                          const std::function<void()> &exists)
 {
-    const RowKey key = layout::jobRow(id);
-    table_.read({.table = key.table, .part = key.part, .from = id, .to = id + '\x01', .limit = 1},
-                kStoreTimeout, [respond, exists](const base::Result<RowPage> &page) {
+    table_.read(rangeOf(layout::jobRow(id)), kStoreTimeout,
+                [respond, exists](const base::Result<RowPage> &page) {
                     if (!page)
                         return respond(refusal(kUnavailable, page.error().code));
                     if (page.value().rows.empty())
--- a/packages/entry/src/pool_runner.cpp
+++ b/packages/entry/src/pool_runner.cpp
@@ -47,10 +47,12 @@
     if (inventory_.askedAt() == 0)
         return;
     noteArrivals();
-    const auto offers = movable();
+    // One copy of the views serves the pass; orders change nothing in them that the pass reads.
+    const std::vector<scheduler::WorkerView> views = scheduler_.workers();
+    const auto offers = movable(views);
     for (const scheduler::PoolMove &move :
-         scheduler::planPoolMoves(demands(), offers, sparePool_, {}))
-        order(move);
+         scheduler::planPoolMoves(demands(views), offers, sparePool_, {}))
+        order(move, views);
 }
 
 // A move is over when another worker of the machine has joined, or its list entry is in the pool.
@@ -76,11 +78,12 @@
     }
 }
 
-std::vector<scheduler::PoolDemand> PoolRunner::demands() const
+std::vector<scheduler::PoolDemand>
+PoolRunner::demands(const std::vector<scheduler::WorkerView> &views) const
 {
     std::map<std::string, int> machines;
     std::map<std::string, std::int64_t> size;
-    for (const scheduler::WorkerView &view : scheduler_.workers()) {
+    for (const scheduler::WorkerView &view : views) {
         size[view.entry.service] = view.entry.capacity.cpuMillis;
         const bool counts = view.isUsable && !view.entry.isDraining && !view.isCordoned
                             && !moving_.contains(view.entry.machine);
@@ -110,7 +113,8 @@
     return demands;
 }
 
-std::vector<scheduler::MovableMachine> PoolRunner::movable() const
+std::vector<scheduler::MovableMachine>
+PoolRunner::movable(const std::vector<scheduler::WorkerView> &views) const
 {
     std::vector<scheduler::MovableMachine> offers;
     const scheduler::Millis now = hooks_.clock().steady;
@@ -118,7 +122,7 @@
         if (machine.pool == sparePool_ && machine.state == MachineState::Up
             && !moving_.contains(name))
             offers.push_back({.machine = name, .pool = sparePool_, .isParked = true});
-    for (const scheduler::WorkerView &view : scheduler_.workers()) {
+    for (const scheduler::WorkerView &view : views) {
         const bool isFree = view.isUsable && !view.entry.isDraining && view.tasks == 0
                             && !view.isCordoned && !view.entry.machine.empty()
                             && view.entry.service != sparePool_
@@ -131,11 +135,12 @@
     return offers;
 }
 
-void PoolRunner::order(const scheduler::PoolMove &move)
+void PoolRunner::order(const scheduler::PoolMove &move,
+                       const std::vector<scheduler::WorkerView> &views)
 {
     // The inventory may be older than the worker that runs there now.
     std::string worker;
-    for (const scheduler::WorkerView &view : scheduler_.workers())
+    for (const scheduler::WorkerView &view : views)
         if (view.entry.machine == move.machine && view.isUsable)
             worker = view.entry.id;
     moving_[move.machine] = {
--- a/packages/entry/src/pool_runner.h
+++ b/packages/entry/src/pool_runner.h
@@ -33,9 +33,11 @@
     };
 
     void noteArrivals();
-    std::vector<scheduler::PoolDemand> demands() const;
-    std::vector<scheduler::MovableMachine> movable() const;
-    void order(const scheduler::PoolMove &move);
+    std::vector<scheduler::PoolDemand>
+    demands(const std::vector<scheduler::WorkerView> &views) const;
+    std::vector<scheduler::MovableMachine>
+    movable(const std::vector<scheduler::WorkerView> &views) const;
+    void order(const scheduler::PoolMove &move, const std::vector<scheduler::WorkerView> &views);
 
     MachinePort &machines_;
     DriverHooks hooks_;
--- a/packages/entry/src/table.cpp
+++ b/packages/entry/src/table.cpp
@@ -1,3 +1,4 @@
+#include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/table.h>
 
 #include <memory>
@@ -35,4 +36,22 @@
     readNext(table, range, timeout, std::make_shared<RowPage>(), done);
 }
 
+RowRange rangeOf(const RowKey &key)
+{
+    return {.table = key.table,
+            .part = key.part,
+            .from = key.key,
+            .to = key.key + '\x01',
+            .limit = 1};
+}
+
+Callback<TransactionResult> logFailureOf(const char *call)
+{
+    return [call](const base::Result<TransactionResult> &result) {
+        if (!result)
+            base::logEvent(base::Event::PlatformUnreachable,
+                           {{"call", call}, {"reason", result.error().message}});
+    };
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -175,14 +175,9 @@
 void WaveRunner::noteBegun(Wave &wave, const std::string &machine)
 {
     wave.begun.insert(machine);
-    ports_.table->transact(
-            {.writes = {{.key = layout::waveRow(wave.request.number),
-                         .value = encodeBegun(wave.begun)}}},
-            kWriteTimeout, [](const base::Result<TransactionResult> &result) {
-                if (!result)
-                    base::logEvent(base::Event::PlatformUnreachable,
-                                   {{"call", "store-wave"}, {"reason", result.error().message}});
-            });
+    ports_.table->transact({.writes = {{.key = layout::waveRow(wave.request.number),
+                                        .value = encodeBegun(wave.begun)}}},
+                           kWriteTimeout, logFailureOf("store-wave"));
 }
 
 void WaveRunner::restore(const Row &row)
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -206,21 +206,26 @@
     void drainPerpetual(Worker &worker);
     void pace(Worker &worker);
 
-    // Starts (scheduler_starts.cpp)
+    // Placing (scheduler_placing.cpp)
     void place();
     void placeService(const std::string &service);
+    void markAllUnplaced();
     bool hasSilentFormerWorker(const std::string &service) const;
     bool tryPlace(JobEntry &entry, const TaskId &id);
     void reserve(const JobEntry &entry, const TaskId &id);
     bool tryPlaceGang(JobEntry &entry, const TaskId &id);
     Worker *chooseWorker(JobEntry &entry, const TaskId &id,
                          const std::map<std::string, Resources> &planned);
+
+    // Starts and stops (scheduler_starts.cpp)
     void assign(JobEntry &entry, const TaskId &id, Worker &worker);
     void sendStart(JobEntry &entry, const TaskId &id, Worker &worker);
     void handleStart(const TaskId &id, std::int64_t run, const std::string &workerId,
                      const OrderReply &reply);
     void stop(const TaskId &id, Task &task);
     void sendStop(const TaskId &id, std::int64_t run, const std::string &workerId);
+
+    // Disruption budgets (scheduler_disruption.cpp)
     int availableOthers(const JobEntry &entry, const TaskId &id) const;
     bool mayTakeAway(const JobEntry &entry, const TaskId &id) const;
 
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -96,7 +96,7 @@
     Task *const task = entry.job.task(end.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
-    const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(end.task.step)];
+    const StepSpec &step = stepOf(entry.job, end.task);
     const QueuePolicy *const policy = policyOf(entry.job);
     const bool isNew = task->failedRuns.insert(end.run).second;
     if (isNew) {
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -202,8 +202,7 @@
     retryWorkers();
     pruneWorkers();
     // Pauses of workers end by time alone, which no event tells.
-    for (const auto &[service, queue] : ready_)
-        unplaced_.insert(service);
+    markAllUnplaced();
     place();
 }
 
--- /dev/null
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -0,0 +1,232 @@
+#include "scheduler_worker.h"
+
+#include <chicorywick/scheduler/placement.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+// One pass gives up after so many kinds of waiting tasks that fit nowhere, and after so many tasks;
+// both bound the work per event when a queue is far longer than its pool can hold.
+constexpr int kMaxMisses = 24;
+constexpr int kMaxExamined = 400;
+
+// True if no worker can take a task of the step when none could take one of the other.
+bool asksNoLessThan(const StepSpec &step, const StepSpec &other)
+{
+    const bool isOtherPlain = other.maxPerWorker == 0;
+    return isOtherPlain && reservedFor(step).covers(reservedFor(other))
+           && (other.requiredLabel.empty() || other.requiredLabel == step.requiredLabel);
+}
+
+} // namespace
+
+void Scheduler::markAllUnplaced()
+{
+    for (const auto &[service, queue] : ready_)
+        unplaced_.insert(service);
+}
+
+void Scheduler::place()
+{
+    if (isPlacing_ || !hooks_.mayOrder())
+        return;
+    isPlacing_ = true;
+    // Services that change during the pass wait for the next event.
+    for (const std::string &service : std::exchange(unplaced_, {}))
+        placeService(service);
+    isPlacing_ = false;
+}
+
+void Scheduler::placeService(const std::string &service)
+{
+    const auto queue = ready_.find(service);
+    if (queue == ready_.end() || queue->second.keys.empty())
+        return;
+    std::set<ReadyKey> &keys = queue->second.keys;
+    reserved_.clear();
+    const bool isAnySilent = hasSilentFormerWorker(service);
+    const Millis now = hooks_.clock().steady;
+    std::vector<const StepSpec *> misfits;
+    int misses = 0;
+    int examined = 0;
+    for (auto item = keys.begin();
+         item != keys.end() && misses < kMaxMisses && examined < kMaxExamined; ++examined) {
+        const TaskId id = item->id;
+        ++item; // placing removes the key, and for a gang also its members'
+        JobEntry *const entry = entryOf(id.job);
+        if (entry == nullptr || (isAnySilent && entry->uncertainUntil > now))
+            continue;
+        const StepSpec &step = stepOf(entry->job, id);
+        if (step.isGang) {
+            const bool isPlaced = tryPlaceGang(*entry, id);
+            misses += isPlaced ? 0 : 1;
+            if (isPlaced)
+                item = keys.begin();
+            continue;
+        }
+        const bool isHopeless =
+                std::any_of(misfits.begin(), misfits.end(), [&step](const StepSpec *misfit) {
+                    return asksNoLessThan(step, *misfit);
+                });
+        if (!isHopeless && tryPlace(*entry, id))
+            continue;
+        if (!isHopeless) {
+            ++misses;
+            misfits.push_back(&step);
+        }
+        if (step.isPerpetual)
+            reserve(*entry, id);
+    }
+}
+
+// Until every worker that an earlier driver may have used has answered or its lease is over, a task
+// without a known worker may still run on a silent one.
+bool Scheduler::hasSilentFormerWorker(const std::string &service) const
+{
+    const auto &workers = workersFor(service);
+    return std::any_of(workers.begin(), workers.end(), [](const Worker *worker) {
+        return worker->isExpected && !worker->isContacted && !worker->isReplaced;
+    });
+}
+
+Scheduler::Worker *Scheduler::chooseWorker(JobEntry &entry, const TaskId &id,
+                                           const std::map<std::string, Resources> &planned)
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    const StepSpec &step = stepOf(entry.job, id);
+    const Task &task = *entry.job.task(id);
+    std::vector<Worker *> usable;
+    std::vector<PlacementCandidate> candidates;
+    std::map<std::string, int> ofStepByWorker;
+    const auto &siblings =
+            entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
+    for (const Task &sibling : siblings)
+        if (!sibling.worker.empty())
+            ++ofStepByWorker[sibling.worker];
+    const Resources demand = reservedFor(step);
+    const Millis now = hooks_.clock().steady;
+    for (Worker *const worker : workersFor(policy->service)) {
+        ++examinedWorkers_;
+        const std::string &workerId = worker->entry.id;
+        const bool isCandidate = worker->free().covers(demand) && isUsable(*worker, now)
+                                 && !reserved_.contains(workerId);
+        if (!isCandidate)
+            continue;
+        PlacementCandidate candidate{.index = usable.size(),
+                                     .free = worker->free(),
+                                     .labels = &worker->entry.labels,
+                                     .isAvoided = task.avoid == workerId};
+        if (const auto count = ofStepByWorker.find(workerId); count != ofStepByWorker.end())
+            candidate.tasksOfStep = count->second;
+        const auto plan = planned.find(workerId);
+        if (plan != planned.end())
+            candidate.free -= plan->second;
+        if (step.needsOneRack)
+            for (const auto &[other, count] : ofStepByWorker) {
+                const Worker *const holder = workerOf(other);
+                const bool isSameRack =
+                        holder != nullptr && holder->entry.labels == worker->entry.labels;
+                candidate.tasksOfStepInRack += isSameRack ? count : 0;
+            }
+        if (step.isPerpetual)
+            for (const TaskId &neighbour : worker->tasks) {
+                const JobEntry *const owner = entryOf(neighbour.job);
+                if (owner == nullptr)
+                    continue;
+                const StepSpec &other = stepOf(owner->job, neighbour);
+                candidate.servingTasks += other.latencyTargetMs > 0 ? 1 : 0;
+                candidate.fillingTasks += other.usesLeftoverCpu ? 1 : 0;
+            }
+        usable.push_back(worker);
+        candidates.push_back(candidate);
+    }
+    const auto chosen = choosePlacement(step, candidates);
+    return chosen ? usable[*chosen] : nullptr;
+}
+
+// Keeps the worker with the most room free for a perpetual task, which has to run however full the
+// service is; tasks that end there leave their room to it.
+void Scheduler::reserve(const JobEntry &entry, const TaskId &id)
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    const Job &job = entry.job;
+    const StepSpec &step = stepOf(job, id);
+    Worker *widest = nullptr;
+    const Millis now = hooks_.clock().steady;
+    for (Worker *const worker : workersFor(policy->service)) {
+        const bool isCandidate = isUsable(*worker, now)
+                                 && worker->entry.capacity.covers(reservedFor(step))
+                                 && !reserved_.contains(worker->entry.id);
+        if (!isCandidate)
+            continue;
+        const bool hasSibling = step.maxPerWorker > 0
+                                && std::count_if(worker->tasks.begin(), worker->tasks.end(),
+                                                 [&id](const TaskId &other) {
+                                                     return other.job == id.job
+                                                            && other.occurrence == id.occurrence
+                                                            && other.step == id.step;
+                                                 })
+                                           >= step.maxPerWorker;
+        if (hasSibling)
+            continue;
+        if (widest == nullptr || worker->free().cpuMillis > widest->free().cpuMillis)
+            widest = worker;
+    }
+    if (widest != nullptr)
+        reserved_.insert(widest->entry.id);
+}
+
+bool Scheduler::tryPlace(JobEntry &entry, const TaskId &id)
+{
+    Worker *const worker = chooseWorker(entry, id, {});
+    if (worker == nullptr)
+        return false;
+    Task &task = *entry.job.task(id);
+    task.run = ++task.highestRun;
+    assign(entry, id, *worker);
+    sendStart(entry, id, *worker);
+    return true;
+}
+
+// All members start together with one run number, or none does.
+bool Scheduler::tryPlaceGang(JobEntry &entry, const TaskId &id)
+{
+    auto &members = entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
+    std::int64_t run = 0;
+    std::string checkpoint;
+    for (const Task &member : members) {
+        if (member.phase != TaskPhase::Ready)
+            return false; // members of the last run are still being stopped
+        run = std::max(run, member.highestRun);
+        if (!member.checkpoint.empty())
+            checkpoint = member.checkpoint;
+    }
+    const StepSpec &step = stepOf(entry.job, id);
+    std::map<std::string, Resources> planned;
+    std::vector<Worker *> chosen;
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        TaskId member = id;
+        member.index = static_cast<int>(index);
+        Worker *const worker = chooseWorker(entry, member, planned);
+        if (worker == nullptr)
+            return false;
+        planned[worker->entry.id] += reservedFor(step);
+        chosen.push_back(worker);
+    }
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        TaskId member = id;
+        member.index = static_cast<int>(index);
+        members[index].run = run + 1;
+        members[index].highestRun = run + 1;
+        members[index].checkpoint = checkpoint;
+        assign(entry, member, *chosen[index]);
+        sendStart(entry, member, *chosen[index]);
+    }
+    return true;
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -77,9 +77,7 @@
                           return;
                       probed->isProbing = false;
                       // The held renewal tells of failures.
-                      const bool isSameLife = reply.born == 0 || probed->entry.born == 0
-                                              || reply.born == probed->entry.born;
-                      if (reply.status == OrderStatus::Accepted && isSameLife)
+                      if (reply.status == OrderStatus::Accepted && !probed->isOtherLife(reply))
                           applyRenewal(*probed, sentAfter, reply);
                       else if (reply.status == OrderStatus::Fenced)
                           hooks_.onFenced();
@@ -136,10 +134,7 @@
         hooks_.onFenced();
         return;
     }
-    const bool isOtherLife =
-            reply.status == OrderStatus::OtherLife
-            || (reply.born != 0 && worker->entry.born != 0 && reply.born != worker->entry.born);
-    if (isOtherLife) {
+    if (worker->isOtherLife(reply)) {
         replaceWorker(*worker);
         place();
         return;
@@ -227,8 +222,7 @@
     task->checkpoint = running.checkpoint;
     task->percent = running.percent;
     worker.tasks.insert(running.task);
-    worker.used +=
-            reservedFor(entry->job.spec().steps[static_cast<std::size_t>(running.task.step)]);
+    worker.used += reservedFor(stepOf(entry->job, running.task));
     entry->job.noteStart();
 }
 
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -45,6 +45,13 @@
 
     WorkerAddress address() const { return {.id = entry.id, .address = entry.address}; }
 
+    /// @brief True if a reply came from another life than this one.
+    bool isOtherLife(const RenewReply &reply) const
+    {
+        return reply.status == OrderStatus::OtherLife
+               || (reply.born != 0 && entry.born != 0 && reply.born != entry.born);
+    }
+
     Resources free() const
     {
         Resources left = entry.capacity;
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -165,8 +165,7 @@
             && worker->entry.born == entry.born)
             worker->isInStoredRoster = true;
     }
-    for (const auto &[service, queue] : ready_)
-        unplaced_.insert(service);
+    markAllUnplaced();
     place();
 }
 
@@ -239,7 +238,7 @@
         Task *const task = taskOf(id);
         if (entry == nullptr || task == nullptr || task->phase != TaskPhase::Running)
             continue;
-        const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
+        const StepSpec &step = stepOf(entry->job, id);
         // Without a place elsewhere, the task serves its users better where it is.
         const bool mayStop =
                 worker.entry.isDraining
@@ -262,7 +261,7 @@
         const JobEntry *const entry = entryOf(id.job);
         if (task == nullptr || entry == nullptr || task->phase != TaskPhase::Running)
             continue;
-        const StepSpec &step = entry->job.spec().steps[static_cast<std::size_t>(id.step)];
+        const StepSpec &step = stepOf(entry->job, id);
         if (step.latencyTargetMs > 0)
             serving.push_back({.tailMs = task->load, .targetMs = step.latencyTargetMs});
         else if (step.usesLeftoverCpu)
@@ -315,8 +314,7 @@
                         .idleSince = worker->idleSince};
         for (const TaskId &task : worker->tasks) {
             const JobEntry *const entry = entryOf(task.job);
-            if (entry != nullptr
-                && entry->job.spec().steps[static_cast<std::size_t>(task.step)].isPerpetual)
+            if (entry != nullptr && stepOf(entry->job, task).isPerpetual)
                 ++view.perpetualTasks;
         }
         views.push_back(std::move(view));
