Complete handshakes in progress when a proxy stops

A stop made the listener drop every segment before its last accept. The last segment of a handshake was dropped too: the caller counted the connection as established, sent its request, and got a reset when the listener was closed. No upstream had received it.

Change: the filter drops connection requests only. The listener stays open for 200 ms more, accepts what was in progress, and is closed then. A test stops a proxy 60 times under eight callers that open connections.

Ruled out: the linger time of 500 ms; the callers pause 3 ms at most.

--- a/packages/serving/src/caller_proxy_test.cpp
+++ b/packages/serving/src/caller_proxy_test.cpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <chrono>
 #include <thread>
+#include <vector>
 
 using namespace chicorywick;
 using namespace chicorywick::serving;
@@ -32,6 +33,9 @@
         server.Get("/shop/large", [](const httplib::Request &, httplib::Response &response) {
             response.set_content(std::string(3'000'000, 'x'), "text/plain");
         });
+        server.Get("/shop/parallel", [this](const httplib::Request &, httplib::Response &) {
+            ++ran; // sets nothing else, so that requests can run at the same time
+        });
         server.Get("/shop/.*", handler);
         server.Post("/shop/.*", handler);
         server.Delete("/shop/.*", handler);
@@ -223,6 +227,41 @@
     CHECK(fixture.upstream.ran == 1);
 }
 
+// Guards against a reset of a connection whose handshake is in progress when the proxy stops: its
+// request would be cut off without a response.
+TEST_CASE("a connection that was established during a stop gets a response")
+{
+    constexpr int kStops = 60;
+    constexpr int kCallers = 8;
+    std::atomic<int> interrupted = 0;
+    for (int round = 0; round < kStops; ++round) {
+        Fixture fixture;
+        std::vector<std::thread> callers;
+        for (int i = 0; i < kCallers; ++i)
+            callers.emplace_back([&] {
+                while (true) {
+                    httplib::Client client("127.0.0.1", fixture.proxy->port());
+                    client.set_connection_timeout(std::chrono::milliseconds(300));
+                    const auto result = client.Get("/shop/parallel");
+                    const bool isRefused =
+                            !result
+                            && (result.error() == httplib::Error::Connection
+                                || result.error() == httplib::Error::ConnectionTimeout);
+                    if (isRefused)
+                        return;
+                    interrupted += result ? 0 : 1;
+                }
+            });
+        while (fixture.upstream.ran < 2 * kCallers)
+            std::this_thread::yield();
+        fixture.proxy->beginDrain();
+        fixture.proxy->stop();
+        for (std::thread &caller : callers)
+            caller.join();
+    }
+    CHECK(interrupted.load() == 0);
+}
+
 // Guards against treating the bytes after malformed input as a new request.
 TEST_CASE("invalid bytes get one response with a result code and the connection closes")
 {
--- a/packages/serving/src/connection_server.cpp
+++ b/packages/serving/src/connection_server.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cerrno>
+#include <iterator>
 
 namespace chicorywick::serving {
 
@@ -20,6 +21,8 @@
 constexpr int kEventsPerWait = 64;
 constexpr auto kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxLingering = 1024;
+// Time for the handshakes that are in progress when a stop begins; several round trips.
+constexpr auto kHandshakeTime = std::chrono::milliseconds(200);
 
 bool watch(int epoll, int operation, int fd, std::uint32_t events)
 {
@@ -140,14 +143,35 @@
 }
 
 // A connection established between the last accept and the close of the listener would be reset.
-// The filter therefore makes the listener drop new connection requests first.
-void ConnectionServer::closeListener()
+// The filter therefore makes the listener drop new connection requests first. The last segment of a
+// handshake that is in progress must still pass: the caller already counts that connection as
+// established, and its request would be reset with the listener.
+void ConnectionServer::refuseNewConnections()
 {
-    sock_filter dropAll[] = {{BPF_RET | BPF_K, 0, 0, 0}};
-    const sock_fprog program{1, dropAll};
+    constexpr unsigned kTcpFlagsOffset = 13;
+    constexpr unsigned kSyn = 0x02;
+    constexpr unsigned kSynAndAck = 0x12;
+    constexpr unsigned kWholeSegment = 0xffffffff;
+    sock_filter dropConnectionRequests[] = {
+            {BPF_LD | BPF_B | BPF_ABS, 0, 0, kTcpFlagsOffset},
+            {BPF_ALU | BPF_AND | BPF_K, 0, 0, kSynAndAck},
+            {BPF_JMP | BPF_JEQ | BPF_K, 0, 1, kSyn},
+            {BPF_RET | BPF_K, 0, 0, 0},
+            {BPF_RET | BPF_K, 0, 0, kWholeSegment},
+    };
+    const sock_fprog program{std::size(dropConnectionRequests), dropConnectionRequests};
     ::setsockopt(listener_.get(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    refusingSince_ = std::chrono::steady_clock::now();
+}
+
+// Accepts the connections whose handshake was in progress, then closes the listener.
+void ConnectionServer::closeListener()
+{
+    if (refusingSince_ == SteadyTime{})
+        refuseNewConnections();
     acceptPending();
-    listener_.reset();
+    if (std::chrono::steady_clock::now() - refusingSince_ >= kHandshakeTime)
+        listener_.reset();
 }
 
 void ConnectionServer::addAccepted(FileDescriptor socket)
@@ -293,7 +317,7 @@
             idle.push_back(std::move(connection));
         idle_.clear();
         if (idle.empty() && closing_.empty())
-            return true;
+            return !listener_.isOpen();
     }
     for (Connection &connection : idle)
         beginClose(std::move(connection), true);
--- a/packages/serving/src/connection_server.h
+++ b/packages/serving/src/connection_server.h
@@ -88,12 +88,14 @@
     void closeExpired();
     bool finishStop();
     bool isStopping() const;
+    void refuseNewConnections();
     void closeListener();
     void wake();
 
     ConnectionServerOptions options_;
     int port_ = 0;
     FileDescriptor listener_;
+    SteadyTime refusingSince_{}; ///< when the listener began to drop connection requests
     FileDescriptor epoll_;
     FileDescriptor wakeUp_;
 
