--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -76,6 +76,7 @@
     ConfigFromPeers = 7008,
     LeadershipLost = 7009,
     LeadershipReady = 7010,
+    CellsPlanned = 7011,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -101,6 +101,8 @@
          "this daemon no longer schedules jobs"},
         {Event::LeadershipReady, Severity::Info, "leadership.ready",
          "the stored jobs are loaded and scheduled"},
+        {Event::CellsPlanned, Severity::Info, "cells.planned",
+         "this daemon divided the fleet into cells"},
 });
 
 EventWriter &eventWriter()
--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/ports.h>
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/scheduler.h>
@@ -7,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,15 +32,19 @@
     std::function<bool()> maySendOrders;
     /// False while a previous leader may have sent a machine order recently.
     std::function<bool()> maySendMachineOrders;
+    /// Until when an order that is allowed now may be sent.
+    std::function<scheduler::OrderValidity()> orderValidity;
+    std::function<scheduler::OrderValidity()> machineOrderValidity;
     std::function<void()> onFenced;
 };
 
-/// @brief Runs the scheduler during one leadership term. Loads the stored state first, then keeps
-/// the scheduler and the store consistent.
+/// @brief Runs the scheduler of one cell during one leadership term. Loads the stored state first,
+/// then keeps the scheduler and the store consistent.
 class Controller
 {
 public:
-    Controller(ControllerPorts ports, ControllerHooks hooks, scheduler::SchedulerSettings settings);
+    Controller(ControllerPorts ports, ControllerHooks hooks, Cell cell,
+               scheduler::SchedulerSettings settings);
     ~Controller();
     Controller(const Controller &) = delete;
     Controller &operator=(const Controller &) = delete;
@@ -47,8 +53,8 @@
     void configure(const Configuration &configuration);
     void setWaves(const std::vector<WaveRequest> &waves);
 
-    /// @brief Applies a row of the jobs table that another daemon has stored. The watch delivers it
-    /// too, but a watch can stall for a second or more without an error.
+    /// @brief Applies a row of the cell's jobs table that another daemon has stored. The watch
+    /// delivers it too, but a watch can stall for a second or more without an error.
     void applyStored(const Row &row);
 
     /// @brief True once all stored state is loaded; job states are unknown until then.
@@ -56,7 +62,8 @@
 
     /// @brief The state to report to callers. A final state is reported only once it is stored.
     std::optional<scheduler::JobState> reportedState(const std::string &id) const;
-    int waitingJobs(const std::string &queue) const;
+    /// @brief Jobs of the cell that have not started, by queue; queues without any are left out.
+    std::map<std::string, int> waitingJobs() const;
 
 private:
     class Impl;
--- a/packages/entry/include/chicorywick/entry/layout.h
+++ b/packages/entry/include/chicorywick/entry/layout.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chicorywick/entry/cell_layout.h>
 #include <chicorywick/entry/table.h>
 
+#include <optional>
 #include <string>
 
 namespace chicorywick::entry {
@@ -10,34 +12,77 @@
 /// writers.
 namespace layout {
 
-inline constexpr const char *kJobs = "jobs";
-inline constexpr const char *kProgress = "progress";
+/// Leader rows of all cells and the cell layout. All daemons watch this table.
 inline constexpr const char *kLeader = "leader";
-/// Separate from kLeader, because all daemons watch that table and only leaders read the roster.
+inline constexpr const char *kProgress = "progress";
 inline constexpr const char *kRoster = "roster";
+inline constexpr const char *kWaves = "waves";
 
-/// @brief Parts of the jobs table. The store runs the transactions of a part one after another: at
-/// fifty times the usual latency, each part accepts five submissions per second.
+/// @brief Parts of the leader table. The store runs the transactions of a part one after another:
+/// at fifty times the usual latency, a part accepts five renewals per second.
+inline constexpr int kLeaderParts = 16;
+
+/// @brief Parts of the jobs tables of all cells together; limits submissions like kLeaderParts.
 inline constexpr int kJobParts = 16;
 
-/// @brief Rows of the worker roster. With thousands of workers, a change writes a few kilobytes,
-/// and all rows fit into one store call.
+/// @brief Rows of a cell's worker roster. A change writes only the rows that it affects.
 inline constexpr int kRosterRows = 32;
 
-std::string jobPart(int number);
-RowKey jobRow(const std::string &id);
-RowKey cancelRow(const std::string &id);
-RowKey progressRow(const std::string &id);
-RowKey leaderRow();
-RowKey rosterRow(const std::string &worker);
-RowKey waveRow(std::int64_t number);
+RowKey cellLayoutRow();
+RowKey leaderRow(int cell);
+std::string leaderPart(int number);
 
-/// @brief The wave number in a row key of the leader table, if any.
-std::optional<std::int64_t> waveNumberOf(const std::string &key);
+/// @brief The cell in a row key of the leader table, if any.
+std::optional<int> cellOfLeaderRow(const std::string &key);
 
-/// @brief The job that a row of the jobs table cancels, or an empty string.
+/// @brief The job that a row of a jobs table cancels, or an empty string.
 std::string cancelledJob(const std::string &key);
 
+/// @brief The wave number in a row key of the waves table, if any.
+std::optional<std::int64_t> waveNumberOf(const std::string &key);
+
 } // namespace layout
 
+/// @brief The rows of one cell. Each cell has a jobs table, so that its driver watches its own jobs
+/// only, and parts of its own, so that no cell waits for the writes of another one.
+class CellRows
+{
+public:
+    CellRows(int cell, int cellCount);
+
+    int cell() const { return cell_; }
+    const std::string &jobsTable() const { return jobsTable_; }
+    int jobParts() const { return jobParts_; }
+    std::string jobPart(int number) const;
+    RowKey jobRow(const std::string &id) const;
+    RowKey cancelRow(const std::string &id) const;
+    RowKey progressRow(const std::string &id) const;
+    RowKey rosterRow(const std::string &worker) const;
+    RowKey rosterRowNamed(const std::string &key) const;
+    RowKey waveRow(std::int64_t number) const;
+    RowRange progressRange() const;
+    RowRange rosterRange() const;
+    RowRange waveRange() const;
+
+    bool operator==(const CellRows &) const = default;
+
+private:
+    int cell_;
+    int jobParts_;
+    std::string jobsTable_;
+    std::string part_; ///< of all rows but jobs
+};
+
+/// @brief One cell of a layout.
+struct Cell
+{
+    CellLayout layout;
+    int number = 0;
+
+    CellRows rows() const { return {number, layout.count()}; }
+    CellRows rowsOf(int other) const { return {other, layout.count()}; }
+
+    bool operator==(const Cell &) const = default;
+};
+
 } // namespace chicorywick::entry
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -26,6 +26,7 @@
     /// a larger machine the delay adds to the outage, so it is short compared with the lease.
     scheduler::Millis smallMachineDelayMs = 700;
     scheduler::Millis firstClaimDelayMs = 300; ///< for a machine with kTypicalMemoryMib
+    scheduler::Millis heldCellDelayMs = 300;   ///< of a claim, for each cell led already
 
     bool operator==(const ElectionSettings &) const = default;
 };
@@ -39,9 +40,9 @@
     bool operator==(const LeaderWrite &) const = default;
 };
 
-/// @brief Elects the leader through one stored row. The row is changed by compare-and-swap on its
-/// version, and its holder renews it as a lease. By its own steady clock, a holder gives up
-/// leadership before any other daemon may claim the row.
+/// @brief Elects the leader of a cell through one stored row. The row is changed by
+/// compare-and-swap on its version, and its holder renews it as a lease. By its own steady clock, a
+/// holder gives up leadership before any other daemon may claim the row.
 class LeaderElection
 {
 public:
@@ -55,6 +56,15 @@
     /// row is no sign of a failed holder, and the row is not claimed.
     void setWatchHealthy(bool isWatchHealthy, scheduler::Millis now);
 
+    /// @brief Sets how many cells this daemon leads, including this one if it holds its row. A
+    /// daemon that leads cells already claims later, so that the others can claim first.
+    void setHeldCells(int heldCells) { heldCells_ = heldCells; }
+
+    int heldCells() const { return heldCells_; }
+
+    /// @brief True while a claim of this daemon is in flight.
+    bool isClaiming() const { return !holdsRow_ && unansweredHeartbeat_ != 0; }
+
     /// @brief The write that is due, if any. The caller reports the outcome through committed() or
     /// writeFailed().
     std::optional<LeaderWrite> nextWrite(scheduler::Millis now);
@@ -64,12 +74,12 @@
     /// @brief Releases the row permanently; nextWrite() returns the write for it.
     void release() { isReleasing_ = true; }
 
-    /// @brief Releases the row to a larger machine; this daemon may claim it again later.
+    /// @brief Releases the row to a daemon with more room; this daemon may claim it again later.
     void yield() { isYielding_ = holdsRow_; }
 
-    /// @brief True if a machine is so much larger than the holder's that a handover is worth its
-    /// cost.
-    bool isHolderSmallerThan(std::int64_t memoryMib) const;
+    /// @brief True if the holder has so much less room for the cell than a daemon with this memory
+    /// that leads this many cells already, that a handover is worth its cost.
+    bool isHolderBusierThan(std::int64_t memoryMib, int heldCells) const;
 
     /// @brief True if this daemon should ask the holder to yield.
     bool shouldRequestYield(scheduler::Millis now) const;
@@ -82,9 +92,19 @@
     /// waits first.
     bool maySendMachineOrders(scheduler::Millis now) const;
 
+    /// @brief The times at which isLeading() and maySendMachineOrders() end without a renewal.
+    scheduler::Millis leadingUntil() const { return leaseStart_ + settings_.leaseMs; }
+    scheduler::Millis machineOrdersUntil() const
+    {
+        return leaseStart_ + settings_.machineOrderWindowMs;
+    }
+
     /// @brief True while the row names this daemon, even if its lease may have expired.
     bool holdsRow() const { return holdsRow_; }
 
+    /// @brief True if this daemon holds the row and is not giving it up.
+    bool keepsRow() const { return holdsRow_ && !isYielding_ && !isReleasing_; }
+
     /// @brief The row version of this daemon's claim; orders carry it as their fencing token.
     Version term() const { return term_; }
 
@@ -117,6 +137,7 @@
     /// Send times of this daemon's writes, by heartbeat.
     std::map<std::int64_t, scheduler::Millis> sentTimes_;
     std::int64_t unansweredHeartbeat_ = 0; ///< of the write in flight; 0: none
+    int heldCells_ = 0;
     scheduler::Millis nextWriteAt_ = 0;
     bool isWatchHealthy_ = true;
     bool isReleasing_ = false;
--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -20,6 +20,7 @@
     http::Endpoint peers;
     http::Endpoint metrics;
     std::int64_t memoryMib = 0;                    ///< of the machine; larger ones lead first
+    int machinesPerCell = 160;                     ///< used when the fleet is first divided
     scheduler::Millis maxLeaseMs = 6'000;          ///< longest lease that a worker grants
     scheduler::Millis stopGraceMs = 6'000;         ///< from the stop signal to the forced kill
     scheduler::Millis statusRetentionMs = 120'000; ///< how long ended jobs stay visible
@@ -27,7 +28,7 @@
     bool operator==(const NodeSettings &) const = default;
 };
 
-/// @brief One entry instance: accepts callers' jobs and schedules them while it is the leader.
+/// @brief One entry instance: accepts callers' jobs and schedules those of the cells that it leads.
 class Node
 {
 public:
--- a/packages/entry/include/chicorywick/entry/ports.h
+++ b/packages/entry/include/chicorywick/entry/ports.h
@@ -2,6 +2,7 @@
 
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/model.h>
+#include <chicorywick/scheduler/worker_orders.h>
 
 #include <map>
 #include <optional>
@@ -97,6 +98,8 @@
     std::string pool;
     std::string workerId; ///< empty if no worker runs on it
     MachineState state = MachineState::Down;
+    std::string zone;
+    std::string rack; ///< its own name if it is in no rack
 
     bool operator==(const Machine &) const = default;
 };
@@ -119,8 +122,10 @@
     virtual ~MachinePort() = default;
     virtual void list(Callback<std::vector<Machine>> done) = 0;
     virtual void move(const std::string &machine, const std::string &pool, std::int64_t fence,
+                      scheduler::OrderValidity validity,
                       std::function<void(MachineOrderStatus)> done) = 0;
     virtual void maintain(const std::string &machine, std::int64_t wave, std::int64_t fence,
+                          scheduler::OrderValidity validity,
                           std::function<void(MachineOrderStatus)> done) = 0;
 };
 
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -1,25 +1,29 @@
 #pragma once
 
 #include <chicorywick/base/result.h>
+#include <chicorywick/entry/cell_layout.h>
 #include <chicorywick/scheduler/job.h>
 #include <chicorywick/scheduler/model.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace chicorywick::entry {
 
-/// @brief The current leader and the address at which other daemons reach it.
+/// @brief The current leader of a cell and the address at which other daemons reach it.
 struct LeaderRecord
 {
     std::string holder; ///< node and incarnation; empty after a release
     std::string peerAddress;
-    std::int64_t term = 0;          ///< row version of the claim; 0 in the claim itself
-    std::int64_t heartbeat = 0;     ///< number of the write, counted by the holder
-    std::int64_t workerLeaseMs = 0; ///< longest lease that the holder grants to workers
-    std::int64_t memoryMib = 0;     ///< of the holder's machine; 0: unknown
-    std::int64_t maxMemoryMib = 0;  ///< of the largest machine that has held the row
+    std::int64_t term = 0;                  ///< row version of the claim; 0 in the claim itself
+    std::int64_t heartbeat = 0;             ///< number of the write, counted by the holder
+    std::int64_t workerLeaseMs = 0;         ///< longest lease that the holder grants to workers
+    std::int64_t memoryMib = 0;             ///< of the holder's machine; 0: unknown
+    std::int64_t maxMemoryMib = 0;          ///< of the largest machine that has held the row
+    int heldCells = 0;                      ///< cells that the holder leads; 0: unknown
+    std::map<std::string, int> waitingJobs; ///< by queue; jobs of the cell that have not started
 
     bool operator==(const LeaderRecord &) const = default;
 };
@@ -36,9 +40,20 @@
 std::string encode(const std::vector<scheduler::WorkerEntry> &roster);
 base::Result<std::vector<scheduler::WorkerEntry>> decodeRoster(const std::string &text);
 
-/// @brief The machines of a wave whose maintenance has started.
-std::string encodeStartedMachines(const std::set<std::string> &machines);
-base::Result<std::set<std::string>> decodeStartedMachines(const std::string &text);
+std::string encode(const CellLayout &layout);
+base::Result<CellLayout> decodeCellLayout(const std::string &text);
+
+/// @brief Progress of a wave in one cell.
+struct WaveProgress
+{
+    std::set<std::string> startedMachines; ///< their maintenance has started
+    bool isDone = false;                   ///< no machine of the cell is left, and none is down
+
+    bool operator==(const WaveProgress &) const = default;
+};
+
+std::string encode(const WaveProgress &progress);
+base::Result<WaveProgress> decodeWaveProgress(const std::string &text);
 
 /// @brief The name of a job state in responses to callers and in stored rows.
 const char *jobStateName(scheduler::JobState state);
--- /dev/null
+++ b/packages/entry/src/cell_drivers.cpp
@@ -0,0 +1,370 @@
+#include "cell_drivers.h"
+
+#include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/layout.h>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kLeaderWatchTimeout = 1000ms;
+constexpr auto kRetryPause = 150ms;
+constexpr auto kElectionPeriod = 100ms;
+constexpr auto kElectionTimeout = 1200ms;
+// Upper bound of the random delay that spreads the claims of daemons.
+constexpr std::uint64_t kMaxClaimJitterMs = 150;
+// Interval of yield requests to a leader with less room.
+constexpr scheduler::Millis kYieldPeriodMs = 1'000;
+// Pause between two watches of the leader rows for each cell after the first. With many cells a row
+// changes every few milliseconds, and each change would cost every daemon a call.
+constexpr auto kWatchPausePerCell = 40ms;
+constexpr auto kMaxWatchPause = 250ms;
+
+} // namespace
+
+CellDrivers::CellDrivers(const NodeSettings &settings, ControllerPorts ports,
+                         std::shared_ptr<PeerClient> peers, std::string incarnation)
+    : settings_(settings)
+    , ports_(ports)
+    , loop_(*ports.loop)
+    , peers_(std::move(peers))
+    , incarnation_(std::move(incarnation))
+    , rng_(std::hash<std::string>()(settings_.name + incarnation_))
+    , layoutSource_(std::make_shared<CellLayoutSource>(
+              ports, systemNow, rng_,
+              CellLayoutSettings{.machinesPerCell = settings_.machinesPerCell,
+                                 .memoryMib = settings_.memoryMib}))
+    , electionTimer_(loop_)
+{}
+
+void CellDrivers::start(std::function<void(const CellLayout &)> onLayout)
+{
+    layoutSource_->start(
+            [self = shared_from_this(), onLayout = std::move(onLayout)](const CellLayout &layout) {
+                self->join(layout);
+                onLayout(layout);
+            });
+}
+
+void CellDrivers::join(const CellLayout &layout)
+{
+    layout_ = layout;
+    const std::string address = settings_.peers.host + ":" + std::to_string(settings_.peers.port);
+    for (int cell = 0; cell < layout.count(); ++cell) {
+        Seat seat;
+        seat.election = std::make_unique<LeaderElection>(
+                settings_.name + "#" + incarnation_, address,
+                static_cast<scheduler::Millis>(rng_.below(kMaxClaimJitterMs)),
+                ElectionSettings{.workerLeaseMs = scheduler::SchedulerSettings().leaseMs,
+                                 .memoryMib = settings_.memoryMib});
+        if (isStopping_)
+            seat.election->release();
+        seats_.push_back(std::move(seat));
+    }
+    loadLeaders(0);
+    runElections();
+}
+
+void CellDrivers::configure(const Configuration &configuration)
+{
+    configuration_ = configuration;
+    for (const Seat &seat : seats_)
+        if (seat.controller)
+            seat.controller->configure(configuration);
+}
+
+void CellDrivers::setWaves(const std::vector<WaveRequest> &waves)
+{
+    waves_ = waves;
+    for (const Seat &seat : seats_)
+        if (seat.controller)
+            seat.controller->setWaves(waves);
+}
+
+void CellDrivers::release()
+{
+    isStopping_ = true;
+    for (std::size_t cell = 0; cell < seats_.size(); ++cell) {
+        seats_[cell].election->release();
+        stopController(static_cast<int>(cell), "stop");
+    }
+}
+
+Controller *CellDrivers::controllerOf(int cell) const
+{
+    const auto index = static_cast<std::size_t>(cell);
+    return cell >= 0 && index < seats_.size() ? seats_[index].controller.get() : nullptr;
+}
+
+std::optional<int> CellDrivers::waitingJobs(const std::string &queue) const
+{
+    if (seats_.empty())
+        return std::nullopt;
+    int waiting = 0;
+    for (const Seat &seat : seats_) {
+        if (seat.election->record().term == 0 && !seat.controller)
+            return std::nullopt;
+        const bool isLocal = seat.controller && seat.controller->isLoaded();
+        const auto counts =
+                isLocal ? seat.controller->waitingJobs() : seat.election->record().waitingJobs;
+        const auto found = counts.find(queue);
+        waiting += found != counts.end() ? found->second : 0;
+    }
+    return waiting;
+}
+
+void CellDrivers::retryAfterPause(std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kRetryPause);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &error) {
+        if (!error)
+            action();
+    });
+}
+
+// Reads the parts of the leader table one after another. The watch starts at the oldest version of
+// all reads, so that it misses no row.
+void CellDrivers::loadLeaders(int part)
+{
+    if (part == std::min(layout_->count(), layout::kLeaderParts)) {
+        for (const Seat &seat : seats_)
+            seat.election->observe(0, {}, systemNow().steady); // no effect on rows that were read
+        return watchLeaders();
+    }
+    readAll(*ports_.table, {.table = layout::kLeader, .part = layout::leaderPart(part)},
+            kElectionTimeout, [self = shared_from_this(), part](const base::Result<RowPage> &page) {
+                if (!page)
+                    return self->retryAfterPause([self, part] { self->loadLeaders(part); });
+                const Version version = page.value().version;
+                self->leaderVersion_ =
+                        part == 0 ? version : std::min(self->leaderVersion_, version);
+                self->observeRows(page.value().rows);
+                self->loadLeaders(part + 1);
+            });
+}
+
+void CellDrivers::watchLeaders()
+{
+    ports_.table->watch(
+            layout::kLeader, leaderVersion_, kLeaderWatchTimeout,
+            [self = shared_from_this()](const base::Result<RowPage> &page) {
+                if (!page && page.error().code == base::Code::HistoryUnavailable)
+                    return self->loadLeaders(0);
+                for (const Seat &seat : self->seats_)
+                    seat.election->setWatchHealthy(page.has_value(), systemNow().steady);
+                if (!page)
+                    return self->retryAfterPause([self] { self->watchLeaders(); });
+                self->leaderVersion_ = std::max(self->leaderVersion_, page.value().version);
+                self->observeRows(page.value().rows);
+                if (self->layout_->count() == 1)
+                    return self->watchLeaders();
+                auto timer = std::make_shared<boost::asio::steady_timer>(
+                        self->loop_,
+                        std::min<std::chrono::milliseconds>(
+                                kWatchPausePerCell * (self->layout_->count() - 1), kMaxWatchPause));
+                timer->async_wait([self, timer](const boost::system::error_code &error) {
+                    if (!error)
+                        self->watchLeaders();
+                });
+            });
+}
+
+void CellDrivers::observeRows(const std::vector<Row> &rows)
+{
+    for (const Row &row : rows) {
+        const auto cell = layout::cellOfLeaderRow(row.key.key);
+        if (!cell || *cell < 0 || *cell >= layout_->count() || row.isRemoved)
+            continue; // the layout row shares the table
+        const auto record = decodeLeader(row.value);
+        if (!record) {
+            base::logEvent(base::Event::PlatformUnreachable,
+                           {{"call", "read-leader"}, {"reason", record.error().message}});
+            continue;
+        }
+        LeaderElection &election = *seatOf(*cell).election;
+        election.observe(row.version, record.value(), systemNow().steady);
+        peers_->setLeader(*cell, election.record().peerAddress);
+        applyElection(*cell);
+    }
+}
+
+// A released row, or a claim in flight, changes the number of cells that this daemon leads.
+void CellDrivers::updateHeldCells()
+{
+    const auto held = std::count_if(seats_.begin(), seats_.end(), [](const Seat &seat) {
+        return seat.election->keepsRow() || seat.election->isClaiming();
+    });
+    for (const Seat &seat : seats_)
+        seat.election->setHeldCells(static_cast<int>(held) - (seat.election->isClaiming() ? 1 : 0));
+}
+
+// Visits the cells in random order, so that daemons which start together claim different cells.
+void CellDrivers::runElections()
+{
+    std::vector<int> order(seats_.size());
+    std::iota(order.begin(), order.end(), 0);
+    for (std::size_t left = order.size(); left > 1; --left)
+        std::swap(order[left - 1], order[rng_.below(left)]);
+    for (const int cell : order) {
+        applyElection(cell);
+        updateHeldCells();
+        if (auto next = seatOf(cell).election->nextWrite(systemNow().steady))
+            write(cell, std::move(*next));
+    }
+    requestYield();
+    electionTimer_.expires_after(kElectionPeriod);
+    electionTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->runElections();
+    });
+}
+
+void CellDrivers::write(int cell, LeaderWrite write)
+{
+    const Controller *const controller = controllerOf(cell);
+    if (controller != nullptr && controller->isLoaded())
+        write.record.waitingJobs = controller->waitingJobs();
+    const RowKey key = layout::leaderRow(cell);
+    ports_.table->transact({.conditions = {{.key = key, .version = write.expected}},
+                            .writes = {{.key = key, .value = encode(write.record)}}},
+                           kElectionTimeout,
+                           [self = shared_from_this(), cell,
+                            write](const base::Result<TransactionResult> &result) {
+                               const scheduler::Millis now = systemNow().steady;
+                               LeaderElection &election = *self->seatOf(cell).election;
+                               if (result && result.value().isCommitted) {
+                                   election.committed(write, result.value().version, now);
+                                   self->applyElection(cell);
+                                   return;
+                               }
+                               election.writeFailed(write, now);
+                               if (result)
+                                   self->observeRows(result.value().current);
+                           });
+}
+
+// Asks a leader with much less room for its cell to hand over.
+void CellDrivers::requestYield()
+{
+    const scheduler::Millis now = systemNow().steady;
+    if (now - yieldRequestedAt_ < kYieldPeriodMs || isStopping_ || !isReady_)
+        return;
+    updateHeldCells();
+    for (std::size_t cell = 0; cell < seats_.size(); ++cell) {
+        const LeaderElection &election = *seats_[cell].election;
+        if (!election.shouldRequestYield(now))
+            continue;
+        yieldRequestedAt_ = now;
+        return peers_->requestYield({.cell = static_cast<int>(cell),
+                                     .memoryMib = settings_.memoryMib,
+                                     .heldCells = election.heldCells()});
+    }
+}
+
+void CellDrivers::handleYieldRequest(const YieldRequest &request)
+{
+    const Controller *const controller = controllerOf(request.cell);
+    if (controller == nullptr || !controller->isLoaded())
+        return;
+    updateHeldCells();
+    LeaderElection &election = *seatOf(request.cell).election;
+    if (!election.isLeading(systemNow().steady)
+        || !election.isHolderBusierThan(request.memoryMib, request.heldCells))
+        return;
+    stopController(request.cell, "more-room-elsewhere");
+    election.yield();
+}
+
+// Starts and stops the controller of a cell according to its election. While the lease is
+// uncertain, the controller keeps running but sends no orders; it stops when another daemon holds
+// the row.
+void CellDrivers::applyElection(int cell)
+{
+    const Seat &seat = seatOf(cell);
+    if (seat.controller
+        && (!seat.election->holdsRow() || seat.election->term() != seat.controllerTerm))
+        stopController(cell, "superseded");
+    const bool isLeader = seat.election->isLeading(systemNow().steady);
+    if (!seat.controller && isLeader && configuration_ && !isStopping_)
+        startController(cell);
+}
+
+void CellDrivers::startController(int cell)
+{
+    Seat &seat = seatOf(cell);
+    const LeaderElection &election = *seat.election;
+    seat.controllerTerm = election.term();
+    // Calls in flight keep parts of a stopped controller alive. Without the flag they could send
+    // orders of the old term once this daemon leads the cell again.
+    seat.isRevoked = std::make_shared<bool>(false);
+    const std::shared_ptr<const bool> isRevoked = seat.isRevoked;
+    base::logEvent(base::Event::OwnershipTaken,
+                   {{"cell", std::to_string(cell)}, {"term", std::to_string(seat.controllerTerm)}});
+    scheduler::SchedulerSettings scheduling;
+    scheduling.fence = seat.controllerTerm;
+    scheduling.maxLeaseMs = settings_.maxLeaseMs;
+    scheduling.leaseMs = std::min(scheduling.leaseMs, settings_.maxLeaseMs);
+    const scheduler::Millis previousLease = election.previousWorkerLease();
+    scheduling.previousLeaseMs = previousLease != 0 ? previousLease : settings_.maxLeaseMs;
+    scheduling.retentionMs = settings_.statusRetentionMs;
+    seat.controller = std::make_unique<Controller>(
+            ports_,
+            ControllerHooks{
+                    .clock = systemNow,
+                    .maySendOrders =
+                            [self = shared_from_this(), &election, isRevoked] {
+                                return !*isRevoked && election.isLeading(systemNow().steady);
+                            },
+                    .maySendMachineOrders =
+                            [self = shared_from_this(), &election, isRevoked] {
+                                return !*isRevoked
+                                       && election.maySendMachineOrders(systemNow().steady);
+                            },
+                    .orderValidity =
+                            [self = shared_from_this(), &election, isRevoked] {
+                                return scheduler::OrderValidity{.until = election.leadingUntil(),
+                                                                .isRevoked = isRevoked};
+                            },
+                    .machineOrderValidity =
+                            [self = shared_from_this(), &election, isRevoked] {
+                                return scheduler::OrderValidity{
+                                        .until = election.machineOrdersUntil(),
+                                        .isRevoked = isRevoked};
+                            },
+                    // A worker has seen a newer term. The watch of the row reports it soon; until
+                    // then, workers that have seen it reject every order.
+                    .onFenced =
+                            [cell] {
+                                base::logEvent(
+                                        base::Event::LeadershipLost,
+                                        {{"reason", "fenced"}, {"cell", std::to_string(cell)}});
+                            }},
+            Cell{.layout = *layout_, .number = cell}, scheduling);
+    seat.controller->configure(*configuration_);
+    seat.controller->setWaves(waves_);
+    seat.controller->start();
+}
+
+void CellDrivers::stopController(int cell, const char *reason)
+{
+    Seat &seat = seatOf(cell);
+    if (!seat.controller)
+        return;
+    base::logEvent(base::Event::LeadershipLost, {{"reason", reason},
+                                                 {"cell", std::to_string(cell)},
+                                                 {"term", std::to_string(seat.controllerTerm)}});
+    *seat.isRevoked = true;
+    // The controller may be on the call stack, so it is destroyed in a later loop iteration.
+    boost::asio::post(loop_,
+                      [controller = std::shared_ptr<Controller>(std::move(seat.controller))] {});
+}
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/cell_drivers.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "cell_layout_source.h"
+#include "peer_client.h"
+
+#include <chicorywick/base/rng.h>
+#include <chicorywick/entry/controller.h>
+#include <chicorywick/entry/leader_election.h>
+#include <chicorywick/entry/node.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicorywick::entry {
+
+/// @brief Takes part in the elections of all cells and runs the controllers of those that this
+/// daemon leads.
+class CellDrivers : public std::enable_shared_from_this<CellDrivers>
+{
+public:
+    CellDrivers(const NodeSettings &settings, ControllerPorts ports,
+                std::shared_ptr<PeerClient> peers, std::string incarnation);
+
+    /// @brief Loads or plans the layout, passes it to the callback, and joins the elections.
+    void start(std::function<void(const CellLayout &)> onLayout);
+    void configure(const Configuration &configuration);
+    void setWaves(const std::vector<WaveRequest> &waves);
+
+    /// @brief Releases all cells, for a stop of this daemon.
+    void release();
+
+    /// @brief Sets whether this daemon could lead further cells now.
+    void setReady(bool isReady) { isReady_ = isReady; }
+
+    bool hasLayout() const { return layout_.has_value(); }
+
+    /// @brief The local controller of a cell; null if this daemon does not lead the cell.
+    Controller *controllerOf(int cell) const;
+
+    /// @brief Waiting jobs of a queue in all cells; none if a cell has not been led yet.
+    std::optional<int> waitingJobs(const std::string &queue) const;
+
+    /// @brief Hands a cell over if the requesting daemon has much more room for it.
+    void handleYieldRequest(const YieldRequest &request);
+
+private:
+    struct Seat
+    {
+        std::unique_ptr<LeaderElection> election;
+        std::unique_ptr<Controller> controller;
+        Version controllerTerm = 0;
+        std::shared_ptr<bool> isRevoked; ///< true: the controller must not send orders any more
+    };
+
+    void join(const CellLayout &layout);
+    void loadLeaders(int part);
+    void watchLeaders();
+    void observeRows(const std::vector<Row> &rows);
+    void runElections();
+    void write(int cell, LeaderWrite write);
+    void applyElection(int cell);
+    void startController(int cell);
+    void stopController(int cell, const char *reason);
+    void updateHeldCells();
+    void requestYield();
+    void retryAfterPause(std::function<void()> action);
+    Seat &seatOf(int cell) { return seats_[static_cast<std::size_t>(cell)]; }
+
+    NodeSettings settings_;
+    ControllerPorts ports_;
+    boost::asio::io_context &loop_;
+    std::shared_ptr<PeerClient> peers_;
+    std::string incarnation_;
+    base::Rng rng_;
+    std::shared_ptr<CellLayoutSource> layoutSource_;
+    std::optional<CellLayout> layout_;
+    std::vector<Seat> seats_; ///< by cell
+    boost::asio::steady_timer electionTimer_;
+    std::optional<Configuration> configuration_;
+    std::vector<WaveRequest> waves_;
+    Version leaderVersion_ = 0;
+    scheduler::Millis yieldRequestedAt_ = 0;
+    bool isReady_ = false;
+    bool isStopping_ = false;
+};
+
+} // namespace chicorywick::entry
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -1,6 +1,7 @@
 #include "controller_impl.h"
 
 #include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/caller_codec.h>
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
@@ -16,6 +17,10 @@
 constexpr auto kWatchTimeout = 800ms;
 constexpr auto kWriteTimeout = 1000ms;
 constexpr auto kRetryPause = 200ms;
+// Pause between two watches of a table. While machines move, the rows of workers change hundreds of
+// times a second, and every change would cost each leader a call. Stored jobs are announced, so
+// their watch is not urgent.
+constexpr auto kWatchPause = 50ms;
 // Replaces the specification in the row of an ended job.
 constexpr const char *kEndedJobValue = "{}";
 constexpr scheduler::Millis kCompactionPeriodMs = 1'000;
@@ -24,9 +29,9 @@
 
 } // namespace
 
-Controller::Controller(ControllerPorts ports, ControllerHooks hooks,
+Controller::Controller(ControllerPorts ports, ControllerHooks hooks, Cell cell,
                        scheduler::SchedulerSettings settings)
-    : impl_(std::make_shared<Impl>(ports, std::move(hooks), settings))
+    : impl_(std::make_shared<Impl>(ports, std::move(hooks), std::move(cell), settings))
 {}
 
 Controller::~Controller()
@@ -64,29 +69,33 @@
     return impl_->reportedState(id);
 }
 
-int Controller::waitingJobs(const std::string &queue) const
+std::map<std::string, int> Controller::waitingJobs() const
 {
-    return impl_->waitingJobs(queue);
+    return impl_->waitingJobs();
 }
 
-Controller::Impl::Impl(ControllerPorts ports, ControllerHooks hooks,
+Controller::Impl::Impl(ControllerPorts ports, ControllerHooks hooks, Cell cell,
                        scheduler::SchedulerSettings settings)
     : ports_(ports)
     , hooks_(std::move(hooks))
+    , cell_(std::move(cell))
+    , rows_(cell_.rows())
     , scheduler_(*ports.orders,
                  {.clock = hooks_.clock,
                   .maySendOrders = hooks_.maySendOrders,
                   .onFenced = hooks_.onFenced,
-                  .onProgress = [this] { journal_->request(); }},
+                  .onProgress = [this] { journal_->request(); },
+                  .orderValidity = hooks_.orderValidity},
                  settings)
-    , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, scheduler_,
+    , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, rows_, scheduler_,
                                                  hooks_.maySendOrders))
-    , roster_(std::make_shared<RosterJournal>(*ports.table, scheduler_, hooks_.maySendOrders))
-    , inventory_(*ports.machines, hooks_.clock)
+    , roster_(std::make_shared<RosterJournal>(*ports.table, rows_, scheduler_,
+                                              hooks_.maySendOrders))
+    , inventory_(*ports.machines, hooks_.clock, cell_)
     , waves_(std::make_shared<WaveRunner>(WaveRunnerPorts{.machines = ports.machines,
                                                           .operators = ports.operators,
                                                           .table = ports.table},
-                                          hooks_, scheduler_, inventory_, settings.fence))
+                                          hooks_, scheduler_, inventory_, cell_, settings.fence))
     , poolBalancer_(std::make_shared<PoolBalancer>(*ports.machines, hooks_, scheduler_, inventory_,
                                                    settings.fence))
     , tickTimer_(*ports.loop)
@@ -136,7 +145,12 @@
 
 void Controller::Impl::retryAfterPause(std::function<void()> action)
 {
-    auto timer = std::make_shared<boost::asio::steady_timer>(*ports_.loop, kRetryPause);
+    runAfter(kRetryPause, std::move(action));
+}
+
+void Controller::Impl::runAfter(std::chrono::milliseconds pause, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(*ports_.loop, pause);
     timer->async_wait([self = shared_from_this(), timer,
                        action = std::move(action)](const boost::system::error_code &error) {
         if (!error && !self->isStopped_)
@@ -163,9 +177,13 @@
     if (scheduler_.stateOf(row.key.key))
         return; // already announced by the daemon that stored it
     const auto spec = decodeJob(row.value);
-    if (!spec) {
-        base::logEvent(base::Event::JobRefused,
-                       {{"job", row.key.key}, {"reason", spec.error().message}});
+    // A row that the scheduler cannot handle would end each leader of the cell in turn.
+    const auto checked = spec ? validateSubmission(spec.value()) : base::Result<void>(spec.error());
+    const bool isOwn = spec && spec.value().id == row.key.key;
+    if (!checked || !isOwn) {
+        base::logEvent(base::Event::JobRefused, {{"job", row.key.key},
+                                                 {"reason", checked ? "the row holds another job"
+                                                                    : checked.error().message}});
         return;
     }
     // A job without stored progress may have been started by a previous leader, unless the job was
@@ -189,7 +207,7 @@
 
 void Controller::Impl::watchJobs()
 {
-    ports_.table->watch(layout::kJobs, jobsVersion_, kWatchTimeout,
+    ports_.table->watch(rows_.jobsTable(), jobsVersion_, kWatchTimeout,
                         [self = shared_from_this()](const base::Result<RowPage> &page) {
                             if (self->isStopped_)
                                 return;
@@ -200,7 +218,7 @@
                             for (const Row &row : page.value().rows)
                                 self->applyJobRow(row);
                             self->jobsVersion_ = std::max(self->jobsVersion_, page.value().version);
-                            self->watchJobs();
+                            self->runAfter(kWatchPause, [self] { self->watchJobs(); });
                         });
 }
 
@@ -228,7 +246,7 @@
                                     return;
                                 }
                                 self->applyWorkers(list.value(), false);
-                                self->watchWorkers();
+                                self->runAfter(kWatchPause, [self] { self->watchWorkers(); });
                             });
 }
 
@@ -237,6 +255,8 @@
     workersVersion_ = std::max(workersVersion_, list.version);
     std::set<std::string> present;
     for (const scheduler::WorkerEntry &entry : list.present) {
+        if (cell_.layout.cellOfWorker(entry) != cell_.number)
+            continue;
         present.insert(entry.id);
         scheduler_.upsertWorker(entry);
     }
@@ -280,7 +300,7 @@
     compactedAt_ = now;
     std::map<std::string, Transaction> byPart;
     for (const std::string &id : journal_->takeEndedJobs()) {
-        const RowKey job = layout::jobRow(id);
+        const RowKey job = rows_.jobRow(id);
         byPart[job.part].writes.push_back({.key = job, .value = kEndedJobValue});
     }
     // A failed write only makes the next load longer.
@@ -294,10 +314,10 @@
         return;
     std::map<std::string, Transaction> byPart;
     for (const std::string &id : scheduler_.takeExpiredJobs()) {
-        const RowKey job = layout::jobRow(id);
+        const RowKey job = rows_.jobRow(id);
         byPart[job.part].removals.push_back(job);
-        byPart[job.part].removals.push_back(layout::cancelRow(id));
-        const RowKey progress = layout::progressRow(id);
+        byPart[job.part].removals.push_back(rows_.cancelRow(id));
+        const RowKey progress = rows_.progressRow(id);
         byPart[progress.part].removals.push_back(progress);
         journal_->forget(id);
         cancelled_.erase(id);
--- a/packages/entry/src/controller_answer.h
+++ b/packages/entry/src/controller_answer.h
@@ -6,12 +6,11 @@
 
 namespace chicorywick::entry {
 
-/// @brief The controller's state of a job or queue, from this process or from the leader.
+/// @brief The state of a job from the controller of its cell, here or on another daemon.
 struct ControllerAnswer
 {
     bool isAnswered = false; ///< false: no loaded controller answered
     std::optional<scheduler::JobState> state;
-    int waiting = 0;
 };
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -10,12 +10,15 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
+
 namespace chicorywick::entry {
 
 class Controller::Impl : public std::enable_shared_from_this<Controller::Impl>
 {
 public:
-    Impl(ControllerPorts ports, ControllerHooks hooks, scheduler::SchedulerSettings settings);
+    Impl(ControllerPorts ports, ControllerHooks hooks, Cell cell,
+         scheduler::SchedulerSettings settings);
 
     void start();
     void stop();
@@ -24,7 +27,7 @@
     void applyStored(const Row &row);
     bool isLoaded() const { return isLoaded_; }
     std::optional<scheduler::JobState> reportedState(const std::string &id) const;
-    int waitingJobs(const std::string &queue) const { return scheduler_.waitingJobs(queue); }
+    std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
 
 private:
     // Loads waves, roster, progress, jobs and workers, in this order (controller_loading.cpp).
@@ -35,6 +38,7 @@
     void loadWorkers();
     void finishLoading();
     void retryAfterPause(std::function<void()> action);
+    void runAfter(std::chrono::milliseconds pause, std::function<void()> action);
 
     void applyJobRow(const Row &row);
     void watchJobs();
@@ -48,6 +52,8 @@
 
     ControllerPorts ports_;
     ControllerHooks hooks_;
+    Cell cell_;
+    CellRows rows_;
     scheduler::Scheduler scheduler_;
     std::shared_ptr<ProgressJournal> journal_;
     std::shared_ptr<RosterJournal> roster_;
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -1,7 +1,6 @@
 #include "controller_impl.h"
 
 #include <chicorywick/base/log_event.h>
-#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
 namespace chicorywick::entry {
@@ -16,7 +15,7 @@
 
 void Controller::Impl::loadWaves()
 {
-    readAll(*ports_.table, {.table = layout::kLeader, .part = layout::kLeader}, kReadTimeout,
+    readAll(*ports_.table, rows_.waveRange(), kReadTimeout,
             [self = shared_from_this()](const base::Result<RowPage> &page) {
                 if (self->isStopped_)
                     return;
@@ -30,7 +29,7 @@
 
 void Controller::Impl::loadRoster()
 {
-    readAll(*ports_.table, {.table = layout::kRoster, .part = layout::kRoster}, kReadTimeout,
+    readAll(*ports_.table, rows_.rosterRange(), kReadTimeout,
             [self = shared_from_this()](const base::Result<RowPage> &page) {
                 if (self->isStopped_)
                     return;
@@ -44,7 +43,7 @@
 
 void Controller::Impl::loadProgress()
 {
-    readAll(*ports_.table, {.table = layout::kProgress, .part = layout::kProgress}, kReadTimeout,
+    readAll(*ports_.table, rows_.progressRange(), kReadTimeout,
             [self = shared_from_this()](const base::Result<RowPage> &page) {
                 if (self->isStopped_)
                     return;
@@ -67,12 +66,12 @@
 
 void Controller::Impl::loadJobs(int part)
 {
-    if (part == layout::kJobParts) {
+    if (part == rows_.jobParts()) {
         if (isLoaded_)
             return watchJobs();
         return loadWorkers();
     }
-    readAll(*ports_.table, {.table = layout::kJobs, .part = layout::jobPart(part)}, kReadTimeout,
+    readAll(*ports_.table, {.table = rows_.jobsTable(), .part = rows_.jobPart(part)}, kReadTimeout,
             [self = shared_from_this(), part](const base::Result<RowPage> &page) {
                 if (self->isStopped_)
                     return;
@@ -109,7 +108,8 @@
     isLoaded_ = true;
     loadedProgress_.clear();
     base::logEvent(base::Event::LeadershipReady,
-                   {{"workers", std::to_string(scheduler_.roster().size())}});
+                   {{"cell", std::to_string(cell_.number)},
+                    {"workers", std::to_string(scheduler_.roster().size())}});
     roster_->update();
     watchJobs();
     watchWorkers();
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -1,7 +1,6 @@
 #include "intake.h"
 
 #include <chicorywick/base/log_event.h>
-#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -101,7 +100,7 @@
 
 void Intake::handle(const http::Request &request, http::Responder respond)
 {
-    if (!isConfigured_)
+    if (!isConfigured_ || !layout_)
         return respond(refusal(kUnavailable, base::Code::ConfigStale));
     const auto route = routes_.match(http::headerOf(request.headers, "host"), request.target);
     if (!route)
@@ -157,7 +156,7 @@
     const scheduler::Millis left = submission->answerBy - clock_().steady;
     ++submission->attempts;
     ++submission->outstanding;
-    const RowKey key = layout::jobRow(submission->spec.id);
+    const RowKey key = rowsOf(submission->spec.id).jobRow(submission->spec.id);
     const Transaction transaction{.conditions = {{.key = key, .version = 0}},
                                   .writes = {{.key = key, .value = submission->value}}};
     table_.transact(
@@ -199,9 +198,10 @@
                         {"took_ms", took},
                         {"repeated", result.value().isCommitted ? "0" : "1"}});
         if (result.value().isCommitted)
-            controller_.announce({.key = layout::jobRow(submission->spec.id),
-                                  .value = submission->value,
-                                  .version = result.value().version});
+            announce(submission->spec.id,
+                     {.key = rowsOf(submission->spec.id).jobRow(submission->spec.id),
+                      .value = submission->value,
+                      .version = result.value().version});
         return submission->respond(http::Response{.status = kOk});
     }
     submission->mayBeStored = submission->mayBeStored || isUnknown(result.error());
@@ -221,6 +221,16 @@
     submission->respond(refusal(kUnavailable, base::Code::JobNotAccepted));
 }
 
+CellRows Intake::rowsOf(const std::string &id) const
+{
+    return {layout_->cellOfJob(id), layout_->count()};
+}
+
+void Intake::announce(const std::string &id, const Row &row)
+{
+    controller_.announce(layout_->cellOfJob(id), row);
+}
+
 http::Response Intake::stateResponse(scheduler::JobState state) const
 {
     return json(kOk, codec_.encodeState(state));
@@ -228,17 +238,18 @@
 
 void Intake::respondState(const std::string &id, const http::Responder &respond)
 {
-    controller_.state(id, [self = shared_from_this(), id, respond](const ControllerAnswer &answer) {
-        if (answer.isAnswered && answer.state)
-            return respond(self->stateResponse(*answer.state));
-        self->readState(id, respond);
-    });
+    controller_.state(layout_->cellOfJob(id), id,
+                      [self = shared_from_this(), id, respond](const ControllerAnswer &answer) {
+                          if (answer.isAnswered && answer.state)
+                              return respond(self->stateResponse(*answer.state));
+                          self->readState(id, respond);
+                      });
 }
 
 // Fallback when no controller answers or the controller has no such job: reads the stored rows.
 void Intake::readState(const std::string &id, const http::Responder &respond)
 {
-    table_.read(rangeOf(layout::progressRow(id)), kStoreTimeout,
+    table_.read(rangeOf(rowsOf(id).progressRow(id)), kStoreTimeout,
                 [self = shared_from_this(), id, respond](const base::Result<RowPage> &page) {
                     if (!page)
                         return respond(refusal(kUnavailable, page.error().code));
@@ -254,7 +265,7 @@
 void Intake::ifJobExists(const std::string &id, const http::Responder &respond,
                          const std::function<void()> &exists)
 {
-    table_.read(rangeOf(layout::jobRow(id)), kStoreTimeout,
+    table_.read(rangeOf(rowsOf(id).jobRow(id)), kStoreTimeout,
                 [respond, exists](const base::Result<RowPage> &page) {
                     if (!page)
                         return respond(refusal(kUnavailable, page.error().code));
@@ -273,15 +284,15 @@
 
 void Intake::storeCancellation(const std::string &id, int attempts, const http::Responder &respond)
 {
-    table_.transact({.writes = {{.key = layout::cancelRow(id), .value = kCancelValue}}},
+    table_.transact({.writes = {{.key = rowsOf(id).cancelRow(id), .value = kCancelValue}}},
                     kStoreTimeout,
                     [self = shared_from_this(), id, attempts,
                      respond](const base::Result<TransactionResult> &result) {
                         if (result) {
                             base::logEvent(base::Event::JobCancelled, {{"job", id}});
-                            self->controller_.announce({.key = layout::cancelRow(id),
-                                                        .value = kCancelValue,
-                                                        .version = result.value().version});
+                            self->announce(id, {.key = self->rowsOf(id).cancelRow(id),
+                                                .value = kCancelValue,
+                                                .version = result.value().version});
                             return respond(http::Response{.status = kOk});
                         }
                         if (attempts < kMaxAttempts)
@@ -293,12 +304,10 @@
 
 void Intake::respondWaiting(const std::string &queue, const http::Responder &respond)
 {
-    controller_.waiting(
-            queue, [self = shared_from_this(), respond](const ControllerAnswer &answer) {
-                if (!answer.isAnswered)
-                    return respond(refusal(kUnavailable, base::Code::PlatformUnavailable));
-                respond(json(kOk, self->codec_.encodeWaiting(answer.waiting)));
-            });
+    const auto waiting = controller_.waiting(queue);
+    if (!waiting)
+        return respond(refusal(kUnavailable, base::Code::PlatformUnavailable));
+    respond(json(kOk, codec_.encodeWaiting(*waiting)));
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -3,6 +3,7 @@
 #include "controller_answer.h"
 
 #include <chicorywick/entry/caller_codec.h>
+#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/route_table.h>
 #include <chicorywick/entry/table.h>
 #include <chicorywick/http/client.h>
@@ -15,13 +16,15 @@
 
 namespace chicorywick::entry {
 
-/// @brief How the intake reaches the controller, here or on the leader.
+/// @brief How the intake reaches the controllers of the cells, here or on their leaders.
 struct ControllerQuery
 {
-    std::function<void(const std::string &id, std::function<void(ControllerAnswer)>)> state;
-    std::function<void(const std::string &queue, std::function<void(ControllerAnswer)>)> waiting;
-    /// Sends a stored row of the jobs table to the controller, which also reads it from the store.
-    std::function<void(const Row &row)> announce;
+    std::function<void(int cell, const std::string &id, std::function<void(ControllerAnswer)>)>
+            state;
+    /// Waiting jobs of a queue in all cells; none if a cell has never reported its number.
+    std::function<std::optional<int>(const std::string &queue)> waiting;
+    /// Sends a stored row of a jobs table to the controller, which also reads it from the store.
+    std::function<void(int cell, const Row &row)> announce;
 };
 
 /// @brief Serves callers: stores submissions and cancellations, returns states.
@@ -32,6 +35,9 @@
            ControllerQuery controller, std::function<scheduler::Now()> clock);
 
     void configure(const Configuration &configuration);
+
+    /// @brief Sets the cells. Until then no job is accepted, because its owner is not known.
+    void setLayout(const CellLayout &layout) { layout_ = layout; }
     void handle(const http::Request &request, http::Responder respond);
 
 private:
@@ -50,6 +56,8 @@
                      const std::function<void()> &exists);
     void respondWaiting(const std::string &queue, const http::Responder &respond);
     http::Response stateResponse(scheduler::JobState state) const;
+    CellRows rowsOf(const std::string &id) const;
+    void announce(const std::string &id, const Row &row);
 
     boost::asio::io_context &loop_;
     Table &table_;
@@ -57,6 +65,7 @@
     ControllerQuery controller_;
     std::function<scheduler::Now()> clock_;
     RouteTable routes_;
+    std::optional<CellLayout> layout_;
     bool isConfigured_ = false;
 };
 
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -12,6 +12,9 @@
 
 using namespace std::chrono_literals;
 
+// The fixture has one cell.
+const CellRows kRows(0, 1);
+
 class FakeCodec : public CallerCodec
 {
 public:
@@ -42,20 +45,17 @@
     FakeTable table;
     FakeCodec codec;
     ControllerAnswer controller;
+    std::optional<int> waiting;
     std::vector<Row> announced;
     std::shared_ptr<Intake> intake = std::make_shared<Intake>(
             loop, table, codec,
             ControllerQuery{.state =
-                                    [this](const std::string &,
-                                           const std::function<void(ControllerAnswer)> &done) {
-                                        done(controller);
-                                    },
-                            .waiting =
-                                    [this](const std::string &,
+                                    [this](int, const std::string &,
                                            const std::function<void(ControllerAnswer)> &done) {
                                         done(controller);
                                     },
-                            .announce = [this](const Row &row) { announced.push_back(row); }},
+                            .waiting = [this](const std::string &) { return waiting; },
+                            .announce = [this](int, const Row &row) { announced.push_back(row); }},
             [] { return scheduler::Now{.steady = 1'000, .wall = 1'000}; });
 
     Fixture()
@@ -64,6 +64,7 @@
                            .routes = {{.host = "h",
                                        .pathPrefix = "/q/",
                                        .policy = {.name = "r", .service = "s"}}}});
+        intake->setLayout(CellLayout());
     }
 
     http::Response call(const std::string &method, const std::string &target,
@@ -124,7 +125,7 @@
     const auto refused = fixture.call("POST", "/q/a3");
     CHECK(refused.status == 503);
     CHECK(refused.headers.contains("Retry-After"));
-    CHECK(!fixture.table.rows.contains(layout::jobRow("a3")));
+    CHECK(!fixture.table.rows.contains(kRows.jobRow("a3")));
 }
 
 // Guards against jobs that wait until a stalled watch is detected, and against announcements of
@@ -134,8 +135,8 @@
     Fixture fixture;
     fixture.call("POST", "/q/a1");
     REQUIRE(fixture.announced.size() == 1);
-    CHECK(fixture.announced[0].value == fixture.table.rows[layout::jobRow("a1")].value);
-    CHECK(fixture.announced[0].version == fixture.table.rows[layout::jobRow("a1")].version);
+    CHECK(fixture.announced[0].value == fixture.table.rows[kRows.jobRow("a1")].value);
+    CHECK(fixture.announced[0].version == fixture.table.rows[kRows.jobRow("a1")].version);
     fixture.call("POST", "/q/a1");
     CHECK(fixture.announced.size() == 1);
     fixture.table.failures = {{base::Code::PlatformUnavailable, false},
@@ -145,7 +146,7 @@
     CHECK(fixture.announced.size() == 1);
     fixture.call("DELETE", "/q/a1");
     REQUIRE(fixture.announced.size() == 2);
-    CHECK(fixture.announced[1].key == layout::cancelRow("a1"));
+    CHECK(fixture.announced[1].key == kRows.cancelRow("a1"));
 }
 
 // Guards against missing states while no leader answers, and against stale ones while it does: the
@@ -156,12 +157,14 @@
     CHECK(fixture.call("GET", "/q/a1").status == 410);
     fixture.call("POST", "/q/a1");
     CHECK(fixture.call("GET", "/q/a1").body == "pending");
-    fixture.table.rows[layout::progressRow("a1")] = {
-            .key = layout::progressRow("a1"),
+    fixture.table.rows[kRows.progressRow("a1")] = {
+            .key = kRows.progressRow("a1"),
             .value = encode(scheduler::JobProgress{.state = scheduler::JobState::Completed})};
     CHECK(fixture.call("GET", "/q/a1").body == "completed");
-    fixture.controller = {.isAnswered = true, .state = scheduler::JobState::Running, .waiting = 3};
+    fixture.controller = {.isAnswered = true, .state = scheduler::JobState::Running};
     CHECK(fixture.call("GET", "/q/a1").body == "running");
+    CHECK(fixture.call("GET", "/q/").status == 503);
+    fixture.waiting = 3;
     CHECK(fixture.call("GET", "/q/").body == "3");
 }
 
@@ -172,8 +175,8 @@
     CHECK(fixture.call("DELETE", "/q/a1").status == 410);
     fixture.call("POST", "/q/a1");
     CHECK(fixture.call("DELETE", "/q/a1").status == 200);
-    CHECK(fixture.table.rows.contains(layout::cancelRow("a1")));
-    CHECK(layout::cancelledJob(layout::cancelRow("a1").key) == "a1");
+    CHECK(fixture.table.rows.contains(kRows.cancelRow("a1")));
+    CHECK(layout::cancelledJob(kRows.cancelRow("a1").key) == "a1");
     CHECK(layout::cancelledJob("a1").empty());
 }
 
@@ -194,7 +197,9 @@
                               .peerAddress = "a:1",
                               .term = 3,
                               .heartbeat = 4,
-                              .workerLeaseMs = 4'000};
+                              .workerLeaseMs = 4'000,
+                              .heldCells = 2,
+                              .waitingJobs = {{"q", 7}}};
     CHECK(decodeLeader(encode(leader)).value() == leader);
     scheduler::JobSpec spec{.id = "a",
                             .queue = "q",
@@ -208,12 +213,16 @@
     scheduler::JobProgress progress{.state = scheduler::JobState::Running, .begunOccurrences = 1};
     progress.open.push_back({.number = 0, .doneTasks = {{1, 2}}, .failedRuns = {{{0, 3}, {1}}}});
     CHECK(decodeProgress(encode(progress)).value() == progress);
-    CHECK(decodeStartedMachines(encodeStartedMachines({"m"})).value()
-          == std::set<std::string>{"m"});
+    const WaveProgress wave{.startedMachines = {"m"}, .isDone = true};
+    CHECK(decodeWaveProgress(encode(wave)).value() == wave);
+    const CellLayout cells(2, {{"r1", 1}});
+    CHECK(decodeCellLayout(encode(cells)).value() == cells);
     for (const char *bad : {"", "{", "[]", "{}", "7"}) {
         CHECK(!decodeLeader(bad));
         CHECK(!decodeJob(bad));
         CHECK(!decodeProgress(bad));
+        CHECK(!decodeWaveProgress(bad));
+        CHECK(!decodeCellLayout(bad));
     }
     CHECK(!decodeRoster("[7]"));
 }
--- a/packages/entry/src/layout.cpp
+++ b/packages/entry/src/layout.cpp
@@ -3,68 +3,126 @@
 
 #include <charconv>
 
-namespace chicorywick::entry::layout {
+namespace chicorywick::entry {
 
 namespace {
 
 constexpr const char *kCancelSuffix = ".cancel";
 const std::string kWavePrefix = "wave-";
+const std::string kCellPrefix = "cell-";
+
+template <typename Number>
+std::optional<Number> numberAfter(const std::string &prefix, const std::string &key)
+{
+    if (!key.starts_with(prefix))
+        return std::nullopt;
+    Number number = 0;
+    const char *last = key.data() + key.size();
+    const auto [end, error] = std::from_chars(key.data() + prefix.size(), last, number);
+    return error == std::errc() && end == last ? std::optional(number) : std::nullopt;
+}
 
 } // namespace
 
-std::string jobPart(int number)
+namespace layout {
+
+std::string leaderPart(int number)
 {
-    return "jobs-" + std::to_string(number);
+    return "leader-" + std::to_string(number);
 }
 
-RowKey jobRow(const std::string &id)
+RowKey cellLayoutRow()
 {
-    const auto number = static_cast<int>(base::hash64(id) % kJobParts);
-    return {.table = kJobs, .part = jobPart(number), .key = id};
+    return {.table = kLeader, .part = leaderPart(0), .key = "layout"};
 }
 
-RowKey cancelRow(const std::string &id)
+RowKey leaderRow(int cell)
+{
+    return {.table = kLeader,
+            .part = leaderPart(cell % kLeaderParts),
+            .key = kCellPrefix + std::to_string(cell)};
+}
+
+std::optional<int> cellOfLeaderRow(const std::string &key)
+{
+    return numberAfter<int>(kCellPrefix, key);
+}
+
+std::optional<std::int64_t> waveNumberOf(const std::string &key)
+{
+    return numberAfter<std::int64_t>(kWavePrefix, key);
+}
+
+std::string cancelledJob(const std::string &key)
+{
+    const std::string suffix = kCancelSuffix;
+    return key.ends_with(suffix) ? key.substr(0, key.size() - suffix.size()) : std::string();
+}
+
+} // namespace layout
+
+CellRows::CellRows(int cell, int cellCount)
+    : cell_(cell)
+    , jobParts_((layout::kJobParts + cellCount - 1) / cellCount)
+    , jobsTable_("jobs-" + std::to_string(cell))
+    , part_(kCellPrefix + std::to_string(cell))
+{}
+
+std::string CellRows::jobPart(int number) const
+{
+    return jobsTable_ + "-" + std::to_string(number);
+}
+
+RowKey CellRows::jobRow(const std::string &id) const
+{
+    // Another seed than that of the choice of the cell, which would use few of the parts.
+    constexpr std::uint64_t kPartSeed = 1;
+    const auto number =
+            static_cast<int>(base::hash64(id, kPartSeed) % static_cast<std::uint64_t>(jobParts_));
+    return {.table = jobsTable_, .part = jobPart(number), .key = id};
+}
+
+RowKey CellRows::cancelRow(const std::string &id) const
 {
     RowKey row = jobRow(id);
     row.key += kCancelSuffix;
     return row;
 }
 
-RowKey progressRow(const std::string &id)
+RowKey CellRows::progressRow(const std::string &id) const
 {
-    return {.table = kProgress, .part = kProgress, .key = id};
+    return {.table = layout::kProgress, .part = part_, .key = id};
 }
 
-RowKey leaderRow()
+RowKey CellRows::rosterRow(const std::string &worker) const
 {
-    return {.table = kLeader, .part = kLeader, .key = "leader"};
+    const auto number = static_cast<int>(base::hash64(worker) % layout::kRosterRows);
+    return rosterRowNamed("workers-" + std::to_string(number));
 }
 
-RowKey rosterRow(const std::string &worker)
+RowKey CellRows::rosterRowNamed(const std::string &key) const
 {
-    const auto number = static_cast<int>(base::hash64(worker) % kRosterRows);
-    return {.table = kRoster, .part = kRoster, .key = "workers-" + std::to_string(number)};
+    return {.table = layout::kRoster, .part = part_, .key = key};
 }
 
-RowKey waveRow(std::int64_t number)
+RowKey CellRows::waveRow(std::int64_t number) const
 {
-    return {.table = kLeader, .part = kLeader, .key = kWavePrefix + std::to_string(number)};
+    return {.table = layout::kWaves, .part = part_, .key = kWavePrefix + std::to_string(number)};
 }
 
-std::optional<std::int64_t> waveNumberOf(const std::string &key)
+RowRange CellRows::progressRange() const
 {
-    if (!key.starts_with(kWavePrefix))
-        return std::nullopt;
-    std::int64_t number = 0;
-    const char *last = key.data() + key.size();
-    const auto [end, error] = std::from_chars(key.data() + kWavePrefix.size(), last, number);
-    return error == std::errc() && end == last ? std::optional(number) : std::nullopt;
+    return {.table = layout::kProgress, .part = part_};
 }
 
-std::string cancelledJob(const std::string &key)
+RowRange CellRows::rosterRange() const
 {
-    const std::string suffix = kCancelSuffix;
-    return key.ends_with(suffix) ? key.substr(0, key.size() - suffix.size()) : std::string();
+    return {.table = layout::kRoster, .part = part_};
+}
+
+RowRange CellRows::waveRange() const
+{
+    return {.table = layout::kWaves, .part = part_};
 }
 
-} // namespace chicorywick::entry::layout
+} // namespace chicorywick::entry
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -17,9 +17,9 @@
 // Bounds of the factor by which a machine's memory scales firstClaimDelayMs.
 constexpr double kMinDelayFactor = 0.25;
 constexpr double kMaxDelayFactor = 4;
-// A machine with at least this fraction of another's memory counts as equal: a change of leaders
-// costs more than such a difference gains.
-constexpr double kEqualMemoryRatio = 0.75;
+// Machines whose memory, or whose cells per memory, differ by less than this ratio count as equal:
+// a change of leaders costs more than such a difference gains.
+constexpr double kEqualityRatio = 0.75;
 // A new holder is not asked to yield for this time: two changes in a row double the time without a
 // leader.
 constexpr scheduler::Millis kMinHolderTenureMs = 2'000;
@@ -80,7 +80,9 @@
                         .heartbeat = heartbeat_ + 1,
                         .workerLeaseMs = settings_.workerLeaseMs,
                         .memoryMib = settings_.memoryMib,
-                        .maxMemoryMib = std::max(record_.maxMemoryMib, settings_.memoryMib)};
+                        .maxMemoryMib = std::max(record_.maxMemoryMib, settings_.memoryMib),
+                        .heldCells = holdsRow_ ? heldCells_ : heldCells_ + 1,
+                        .waitingJobs = record_.waitingJobs};
     if (holdsRow_) {
         const bool isLeaving = isReleasing_ || isYielding_;
         if (!isLeaving && now - leaseStart_ < settings_.renewEveryMs)
@@ -92,7 +94,8 @@
         const bool isFree = version_ == 0 || record_.holder.empty();
         // A node runs one process, so its previous incarnation has ended.
         const bool isPreviousIncarnation = nodeOf(record_.holder) == nodeOf(holder_);
-        scheduler::Millis claimDelay = claimJitterMs_ + memoryDelay();
+        scheduler::Millis claimDelay =
+                claimJitterMs_ + memoryDelay() + heldCells_ * settings_.heldCellDelayMs;
         if (!isFree)
             claimDelay += settings_.leaseMs + settings_.takeoverDelayMs;
         if (isPreviousIncarnation)
@@ -171,23 +174,28 @@
                                               * factor);
     }
     const double memoryRatio = ownMemory / static_cast<double>(record_.maxMemoryMib);
-    if (memoryRatio >= kEqualMemoryRatio)
+    if (memoryRatio >= kEqualityRatio)
         return 0;
     return static_cast<scheduler::Millis>(static_cast<double>(settings_.smallMachineDelayMs)
                                           * (1 - memoryRatio));
 }
 
-bool LeaderElection::isHolderSmallerThan(std::int64_t memoryMib) const
+bool LeaderElection::isHolderBusierThan(std::int64_t memoryMib, int heldCells) const
 {
-    return record_.memoryMib != 0
-           && static_cast<double>(record_.memoryMib)
-                      < kEqualMemoryRatio * static_cast<double>(memoryMib);
+    if (record_.memoryMib == 0 || memoryMib == 0)
+        return false;
+    const int holderCells = std::max(holdsRow_ ? heldCells_ : record_.heldCells, 1);
+    const double holderLoad =
+            static_cast<double>(holderCells) / static_cast<double>(record_.memoryMib);
+    const double ownLoad = static_cast<double>(heldCells + 1) / static_cast<double>(memoryMib);
+    return ownLoad < kEqualityRatio * holderLoad;
 }
 
 bool LeaderElection::shouldRequestYield(scheduler::Millis now) const
 {
     return !holdsRow_ && !isReleasing_ && !record_.holder.empty()
-           && isHolderSmallerThan(settings_.memoryMib) && now - holderSince_ >= kMinHolderTenureMs;
+           && isHolderBusierThan(settings_.memoryMib, heldCells_)
+           && now - holderSince_ >= kMinHolderTenureMs;
 }
 
 bool LeaderElection::isLeading(scheduler::Millis now) const
--- a/packages/entry/src/leader_election_test.cpp
+++ b/packages/entry/src/leader_election_test.cpp
@@ -194,8 +194,8 @@
     large.observe(row.version, row.record, 700);
     CHECK(!large.shouldRequestYield(1'000));
     CHECK(large.shouldRequestYield(3'000));
-    CHECK(!small.isHolderSmallerThan(180));
-    CHECK(small.isHolderSmallerThan(512));
+    CHECK(!small.isHolderBusierThan(180, 0));
+    CHECK(small.isHolderBusierThan(512, 0));
     write(row, small, 3'000);
     small.yield();
     CHECK(!small.isLeading(3'000));
@@ -209,6 +209,34 @@
     CHECK(!large.shouldRequestYield(9'000));
 }
 
+// Guards against a daemon that gathers the cells of all others: one daemon then carries the whole
+// fleet again, and its end stops everything.
+TEST_CASE("a daemon that leads cells claims further ones later and hands some over")
+{
+    const SharedRow free{.version = 3, .record = {.maxMemoryMib = 512}};
+    LeaderElection busy("a#1", "a:1", 0, {.memoryMib = 512});
+    LeaderElection idle("b#1", "b:1", 0, {.memoryMib = 512});
+    busy.observe(free.version, free.record, 0);
+    idle.observe(free.version, free.record, 0);
+    busy.setHeldCells(2);
+    const ElectionSettings settings;
+    CHECK(idle.nextWrite(0));
+    CHECK(!busy.nextWrite(0));
+    CHECK(busy.nextWrite(2 * settings.heldCellDelayMs));
+
+    SharedRow row = free;
+    LeaderElection holder("c#1", "c:1", 0, {.memoryMib = 512});
+    holder.observe(row.version, row.record, 0);
+    holder.setHeldCells(1);
+    write(row, holder, 1'000);
+    CHECK(row.record.heldCells == 2);
+    idle.observe(row.version, row.record, 1'000);
+    CHECK(idle.isHolderBusierThan(512, 0));
+    CHECK(!idle.isHolderBusierThan(512, 1));
+    CHECK(!idle.isHolderBusierThan(160, 0));
+    CHECK(idle.shouldRequestYield(3'000));
+}
+
 // Guards against a daemon that never claims the row again after it has yielded once.
 TEST_CASE("a daemon that yielded claims the row again if no larger one does")
 {
--- a/packages/entry/src/machine_inventory.cpp
+++ b/packages/entry/src/machine_inventory.cpp
@@ -2,21 +2,36 @@
 
 #include <chicorywick/base/log_event.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace chicorywick::entry {
 
-MachineInventory::MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock)
+namespace {
+
+// The platform lists all machines to every caller and limits the calls of all daemons together, so
+// with more cells than this each one lists less often.
+constexpr int kCellsAtFullRate = 8;
+
+} // namespace
+
+MachineInventory::MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock,
+                                   Cell cell)
     : port_(port)
     , clock_(std::move(clock))
+    , cell_(std::move(cell))
 {}
 
 void MachineInventory::refresh(scheduler::Millis period)
 {
     const scheduler::Millis now = clock_().steady;
+    period = period * std::max(cell_.layout.count(), kCellsAtFullRate) / kCellsAtFullRate;
     if (state_->isListing || (state_->requestedAt != 0 && now - state_->requestedAt < period))
         return;
     state_->isListing = true;
     state_->requestedAt = now;
-    port_.list([state = state_, now](const base::Result<std::vector<Machine>> &machines) {
+    port_.list([state = state_, cell = cell_,
+                now](const base::Result<std::vector<Machine>> &machines) {
         state->isListing = false;
         if (!machines) {
             base::logEvent(base::Event::PlatformUnreachable,
@@ -25,7 +40,8 @@
         }
         state->machines.clear();
         for (const Machine &machine : machines.value())
-            state->machines.emplace(machine.name, machine);
+            if (cell.layout.cellOfRack(machine.rack) == cell.number)
+                state->machines.emplace(machine.name, machine);
         state->snapshotTime = now;
     });
 }
--- a/packages/entry/src/machine_inventory.h
+++ b/packages/entry/src/machine_inventory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chicorywick/entry/controller.h>
+#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/ports.h>
 
 #include <map>
@@ -9,11 +10,11 @@
 
 namespace chicorywick::entry {
 
-/// @brief A cached list of the platform's machines, shared by all components that send orders.
+/// @brief A cached list of the machines of a cell, shared by all components that send orders.
 class MachineInventory
 {
 public:
-    MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock);
+    MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock, Cell cell);
 
     /// @brief Requests a new list if the last request is older than the period.
     void refresh(scheduler::Millis period);
@@ -36,6 +37,7 @@
 
     MachinePort &port_;
     std::function<scheduler::Now()> clock_;
+    Cell cell_;
     std::shared_ptr<State> state_ = std::make_shared<State>();
 };
 
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -1,15 +1,12 @@
+#include "cell_drivers.h"
 #include "intake.h"
 #include "peer_client.h"
 #include "relayed_table.h"
 
 #include <chicorywick/base/log_event.h>
-#include <chicorywick/base/rng.h>
 #include <chicorywick/base/unique_id.h>
-#include <chicorywick/entry/layout.h>
-#include <chicorywick/entry/leader_election.h>
 #include <chicorywick/entry/node.h>
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <ctime>
@@ -23,22 +20,15 @@
 // A configuration must be in effect two seconds after it was stored. A stalled connection is
 // detected within this time plus the slack of the watch.
 constexpr auto kOperatorWatchTimeout = 1000ms;
-constexpr auto kLeaderWatchTimeout = 1000ms;
 constexpr auto kRetryPause = 150ms;
-constexpr auto kElectionPeriod = 100ms;
-constexpr auto kElectionTimeout = 1200ms;
 // Without an answer from the store for this time, this instance is not ready: it cannot store jobs.
 constexpr scheduler::Millis kStoreUnreachableMs = 2'500;
-// Upper bound of the random delay that spreads the claims of daemons.
-constexpr std::uint64_t kMaxClaimJitterMs = 150;
 // The load balancer removes a daemon after two failed probes, one second apart. Requests arrive
 // until then, and on open connections even later.
 constexpr scheduler::Millis kReadinessDrainMs = 2'600;
 constexpr scheduler::Millis kStopMarginMs = 1'500;
 constexpr auto kStopPollInterval = 50ms;
 constexpr std::size_t kIncarnationLength = 8;
-// Interval of yield requests to a leader on a smaller machine.
-constexpr scheduler::Millis kYieldPeriodMs = 1'000;
 
 scheduler::Millis millisOf(clockid_t clock)
 {
@@ -64,16 +54,11 @@
         , ports_(ports)
         , loop_(*ports.loop)
         , incarnation_(base::uniqueId().substr(0, kIncarnationLength))
-        , rng_(std::hash<std::string>()(settings_.name + incarnation_))
-        , election_(settings_.name + "#" + incarnation_,
-                    settings_.peers.host + ":" + std::to_string(settings_.peers.port),
-                    static_cast<scheduler::Millis>(rng_.below(kMaxClaimJitterMs)),
-                    ElectionSettings{.workerLeaseMs = scheduler::SchedulerSettings().leaseMs,
-                                     .memoryMib = settings_.memoryMib})
-        , peers_(std::make_shared<PeerClient>(loop_))
+        , peers_(std::make_shared<PeerClient>(
+                  loop_, settings_.peers.host + ":" + std::to_string(settings_.peers.port)))
+        , cells_(std::make_shared<CellDrivers>(settings_, ports_, peers_, incarnation_))
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, controllerQuery(), systemNow))
-        , electionTimer_(loop_)
         , metrics_(metrics)
     {}
 
@@ -94,17 +79,19 @@
         peerServer_ = std::make_unique<http::Server>(
                 loop_, [self = shared_from_this()](const http::Request &request,
                                                    const http::Responder &respond) {
-                    if (const auto larger = parseYieldRequest(request)) {
-                        self->handleYieldRequest(*larger);
+                    if (const auto yieldRequest = parseYieldRequest(request)) {
+                        self->cells_->handleYieldRequest(*yieldRequest);
                         return respond({});
                     }
-                    if (const auto row = parseAnnouncedRow(request)) {
-                        if (self->controller_ && !row->key.key.empty())
-                            self->controller_->applyStored(*row);
+                    if (const auto announced = parseAnnouncedRow(request)) {
+                        if (Controller *const leader = self->cells_->controllerOf(announced->cell))
+                            leader->applyStored(announced->row);
                         return respond({});
                     }
                     if (!relayTransaction(request, *self->ports_.table, respond))
-                        respond(handlePeerQuery(request, self->controller_.get()));
+                        respond(handlePeerQuery(request, [&](int cell) {
+                            return self->cells_->controllerOf(cell);
+                        }));
                 });
         metricsServer_ = std::make_unique<http::Server>(
                 loop_,
@@ -121,8 +108,9 @@
                 return bound;
         }
         loadOperatorState();
-        loadLeader();
-        runElection();
+        cells_->start([self = shared_from_this()](const CellLayout &layout) {
+            self->intake_->setLayout(layout);
+        });
         base::logEvent(base::Event::DaemonStarted,
                        {{"node", settings_.name}, {"incarnation", incarnation_}});
         return base::ok();
@@ -132,8 +120,7 @@
     {
         base::logEvent(base::Event::DaemonDraining, {{"node", settings_.name}});
         isStopping_ = true;
-        election_.release();
-        stopController("stop");
+        cells_->release();
         callers_->drain();
         stopRequestedAt_ = systemNow().steady;
         pollStop(stopped);
@@ -142,30 +129,25 @@
 private:
     bool isReady() const
     {
-        return !isStopping_ && configuration_.has_value()
+        return !isStopping_ && configuration_.has_value() && cells_->hasLayout()
                && systemNow().steady - storeAnsweredAt_ < kStoreUnreachableMs;
     }
 
     ControllerQuery controllerQuery()
     {
         return {.state =
-                        [this](const std::string &id, std::function<void(ControllerAnswer)> done) {
-                            if (controller_)
-                                return done(answerState(*controller_, id));
-                            peers_->queryState(id, std::move(done));
-                        },
-                .waiting =
-                        [this](const std::string &queue,
+                        [this](int cell, const std::string &id,
                                std::function<void(ControllerAnswer)> done) {
-                            if (controller_)
-                                return done(answerWaiting(*controller_, queue));
-                            peers_->queryWaiting(queue, std::move(done));
+                            if (const Controller *const leader = cells_->controllerOf(cell))
+                                return done(answerState(*leader, id));
+                            peers_->queryState(cell, id, std::move(done));
                         },
+                .waiting = [this](const std::string &queue) { return cells_->waitingJobs(queue); },
                 .announce =
-                        [this](const Row &row) {
-                            if (controller_)
-                                return controller_->applyStored(row);
-                            peers_->announce(row);
+                        [this](int cell, const Row &row) {
+                            if (Controller *const leader = cells_->controllerOf(cell))
+                                return leader->applyStored(row);
+                            peers_->announce(cell, row);
                         }};
     }
 
@@ -187,6 +169,7 @@
                            {{"silent_ms", std::to_string(now - storeAnsweredAt_)}});
         isStoreUnreachable_ = false;
         storeAnsweredAt_ = now;
+        cells_->setReady(!isStopping_);
     }
 
     void recordStoreFailure(const char *call, const base::Error &error)
@@ -195,6 +178,7 @@
             base::logEvent(base::Event::PlatformUnreachable,
                            {{"call", call}, {"reason", error.message}});
         isStoreUnreachable_ = true;
+        cells_->setReady(false);
     }
 
     void loadOperatorState()
@@ -238,15 +222,14 @@
         operatorVersion_ = std::max(operatorVersion_, state.version);
         for (const WaveRequest &wave : state.waves)
             waves_[wave.number] = wave;
-        if (controller_ && !state.waves.empty())
-            controller_->setWaves(waveList());
+        if (!state.waves.empty())
+            cells_->setWaves(waveList());
         const auto &next = state.configuration;
         if (!next || (configuration_ && next->version <= configuration_->version))
             return;
         configuration_ = next;
         intake_->configure(*next);
-        if (controller_)
-            controller_->configure(*next);
+        cells_->configure(*next);
         base::logEvent(base::Event::ConfigApplied,
                        {{"version", std::to_string(next->version)},
                         {"routes", std::to_string(next->routes.size())}});
@@ -260,161 +243,6 @@
         return waves;
     }
 
-    void observeRows(const std::vector<Row> &rows)
-    {
-        for (const Row &row : rows) {
-            if (row.key.key != layout::leaderRow().key || row.isRemoved)
-                continue; // wave rows share the table
-            const auto record = decodeLeader(row.value);
-            if (!record) {
-                base::logEvent(base::Event::PlatformUnreachable,
-                               {{"call", "read-leader"}, {"reason", record.error().message}});
-                continue;
-            }
-            election_.observe(row.version, record.value(), systemNow().steady);
-        }
-        peers_->setLeader(election_.record().peerAddress);
-        applyElection();
-    }
-
-    void loadLeader()
-    {
-        const RowKey key = layout::leaderRow();
-        ports_.table->read({.table = key.table, .part = key.part}, kElectionTimeout,
-                           [self = shared_from_this()](const base::Result<RowPage> &page) {
-                               if (!page)
-                                   return self->retryAfterPause([self] { self->loadLeader(); });
-                               const bool isAbsent = page.value().rows.empty();
-                               if (isAbsent)
-                                   self->election_.observe(0, {}, systemNow().steady);
-                               self->observeRows(page.value().rows);
-                               self->leaderVersion_ = page.value().version;
-                               self->watchLeader();
-                           });
-    }
-
-    void watchLeader()
-    {
-        ports_.table->watch(
-                layout::kLeader, leaderVersion_, kLeaderWatchTimeout,
-                [self = shared_from_this()](const base::Result<RowPage> &page) {
-                    if (!page && page.error().code == base::Code::HistoryUnavailable)
-                        return self->loadLeader();
-                    self->election_.setWatchHealthy(page.has_value(), systemNow().steady);
-                    if (!page)
-                        return self->retryAfterPause([self] { self->watchLeader(); });
-                    self->leaderVersion_ = std::max(self->leaderVersion_, page.value().version);
-                    self->observeRows(page.value().rows);
-                    self->watchLeader();
-                });
-    }
-
-    void runElection()
-    {
-        applyElection();
-        if (const auto write = election_.nextWrite(systemNow().steady))
-            writeLeader(*write);
-        requestYield();
-        electionTimer_.expires_after(kElectionPeriod);
-        electionTimer_.async_wait(
-                [self = shared_from_this()](const boost::system::error_code &error) {
-                    if (!error)
-                        self->runElection();
-                });
-    }
-
-    // Asks a leader on a much smaller machine to hand over.
-    void requestYield()
-    {
-        const scheduler::Millis now = systemNow().steady;
-        const bool isDue = now - yieldRequestedAt_ >= kYieldPeriodMs;
-        if (!isDue || isStopping_ || !isReady() || !election_.shouldRequestYield(now))
-            return;
-        yieldRequestedAt_ = now;
-        peers_->requestYield(settings_.memoryMib);
-    }
-
-    void handleYieldRequest(std::int64_t memoryMib)
-    {
-        if (!controller_ || !controller_->isLoaded() || !election_.isLeading(systemNow().steady)
-            || !election_.isHolderSmallerThan(memoryMib))
-            return;
-        stopController("larger-machine");
-        election_.yield();
-    }
-
-    void writeLeader(const LeaderWrite &write)
-    {
-        const RowKey key = layout::leaderRow();
-        ports_.table->transact(
-                {.conditions = {{.key = key, .version = write.expected}},
-                 .writes = {{.key = key, .value = encode(write.record)}}},
-                kElectionTimeout,
-                [self = shared_from_this(), write](const base::Result<TransactionResult> &result) {
-                    const scheduler::Millis now = systemNow().steady;
-                    if (result && result.value().isCommitted) {
-                        self->election_.committed(write, result.value().version, now);
-                        self->applyElection();
-                        return;
-                    }
-                    self->election_.writeFailed(write, now);
-                    if (result)
-                        self->observeRows(result.value().current);
-                });
-    }
-
-    // Starts and stops the controller according to the election. While the lease is uncertain, the
-    // controller keeps running but sends no orders; it stops when another daemon holds the row.
-    void applyElection()
-    {
-        if (controller_ && (!election_.holdsRow() || election_.term() != controllerTerm_))
-            stopController("superseded");
-        const bool isLeader = election_.isLeading(systemNow().steady);
-        if (controller_ || !isLeader || !configuration_ || isStopping_)
-            return;
-        controllerTerm_ = election_.term();
-        base::logEvent(base::Event::OwnershipTaken, {{"term", std::to_string(controllerTerm_)}});
-        scheduler::SchedulerSettings scheduling;
-        scheduling.fence = controllerTerm_;
-        scheduling.maxLeaseMs = settings_.maxLeaseMs;
-        scheduling.leaseMs = std::min(scheduling.leaseMs, settings_.maxLeaseMs);
-        const scheduler::Millis previousLease = election_.previousWorkerLease();
-        scheduling.previousLeaseMs = previousLease != 0 ? previousLease : settings_.maxLeaseMs;
-        scheduling.retentionMs = settings_.statusRetentionMs;
-        controller_ = std::make_unique<Controller>(
-                ports_,
-                ControllerHooks{.clock = systemNow,
-                                .maySendOrders =
-                                        [self = shared_from_this()] {
-                                            return self->election_.isLeading(systemNow().steady);
-                                        },
-                                .maySendMachineOrders =
-                                        [self = shared_from_this()] {
-                                            return self->election_.maySendMachineOrders(
-                                                    systemNow().steady);
-                                        },
-                                .onFenced = [self = shared_from_this()] { self->onFenced(); }},
-                scheduling);
-        controller_->configure(*configuration_);
-        controller_->setWaves(waveList());
-        controller_->start();
-    }
-
-    // A worker has seen a newer term. The watch of the row reports it soon; until then, workers
-    // that have seen it reject every order.
-    void onFenced() { base::logEvent(base::Event::LeadershipLost, {{"reason", "fenced"}}); }
-
-    void stopController(const char *reason)
-    {
-        if (!controller_)
-            return;
-        base::logEvent(base::Event::LeadershipLost,
-                       {{"reason", reason}, {"term", std::to_string(controllerTerm_)}});
-        // The controller may be on the call stack, so it is destroyed in a later loop iteration.
-        boost::asio::post(loop_,
-                          [controller = std::shared_ptr<Controller>(std::move(controller_))] {});
-    }
-
     void pollStop(const std::function<void()> &stopped)
     {
         const scheduler::Millis waited = systemNow().steady - stopRequestedAt_;
@@ -433,27 +261,21 @@
     ControllerPorts ports_;
     boost::asio::io_context &loop_;
     std::string incarnation_;
-    base::Rng rng_;
-    LeaderElection election_;
     std::shared_ptr<PeerClient> peers_;
+    std::shared_ptr<CellDrivers> cells_;
     RelayedTable relayed_;
     std::shared_ptr<Intake> intake_;
-    boost::asio::steady_timer electionTimer_;
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> readiness_;
     std::unique_ptr<http::Server> peerServer_;
     std::unique_ptr<http::Server> metricsServer_;
     const Metrics &metrics_;
-    std::unique_ptr<Controller> controller_;
-    Version controllerTerm_ = 0;
     std::optional<Configuration> configuration_;
     std::map<std::int64_t, WaveRequest> waves_;
     Version operatorVersion_ = 0;
-    Version leaderVersion_ = 0;
     scheduler::Millis storeAnsweredAt_ = 0;
     bool isStoreUnreachable_ = false;
     bool isStopping_ = false;
-    scheduler::Millis yieldRequestedAt_ = 0;
     scheduler::Millis stopRequestedAt_ = 0;
 };
 
--- a/packages/entry/src/peer_client.cpp
+++ b/packages/entry/src/peer_client.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace chicorywick::entry {
@@ -13,11 +14,13 @@
 
 using namespace std::chrono_literals;
 
-constexpr const char *kStatePath = "/jobs/";
-constexpr const char *kWaitingPath = "/queues/";
+// Paths below /cells/N, but for kTransactPath, which concerns no cell.
+const std::string kCellsPath = "/cells/";
+const std::string kStatePath = "/jobs/";
+const std::string kRowsPath = "/rows";
+const std::string kYieldPath = "/yield";
 constexpr const char *kTransactPath = "/transactions";
-constexpr const char *kRowsPath = "/rows";
-const std::string kYieldPath = "/yield/";
+constexpr int kNoCell = -1;
 // Well above a round trip. If the leader does not answer in time, states are read from the store.
 constexpr auto kTimeout = 300ms;
 constexpr int kOk = 200;
@@ -29,27 +32,49 @@
 constexpr auto kRelayTimeout = 2500ms;
 constexpr std::size_t kConnections = 4;
 
-// Wire format: the number of the job state (-1: unknown) and the number of waiting jobs.
+// Wire format: the number of the job state (-1: unknown).
 std::string encode(const ControllerAnswer &answer)
 {
-    const int state = answer.state ? static_cast<int>(*answer.state) : -1;
-    return nlohmann::json{state, answer.waiting}.dump();
+    return std::to_string(answer.state ? static_cast<int>(*answer.state) : -1);
 }
 
 ControllerAnswer decode(const std::string &text)
 {
     const auto json = nlohmann::json::parse(text, nullptr, false);
-    const bool isAnswer = json.is_array() && json.size() == 2 && json[0].is_number_integer()
-                          && json[1].is_number_integer();
-    if (!isAnswer)
+    if (!json.is_number_integer())
         return {};
-    ControllerAnswer answer{.isAnswered = true, .waiting = json[1].get<int>()};
-    const int state = json[0].get<int>();
+    ControllerAnswer answer{.isAnswered = true};
+    const int state = json.get<int>();
     if (state >= 0 && state <= static_cast<int>(scheduler::JobState::Cancelled))
         answer.state = static_cast<scheduler::JobState>(state);
     return answer;
 }
 
+std::string cellPath(int cell)
+{
+    return kCellsPath + std::to_string(cell);
+}
+
+/// @brief A request target of the form /cells/N/path.
+struct CellTarget
+{
+    int cell = 0;
+    std::string path;
+};
+
+std::optional<CellTarget> parseTarget(const std::string &target)
+{
+    if (!target.starts_with(kCellsPath))
+        return std::nullopt;
+    CellTarget parsed;
+    const char *last = target.data() + target.size();
+    const auto [end, error] = std::from_chars(target.data() + kCellsPath.size(), last, parsed.cell);
+    if (error != std::errc() || parsed.cell < 0)
+        return std::nullopt;
+    parsed.path.assign(end, last);
+    return parsed;
+}
+
 nlohmann::json encodeKey(const RowKey &key)
 {
     return {key.table, key.part, key.key};
@@ -88,51 +113,88 @@
 
 } // namespace
 
-void PeerClient::setLeader(const std::string &address)
+void PeerClient::setLeader(int cell, const std::string &address)
 {
-    if (address == address_)
+    if (addresses_[cell] == address)
         return;
-    address_ = address;
+    addresses_[cell] = address;
+    std::erase_if(clients_, [this](const auto &client) {
+        return std::none_of(addresses_.begin(), addresses_.end(), [&client](const auto &leader) {
+            return leader.second == client.first;
+        });
+    });
     const http::Endpoint endpoint = http::parseEndpoint(address);
-    client_.reset();
-    if (endpoint.port != 0)
-        client_ = std::make_unique<http::Client>(
+    if (endpoint.port != 0 && !clients_.contains(address))
+        clients_[address] = std::make_shared<http::Client>(
                 loop_, endpoint,
                 http::ClientLimits{.maxConnections = kConnections, .connectTimeout = kTimeout});
 }
 
-void PeerClient::query(const std::string &target, std::function<void(ControllerAnswer)> done)
+PeerClient::ClientPointer PeerClient::leaderOf(int cell) const
+{
+    const auto address = addresses_.find(cell);
+    const auto client =
+            address != addresses_.end() ? clients_.find(address->second) : clients_.end();
+    return client != clients_.end() ? client->second : nullptr;
+}
+
+std::vector<PeerClient::ClientPointer> PeerClient::relays() const
+{
+    std::vector<ClientPointer> others;
+    for (const auto &[address, client] : clients_)
+        if (address != ownAddress_)
+            others.push_back(client);
+    return others;
+}
+
+bool PeerClient::hasRelay() const
 {
-    if (!client_)
+    return !relays().empty();
+}
+
+// The store may refuse several daemons at once, so that each call tries the next relay.
+PeerClient::ClientPointer PeerClient::nextRelay()
+{
+    const auto others = relays();
+    return others.empty() ? nullptr : others[nextRelay_++ % others.size()];
+}
+
+void PeerClient::queryState(int cell, const std::string &id,
+                            std::function<void(ControllerAnswer)> done)
+{
+    const ClientPointer leader = leaderOf(cell);
+    if (!leader)
         return done({});
-    client_->send({.method = "GET", .target = target}, kTimeout,
-                  [done = std::move(done)](const base::Result<http::Response> &response) {
-                      if (!response || response.value().status != kOk)
-                          return done({});
-                      done(decode(response.value().body));
-                  });
+    leader->send({.method = "GET", .target = cellPath(cell) + kStatePath + id}, kTimeout,
+                 [done = std::move(done)](const base::Result<http::Response> &response) {
+                     if (!response || response.value().status != kOk)
+                         return done({});
+                     done(decode(response.value().body));
+                 });
 }
 
 void PeerClient::transact(const Transaction &transaction, std::chrono::milliseconds timeout,
                           Callback<TransactionResult> done)
 {
-    client_->send({.method = "POST", .target = kTransactPath, .body = encode(transaction)}, timeout,
-                  [done = std::move(done)](const base::Result<http::Response> &response) {
-                      const bool mayHaveRun =
-                              response
-                                      ? response.value().status == kOutcomeUnknown
-                                      : response.error().code == base::Code::UpstreamOutcomeUnknown;
-                      if (mayHaveRun)
-                          return done(base::makeError(base::Code::PlatformUnknownOutcome, "relay"));
-                      const bool isAnswer = response
-                                            && (response.value().status == kOk
-                                                || response.value().status == kConflict);
-                      if (!isAnswer)
-                          return done(base::makeError(base::Code::PlatformUnavailable, "relay"));
-                      // The current rows are not relayed: the intake only needs to know that they
-                      // exist.
-                      done(TransactionResult{.isCommitted = response.value().status == kOk});
-                  });
+    const ClientPointer relay = nextRelay();
+    if (!relay)
+        return done(base::makeError(base::Code::PlatformUnavailable, "no relay"));
+    relay->send({.method = "POST", .target = kTransactPath, .body = encode(transaction)}, timeout,
+                [done = std::move(done)](const base::Result<http::Response> &response) {
+                    const bool mayHaveRun =
+                            response ? response.value().status == kOutcomeUnknown
+                                     : response.error().code == base::Code::UpstreamOutcomeUnknown;
+                    if (mayHaveRun)
+                        return done(base::makeError(base::Code::PlatformUnknownOutcome, "relay"));
+                    const bool isAnswer = response
+                                          && (response.value().status == kOk
+                                              || response.value().status == kConflict);
+                    if (!isAnswer)
+                        return done(base::makeError(base::Code::PlatformUnavailable, "relay"));
+                    // The current rows are not relayed: the intake only needs to know that they
+                    // exist.
+                    done(TransactionResult{.isCommitted = response.value().status == kOk});
+                });
 }
 
 bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond)
@@ -155,65 +217,66 @@
     return true;
 }
 
-void PeerClient::queryState(const std::string &id, std::function<void(ControllerAnswer)> done)
-{
-    query(kStatePath + id, std::move(done));
-}
-
-void PeerClient::queryWaiting(const std::string &queue, std::function<void(ControllerAnswer)> done)
-{
-    query(kWaitingPath + queue, std::move(done));
-}
-
-void PeerClient::announce(const Row &row)
+void PeerClient::announce(int cell, const Row &row)
 {
-    if (!client_)
+    const ClientPointer leader = leaderOf(cell);
+    if (!leader)
         return;
     const nlohmann::json body{encodeKey(row.key), row.value, row.version};
-    client_->send({.method = "POST", .target = kRowsPath, .body = body.dump()}, kTimeout,
-                  [](const base::Result<http::Response> & /*response*/) {
-                      // Errors are ignored: the leader also reads the row from the store.
-                  });
+    leader->send({.method = "POST", .target = cellPath(cell) + kRowsPath, .body = body.dump()},
+                 kTimeout, [](const base::Result<http::Response> & /*response*/) {
+                     // Errors are ignored: the leader also reads the row from the store.
+                 });
 }
 
-std::optional<Row> parseAnnouncedRow(const http::Request &request)
+std::optional<AnnouncedRow> parseAnnouncedRow(const http::Request &request)
 {
-    if (request.target != kRowsPath)
+    const auto target = parseTarget(request.target);
+    if (!target || target->path != kRowsPath)
         return std::nullopt;
     try {
         const auto json = nlohmann::json::parse(request.body);
-        return Row{.key = decodeKey(json.at(0)), .value = json.at(1), .version = json.at(2)};
+        return AnnouncedRow{
+                .cell = target->cell,
+                .row = {.key = decodeKey(json.at(0)), .value = json.at(1), .version = json.at(2)}};
     } catch (const nlohmann::json::exception &error) {
         base::logEvent(base::Event::PlatformUnreachable,
                        {{"call", "announced-row"}, {"reason", error.what()}});
-        return Row{};
+        return AnnouncedRow{.cell = kNoCell};
     }
 }
 
-void PeerClient::requestYield(std::int64_t memoryMib)
+void PeerClient::requestYield(const YieldRequest &request)
 {
-    if (!client_)
+    const ClientPointer leader = leaderOf(request.cell);
+    if (!leader)
         return;
-    client_->send({.method = "POST", .target = kYieldPath + std::to_string(memoryMib)}, kTimeout,
-                  [](const base::Result<http::Response> &response) {
-                      // The node repeats the request; the leader row shows whether the leader has
-                      // yielded.
-                      if (!response)
-                          base::logEvent(base::Event::PlatformUnreachable,
-                                         {{"call", "ask-for-yield"},
-                                          {"reason", response.error().message}});
-                  });
+    const nlohmann::json body{request.memoryMib, request.heldCells};
+    leader->send(
+            {.method = "POST", .target = cellPath(request.cell) + kYieldPath, .body = body.dump()},
+            kTimeout, [](const base::Result<http::Response> &response) {
+                // The daemon repeats the request; the leader row shows whether the leader has
+                // yielded.
+                if (!response)
+                    base::logEvent(
+                            base::Event::PlatformUnreachable,
+                            {{"call", "ask-for-yield"}, {"reason", response.error().message}});
+            });
 }
 
-std::optional<std::int64_t> parseYieldRequest(const http::Request &request)
+std::optional<YieldRequest> parseYieldRequest(const http::Request &request)
 {
-    if (!request.target.starts_with(kYieldPath))
+    const auto target = parseTarget(request.target);
+    if (!target || target->path != kYieldPath)
         return std::nullopt;
-    std::int64_t memoryMib = 0;
-    const char *last = request.target.data() + request.target.size();
-    const auto [end, error] =
-            std::from_chars(request.target.data() + kYieldPath.size(), last, memoryMib);
-    return error == std::errc() && end == last ? std::optional(memoryMib) : std::nullopt;
+    const auto json = nlohmann::json::parse(request.body, nullptr, false);
+    const bool isWellFormed = json.is_array() && json.size() == 2 && json[0].is_number_integer()
+                              && json[1].is_number_integer();
+    if (!isWellFormed)
+        return std::nullopt;
+    return YieldRequest{.cell = target->cell,
+                        .memoryMib = json[0].get<std::int64_t>(),
+                        .heldCells = json[1].get<int>()};
 }
 
 ControllerAnswer answerState(const Controller &controller, const std::string &id)
@@ -221,23 +284,17 @@
     return {.isAnswered = controller.isLoaded(), .state = controller.reportedState(id)};
 }
 
-ControllerAnswer answerWaiting(const Controller &controller, const std::string &queue)
-{
-    return {.isAnswered = controller.isLoaded(), .waiting = controller.waitingJobs(queue)};
-}
-
-http::Response handlePeerQuery(const http::Request &request, const Controller *controller)
+http::Response handlePeerQuery(const http::Request &request, const ControllerLookup &controllerOf)
 {
+    constexpr int kNotFound = 404;
+    const auto target = parseTarget(request.target);
+    if (!target || !target->path.starts_with(kStatePath))
+        return {.status = kNotFound};
+    const Controller *const controller = controllerOf(target->cell);
     if (controller == nullptr || !controller->isLoaded())
         return {.status = kUnavailable};
-    const auto argument = [&request](const std::string &prefix) {
-        return request.target.substr(prefix.size());
-    };
-    if (request.target.starts_with(kStatePath))
-        return {.status = kOk, .body = encode(answerState(*controller, argument(kStatePath)))};
-    if (request.target.starts_with(kWaitingPath))
-        return {.status = kOk, .body = encode(answerWaiting(*controller, argument(kWaitingPath)))};
-    return {.status = 404};
+    const std::string id = target->path.substr(kStatePath.size());
+    return {.status = kOk, .body = encode(answerState(*controller, id))};
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/peer_client.h
+++ b/packages/entry/src/peer_client.h
@@ -8,55 +8,85 @@
 #include <chicorywick/http/server.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace chicorywick::entry {
 
-/// @brief Sends queries, announcements and store calls to the leader.
+/// @brief A daemon that offers to lead a cell because it has more room for it.
+struct YieldRequest
+{
+    int cell = 0;
+    std::int64_t memoryMib = 0;
+    int heldCells = 0;
+
+    bool operator==(const YieldRequest &) const = default;
+};
+
+/// @brief A stored row that another daemon announces to the leader of a cell.
+struct AnnouncedRow
+{
+    int cell = 0;
+    Row row;
+
+    bool operator==(const AnnouncedRow &) const = default;
+};
+
+/// @brief Sends queries, announcements and store calls to the leaders of the cells. Keeps one pool
+/// of connections per daemon, however many cells it leads.
 class PeerClient
 {
 public:
-    explicit PeerClient(boost::asio::io_context &loop)
+    PeerClient(boost::asio::io_context &loop, std::string ownAddress)
         : loop_(loop)
+        , ownAddress_(std::move(ownAddress))
     {}
 
-    void setLeader(const std::string &address);
-    void queryState(const std::string &id, std::function<void(ControllerAnswer)> done);
+    /// @brief Sets the address of a cell's leader; an empty one if there is none.
+    void setLeader(int cell, const std::string &address);
+    void queryState(int cell, const std::string &id, std::function<void(ControllerAnswer)> done);
 
-    /// @brief Relays a transaction through the leader to the store.
+    /// @brief Relays a transaction through another daemon, the leader of a cell, to the store.
     void transact(const Transaction &transaction, std::chrono::milliseconds timeout,
                   Callback<TransactionResult> done);
-    bool hasLeader() const { return client_ != nullptr; }
-    void queryWaiting(const std::string &queue, std::function<void(ControllerAnswer)> done);
+    bool hasRelay() const;
 
-    /// @brief Sends a stored row of the jobs table to the leader. A lost message does no harm: the
-    /// leader also reads the row from the store.
-    void announce(const Row &row);
+    /// @brief Sends a stored row of a jobs table to the leader of its cell. A lost message does no
+    /// harm: the leader also reads the row from the store.
+    void announce(int cell, const Row &row);
 
-    /// @brief Asks the leader to hand over to a machine with this much memory.
-    void requestYield(std::int64_t memoryMib);
+    /// @brief Asks the leader of a cell to hand over to this daemon.
+    void requestYield(const YieldRequest &request);
 
 private:
-    void query(const std::string &target, std::function<void(ControllerAnswer)> done);
+    using ClientPointer = std::shared_ptr<http::Client>;
+
+    ClientPointer leaderOf(int cell) const;
+    ClientPointer nextRelay();
+    std::vector<ClientPointer> relays() const;
 
     boost::asio::io_context &loop_;
-    std::string address_;
-    std::unique_ptr<http::Client> client_;
+    std::string ownAddress_;
+    std::map<int, std::string> addresses_;         ///< by cell
+    std::map<std::string, ClientPointer> clients_; ///< by address
+    std::size_t nextRelay_ = 0;
 };
 
 ControllerAnswer answerState(const Controller &controller, const std::string &id);
-ControllerAnswer answerWaiting(const Controller &controller, const std::string &queue);
 
-/// @brief Serves state and queue queries of PeerClient; controller may be null.
-http::Response handlePeerQuery(const http::Request &request, const Controller *controller);
+/// @brief Finds the local controller of a cell; null if this daemon does not lead the cell.
+using ControllerLookup = std::function<Controller *(int cell)>;
 
-/// @brief The memory of the machine that requests leadership; empty for other requests.
-std::optional<std::int64_t> parseYieldRequest(const http::Request &request);
+/// @brief Serves state queries of PeerClient.
+http::Response handlePeerQuery(const http::Request &request, const ControllerLookup &controllerOf);
 
-/// @brief The row that another daemon announces; empty for other requests.
-std::optional<Row> parseAnnouncedRow(const http::Request &request);
+/// @brief Parses the requests of PeerClient::requestYield() and announce(); empty for other
+/// requests. A malformed announcement is logged and has a negative cell.
+std::optional<YieldRequest> parseYieldRequest(const http::Request &request);
+std::optional<AnnouncedRow> parseAnnouncedRow(const http::Request &request);
 
 /// @brief Serves PeerClient::transact(); returns false for other requests.
 bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond);
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -95,6 +95,7 @@
     std::int64_t fallbackSize = 0;
     for (const auto &[service, cpuMillis] : size)
         fallbackSize = std::max(fallbackSize, cpuMillis);
+    const std::map<std::string, int> usable = machines;
     for (const auto &[name, move] : moving_)
         if (move.pool != sparePool_)
             ++machines[move.pool];
@@ -106,11 +107,15 @@
                 std::max(static_cast<double>(load.runningCpuMillis + load.waitingCpuMillis),
                          load.arrivingCpuMillis * kDemandHeadroom);
         const std::int64_t machineSize = size.contains(service) ? size[service] : fallbackSize;
-        demands.push_back({.service = service,
-                           .machines = machines[service],
-                           .desired = std::max(scheduler::machinesFor(wanted, machineSize),
-                                               load.spreadWorkers),
-                           .minimum = kMinMachinesPerService});
+        const auto usableNow = usable.find(service);
+        const int withRoom =
+                (usableNow != usable.end() ? usableNow->second : 0) + load.extraWorkers;
+        demands.push_back(
+                {.service = service,
+                 .machines = machines[service],
+                 .desired = std::max({scheduler::machinesFor(wanted, machineSize),
+                                      load.spreadWorkers, load.extraWorkers > 0 ? withRoom : 0}),
+                 .minimum = kMinMachinesPerService});
     }
     return demands;
 }
@@ -148,7 +153,7 @@
     moving_[move.machine] = {
             .pool = move.pool, .worker = worker, .orderedAt = hooks_.clock().steady};
     scheduler_.setCordoned(worker, scheduler::CordonReason::Move, true);
-    machines_.move(move.machine, move.pool, fence_,
+    machines_.move(move.machine, move.pool, fence_, hooks_.machineOrderValidity(),
                    [self = shared_from_this(), move, worker](MachineOrderStatus status) {
                        if (self->isStopped_)
                            return;
--- a/packages/entry/src/progress_journal.cpp
+++ b/packages/entry/src/progress_journal.cpp
@@ -1,10 +1,10 @@
 #include "progress_journal.h"
 
 #include <chicorywick/base/log_event.h>
-#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorywick::entry {
 
@@ -24,10 +24,11 @@
 
 } // namespace
 
-ProgressJournal::ProgressJournal(boost::asio::io_context &loop, Table &table,
+ProgressJournal::ProgressJournal(boost::asio::io_context &loop, Table &table, CellRows rows,
                                  scheduler::Scheduler &scheduler, std::function<bool()> mayWrite)
     : loop_(loop)
     , table_(table)
+    , rows_(std::move(rows))
     , scheduler_(scheduler)
     , mayWrite_(std::move(mayWrite))
     , timer_(loop)
@@ -79,7 +80,7 @@
             item = unwritten_.erase(item);
             continue;
         }
-        const RowKey key = layout::progressRow(*item);
+        const RowKey key = rows_.progressRow(*item);
         transaction.conditions.push_back({.key = key, .version = versions_[*item]});
         transaction.writes.push_back({.key = key, .value = encode(*progress)});
         ids.push_back(*item);
--- a/packages/entry/src/progress_journal.h
+++ b/packages/entry/src/progress_journal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/scheduler.h>
 
@@ -20,8 +21,8 @@
 class ProgressJournal : public std::enable_shared_from_this<ProgressJournal>
 {
 public:
-    ProgressJournal(boost::asio::io_context &loop, Table &table, scheduler::Scheduler &scheduler,
-                    std::function<bool()> mayWrite);
+    ProgressJournal(boost::asio::io_context &loop, Table &table, CellRows rows,
+                    scheduler::Scheduler &scheduler, std::function<bool()> mayWrite);
 
     void stop();
 
@@ -48,6 +49,7 @@
 
     boost::asio::io_context &loop_;
     Table &table_;
+    CellRows rows_;
     scheduler::Scheduler &scheduler_;
     std::function<bool()> mayWrite_; ///< false while another daemon may be the leader
     boost::asio::steady_timer timer_;
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -85,11 +85,12 @@
 
 std::string encode(const LeaderRecord &record)
 {
-    return Json{{"holder", record.holder},       {"peer", record.peerAddress},
-                {"term", record.term},           {"beat", record.heartbeat},
-                {"lease", record.workerLeaseMs}, {"memory", record.memoryMib},
-                {"most", record.maxMemoryMib}}
-            .dump();
+    Json json{{"holder", record.holder},       {"peer", record.peerAddress},
+              {"term", record.term},           {"beat", record.heartbeat},
+              {"lease", record.workerLeaseMs}, {"memory", record.memoryMib},
+              {"most", record.maxMemoryMib},   {"cells", record.heldCells}};
+    putUnlessDefault(json, "waiting", record.waitingJobs, Json::object());
+    return json.dump();
 }
 
 base::Result<LeaderRecord> decodeLeader(const std::string &text)
@@ -101,7 +102,9 @@
                             .heartbeat = json.at("beat"),
                             .workerLeaseMs = json.value("lease", std::int64_t{0}),
                             .memoryMib = json.value("memory", std::int64_t{0}),
-                            .maxMemoryMib = json.value("most", std::int64_t{0})};
+                            .maxMemoryMib = json.value("most", std::int64_t{0}),
+                            .heldCells = json.value("cells", 0),
+                            .waitingJobs = json.value("waiting", std::map<std::string, int>())};
     });
 }
 
@@ -193,16 +196,28 @@
     });
 }
 
-std::string encodeStartedMachines(const std::set<std::string> &machines)
+std::string encode(const CellLayout &layout)
 {
-    return Json(machines).dump();
+    return Json{{"cells", layout.count()}, {"racks", layout.cellByRack()}}.dump();
+}
+
+base::Result<CellLayout> decodeCellLayout(const std::string &text)
+{
+    return decodeWith<CellLayout>(text, "cell layout", [](const Json &json) {
+        return CellLayout(json.at("cells"), json.at("racks"));
+    });
 }
 
-base::Result<std::set<std::string>> decodeStartedMachines(const std::string &text)
+std::string encode(const WaveProgress &progress)
 {
-    using Machines = std::set<std::string>;
-    return decodeWith<Machines>(text, "wave row",
-                                [](const Json &json) { return json.get<Machines>(); });
+    return Json{{"started", progress.startedMachines}, {"done", progress.isDone}}.dump();
+}
+
+base::Result<WaveProgress> decodeWaveProgress(const std::string &text)
+{
+    return decodeWith<WaveProgress>(text, "wave row", [](const Json &json) {
+        return WaveProgress{.startedMachines = json.at("started"), .isDone = json.at("done")};
+    });
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/relayed_table.cpp
+++ b/packages/entry/src/relayed_table.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// After a failed call, transactions go to the leader first for this time.
+// After a failed call, transactions go to another daemon first for this time.
 constexpr scheduler::Millis kRelayPreferenceMs = 1'500;
 
 } // namespace
@@ -19,7 +19,7 @@
 void RelayedTable::transact(const Transaction &transaction, std::chrono::milliseconds timeout,
                             Callback<TransactionResult> done)
 {
-    if (clock_().steady < *preferRelayUntil_ && peers_->hasLeader())
+    if (clock_().steady < *preferRelayUntil_ && peers_->hasRelay())
         return peers_->transact(transaction, timeout, std::move(done));
     store_.transact(
             transaction, timeout,
@@ -28,9 +28,9 @@
                 if (result)
                     return done(result.value());
                 *preferRelayUntil = clock().steady + kRelayPreferenceMs;
-                // Only a call without effect may be repeated through the leader immediately.
+                // Only a call without effect may be repeated through a relay immediately.
                 const bool didNothing = result.error().code != base::Code::PlatformUnknownOutcome;
-                if (didNothing && peers->hasLeader())
+                if (didNothing && peers->hasRelay())
                     return peers->transact(transaction, timeout, done);
                 done(result.error());
             });
--- a/packages/entry/src/relayed_table.h
+++ b/packages/entry/src/relayed_table.h
@@ -9,7 +9,7 @@
 
 namespace chicorywick::entry {
 
-/// @brief The store; transactions are relayed through the leader while direct calls fail.
+/// @brief The store; transactions are relayed through other daemons while direct calls fail.
 class RelayedTable : public Table
 {
 public:
--- a/packages/entry/src/roster_journal.cpp
+++ b/packages/entry/src/roster_journal.cpp
@@ -1,7 +1,6 @@
 #include "roster_journal.h"
 
 #include <chicorywick/base/log_event.h>
-#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
 namespace chicorywick::entry {
@@ -14,9 +13,10 @@
 
 } // namespace
 
-RosterJournal::RosterJournal(Table &table, scheduler::Scheduler &scheduler,
+RosterJournal::RosterJournal(Table &table, CellRows rows, scheduler::Scheduler &scheduler,
                              std::function<bool()> mayWrite)
     : table_(table)
+    , rows_(std::move(rows))
     , scheduler_(scheduler)
     , mayWrite_(std::move(mayWrite))
 {}
@@ -52,7 +52,7 @@
     for (const auto &[key, storedRow] : storedRows_)
         byRow[key]; // rows that became empty are written too
     for (const scheduler::WorkerEntry &entry : roster)
-        byRow[layout::rosterRow(entry.id).key].push_back(entry);
+        byRow[rows_.rosterRow(entry.id).key].push_back(entry);
     Transaction transaction;
     std::map<std::string, std::string> values;
     for (const auto &[key, entries] : byRow) {
@@ -60,7 +60,7 @@
         const auto storedRow = storedRows_.find(key);
         if (storedRow != storedRows_.end() && storedRow->second.value == value)
             continue;
-        const RowKey row{.table = layout::kRoster, .part = layout::kRoster, .key = key};
+        const RowKey row = rows_.rosterRowNamed(key);
         const Version version = storedRow != storedRows_.end() ? storedRow->second.version : 0;
         transaction.conditions.push_back({.key = row, .version = version});
         transaction.writes.push_back({.key = row, .value = value});
--- a/packages/entry/src/roster_journal.h
+++ b/packages/entry/src/roster_journal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/scheduler.h>
 
@@ -17,7 +18,8 @@
 class RosterJournal : public std::enable_shared_from_this<RosterJournal>
 {
 public:
-    RosterJournal(Table &table, scheduler::Scheduler &scheduler, std::function<bool()> mayWrite);
+    RosterJournal(Table &table, CellRows rows, scheduler::Scheduler &scheduler,
+                  std::function<bool()> mayWrite);
 
     /// @brief Records a stored row, as written by a previous leader.
     void applyStored(const Row &row);
@@ -39,6 +41,7 @@
                       const base::Result<TransactionResult> &result);
 
     Table &table_;
+    CellRows rows_;
     scheduler::Scheduler &scheduler_;
     std::function<bool()> mayWrite_;
     std::map<std::string, StoredRow> storedRows_; ///< by row key
--- a/packages/entry/src/roster_journal_test.cpp
+++ b/packages/entry/src/roster_journal_test.cpp
@@ -40,7 +40,7 @@
                                     .onProgress = {}},
                                    {}};
     std::shared_ptr<RosterJournal> journal =
-            std::make_shared<RosterJournal>(table, scheduler, [] { return true; });
+            std::make_shared<RosterJournal>(table, CellRows(0, 1), scheduler, [] { return true; });
 
     void add(const std::string &id)
     {
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -16,6 +16,11 @@
 // seconds.
 constexpr scheduler::Millis kListPeriodMs = 500;
 constexpr auto kWriteTimeout = std::chrono::milliseconds(1'000);
+constexpr auto kReadTimeout = std::chrono::milliseconds(1'000);
+// Interval of reads of another cell's progress.
+constexpr scheduler::Millis kCellReadPeriodMs = 300;
+// The cell whose driver reports the state of the whole wave.
+constexpr int kReportingCell = 0;
 // An order with an unknown outcome counts as carried out for this time, then it is repeated. Orders
 // are idempotent.
 constexpr scheduler::Millis kUnknownOrderTimeoutMs = 3'000;
@@ -23,12 +28,13 @@
 } // namespace
 
 WaveRunner::WaveRunner(WaveRunnerPorts ports, ControllerHooks hooks,
-                       scheduler::Scheduler &scheduler, MachineInventory &inventory,
+                       scheduler::Scheduler &scheduler, MachineInventory &inventory, Cell cell,
                        std::int64_t fence)
     : ports_(ports)
     , hooks_(std::move(hooks))
     , scheduler_(scheduler)
     , inventory_(inventory)
+    , cell_(std::move(cell))
     , fence_(fence)
 {}
 
@@ -37,7 +43,7 @@
     for (const WaveRequest &request : waves) {
         Wave &wave = waves_[request.number];
         if (!(wave.request == request))
-            wave.isCompleted = false;
+            wave.isCompleted = wave.isDoneHere = wave.isDoneStored = false;
         wave.request = request;
     }
 }
@@ -58,6 +64,9 @@
     if (inventory_.snapshotTime() == 0)
         return;
     updateReturned();
+    for (auto &[number, wave] : waves_)
+        if (wave.hasUnstoredStarts)
+            store(wave);
     std::set<std::string> before = std::exchange(cordoned_, {});
     for (auto &[number, wave] : waves_)
         if (!wave.isCompleted)
@@ -89,9 +98,7 @@
 
 void WaveRunner::plan(Wave &wave)
 {
-    std::map<std::string, scheduler::WorkerView> views;
-    for (scheduler::WorkerView &view : scheduler_.workers())
-        views.emplace(view.entry.id, view);
+    const WorkersByMachine workers = latestWorkers(scheduler_.workers());
     const auto &machines = inventory_.machines();
     std::vector<scheduler::MaintenanceCandidate> candidates;
     int down = static_cast<int>(wave.down.size());
@@ -113,49 +120,42 @@
         }
         if (wave.startedMachines.contains(name))
             continue;
-        const Machine &machine = listed->second;
-        scheduler::MaintenanceCandidate candidate{.machine = name,
-                                                  .workerId = machine.workerId,
-                                                  .service = machine.pool,
-                                                  .isUp = machine.state == MachineState::Up};
-        const auto view = views.find(machine.workerId);
-        if (view != views.end()) {
-            candidate.tasks = view->second.tasks;
-            candidate.mayDisrupt = scheduler_.mayDisrupt(machine.workerId);
-            // An empty worker that is not cordoned yet counts as busy, because a start may be in
-            // flight. It is cordoned first and ordered in a later tick.
-            if (!view->second.isCordoned && candidate.tasks == 0)
-                candidate.tasks = view->second.isUsable ? 1 : 0;
-        } else if (!machine.workerId.empty() && !unusedPools_.contains(machine.pool)) {
-            continue; // a worker unknown to the scheduler may be running tasks
-        }
-        candidates.push_back(std::move(candidate));
+        auto candidate = maintenanceCandidate(listed->second, workers,
+                                              unusedPools_.contains(listed->second.pool));
+        if (!candidate)
+            continue;
+        if (!candidate->workerId.empty())
+            candidate->mayDisrupt = scheduler_.mayDisrupt(candidate->workerId);
+        candidates.push_back(std::move(*candidate));
     }
     // A wave that a previous leader has completed is not reported as running again.
     if (hasRemaining && !wave.isReportedRunning)
         report(wave, false);
-    if (!hasRemaining && wave.down.empty()) {
-        if (!wave.isReporting)
-            report(wave, true);
+    wave.isDoneHere = !hasRemaining && wave.down.empty();
+    if (wave.isDoneHere)
+        return finishCell(wave);
+    const int maxAtOnce = allowedDown(wave);
+    if (maxAtOnce == 0)
         return;
-    }
-    const auto next = scheduler::planMaintenance(
-            candidates, {.maxAtOnce = wave.request.maxAtOnce, .downNow = down});
+    const auto next =
+            scheduler::planMaintenance(candidates, {.maxAtOnce = maxAtOnce, .downNow = down});
     for (const std::string &worker : next.cordoned) {
         cordoned_.insert(worker);
         scheduler_.setCordoned(worker, scheduler::CordonReason::Maintenance, true);
     }
     for (const std::string &machine : next.begin)
-        order(wave, machine);
+        order(wave, machine, workers);
 }
 
-void WaveRunner::order(Wave &wave, const std::string &machine)
+void WaveRunner::order(Wave &wave, const std::string &machine, const WorkersByMachine &workers)
 {
     const std::int64_t number = wave.request.number;
-    wave.down[machine] = inventory_.workerOn(machine);
+    const auto worker = workers.find(machine);
+    wave.down[machine] =
+            worker != workers.end() ? worker->second.entry.id : inventory_.workerOn(machine);
     wave.orderedAt[machine] = hooks_.clock().steady;
     ports_.machines->maintain(
-            machine, number, fence_,
+            machine, number, fence_, hooks_.machineOrderValidity(),
             [self = shared_from_this(), number, machine](MachineOrderStatus status) {
                 if (self->isStopped_)
                     return;
@@ -176,26 +176,131 @@
             });
 }
 
+// The number of this cell's machines that may be down; 0 while a cell that had the place before may
+// still use it.
+int WaveRunner::allowedDown(Wave &wave)
+{
+    const WavePlaces places =
+            wavePlaces(wave.request.maxAtOnce, cell_.number, cell_.layout.count());
+    for (const int predecessor : places.predecessors)
+        if (!wave.cellsDone.contains(predecessor)) {
+            readCellDone(wave.request.number, predecessor);
+            return 0;
+        }
+    return places.count;
+}
+
+// Stores that this cell has finished its part. The reporting cell then waits for the other cells.
+void WaveRunner::finishCell(Wave &wave)
+{
+    if (!wave.isDoneStored)
+        return store(wave);
+    if (cell_.number != kReportingCell) {
+        wave.isCompleted = true;
+        return;
+    }
+    for (int cell = 0; cell < cell_.layout.count(); ++cell)
+        if (cell != cell_.number && !wave.cellsDone.contains(cell))
+            return readCellDone(wave.request.number, cell);
+    report(wave, true);
+}
+
+void WaveRunner::readCellDone(std::int64_t number, int cell)
+{
+    const scheduler::Millis now = hooks_.clock().steady;
+    if (isReadingCell_ || now - cellReadAt_ < kCellReadPeriodMs)
+        return;
+    isReadingCell_ = true;
+    ports_.table->read(
+            rangeOf(cell_.rowsOf(cell).waveRow(number)), kReadTimeout,
+            [self = shared_from_this(), number, cell](const base::Result<RowPage> &page) {
+                self->isReadingCell_ = false;
+                if (!page) {
+                    base::logEvent(base::Event::PlatformUnreachable,
+                                   {{"call", "read-wave"}, {"reason", page.error().message}});
+                    self->cellReadAt_ = self->hooks_.clock().steady;
+                    return;
+                }
+                Wave &wave = self->waves_[number];
+                const auto progress = page.value().rows.empty()
+                                              ? base::Result<WaveProgress>(WaveProgress{})
+                                              : decodeWaveProgress(page.value().rows[0].value);
+                if (progress && progress.value().isDone) {
+                    wave.cellsDone.insert(cell);
+                    return;
+                }
+                self->cellReadAt_ = self->hooks_.clock().steady;
+                if (self->cell_.number == kReportingCell && !wave.isReportedRunning)
+                    self->report(wave, false);
+            });
+}
+
 // Stored for the next leader, which would otherwise drain every machine of the wave again.
 void WaveRunner::recordStarted(Wave &wave, const std::string &machine)
 {
     wave.startedMachines.insert(machine);
-    ports_.table->transact({.writes = {{.key = layout::waveRow(wave.request.number),
-                                        .value = encodeStartedMachines(wave.startedMachines)}}},
-                           kWriteTimeout, logFailureOf("store-wave"));
+    wave.hasUnstoredStarts = true;
+    store(wave);
+}
+
+// The write is conditional, so that a late write of a previous leader cannot take back progress.
+void WaveRunner::store(Wave &wave)
+{
+    if (wave.isStoring)
+        return;
+    wave.isStoring = true;
+    wave.hasUnstoredStarts = false;
+    const std::int64_t number = wave.request.number;
+    const bool isDone = wave.isDoneHere;
+    const RowKey key = cell_.rows().waveRow(number);
+    ports_.table->transact(
+            {.conditions = {{.key = key, .version = wave.storedVersion}},
+             .writes = {{.key = key,
+                         .value = encode(WaveProgress{.startedMachines = wave.startedMachines,
+                                                      .isDone = isDone})}}},
+            kWriteTimeout,
+            [self = shared_from_this(), number,
+             isDone](const base::Result<TransactionResult> &result) {
+                Wave &stored = self->waves_[number];
+                stored.isStoring = false;
+                if (!result) {
+                    stored.hasUnstoredStarts = true; // the next tick retries
+                    base::logEvent(base::Event::PlatformUnreachable,
+                                   {{"call", "store-wave"}, {"reason", result.error().message}});
+                    return;
+                }
+                if (result.value().isCommitted) {
+                    stored.storedVersion = result.value().version;
+                    stored.isDoneStored = isDone;
+                } else {
+                    for (const Row &row : result.value().current)
+                        self->restore(row);
+                    stored.hasUnstoredStarts = true;
+                }
+                if (stored.hasUnstoredStarts && !self->isStopped_ && self->hooks_.maySendOrders())
+                    self->store(stored);
+            });
 }
 
 void WaveRunner::restore(const Row &row)
 {
     const auto number = layout::waveNumberOf(row.key.key);
-    const auto startedMachines = decodeStartedMachines(row.value);
-    if (number && startedMachines)
-        waves_[*number].startedMachines = startedMachines.value();
+    const auto progress = decodeWaveProgress(row.value);
+    if (!number || !progress) {
+        base::logEvent(base::Event::PlatformUnreachable,
+                       {{"call", "load-wave"}, {"row", row.key.key}});
+        return;
+    }
+    Wave &wave = waves_[*number];
+    wave.request.number = *number;
+    wave.storedVersion = row.version;
+    wave.startedMachines.insert(progress.value().startedMachines.begin(),
+                                progress.value().startedMachines.end());
 }
 
 void WaveRunner::report(Wave &wave, bool isCompleted)
 {
-    if (wave.isReporting)
+    if (wave.isReporting || cell_.number != kReportingCell)
         return;
     wave.isReporting = true;
     const std::int64_t number = wave.request.number;
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "machine_inventory.h"
+#include "maintenance_candidate.h"
 
 #include <chicorywick/entry/controller.h>
+#include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/ports.h>
 #include <chicorywick/scheduler/scheduler.h>
 
@@ -20,12 +22,13 @@
     Table *table = nullptr;
 };
 
-/// @brief Runs the operators' maintenance waves, with at most maxAtOnce machines down per wave.
+/// @brief Runs the operators' maintenance waves on the machines of a cell. The cells divide the
+/// places of a wave among themselves; the first cell reports the state of the whole wave.
 class WaveRunner : public std::enable_shared_from_this<WaveRunner>
 {
 public:
     WaveRunner(WaveRunnerPorts ports, ControllerHooks hooks, scheduler::Scheduler &scheduler,
-               MachineInventory &inventory, std::int64_t fence);
+               MachineInventory &inventory, Cell cell, std::int64_t fence);
 
     void stop() { isStopped_ = true; }
 
@@ -44,23 +47,36 @@
         std::set<std::string> startedMachines;
         std::map<std::string, std::string> down; ///< ordered machines and their previous workers
         std::map<std::string, scheduler::Millis> orderedAt;
+        bool isDoneHere = false;   ///< no machine of this cell is left, and none is down
+        bool isDoneStored = false; ///< the other cells can read that
+        Version storedVersion = 0; ///< of this cell's row
+        bool isStoring = false;
+        bool hasUnstoredStarts = false;
+        std::set<int> cellsDone; ///< other cells that have stored the end of their part
         bool isReportedRunning = false;
         bool isCompleted = false;
         bool isReporting = false;
     };
 
     void updateReturned();
+    int allowedDown(Wave &wave);
+    void finishCell(Wave &wave);
+    void readCellDone(std::int64_t number, int cell);
     void plan(Wave &wave);
-    void order(Wave &wave, const std::string &machine);
+    void order(Wave &wave, const std::string &machine, const WorkersByMachine &workers);
     void recordStarted(Wave &wave, const std::string &machine);
+    void store(Wave &wave);
     void report(Wave &wave, bool isCompleted);
 
     WaveRunnerPorts ports_;
     ControllerHooks hooks_;
     scheduler::Scheduler &scheduler_;
     MachineInventory &inventory_;
+    Cell cell_;
     std::int64_t fence_;
     std::map<std::int64_t, Wave> waves_;
+    bool isReadingCell_ = false;
+    scheduler::Millis cellReadAt_ = 0;
     std::set<std::string> cordoned_;
     std::set<std::string> unusedPools_;
     bool isStopped_ = false;
--- a/packages/http/include/chicorywick/http/client.h
+++ b/packages/http/include/chicorywick/http/client.h
@@ -27,6 +27,9 @@
 /// the request may have been carried out.
 using ResponseCallback = std::function<void(base::Result<Response>)>;
 
+/// @brief Returns false once a request must not be sent any more.
+using SendPermission = std::function<bool()>;
+
 /// @brief An HTTP/1.1 client with a pool of keep-alive connections to one origin, on an event loop.
 class Client
 {
@@ -37,8 +40,10 @@
     Client &operator=(const Client &) = delete;
 
     /// @brief Queues the request until a connection is free; the timeout includes the time in the
-    /// queue.
-    void send(Request request, std::chrono::milliseconds timeout, ResponseCallback done);
+    /// queue. The permission, if any, is checked again immediately before the request is written:
+    /// it can end while the request waits or while the process is paused.
+    void send(Request request, std::chrono::milliseconds timeout, ResponseCallback done,
+              SendPermission permission = {});
 
     const Endpoint &origin() const;
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -19,6 +19,7 @@
     Request request;
     SteadyTime deadline;
     ResponseCallback done;
+    SendPermission permission;
 };
 
 // Uses the concrete executor type, because the default type-erased executor allocates for each
@@ -135,6 +136,10 @@
     // Most requests fit into the socket's send buffer and need no asynchronous write.
     void write()
     {
+        if (current_->permission && !current_->permission())
+            return asio::post(pool_->loop, [self = shared_from_this()] {
+                self->fail(false, "the permission to send has ended");
+            });
         encodedRequest_ = encode(current_->request, pool_->origin);
         stream_.expires_at(current_->deadline);
         beast::error_code error;
@@ -257,11 +262,13 @@
         connection->close();
 }
 
-void Client::send(Request request, std::chrono::milliseconds timeout, ResponseCallback done)
+void Client::send(Request request, std::chrono::milliseconds timeout, ResponseCallback done,
+                  SendPermission permission)
 {
     pool_->waiting.push_back(PendingRequest{.request = std::move(request),
                                             .deadline = std::chrono::steady_clock::now() + timeout,
-                                            .done = std::move(done)});
+                                            .done = std::move(done),
+                                            .permission = std::move(permission)});
     Connection::sendWaiting(pool_);
 }
 
--- a/packages/http/src/http_test.cpp
+++ b/packages/http/src/http_test.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <stdexcept>
+
 namespace chicorywick::http {
 
 namespace {
@@ -16,6 +19,8 @@
     std::unique_ptr<Server> server = std::make_unique<Server>(
             loop,
             [this](const Request &request, Responder respond) {
+                if (request.target == "/broken")
+                    throw std::runtime_error("broken");
                 if (request.target == "/later") {
                     pendingResponder = std::move(respond);
                     return;
@@ -45,6 +50,47 @@
     CHECK(bodies.size() == 3);
 }
 
+// Guards against a request that is sent after the right to send it has ended, for example because
+// it waited for a connection or the process was paused.
+TEST_CASE("a request whose permission ends while it waits is not sent")
+{
+    Fixture fixture;
+    Client client(fixture.loop, {.host = "127.0.0.1", .port = fixture.server->port()},
+                  {.maxConnections = 1});
+    bool isPermitted = true;
+    std::vector<base::Code> codes;
+    client.send({.method = "GET", .target = "/later"}, 2s, [](const base::Result<Response> &) {});
+    client.send(
+            {.method = "POST", .target = "/echo"}, 2s,
+            [&](base::Result<Response> response) {
+                REQUIRE(!response);
+                codes.push_back(response.error().code);
+            },
+            [&isPermitted] { return isPermitted; });
+    fixture.loop.run_for(100ms);
+    REQUIRE(codes.empty());
+    isPermitted = false;
+    fixture.pendingResponder(Response{.status = 200});
+    fixture.loop.run_for(300ms);
+    CHECK(codes == std::vector{base::Code::UpstreamUnreachable});
+}
+
+// Guards against an unexpected error in one request that ends the whole process.
+TEST_CASE("an exception in a handler ends its own request only")
+{
+    Fixture fixture;
+    Client client(fixture.loop, {.host = "127.0.0.1", .port = fixture.server->port()});
+    std::vector<int> statuses;
+    for (const char *target : {"/broken", "/echo"})
+        client.send({.method = "GET", .target = target}, 1s, [&](base::Result<Response> response) {
+            REQUIRE(response);
+            statuses.push_back(response.value().status);
+        });
+    fixture.loop.run_for(300ms);
+    std::sort(statuses.begin(), statuses.end());
+    CHECK(statuses == std::vector{200, 500});
+}
+
 // Guards against reporting a request as not sent when only its response is missing: the server may
 // have carried it out.
 TEST_CASE("a request without a response has an unknown outcome, and a failed connection reports "
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,8 +1,12 @@
 #include "beast.h"
 
+#include <chicorywick/base/log_event.h>
 #include <chicorywick/http/server.h>
 
+#include <exception>
+#include <memory>
 #include <optional>
+#include <utility>
 
 namespace chicorywick::http {
 
@@ -10,6 +14,7 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
+constexpr int kInternalError = 500;
 
 const boost::system::error_category &kHttpCategory =
         beast::http::make_error_code(beast::http::error::end_of_stream).category();
@@ -77,10 +82,22 @@
                         .body = std::move(message.body())};
         ++shared_->inFlight;
         stream_.expires_never();
-        shared_->handler(request, [self = shared_from_this()](Response response) {
+        const auto isAnswered = std::make_shared<bool>(false);
+        const Responder respond = [self = shared_from_this(), isAnswered](Response response) {
+            if (std::exchange(*isAnswered, true))
+                return;
             --self->shared_->inFlight;
             self->write(std::move(response));
-        });
+        };
+        // An unexpected error ends its own request only.
+        try {
+            shared_->handler(request, respond);
+        } catch (const std::exception &failure) {
+            base::logEvent(base::Event::RequestOutcomeUnknown, {{"method", request.method},
+                                                                {"target", request.target},
+                                                                {"reason", failure.what()}});
+            respond(Response{.status = kInternalError});
+        }
     }
 
     void refuse(int status)
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -25,6 +25,7 @@
     TaskPhase phase = TaskPhase::Blocked;
     std::int64_t run = 0;        ///< number of the current run
     std::int64_t highestRun = 0; ///< highest run number seen; the next run gets a higher one
+    std::int64_t endedRun = 0;   ///< highest run whose end was seen
     std::set<std::int64_t> failedRuns;
     std::string worker;        ///< worker id; empty unless Starting, Running or Stopping
     std::string avoidedWorker; ///< worker on which the last run failed
@@ -94,6 +95,7 @@
     std::vector<std::int64_t> beginDueOccurrences(Millis wall);
 
     Occurrence *occurrence(std::int64_t number);
+    const Occurrence *occurrence(std::int64_t number) const;
     Task *task(const TaskId &id);
     std::map<std::int64_t, Occurrence> &occurrences() { return occurrences_; }
     const std::map<std::int64_t, Occurrence> &occurrences() const { return occurrences_; }
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -41,6 +41,7 @@
     std::function<bool()> maySendOrders; ///< false while leadership is uncertain
     std::function<void()> onFenced;      ///< a worker has seen a newer leader's fencing token
     std::function<void()> onProgress;    ///< a job was marked dirty
+    std::function<OrderValidity()> orderValidity = {}; ///< empty: orders have no limit
 };
 
 /// @brief Why a worker gets no new tasks.
@@ -54,6 +55,7 @@
     int perpetualTasks = 0;
     bool isUsable = false;
     bool isCordoned = false;
+    bool mayRunUnknownTasks = false; ///< it has not replied, and a lease that it got may be valid
     Millis idleSince = 0;
 
     bool operator==(const WorkerView &) const = default;
@@ -67,6 +69,7 @@
     std::int64_t capacityCpuMillis = 0;
     double arrivingCpuMillis = 0; ///< moving average of submitted CPU time per unit of time
     int spreadWorkers = 0; ///< workers needed by the largest perpetual step with maxPerWorker
+    int extraWorkers = 0;  ///< empty workers needed by waiting tasks that fit on no worker now
 
     bool operator==(const ServiceLoad &) const = default;
 };
@@ -122,7 +125,9 @@
     bool isDirty(const std::string &id) const { return dirty_.contains(id); }
     std::optional<JobProgress> progressOf(const std::string &id) const;
     std::optional<JobState> stateOf(const std::string &id) const;
-    int waitingJobs(const std::string &queue) const;
+
+    /// @brief Number of jobs that have not started, by queue; queues without any are left out.
+    std::map<std::string, int> waitingJobs() const;
     std::vector<std::string> takeExpiredJobs();
 
     /// @brief Sets or clears a cordon reason; a worker with any reason gets no new tasks. For
@@ -170,6 +175,7 @@
     void stopAllTasks(JobEntry &entry);
     void finishJob(JobEntry &entry);
     void refreshBands();
+    int extraWorkersFor(const std::string &service) const;
     void recordEndedJob(const JobEntry &entry);
     void expireEndedJobs();
 
@@ -182,6 +188,7 @@
     void recordTaskResult(Worker &worker, bool isGood, const std::string &job);
 
     // Workers (scheduler_workers.cpp) and lease renewals (scheduler_renewals.cpp)
+    OrderValidity validity() const;
     Worker *workerOf(const std::string &id);
     const Worker *workerOf(const std::string &id) const;
     Worker &addWorker(const WorkerEntry &entry);
@@ -194,6 +201,7 @@
     void handleRenewal(const std::string &id, std::uint64_t generation,
                        std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void reconcileRunning(Worker &worker, const RunningTask &running);
+    bool shouldReturnTo(const JobEntry &entry, const Task &task, const RunningTask &running) const;
     void reconcileAbsent(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void recordClock(Worker &worker, Millis workerClock);
     Millis leaseUntil(const Worker &worker) const;
--- a/packages/scheduler/include/chicorywick/scheduler/worker_orders.h
+++ b/packages/scheduler/include/chicorywick/scheduler/worker_orders.h
@@ -4,6 +4,7 @@
 #include <chicorywick/scheduler/task_id.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,16 @@
     bool operator==(const WorkerAddress &) const = default;
 };
 
+/// @brief Until when an order may be sent. After the leader has checked its lease, an order can
+/// wait for a connection, the process can be paused, or the leader can hand over.
+struct OrderValidity
+{
+    Millis until = 0;                           ///< local steady time; 0: no limit
+    std::shared_ptr<const bool> isRevoked = {}; ///< set to true when the leader hands over
+
+    bool operator==(const OrderValidity &) const = default;
+};
+
 struct StartOrder
 {
     TaskId task;
@@ -42,6 +53,7 @@
     std::string ticket;
     Millis leaseUntil = 0; ///< on the worker's clock
     std::int64_t fence = 0;
+    OrderValidity validity;
 
     bool operator==(const StartOrder &) const = default;
 };
@@ -51,6 +63,7 @@
     TaskId task;
     std::int64_t run = 0;
     std::int64_t fence = 0;
+    OrderValidity validity;
 
     bool operator==(const StopOrder &) const = default;
 };
@@ -61,6 +74,7 @@
     std::int64_t run = 0;
     int percent = 100;
     std::int64_t fence = 0;
+    OrderValidity validity;
 
     bool operator==(const PaceOrder &) const = default;
 };
@@ -72,6 +86,7 @@
     std::int64_t lastAckedEnd = 0;
     Millis waitMs = 0;
     std::int64_t fence = 0;
+    OrderValidity validity;
 
     bool operator==(const RenewOrder &) const = default;
 };
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -68,6 +68,9 @@
     /// @brief Returns how a run ends; by default it succeeds after workMs.
     std::function<EndKind(const TaskId &, std::int64_t run)> outcome;
     Millis workMs = 500;
+    Millis replyDelayMs = 0; ///< replies to renewals wait unread for this time
+    std::int64_t load = 0;   ///< reported for every running task
+    int pacesSent = 0;
 
     void start(const WorkerAddress &worker, const StartOrder &order,
                std::function<void(const OrderReply &)> done) override;
--- a/packages/scheduler/src/fake_workers_test.cpp
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -199,6 +199,7 @@
 void FakeWorkers::pace(const WorkerAddress & /*worker*/, const PaceOrder & /*order*/,
                        std::function<void(const OrderReply &)> done)
 {
+    ++pacesSent;
     loop_.after(kNetworkDelayMs, [done] { done({.status = OrderStatus::Accepted}); });
 }
 
@@ -236,8 +237,9 @@
                              .incarnation = now->entry.incarnation,
                              .ended = now->ended};
             for (const auto &[task, run] : now->running)
-                reply.running.push_back({.task = task, .run = run.run, .percent = 100});
-            loop_.after(kNetworkDelayMs, [done, reply] { done(reply); });
+                reply.running.push_back(
+                        {.task = task, .run = run.run, .percent = 100, .load = load});
+            loop_.after(kNetworkDelayMs + replyDelayMs, [done, reply] { done(reply); });
         };
         if (order.waitMs == 0 || !worker->ended.empty())
             return answer();
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -190,6 +190,12 @@
     return found != occurrences_.end() ? &found->second : nullptr;
 }
 
+const Occurrence *Job::occurrence(std::int64_t number) const
+{
+    const auto found = occurrences_.find(number);
+    return found != occurrences_.end() ? &found->second : nullptr;
+}
+
 Task *Job::task(const TaskId &id)
 {
     Occurrence *const owner = occurrence(id.occurrence);
--- a/packages/scheduler/src/scheduler_disruption.cpp
+++ b/packages/scheduler/src/scheduler_disruption.cpp
@@ -8,9 +8,6 @@
 
 // A perpetual task with a lower reported pace is throttled and does not count as available.
 constexpr int kFullPacePercent = 100;
-// Start-up takes longer than estimated on a slow worker, and estimates are rough.
-constexpr Millis kStartUpFactor = 2;
-constexpr Millis kMinStartUpMs = 1'500;
 // Older reports of an unresponsive worker do not show that its tasks still run.
 constexpr Millis kMaxReportAgeMs = 1'500;
 
@@ -25,16 +22,14 @@
         return 0;
     int available = 0;
     const Millis now = hooks_.clock().steady;
-    // A worker reports full pace from the start order on, also while the task starts up.
-    const StepSpec &step = stepOf(entry.job, id);
-    const Millis startUp = std::max(kMinStartUpMs, kStartUpFactor * step.estimatedMs);
+    const Millis startUp = startUpTime(stepOf(entry.job, id));
     const auto &siblings = found->second.steps[static_cast<std::size_t>(id.step)];
     for (std::size_t index = 0; index < siblings.size(); ++index) {
         const Worker *const worker = workerOf(siblings[index].worker);
         const bool isAvailable = worker != nullptr && siblings[index].phase == TaskPhase::Running
                                  && siblings[index].percent >= kFullPacePercent
                                  && now - siblings[index].phaseSince >= startUp
-                                 && now - worker->replyAt < kMaxReportAgeMs;
+                                 && now - worker->reportAt < kMaxReportAgeMs;
         available += isAvailable && static_cast<int>(index) != id.index ? 1 : 0;
     }
     return available;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -132,6 +132,7 @@
     // have started. They do not apply to the current run.
     const bool isCurrent = task->worker == worker.entry.id && end.run >= task->run;
     task->highestRun = std::max(task->highestRun, end.run);
+    task->endedRun = std::max(task->endedRun, end.run);
     if (!end.checkpoint.empty() && (isCurrent || task->worker.empty()))
         task->checkpoint = end.checkpoint;
     switch (end.kind) {
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -124,6 +124,11 @@
                                      .isAvoided = task.avoidedWorker == workerId};
         if (const auto count = ofStepByWorker.find(workerId); count != ofStepByWorker.end())
             candidate.tasksOfStep = count->second;
+        candidate.tasksOfStep += static_cast<int>(std::count_if(
+                worker->strayTasks.begin(), worker->strayTasks.end(), [&id](const TaskId &stray) {
+                    return stray.job == id.job && stray.occurrence == id.occurrence
+                           && stray.step == id.step;
+                }));
         const auto plan = planned.find(workerId);
         if (plan != planned.end())
             candidate.free -= plan->second;
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -17,6 +17,10 @@
 constexpr int kOverdueBand = 3;
 // Time constant of the moving average of submitted work; short enough to follow a sudden load.
 constexpr double kArrivalWindowMs = 700;
+// Ends free room every few milliseconds, so only tasks that wait longer count as lacking room.
+constexpr Millis kWaitForRoomMs = 400;
+// Bounds the work per planning pass when a queue is long.
+constexpr int kMaxExaminedForRoom = 60;
 // Bands change as slack decreases. Two updates per second keep the queue order nearly current.
 constexpr Millis kBandRefreshMs = 500;
 
@@ -126,13 +130,57 @@
     }
 }
 
-int Scheduler::waitingJobs(const std::string &queue) const
+std::map<std::string, int> Scheduler::waitingJobs() const
 {
-    return static_cast<int>(
-            std::count_if(openJobs_.begin(), openJobs_.end(), [&queue](const auto &item) {
-                const Job &job = item.second->job;
-                return job.spec().queue == queue && job.state() == JobState::Pending;
-            }));
+    std::map<std::string, int> waiting;
+    for (const auto &[id, entry] : openJobs_)
+        if (entry->job.state() == JobState::Pending)
+            ++waiting[entry->job.spec().queue];
+    return waiting;
+}
+
+// Counts the workers that waiting tasks need because each usable worker lacks the room for one of
+// them. The service can have free CPU in total, for example when every worker runs a perpetual task
+// and the waiting ones need almost a whole worker.
+int Scheduler::extraWorkersFor(const std::string &service) const
+{
+    const auto queue = ready_.find(service);
+    const auto &workers = workersFor(service);
+    if (queue == ready_.end() || workers.empty())
+        return 0;
+    const Millis now = hooks_.clock().steady;
+    const Resources size = workers.front()->entry.capacity;
+    const auto shareOf = [](std::int64_t demand, std::int64_t capacity) {
+        return capacity > 0 ? static_cast<double>(demand) / static_cast<double>(capacity) : 0;
+    };
+    // Two tasks of more than half a worker each do not share one.
+    constexpr double kMaxSharedPart = 0.5;
+    double needed = 0;
+    int examined = 0;
+    for (const ReadyKey &key : queue->second.keys) {
+        if (++examined > kMaxExaminedForRoom)
+            break;
+        const JobEntry *const entry = entryOf(key.id.job);
+        const Occurrence *const occurrence =
+                entry != nullptr ? entry->job.occurrence(key.id.occurrence) : nullptr;
+        if (occurrence == nullptr)
+            continue;
+        const Task &task = occurrence->steps[static_cast<std::size_t>(key.id.step)]
+                                            [static_cast<std::size_t>(key.id.index)];
+        if (now - std::max(task.phaseSince, entry->job.acceptedSteady()) < kWaitForRoomMs)
+            continue;
+        const Resources demand = reservedFor(stepOf(entry->job, key.id));
+        const bool fitsSomewhere =
+                std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
+                    return worker->free().covers(demand) && isUsable(*worker, now);
+                });
+        if (fitsSomewhere || !size.covers(demand))
+            continue;
+        const double part = std::max(shareOf(demand.cpuMillis, size.cpuMillis),
+                                     shareOf(demand.memoryMib, size.memoryMib));
+        needed += part > kMaxSharedPart ? 1 : part;
+    }
+    return static_cast<int>(std::ceil(needed));
 }
 
 std::map<std::string, ServiceLoad> Scheduler::loads() const
@@ -147,8 +195,10 @@
             load.runningCpuMillis += worker->used.cpuMillis;
         }
     }
-    for (const auto &[service, queue] : ready_)
+    for (const auto &[service, queue] : ready_) {
         loads[service].waitingCpuMillis = queue.waitingCpuMillis;
+        loads[service].extraWorkers = extraWorkersFor(service);
+    }
     for (const auto &[service, rate] : arrivals_)
         loads[service].arrivingCpuMillis =
                 rate.cpuMillis * std::exp(-static_cast<double>(now - rate.at) / kArrivalWindowMs);
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -20,11 +20,13 @@
 
 } // namespace
 
+// Uses the time at which the worker wrote its reply. With the time at which this process read it, a
+// busy leader would grant leases that are shorter by its own delay, and tasks would lapse.
 Millis Scheduler::leaseUntil(const Worker &worker) const
 {
     if (worker.clockAtReply == 0)
         return 0;
-    return worker.clockAtReply + (hooks_.clock().steady - worker.replyAt) + settings_.leaseMs;
+    return worker.clockAtReply + (hooks_.clock().steady - worker.reportAt) + settings_.leaseMs;
 }
 
 // True once all requested leases have expired on the worker's clock, assuming the maximum skew.
@@ -52,7 +54,8 @@
 
 RenewOrder Scheduler::renewalFor(const Worker &worker) const
 {
-    RenewOrder order{.lastAckedEnd = worker.lastAckedEnd, .fence = settings_.fence};
+    RenewOrder order{
+            .lastAckedEnd = worker.lastAckedEnd, .fence = settings_.fence, .validity = validity()};
     // After a failed renewal the lease end stays the same. Otherwise the lease of an unresponsive
     // worker would never expire here and its tasks could not start elsewhere.
     if (worker.clockAtReply != 0 && !worker.tasks.empty())
@@ -94,7 +97,7 @@
     const bool isWaitingForStore = !worker.unstoredEnds.empty();
     const bool isUrgent =
             worker.clockAtReply == 0
-            || worker.leaseSent - (worker.clockAtReply + now - worker.replyAt) < kUrgentLeaseMs;
+            || worker.leaseSent - (worker.clockAtReply + now - worker.reportAt) < kUrgentLeaseMs;
     if (isWaitingForStore && !isUrgent) {
         worker.retryAt = 0;
         return;
@@ -119,8 +122,16 @@
         return;
     // The worker read its clock between the request and now. Pairing it with the time of the reply
     // can only overestimate the local end of the lease, never underestimate it.
+    const Millis now = hooks_.clock().steady;
+    const Millis offset = now - workerClock;
+    // A reply can wait unread while this process is busy or paused, so that its content is older
+    // than its arrival. The fastest reply shows the offset of the clocks, which drift slowly.
+    const auto drift = static_cast<Millis>(kClockSkew * static_cast<double>(now - worker.replyAt));
+    worker.clockOffset =
+            worker.clockAtReply == 0 ? offset : std::min(offset, worker.clockOffset + drift + 1);
     worker.clockAtReply = workerClock;
-    worker.replyAt = hooks_.clock().steady;
+    worker.replyAt = now;
+    worker.reportAt = workerClock + worker.clockOffset;
 }
 
 void Scheduler::handleRenewal(const std::string &id, std::uint64_t generation,
@@ -167,9 +178,11 @@
     // ignored, because a task that it lacks may have started since.
     const bool isOlder = reply.workerClock < worker.listClock;
     worker.listClock = std::max(worker.listClock, reply.workerClock);
-    if (!isOlder)
+    if (!isOlder) {
+        worker.strayTasks.clear();
         for (const RunningTask &running : reply.running)
             reconcileRunning(worker, running);
+    }
     for (const EndedTask &end : reply.ended) {
         if (end.number <= worker.lastSeenEnd)
             continue;
@@ -213,7 +226,12 @@
     const bool isFree = task->worker.empty() && task->phase != TaskPhase::Done
                         && !isTerminal(entry->job.state());
     task->highestRun = std::max(task->highestRun, running.run);
-    if (!isFree) {
+    if (!isFree && shouldReturnTo(*entry, *task, running)) {
+        // Its end shows up as the end of another run and does not affect the task.
+        sendStop(running.task, task->run, task->worker);
+        release(running.task, *task);
+    } else if (!isFree) {
+        worker.strayTasks.insert(running.task);
         sendStop(running.task, running.run, worker.entry.id);
         return;
     }
@@ -229,6 +247,18 @@
     entry->job.markStarted();
 }
 
+// A perpetual task was started again because its worker was silent, and its former run turns out to
+// be at work. That run stays: ending it would leave nothing at work until the new one has started.
+bool Scheduler::shouldReturnTo(const JobEntry &entry, const Task &task,
+                               const RunningTask &running) const
+{
+    const StepSpec &step = stepOf(entry.job, running.task);
+    const bool isAssigned = task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running;
+    return step.isPerpetual && !isTerminal(entry.job.state()) && isAssigned
+           && running.run > task.endedRun && running.run < task.run
+           && hooks_.clock().steady - task.phaseSince < startUpTime(step);
+}
+
 // Handles tasks that are assigned to the worker but not running there. A task is absent if a reply
 // lists it neither as running nor as ended and the request was sent after the reply to the task's
 // last order.
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+OrderValidity Scheduler::validity() const
+{
+    return hooks_.orderValidity ? hooks_.orderValidity() : OrderValidity();
+}
+
 void Scheduler::assign(JobEntry &entry, const TaskId &id, Worker &worker)
 {
     dequeue(entry, id);
@@ -35,7 +40,8 @@
                      .payload = entry.job.spec().payload,
                      .checkpoint = task.checkpoint,
                      .leaseUntil = leaseUntil(worker),
-                     .fence = settings_.fence};
+                     .fence = settings_.fence,
+                     .validity = validity()};
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     ++task.unansweredStarts;
     const Millis now = hooks_.clock().steady;
@@ -140,7 +146,8 @@
     Worker *const worker = workerOf(workerId);
     if (worker == nullptr || !hooks_.maySendOrders())
         return;
-    orders_.stop(worker->address(), {.task = id, .run = run, .fence = settings_.fence},
+    orders_.stop(worker->address(),
+                 {.task = id, .run = run, .fence = settings_.fence, .validity = validity()},
                  [this, alive = alive_, id, run, workerId](const OrderReply &reply) {
                      if (!*alive)
                          return;
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace chicorywick::scheduler {
 
 // Guards against a step that starts before its predecessor ends, and against ends that are never
@@ -115,6 +117,152 @@
     CHECK(fixture.workers.startsOf(second) == 2);
 }
 
+// Guards against an eviction that rests on replies which waited unread while this process was busy:
+// the tasks that they show may have ended meanwhile.
+TEST_CASE("replies that were read late do not show that a perpetual task is available")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(4);
+    StepSpec perpetual = step(3);
+    perpetual.isPerpetual = true;
+    perpetual.maxPerWorker = 1;
+    perpetual.maxUnavailable = 1;
+    fixture.submit("a", {perpetual});
+    fixture.run(4'000);
+    const TaskId first{.job = "a", .index = 0};
+    REQUIRE(fixture.workers.workersRunning(first).size() == 1);
+    const std::string worker = fixture.workers.workersRunning(first)[0];
+    fixture.workers.replyDelayMs = 2'000;
+    fixture.run(4'000);
+    fixture.scheduler->setCordoned(worker, CordonReason::Maintenance, true);
+    fixture.run(3'000);
+    CHECK(fixture.workers.startsOf(first) == 1);
+    fixture.workers.replyDelayMs = 0;
+    fixture.run(5'000);
+    CHECK(fixture.workers.startsOf(first) == 2);
+}
+
+// Guards against orders on a permission that ended while the process was paused: the first thing it
+// does after waking is to handle the replies that have arrived.
+TEST_CASE("a reply that arrives after the lease of the leader has ended causes no order")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    StepSpec serving = step(1);
+    serving.isPerpetual = true;
+    serving.latencyTargetMs = 100;
+    StepSpec filling = step(1);
+    filling.usesLeftoverCpu = true;
+    fixture.submit("a", {serving});
+    fixture.submit("b", {filling});
+    fixture.run(1'000);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    fixture.workers.load = 500;
+    fixture.maySendOrders = false;
+    const int ordersBefore = fixture.workers.ordersSent();
+    fixture.run(3'000);
+    CHECK(fixture.workers.pacesSent == 0);
+    CHECK(fixture.workers.ordersSent() == ordersBefore);
+    fixture.maySendOrders = true;
+    fixture.run(3'000);
+    CHECK(fixture.workers.pacesSent > 0);
+}
+
+// Guards against ending work that goes on: a worker was silent for longer than its lease, but a
+// renewal that it carried out late has kept its tasks running.
+TEST_CASE("a perpetual task that is still at work on a silent worker stays there")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    StepSpec perpetual = step(1);
+    perpetual.isPerpetual = true;
+    perpetual.estimatedMs = 2'000;
+    fixture.submit("a", {perpetual});
+    fixture.run(2'000);
+    const TaskId task{.job = "a"};
+    const auto workerIds = fixture.workers.workersRunning(task);
+    REQUIRE(workerIds.size() == 1);
+    fixture.workers.renew({.id = workerIds[0], .address = "10.0.0.1:80"},
+                          {.leaseUntil = fixture.loop.now() + 60'000, .fence = fixture.term},
+                          [](const RenewReply &) {});
+    fixture.run(100);
+    fixture.workers.setReachable(workerIds[0], false);
+    while (fixture.workers.startsOf(task) < 2)
+        fixture.run(50);
+    fixture.workers.setReachable(workerIds[0], true);
+    fixture.run(3'000);
+    CHECK(fixture.workers.workersRunning(task) == workerIds);
+    CHECK(fixture.workers.startsOf(task) == 2);
+}
+
+// Guards against a task that waits for ever although machines are free elsewhere. The load is a
+// pool whose workers all run a perpetual task beside a task that needs almost a whole worker; on
+// large Hanbit trouble-3 such a task was still waiting at the end of the day.
+TEST_CASE("a waiting task that fits on no worker calls for an empty one")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    StepSpec perpetual = step(2);
+    perpetual.isPerpetual = true;
+    perpetual.maxPerWorker = 1;
+    perpetual.demand.cpuMillis = 2'400;
+    fixture.submit("a", {perpetual});
+    fixture.run(1'000);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    StepSpec large = step(2);
+    large.demand.cpuMillis = 14'000;
+    fixture.submit("b", {large});
+    CHECK(fixture.scheduler->loads()["s"].extraWorkers == 0);
+    fixture.run(1'000);
+    CHECK(fixture.scheduler->loads()["s"].extraWorkers == 2);
+    fixture.scheduler->upsertWorker(fixture.workers.add("x", "s", kWorkerSize));
+    fixture.run(1'000);
+    CHECK(fixture.workers.runningCount() == 3);
+    CHECK(fixture.scheduler->loads()["s"].extraWorkers == 1);
+}
+
+// Guards against two tasks of a step on one worker beyond its limit: a worker that was silent still
+// runs a task that was started elsewhere meanwhile, and its stop takes a moment.
+TEST_CASE("a run that is being stopped counts towards the limit of its step per worker")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    StepSpec spread = step(2);
+    spread.maxPerWorker = 1;
+    fixture.submit("a", {spread});
+    fixture.run(1'000);
+    const TaskId first{.job = "a", .index = 0};
+    const TaskId second{.job = "a", .index = 1};
+    REQUIRE(fixture.workers.workersRunning(first).size() == 1);
+    const std::string silent = fixture.workers.workersRunning(first)[0];
+    const std::string other = fixture.workers.workersRunning(second)[0];
+    fixture.workers.renew({.id = silent, .address = "10.0.0.1:80"},
+                          {.leaseUntil = fixture.loop.now() + 60'000, .fence = fixture.term},
+                          [](const RenewReply &) {});
+    fixture.run(100);
+    fixture.workers.setReachable(silent, false);
+    fixture.run(6'000);
+    fixture.scheduler->upsertWorker(fixture.workers.add("x", "s", kWorkerSize));
+    fixture.run(500);
+    REQUIRE(fixture.workers.startsOf(first) == 2);
+    fixture.workers.crash(other);
+    fixture.scheduler->removeWorker(other);
+    fixture.scheduler->endWorker(other);
+    fixture.workers.setReachable(silent, true);
+    while (fixture.workers.startsOf(second) < 2) {
+        fixture.run(5);
+        const auto ofFirst = fixture.workers.workersRunning(first);
+        for (const std::string &worker : fixture.workers.workersRunning(second))
+            CHECK(std::find(ofFirst.begin(), ofFirst.end(), worker) == ofFirst.end());
+    }
+    CHECK(fixture.workers.workersRunning(second) == std::vector{silent});
+}
+
 // Guards against an old end, reported again after a leader change, that ends the current run, and
 // against the end of a higher run on another worker that makes the current run look unknown.
 TEST_CASE("ends of other runs do not affect the current run")
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -2,6 +2,8 @@
 
 #include <chicorywick/scheduler/scheduler.h>
 
+#include <algorithm>
+
 namespace chicorywick::scheduler {
 
 /// @brief State of one incarnation of a worker.
@@ -18,11 +20,14 @@
 
     Resources used;
     std::set<TaskId> tasks;
+    std::set<TaskId> strayTasks; ///< listed as running there, not assigned to it, being stopped
     Millis idleSince = 0;
     Millis fullUntil = 0;
 
     Millis clockAtReply = 0; ///< the worker's clock at the latest reply; 0: unknown
     Millis replyAt = 0;
+    Millis reportAt = 0;    ///< when the worker wrote its latest reply, as far as its clock shows
+    Millis clockOffset = 0; ///< smallest recent difference of local time and its clock at a reply
     Millis addedAt = 0;
     Millis listClock = 0; ///< the worker's clock at the newest task list received
     Millis leaseSent = 0; ///< latest lease end sent, on the worker's clock
@@ -67,6 +72,15 @@
     return job.spec().steps[static_cast<std::size_t>(id.step)];
 }
 
+/// @brief Time after which a started perpetual task counts as at work. Workers report full pace
+/// from the start order on, estimates are rough, and a slow worker takes longer.
+inline Millis startUpTime(const StepSpec &step)
+{
+    constexpr Millis kStartUpFactor = 2;
+    constexpr Millis kMinStartUpMs = 1'500;
+    return std::max(kMinStartUpMs, kStartUpFactor * step.estimatedMs);
+}
+
 /// @brief Resources that a task reserves on its worker.
 inline Resources reservedFor(const StepSpec &step)
 {
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -250,7 +250,7 @@
 void Scheduler::pace(Worker &worker)
 {
     const Millis now = hooks_.clock().steady;
-    if (now - worker.pacedAt < kPaceIntervalMs)
+    if (now - worker.pacedAt < kPaceIntervalMs || !hooks_.maySendOrders())
         return;
     std::vector<ServingLoad> serving;
     std::vector<std::pair<TaskId, Task *>> throttleable;
@@ -278,7 +278,11 @@
                                                    {"to", std::to_string(percent)}});
         task->pacePercent = percent;
         orders_.pace(worker.address(),
-                     {.task = id, .run = task->run, .percent = percent, .fence = settings_.fence},
+                     {.task = id,
+                      .run = task->run,
+                      .percent = percent,
+                      .fence = settings_.fence,
+                      .validity = validity()},
                      [this, alive = alive_](const OrderReply &reply) {
                          if (*alive && reply.status == OrderStatus::Fenced)
                              hooks_.onFenced();
@@ -309,6 +313,8 @@
                         .tasks = static_cast<int>(worker->tasks.size()),
                         .isUsable = worker->isListed && worker->hasResponded && !worker->isReplaced,
                         .isCordoned = !worker->cordons.empty(),
+                        .mayRunUnknownTasks = !worker->hasResponded && !worker->isReplaced
+                                              && !isLeaseExpired(*worker),
                         .idleSince = worker->idleSince};
         for (const TaskId &task : worker->tasks) {
             const JobEntry *const entry = entryOf(task.job);
--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -48,8 +48,10 @@
 
 } // namespace
 
-HostedDeployment::HostedDeployment(int daemons, int runners, std::uint64_t seed)
+HostedDeployment::HostedDeployment(int daemons, int runners, std::uint64_t seed,
+                                   int machinesPerCell)
     : store_(loop_, seed)
+    , machinesPerCell_(machinesPerCell)
 {
     std::string directory = std::filesystem::temp_directory_path() / "chicorywick-hosted-XXXXXX";
     directory_ = ::mkdtemp(directory.data());
@@ -99,7 +101,8 @@
                         {"machine_control", address(store_.port())},
                         {"max_lease_ms", 6'000},
                         {"stop_grace_s", 6},
-                        {"status_retention_s", 120}};
+                        {"status_retention_s", 120},
+                        {"machines_per_cell", machinesPerCell_}};
     std::ofstream(path) << settings.dump();
     return path;
 }
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -18,7 +18,8 @@
 class HostedDeployment
 {
 public:
-    HostedDeployment(int daemons, int runners, std::uint64_t seed);
+    /// @brief Each runner is a rack of its own, so that a small size gives several cells.
+    HostedDeployment(int daemons, int runners, std::uint64_t seed, int machinesPerCell = 160);
     ~HostedDeployment();
     HostedDeployment(const HostedDeployment &) = delete;
     HostedDeployment &operator=(const HostedDeployment &) = delete;
@@ -50,6 +51,7 @@
     boost::asio::io_context loop_;
     RunRecord record_;
     HostedStore store_;
+    int machinesPerCell_;
     std::vector<std::unique_ptr<HostedRunner>> runners_;
     std::thread thread_;
     std::string directory_;
--- a/tests/hosted/hosted_runner.cpp
+++ b/tests/hosted/hosted_runner.cpp
@@ -49,7 +49,7 @@
                 {"machine", "m-" + id_},
                 {"state", "ready"},
                 {"capacity", {{"cpu", 16'000}, {"mem_mb", 32'768}, {"gpu", 0}}},
-                {"labels", json::array({"a", "r1"})},
+                {"labels", json::array({"a", "r-" + id_})},
                 {"born", startTime_}}
             .dump();
 }
--- a/tests/hosted/hosted_test.cpp
+++ b/tests/hosted/hosted_test.cpp
@@ -18,6 +18,28 @@
 
 } // namespace
 
+// Guards against jobs that only the cell of one daemon can run or report, and against cells that
+// nobody leads after their leader was killed.
+TEST_CASE("jobs of all cells complete, also after the leaders of cells are killed")
+{
+    HostedDeployment deployment(4, 6, 5, 2);
+    REQUIRE(deployment.waitUntilReady());
+    for (int round = 0; round < 3; ++round) {
+        for (int job = 0; job < 12; ++job)
+            CHECK(deployment.submit(job % 4,
+                                    "r" + std::to_string(round) + "j" + std::to_string(job))
+                  == 200);
+        deployment.daemon(round).signal(SIGKILL);
+        REQUIRE(deployment.daemon(round).waitForExit(5s));
+        deployment.startDaemon(round);
+        REQUIRE(deployment.waitUntilReady());
+        for (int job = 0; job < 12; ++job)
+            CHECK(completes(deployment, job % 4,
+                            "r" + std::to_string(round) + "j" + std::to_string(job)));
+    }
+    CHECK(deployment.violations().empty());
+}
+
 // Guards against job state that only the accepting daemon can report, and against a repeated
 // submission to another daemon that is refused or runs the job again.
 TEST_CASE("a job submitted to one daemon completes and every daemon reports its state")
