Plan cells of at most 280 machines

Cause: each cell keeps the workers of its perpetual jobs, 24 to 38 of a pool, and cannot lend them. Seven cells of 160 machines hold twice as many of these workers as four, and their leaders used 0.07 of a core at most.

Change: planCells makes the fewest cells of at most machines_per_cell machines, 280 by default: 1 cell for 49, 2 for 350, 4 for 1,100.

Ruled out: smaller cells on slow links.

--- a/packages/entry/include/chicorywick/entry/cell_layout.h
+++ b/packages/entry/include/chicorywick/entry/cell_layout.h
@@ -51,9 +51,9 @@
 /// none.
 const std::string &rackOf(const std::vector<std::string> &labels, const std::string &machine);
 
-/// @brief Plans cells of about this many machines. Racks stay whole, and each cell gets a similar
-/// number of machines of every pool and zone.
-CellLayout planCells(std::span<const CellMachine> machines, int machinesPerCell);
+/// @brief Plans the fewest cells of at most about this many machines. Racks stay whole, and each
+/// cell gets a similar number of machines of every pool and zone.
+CellLayout planCells(std::span<const CellMachine> machines, int maxMachinesPerCell);
 
 /// @brief The places of a wave that a cell may use: at most this many of the cell's machines may be
 /// down at once.
--- a/packages/entry/src/cell_layout.cpp
+++ b/packages/entry/src/cell_layout.cpp
@@ -51,7 +51,7 @@
 
 // Deals the racks out in the order of pool and zone, each to the cell with the fewest machines of
 // that pool, so that a cell can serve every pool and a lost zone costs all cells alike.
-CellLayout planCells(std::span<const CellMachine> machines, int machinesPerCell)
+CellLayout planCells(std::span<const CellMachine> machines, int maxMachinesPerCell)
 {
     std::map<CellMachine, int> sizes;
     for (const CellMachine &machine : machines)
@@ -69,8 +69,8 @@
                < std::tie(right.first.pool, right.first.zone);
     });
     const int total = static_cast<int>(machines.size());
-    const int perCell = std::max(machinesPerCell, 1);
-    const int count = std::clamp((total + perCell / 2) / perCell, 1, kMaxCells);
+    const int perCell = std::max(maxMachinesPerCell, 1);
+    const int count = std::clamp((total + perCell - 1) / perCell, 1, kMaxCells);
     std::vector<int> machinesOfCell(static_cast<std::size_t>(count));
     std::map<std::string, std::vector<int>> machinesOfPool;
     std::map<std::string, int> cellByRack;
--- a/packages/entry/src/cell_layout_source.h
+++ b/packages/entry/src/cell_layout_source.h
@@ -13,7 +13,7 @@
 /// @brief Parameters of the first division of a fleet into cells; times are in milliseconds.
 struct CellLayoutSettings
 {
-    int machinesPerCell = 160;
+    int machinesPerCell = 280;  ///< at most
     std::int64_t memoryMib = 0; ///< of this machine; larger ones plan first
     scheduler::Millis pollMs = 250;
     scheduler::Millis planDelayMs = 200;    ///< for a machine with kTypicalMemoryMib
