Name the elections and controllers of the cells by leadership

Cause: a reading of the change. The glossary calls the daemon that runs a cell its leader, but CellDrivers and some comments said driver, which there means another thing. CellLayoutSource kept its callback, and with it its owner, for ever.

Change: CellDrivers is CellLeadership; comments use the glossary's word; the callback is released with its only call. No behaviour changes.

Conclusion: code and glossary use the same word.

--- a/packages/entry/include/chicorywick/entry/cell_layout.h
+++ b/packages/entry/include/chicorywick/entry/cell_layout.h
@@ -20,7 +20,7 @@
     auto operator<=>(const CellMachine &) const = default;
 };
 
-/// @brief Divides the fleet into cells. Each cell has its own driver, which places the cell's jobs
+/// @brief Divides the fleet into cells. Each cell has its own leader, which places the cell's jobs
 /// on the cell's machines.
 class CellLayout
 {
--- a/packages/entry/include/chicorywick/entry/layout.h
+++ b/packages/entry/include/chicorywick/entry/layout.h
@@ -43,7 +43,7 @@
 
 } // namespace layout
 
-/// @brief The rows of one cell. Each cell has a jobs table, so that its driver watches its own jobs
+/// @brief The rows of one cell. Each cell has a jobs table, so that its leader watches its own jobs
 /// only, and parts of its own, so that no cell waits for the writes of another one.
 class CellRows
 {
--- a/packages/entry/src/cell_layout_source.cpp
+++ b/packages/entry/src/cell_layout_source.cpp
@@ -47,6 +47,13 @@
     load();
 }
 
+// The callback refers to objects that own this one, so it is released with its only call.
+void CellLayoutSource::finish(const CellLayout &layout)
+{
+    const auto done = std::exchange(done_, {});
+    done(layout);
+}
+
 void CellLayoutSource::pollLater()
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(
@@ -70,7 +77,7 @@
                            }
                            const auto layout = decodeCellLayout(page.value().rows[0].value);
                            if (layout)
-                               return self->done_(layout.value());
+                               return self->finish(layout.value());
                            base::logEvent(
                                    base::Event::PlatformUnreachable,
                                    {{"call", "load-cells"}, {"reason", layout.error().message}});
@@ -132,7 +139,7 @@
                 base::logEvent(base::Event::CellsPlanned,
                                {{"cells", std::to_string(layout.count())},
                                 {"machines", std::to_string(self->lastCount_)}});
-                self->done_(layout);
+                self->finish(layout);
             });
 }
 
--- a/packages/entry/src/cell_layout_source.h
+++ b/packages/entry/src/cell_layout_source.h
@@ -40,6 +40,7 @@
     void countWorkers();
     void handleCount(std::vector<CellMachine> machines);
     void store(const CellLayout &layout);
+    void finish(const CellLayout &layout);
 
     ControllerPorts ports_;
     std::function<scheduler::Now()> clock_;
--- a/packages/entry/src/cell_drivers.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -1,4 +1,4 @@
-#include "cell_drivers.h"
+#include "cell_leadership.h"
 
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/layout.h>
@@ -30,8 +30,8 @@
 
 } // namespace
 
-CellDrivers::CellDrivers(const NodeSettings &settings, ControllerPorts ports,
-                         std::shared_ptr<PeerClient> peers, std::string incarnation)
+CellLeadership::CellLeadership(const NodeSettings &settings, ControllerPorts ports,
+                               std::shared_ptr<PeerClient> peers, std::string incarnation)
     : settings_(settings)
     , ports_(ports)
     , loop_(*ports.loop)
@@ -45,7 +45,7 @@
     , electionTimer_(loop_)
 {}
 
-void CellDrivers::start(std::function<void(const CellLayout &)> onLayout)
+void CellLeadership::start(std::function<void(const CellLayout &)> onLayout)
 {
     layoutSource_->start(
             [self = shared_from_this(), onLayout = std::move(onLayout)](const CellLayout &layout) {
@@ -54,7 +54,7 @@
             });
 }
 
-void CellDrivers::join(const CellLayout &layout)
+void CellLeadership::join(const CellLayout &layout)
 {
     layout_ = layout;
     const std::string address = settings_.peers.host + ":" + std::to_string(settings_.peers.port);
@@ -73,7 +73,7 @@
     runElections();
 }
 
-void CellDrivers::configure(const Configuration &configuration)
+void CellLeadership::configure(const Configuration &configuration)
 {
     configuration_ = configuration;
     for (const Seat &seat : seats_)
@@ -81,7 +81,7 @@
             seat.controller->configure(configuration);
 }
 
-void CellDrivers::setWaves(const std::vector<WaveRequest> &waves)
+void CellLeadership::setWaves(const std::vector<WaveRequest> &waves)
 {
     waves_ = waves;
     for (const Seat &seat : seats_)
@@ -89,7 +89,7 @@
             seat.controller->setWaves(waves);
 }
 
-void CellDrivers::release()
+void CellLeadership::release()
 {
     isStopping_ = true;
     for (std::size_t cell = 0; cell < seats_.size(); ++cell) {
@@ -98,13 +98,13 @@
     }
 }
 
-Controller *CellDrivers::controllerOf(int cell) const
+Controller *CellLeadership::controllerOf(int cell) const
 {
     const auto index = static_cast<std::size_t>(cell);
     return cell >= 0 && index < seats_.size() ? seats_[index].controller.get() : nullptr;
 }
 
-std::optional<int> CellDrivers::waitingJobs(const std::string &queue) const
+std::optional<int> CellLeadership::waitingJobs(const std::string &queue) const
 {
     if (seats_.empty())
         return std::nullopt;
@@ -121,7 +121,7 @@
     return waiting;
 }
 
-void CellDrivers::retryAfterPause(std::function<void()> action)
+void CellLeadership::retryAfterPause(std::function<void()> action)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kRetryPause);
     timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &error) {
@@ -132,7 +132,7 @@
 
 // Reads the parts of the leader table one after another. The watch starts at the oldest version of
 // all reads, so that it misses no row.
-void CellDrivers::loadLeaders(int part)
+void CellLeadership::loadLeaders(int part)
 {
     if (part == std::min(layout_->count(), layout::kLeaderParts)) {
         for (const Seat &seat : seats_)
@@ -151,7 +151,7 @@
             });
 }
 
-void CellDrivers::watchLeaders()
+void CellLeadership::watchLeaders()
 {
     ports_.table->watch(
             layout::kLeader, leaderVersion_, kLeaderWatchTimeout,
@@ -177,7 +177,7 @@
             });
 }
 
-void CellDrivers::observeRows(const std::vector<Row> &rows)
+void CellLeadership::observeRows(const std::vector<Row> &rows)
 {
     for (const Row &row : rows) {
         const auto cell = layout::cellOfLeaderRow(row.key.key);
@@ -197,7 +197,7 @@
 }
 
 // A released row, or a claim in flight, changes the number of cells that this daemon leads.
-void CellDrivers::updateHeldCells()
+void CellLeadership::updateHeldCells()
 {
     const auto held = std::count_if(seats_.begin(), seats_.end(), [](const Seat &seat) {
         return seat.election->keepsRow() || seat.election->isClaiming();
@@ -207,7 +207,7 @@
 }
 
 // Visits the cells in random order, so that daemons which start together claim different cells.
-void CellDrivers::runElections()
+void CellLeadership::runElections()
 {
     std::vector<int> order(seats_.size());
     std::iota(order.begin(), order.end(), 0);
@@ -227,7 +227,7 @@
     });
 }
 
-void CellDrivers::write(int cell, LeaderWrite write)
+void CellLeadership::write(int cell, LeaderWrite write)
 {
     const Controller *const controller = controllerOf(cell);
     if (controller != nullptr && controller->isLoaded())
@@ -252,7 +252,7 @@
 }
 
 // Asks a leader with much less room for its cell to hand over.
-void CellDrivers::requestYield()
+void CellLeadership::requestYield()
 {
     const scheduler::Millis now = systemNow().steady;
     if (now - yieldRequestedAt_ < kYieldPeriodMs || isStopping_ || !isReady_)
@@ -269,7 +269,7 @@
     }
 }
 
-void CellDrivers::handleYieldRequest(const YieldRequest &request)
+void CellLeadership::handleYieldRequest(const YieldRequest &request)
 {
     const Controller *const controller = controllerOf(request.cell);
     if (controller == nullptr || !controller->isLoaded())
@@ -286,7 +286,7 @@
 // Starts and stops the controller of a cell according to its election. While the lease is
 // uncertain, the controller keeps running but sends no orders; it stops when another daemon holds
 // the row.
-void CellDrivers::applyElection(int cell)
+void CellLeadership::applyElection(int cell)
 {
     const Seat &seat = seatOf(cell);
     if (seat.controller
@@ -297,7 +297,7 @@
         startController(cell);
 }
 
-void CellDrivers::startController(int cell)
+void CellLeadership::startController(int cell)
 {
     Seat &seat = seatOf(cell);
     const LeaderElection &election = *seat.election;
@@ -353,7 +353,7 @@
     seat.controller->start();
 }
 
-void CellDrivers::stopController(int cell, const char *reason)
+void CellLeadership::stopController(int cell, const char *reason)
 {
     Seat &seat = seatOf(cell);
     if (!seat.controller)
--- a/packages/entry/src/cell_drivers.h
+++ b/packages/entry/src/cell_leadership.h
@@ -21,11 +21,11 @@
 
 /// @brief Takes part in the elections of all cells and runs the controllers of those that this
 /// daemon leads.
-class CellDrivers : public std::enable_shared_from_this<CellDrivers>
+class CellLeadership : public std::enable_shared_from_this<CellLeadership>
 {
 public:
-    CellDrivers(const NodeSettings &settings, ControllerPorts ports,
-                std::shared_ptr<PeerClient> peers, std::string incarnation);
+    CellLeadership(const NodeSettings &settings, ControllerPorts ports,
+                   std::shared_ptr<PeerClient> peers, std::string incarnation);
 
     /// @brief Loads or plans the layout, passes it to the callback, and joins the elections.
     void start(std::function<void(const CellLayout &)> onLayout);
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -1,4 +1,4 @@
-#include "cell_drivers.h"
+#include "cell_leadership.h"
 #include "intake.h"
 #include "peer_client.h"
 #include "relayed_table.h"
@@ -56,7 +56,7 @@
         , incarnation_(base::uniqueId().substr(0, kIncarnationLength))
         , peers_(std::make_shared<PeerClient>(
                   loop_, settings_.peers.host + ":" + std::to_string(settings_.peers.port)))
-        , cells_(std::make_shared<CellDrivers>(settings_, ports_, peers_, incarnation_))
+        , cells_(std::make_shared<CellLeadership>(settings_, ports_, peers_, incarnation_))
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, controllerQuery(), systemNow))
         , metrics_(metrics)
@@ -262,7 +262,7 @@
     boost::asio::io_context &loop_;
     std::string incarnation_;
     std::shared_ptr<PeerClient> peers_;
-    std::shared_ptr<CellDrivers> cells_;
+    std::shared_ptr<CellLeadership> cells_;
     RelayedTable relayed_;
     std::shared_ptr<Intake> intake_;
     std::unique_ptr<http::Server> callers_;
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -19,7 +19,7 @@
 constexpr auto kReadTimeout = std::chrono::milliseconds(1'000);
 // Interval of reads of another cell's progress.
 constexpr scheduler::Millis kCellReadPeriodMs = 300;
-// The cell whose driver reports the state of the whole wave.
+// The cell whose leader reports the state of the whole wave.
 constexpr int kReportingCell = 0;
 // An order with an unknown outcome counts as carried out for this time, then it is repeated. Orders
 // are idempotent.
