Send stops that were due while the lease was uncertain

In the code, a stop that could not be sent because the lease was uncertain counted as sent. It was never repeated, so the task neither ended nor started again, and a task of a cancelled job ran on.

Change: such a stop counts as unsent, and a later tick sends it.

Measured: the new test fails on the former code and passes now; scheduler_tests pass.

Ruled out: a worker that is never asked; the uncertainty of a job ends after the longest lease.

--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -136,7 +136,8 @@
 void Scheduler::stop(const TaskId &id, Task &task)
 {
     task.phase = TaskPhase::Stopping;
-    task.isStopPending = true;
+    // A stop that cannot be sent now is sent by a later tick.
+    task.isStopPending = hooks_.maySendOrders();
     task.isStopConfirmed = false;
     sendStop(id, task.run, task.worker);
 }
--- a/packages/scheduler/src/scheduler_test.cpp
+++ b/packages/scheduler/src/scheduler_test.cpp
@@ -263,6 +263,25 @@
     CHECK(fixture.workers.workersRunning(second) == std::vector{silent});
 }
 
+// Guards against a stop that is never sent because the lease of the leader was uncertain when it
+// was due: the task would run on, or wait for ever for its next start.
+TEST_CASE("a stop that could not be sent is sent once orders are allowed again")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.submit("a", {step(2)});
+    fixture.run(1'000);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    fixture.maySendOrders = false;
+    fixture.scheduler->cancelJob("a");
+    fixture.run(300);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    fixture.maySendOrders = true;
+    fixture.run(1'000);
+    CHECK(fixture.workers.runningCount() == 0);
+}
+
 // Guards against an old end, reported again after a leader change, that ends the current run, and
 // against the end of a higher run on another worker that makes the current run look unknown.
 TEST_CASE("ends of other runs do not affect the current run")
