Log when a worker is lost, how long it was silent and what ran there

Change: worker.lost (CW6015) once for each lost worker with tasks: how, planned, number of tasks, time without a reply, age of the newest run. job.attempt-lost gains the age of the run.

Measured: scheduler_tests pass; no logic changes.

Ruled out: more job.started lines; the stream's limit drops them at a peak.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -64,6 +64,7 @@
     JobSubmitted = 6012,
     JobRefused = 6013,
     JobCancelled = 6014,
+    WorkerLost = 6015,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -82,6 +82,8 @@
         {Event::JobSubmitted, Severity::Info, "job.submitted", "a submission was stored"},
         {Event::JobRefused, Severity::Warning, "job.refused", "a submission was not stored"},
         {Event::JobCancelled, Severity::Info, "job.cancelled", "a cancellation was stored"},
+        {Event::WorkerLost, Severity::Warning, "worker.lost",
+         "a worker ended or fell silent while it ran tasks"},
         {Event::MemberJoined, Severity::Info, "member.joined", "an entry instance joined"},
         {Event::MemberSuspected, Severity::Warning, "member.suspected",
          "an entry instance does not answer"},
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -31,6 +31,7 @@
     std::string avoidedWorker; ///< worker on which the last run failed
     std::string checkpoint;
     Millis phaseSince = 0;
+    Millis startedAt = 0;              ///< when the current run was assigned or adopted
     Millis readySince = 0;             ///< time from which the current run could start
     std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a start or stop order
     int unansweredStarts = 0;          ///< start orders without a reply yet
@@ -97,6 +98,7 @@
     Occurrence *occurrence(std::int64_t number);
     const Occurrence *occurrence(std::int64_t number) const;
     Task *task(const TaskId &id);
+    const Task *task(const TaskId &id) const;
     std::map<std::int64_t, Occurrence> &occurrences() { return occurrences_; }
     const std::map<std::int64_t, Occurrence> &occurrences() const { return occurrences_; }
 
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -165,6 +165,7 @@
     JobEntry *entryOf(const std::string &id);
     const JobEntry *entryOf(const std::string &id) const;
     Task *taskOf(const TaskId &id);
+    const Task *taskOf(const TaskId &id) const;
     const QueuePolicy *policyOf(const Job &job) const;
     void markDirty(const std::string &id);
     void recordArrival(const Job &job);
@@ -210,6 +211,7 @@
     void replaceWorker(Worker &worker);
     void replaceFormerIncarnations(const WorkerEntry &entry);
     void handleLostTasks(Worker &worker, const char *reason);
+    void logLostWorker(const Worker &worker, const char *reason) const;
     void retryWorkers();
     void pruneWorkers();
     void drainPerpetual(Worker &worker);
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -1,6 +1,7 @@
 #include <chicorywick/scheduler/job.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorywick::scheduler {
 
@@ -198,7 +199,12 @@
 
 Task *Job::task(const TaskId &id)
 {
-    Occurrence *const owner = occurrence(id.occurrence);
+    return const_cast<Task *>(std::as_const(*this).task(id));
+}
+
+const Task *Job::task(const TaskId &id) const
+{
+    const Occurrence *const owner = occurrence(id.occurrence);
     if (owner == nullptr || id.step < 0 || id.index < 0)
         return nullptr;
     const auto step = static_cast<std::size_t>(id.step);
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -65,6 +65,12 @@
     return entry != nullptr ? entry->job.task(id) : nullptr;
 }
 
+const Task *Scheduler::taskOf(const TaskId &id) const
+{
+    const JobEntry *const entry = entryOf(id.job);
+    return entry != nullptr ? entry->job.task(id) : nullptr;
+}
+
 const QueuePolicy *Scheduler::policyOf(const Job &job) const
 {
     const auto found = queues_.find(job.spec().queue);
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -238,6 +238,7 @@
     dequeue(*entry, running.task);
     task->phase = TaskPhase::Running;
     task->phaseSince = hooks_.clock().steady;
+    task->startedAt = task->phaseSince;
     task->worker = worker.entry.id;
     task->run = running.run;
     task->checkpoint = running.checkpoint;
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -26,6 +26,7 @@
     task.phase = TaskPhase::Starting;
     task.readySince = std::max(task.phaseSince, entry.job.acceptedSteady());
     task.phaseSince = hooks_.clock().steady;
+    task.startedAt = task.phaseSince;
     task.worker = worker.entry.id;
     task.lastReplyNumber = 0;
     worker.tasks.insert(id);
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -50,6 +50,9 @@
 
     WorkerAddress address() const { return {.id = entry.id, .address = entry.address}; }
 
+    /// @brief True if the worker is shutting down, or an order to its machine may end it.
+    bool isEndPlanned() const { return entry.isDraining || !cordons.empty(); }
+
     /// @brief True if the reply comes from another incarnation.
     bool isOtherIncarnation(const RenewReply &reply) const
     {
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -169,17 +169,41 @@
     place();
 }
 
+void Scheduler::logLostWorker(const Worker &worker, const char *reason) const
+{
+    if (worker.tasks.empty())
+        return;
+    const Millis now = hooks_.clock().steady;
+    Millis newestStart = 0;
+    for (const TaskId &id : worker.tasks)
+        if (const Task *const task = taskOf(id))
+            newestStart = std::max(newestStart, task->startedAt);
+    base::logEvent(base::Event::WorkerLost,
+                   {{"worker", worker.entry.id},
+                    {"service", worker.entry.service},
+                    {"machine", worker.entry.machine},
+                    {"how", reason},
+                    {"planned", worker.isEndPlanned() ? "1" : "0"},
+                    {"tasks", std::to_string(worker.tasks.size())},
+                    {"silent_ms", std::to_string(now - worker.replyAt)},
+                    {"newest_start_ms", std::to_string(now - newestStart)}});
+}
+
 void Scheduler::handleLostTasks(Worker &worker, const char *reason)
 {
+    logLostWorker(worker, reason);
+    const Millis now = hooks_.clock().steady;
     for (const TaskId &id : std::set(worker.tasks)) {
         JobEntry *const entry = entryOf(id.job);
         Task *const task = taskOf(id);
         if (entry == nullptr || task == nullptr)
             continue;
-        base::logEvent(base::Event::JobAttemptLost, {{"task", id.text()},
-                                                     {"run", std::to_string(task->run)},
-                                                     {"worker", worker.entry.id},
-                                                     {"how", reason}});
+        base::logEvent(base::Event::JobAttemptLost,
+                       {{"task", id.text()},
+                        {"run", std::to_string(task->run)},
+                        {"worker", worker.entry.id},
+                        {"how", reason},
+                        {"age_ms", std::to_string(now - task->startedAt)}});
         if (isTerminal(entry->job.state()) || task->phase == TaskPhase::Done)
             release(id, *task);
         else
