Give up tasks that crash the workers that start them

Cause: a worker that has crashed lists no ends. Its tasks went back into the queue without a count, the cause among them, and were packed together again.

Change: CrashHistory counts, for each task, the runs under which a worker crashed and those that were still starting, and is stored with the progress of the job. Every run that a crashed worker had is recorded, except runs that have lasted 10 s and planned ends. A task whose run was starting is put on trial: it starts where no other job is starting, beside few tasks, and its worker takes no other job's start until a report shows it at work for 250 ms. A second crash there shows the cause, and the job fails. A task that crashes its workers later is set apart after three crashes and given up after the next one there. A worker whose lease has expired counts once it returns as another incarnation or is neither listed nor heard of; a task that is already suspected waits for that for 10 s at most. A start without an answer does not count as begun.

Ruled out: a plain count of losses, which gives up tasks beside the cause; a worker of its own for every lost task, which takes 11 workers for 17 tasks; counting every expired lease at once, which suspects all tasks of a cut zone.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -65,6 +65,7 @@
     JobRefused = 6013,
     JobCancelled = 6014,
     WorkerLost = 6015,
+    JobGivenUp = 6016,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -84,6 +84,8 @@
         {Event::JobCancelled, Severity::Info, "job.cancelled", "a cancellation was stored"},
         {Event::WorkerLost, Severity::Warning, "worker.lost",
          "a worker ended or fell silent while it ran tasks"},
+        {Event::JobGivenUp, Severity::Warning, "job.given-up",
+         "a job failed because one of its tasks crashes the workers that start it"},
         {Event::MemberJoined, Severity::Info, "member.joined", "an entry instance joined"},
         {Event::MemberSuspected, Severity::Warning, "member.suspected",
          "an entry instance does not answer"},
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -211,7 +211,10 @@
     spec.steps.push_back({.taskCount = 2, .after = {0}, .isGang = true, .preferredRack = "r"});
     CHECK(decodeJob(encode(spec)).value() == spec);
     scheduler::JobProgress progress{.state = scheduler::JobState::Running, .begunOccurrences = 1};
-    progress.open.push_back({.number = 0, .doneTasks = {{1, 2}}, .failedRuns = {{{0, 3}, {1}}}});
+    progress.open.push_back({.number = 0,
+                             .doneTasks = {{1, 2}},
+                             .failedRuns = {{{0, 3}, {1}}},
+                             .crashes = {{{0, 4}, {.runs = {1, 2}, .startingRuns = {2}}}}});
     CHECK(decodeProgress(encode(progress)).value() == progress);
     const WaveProgress wave{.startedMachines = {"m"}, .isDone = true};
     CHECK(decodeWaveProgress(encode(wave)).value() == wave);
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -148,6 +148,9 @@
         Json each{{"number", open.number}, {"done", open.doneTasks}};
         for (const auto &[task, runs] : open.failedRuns)
             each["failed"].push_back({task.first, task.second, runs});
+        for (const auto &[task, crashes] : open.crashes)
+            each["crashed"].push_back(
+                    {task.first, task.second, crashes.runs, crashes.startingRuns});
         json["open"].push_back(std::move(each));
     }
     return json.dump();
@@ -167,6 +170,10 @@
             for (const Json &failed : each.value("failed", Json::array()))
                 open.failedRuns[{failed.at(0).get<int>(), failed.at(1).get<int>()}] =
                         failed.at(2).get<std::set<std::int64_t>>();
+            for (const Json &crashed : each.value("crashed", Json::array()))
+                open.crashes[{crashed.at(0).get<int>(), crashed.at(1).get<int>()}] = {
+                        .runs = crashed.at(2).get<std::set<std::int64_t>>(),
+                        .startingRuns = crashed.at(3).get<std::set<std::int64_t>>()};
             progress.open.push_back(std::move(open));
         }
         return progress;
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/scheduler/crash_history.h>
 #include <chicorywick/scheduler/model.h>
 #include <chicorywick/scheduler/task_id.h>
 
@@ -27,16 +28,20 @@
     std::int64_t highestRun = 0; ///< highest run number seen; the next run gets a higher one
     std::int64_t endedRun = 0;   ///< highest run whose end was seen
     std::set<std::int64_t> failedRuns;
+    CrashHistory crashes;
     std::string worker;        ///< worker id; empty unless Starting, Running or Stopping
     std::string avoidedWorker; ///< worker on which the last run failed
     std::string checkpoint;
     Millis phaseSince = 0;
+    Millis heldUntil = 0;              ///< no start before, unless the fate of its last run shows
     Millis startedAt = 0;              ///< when the current run was assigned or adopted
     Millis readySince = 0;             ///< time from which the current run could start
     std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a start or stop order
     int unansweredStarts = 0;          ///< start orders without a reply yet
     bool isStopConfirmed = false;
     bool isStopPending = false;
+    bool hasBegun = false;   ///< the worker has accepted or listed the current run
+    bool isSettled = false;  ///< a task list has shown the current run at work for a while
     bool wasMissing = false; ///< start order without a reply, and the worker did not list the task
     int percent = 0;
     int pacePercent = 100;
@@ -49,6 +54,7 @@
     std::int64_t number = 0;
     std::vector<std::set<int>> doneTasks;                             ///< by step
     std::map<std::pair<int, int>, std::set<std::int64_t>> failedRuns; ///< by step and index
+    std::map<std::pair<int, int>, CrashHistory> crashes;              ///< by step and index
 
     bool operator==(const OccurrenceProgress &) const = default;
 };
--- a/packages/scheduler/include/chicorywick/scheduler/placement.h
+++ b/packages/scheduler/include/chicorywick/scheduler/placement.h
@@ -19,6 +19,7 @@
     int tasksOfStepInRack = 0;
     int servingTasks = 0;
     int leftoverCpuTasks = 0;
+    int neighbours = 0;     ///< tasks that a crash would end too; 0 for a task that never crashed
     bool isAvoided = false; ///< the last run of the task failed on this worker
 
     bool operator==(const PlacementCandidate &) const = default;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -160,6 +160,17 @@
         Millis uncertainUntil = 0; ///< until then, tasks may run on an unresponsive worker
         std::map<TaskId, ReadyKey> ready;
     };
+    enum class LossReason { Replaced, LeaseExpired };
+    /// A run that its worker has lost.
+    struct LostRun
+    {
+        TaskId task;
+        std::int64_t run = 0;
+        bool hasBegun = false;
+        bool isSettled = false;
+
+        bool operator==(const LostRun &) const = default;
+    };
 
     // Jobs (scheduler_jobs.cpp) and the ready queue (scheduler_queue.cpp)
     JobEntry *entryOf(const std::string &id);
@@ -210,18 +221,34 @@
     bool isUsable(const Worker &worker, Millis now) const;
     void replaceWorker(Worker &worker);
     void replaceFormerIncarnations(const WorkerEntry &entry);
-    void handleLostTasks(Worker &worker, const char *reason);
+    void handleLostTasks(Worker &worker, LossReason reason);
     void logLostWorker(const Worker &worker, const char *reason) const;
     void retryWorkers();
     void pruneWorkers();
     void drainPerpetual(Worker &worker);
     void pace(Worker &worker);
 
+    // Tasks that crash their workers (scheduler_crashes.cpp)
+    bool isProven(const Task &task) const;
+    std::vector<LostRun> unprovenRuns(const Worker &worker) const;
+    void recordCrash(const std::vector<LostRun> &runs);
+    void recordSilence(Worker &worker, const std::vector<LostRun> &runs);
+    void recordReturn(Worker &worker);
+    void giveUp(JobEntry &entry);
+    void beginRun(Worker &worker, const TaskId &id, Task &task);
+    void updateTrial(Worker &worker, const TaskId &id, Task &task);
+    void endTrial(Worker &worker, const TaskId &id);
+    void checkTrials(Worker &worker);
+    bool mayStartBeside(const Worker &worker, const TaskId &id, const Task &task) const;
+    void placeTrials(const std::string &service);
+    void reserveForTrial(const JobEntry &entry, const TaskId &id);
+
     // Placement (scheduler_placing.cpp)
     void place();
     void placeService(const std::string &service);
     void markAllServicesForPlacement();
     bool hasSilentInheritedWorker(const std::string &service) const;
+    bool isStartUncertain(const JobEntry &entry, const std::string &service) const;
     bool tryPlace(JobEntry &entry, const TaskId &id);
     void reserve(const JobEntry &entry, const TaskId &id);
     bool tryPlaceGang(JobEntry &entry, const TaskId &id);
@@ -257,6 +284,7 @@
     struct ReadyQueue
     {
         std::set<ReadyKey> keys;
+        std::set<ReadyKey> trials; ///< those of single tasks under which a worker has crashed
         std::int64_t waitingCpuMillis = 0;
     };
     std::map<std::string, ReadyQueue> ready_; ///< by service
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -67,6 +67,11 @@
 
     /// @brief Returns how a run ends; by default it succeeds after workMs.
     std::function<EndKind(const TaskId &, std::int64_t run)> outcome;
+    /// @brief True for a task that crashes each worker soon after its start; by default none does.
+    std::function<bool(const TaskId &)> crashesWorker;
+    Millis crashDelayMs = 10;
+    Millis downMs = 3'200; ///< time after a crash until the worker is back as a new incarnation
+    std::function<void(const WorkerEntry &)> onRestart;
     Millis workMs = 500;
     Millis replyDelayMs = 0; ///< replies to renewals wait unread for this time
     std::int64_t load = 0;   ///< reported for every running task
@@ -85,6 +90,7 @@
     /// @brief Descriptions of violated guarantees.
     const std::vector<std::string> &violations() const { return violations_; }
     int startsOf(const TaskId &task) const;
+    int crashesUnder(const TaskId &task) const;
     std::vector<std::string> workersRunning(const TaskId &task) const;
     int runningCount() const;
     int ordersSent() const { return ordersSent_; }
@@ -116,6 +122,7 @@
     Worker *findReachable(const WorkerAddress &address);
     OrderReply executeStart(Worker &worker, const StartOrder &order);
     OrderReply executeStop(Worker &worker, const StopOrder &order);
+    void crashSoon(const std::string &id, const TaskId &cause);
     void end(Worker &worker, const TaskId &task, EndKind kind);
     void expire(Worker &worker);
     template <typename Order>
@@ -129,6 +136,8 @@
     std::map<std::string, Worker> workers_;
     std::map<std::string, Resources> demands_;
     std::map<TaskId, int> starts_;
+    std::map<TaskId, int> crashes_;            ///< by the task that is the cause
+    std::map<TaskId, int> startsAfterCrashes_; ///< after the third crash
     std::set<TaskId> doneAndAcknowledged_;
     std::vector<std::string> violations_;
     int acknowledged_ = 0;
--- a/packages/scheduler/src/fake_workers_test.cpp
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -52,6 +52,24 @@
     workers_.erase(id);
 }
 
+void FakeWorkers::crashSoon(const std::string &id, const TaskId &cause)
+{
+    loop_.after(crashDelayMs, [this, id, cause, generation = workers_.at(id).generation] {
+        const auto found = workers_.find(id);
+        if (found == workers_.end() || found->second.generation != generation)
+            return;
+        ++crashes_[cause];
+        const WorkerEntry entry = found->second.entry;
+        workers_.erase(found);
+        loop_.after(downMs, [this, entry] {
+            const WorkerEntry restarted =
+                    add(entry.id, entry.service, entry.capacity, entry.labels);
+            if (onRestart)
+                onRestart(restarted);
+        });
+    });
+}
+
 void FakeWorkers::setReachable(const std::string &id, bool isReachable)
 {
     workers_.at(id).isReachable = isReachable;
@@ -119,6 +137,14 @@
     worker.running[order.task] = {
             .run = order.run, .checkpoint = order.checkpoint, .startedAt = loop_.now()};
     ++starts_[order.task];
+    if (crashesWorker && crashesWorker(order.task)) {
+        constexpr int kFreeCrashes = 3;
+        constexpr int kMaxFurtherStarts = 2;
+        if (crashes_[order.task] >= kFreeCrashes
+            && ++startsAfterCrashes_[order.task] > kMaxFurtherStarts)
+            violations_.push_back(order.task.text() + " started too often after three crashes");
+        crashSoon(worker.entry.id, order.task);
+    }
     const EndKind kind = outcome ? outcome(order.task, order.run) : EndKind::Done;
     if (workMs > 0)
         loop_.after(workMs,
@@ -258,6 +284,12 @@
     return found != starts_.end() ? found->second : 0;
 }
 
+int FakeWorkers::crashesUnder(const TaskId &task) const
+{
+    const auto found = crashes_.find(task);
+    return found != crashes_.end() ? found->second : 0;
+}
+
 std::vector<std::string> FakeWorkers::workersRunning(const TaskId &task) const
 {
     std::vector<std::string> workerIds;
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -127,6 +127,17 @@
                 failed->highestRun = runs.empty() ? 0 : *runs.rbegin();
             }
         }
+        for (const auto &[place, crashes] : open.crashes) {
+            const TaskId id{.job = spec_.id,
+                            .occurrence = open.number,
+                            .step = place.first,
+                            .index = place.second};
+            Task *const crashed = task(id);
+            if (crashed == nullptr || crashes.empty())
+                continue;
+            crashed->crashes = crashes;
+            crashed->highestRun = std::max(crashed->highestRun, *crashes.runs.rbegin());
+        }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             if (!isStepReady(occurrence, step))
                 continue;
@@ -153,6 +164,8 @@
                 if (!each.failedRuns.empty())
                     open.failedRuns[{static_cast<int>(step), static_cast<int>(index)}] =
                             each.failedRuns;
+                if (!each.crashes.empty())
+                    open.crashes[{static_cast<int>(step), static_cast<int>(index)}] = each.crashes;
             }
         progress.open.push_back(std::move(open));
     }
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -26,8 +26,9 @@
     return step.requiredLabel.empty() || hasLabel(candidate, step.requiredLabel);
 }
 
-// Sort key, lower is better: avoided workers last, then rack locality to data and siblings, then
-// low interference between serving and leftover-CPU tasks, then the tightest fit.
+// Sort key, lower is better: avoided workers last, then few tasks that a crash would end, then rack
+// locality to data and siblings, then low interference between serving and leftover-CPU tasks, then
+// the tightest fit.
 auto preference(const StepSpec &step, const PlacementCandidate &candidate)
 {
     const bool isRemote = !step.preferredRack.empty() && !hasLabel(candidate, step.preferredRack);
@@ -39,8 +40,8 @@
         interference = candidate.leftoverCpuTasks;
     const std::int64_t slack =
             step.usesLeftoverCpu ? -candidate.free.cpuMillis : candidate.free.cpuMillis;
-    return std::tuple(candidate.isAvoided, isRemote, rackPenalty, interference, slack,
-                      candidate.index);
+    return std::tuple(candidate.isAvoided, candidate.neighbours, isRemote, rackPenalty,
+                      interference, slack, candidate.index);
 }
 
 } // namespace
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -46,6 +46,8 @@
         if (entry != nullptr)
             worker->used -= reservedFor(stepOf(entry->job, id));
         worker->fullUntil = 0;
+        worker->startingTasks.erase(id);
+        worker->trialTasks.erase(id);
         servicesToPlace_.insert(worker->entry.service);
         if (worker->tasks.empty())
             worker->idleSince = hooks_.clock().steady;
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -48,6 +48,7 @@
         return;
     std::set<ReadyKey> &keys = queue->second.keys;
     reserved_.clear();
+    placeTrials(service);
     const bool hasSilentWorker = hasSilentInheritedWorker(service);
     const Millis now = hooks_.clock().steady;
     std::vector<const StepSpec *> unplaceableSteps;
@@ -61,6 +62,8 @@
         JobEntry *const entry = entryOf(id.job);
         if (entry == nullptr || (hasSilentWorker && entry->uncertainUntil > now))
             continue;
+        if (queue->second.trials.contains(entry->ready.at(id)))
+            continue; // placeTrials() has tried
         const StepSpec &step = stepOf(entry->job, id);
         if (step.isGang) {
             const bool isPlaced = tryPlaceGang(*entry, id);
@@ -95,6 +98,11 @@
     });
 }
 
+bool Scheduler::isStartUncertain(const JobEntry &entry, const std::string &service) const
+{
+    return entry.uncertainUntil > hooks_.clock().steady && hasSilentInheritedWorker(service);
+}
+
 Scheduler::Worker *Scheduler::chooseWorker(JobEntry &entry, const TaskId &id,
                                            const std::map<std::string, Resources> &planned)
 {
@@ -115,7 +123,8 @@
         ++examinedWorkers_;
         const std::string &workerId = worker->entry.id;
         const bool isCandidate = worker->free().covers(demand) && isUsable(*worker, now)
-                                 && !reserved_.contains(workerId);
+                                 && !reserved_.contains(workerId)
+                                 && mayStartBeside(*worker, id, task);
         if (!isCandidate)
             continue;
         PlacementCandidate candidate{.index = usable.size(),
@@ -129,6 +138,8 @@
                     return stray.job == id.job && stray.occurrence == id.occurrence
                            && stray.step == id.step;
                 }));
+        if (!task.crashes.empty())
+            candidate.neighbours = static_cast<int>(worker->tasks.size());
         const auto plan = planned.find(workerId);
         if (plan != planned.end())
             candidate.free -= plan->second;
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -80,6 +80,9 @@
     entry.ready.emplace(id, key);
     ReadyQueue &queue = ready_[policy->service];
     queue.keys.insert(key);
+    const CrashHistory &crashes = entry.job.task(id)->crashes;
+    if (!stepOf(entry.job, id).isGang && (crashes.needsTrial() || crashes.needsOwnWorker()))
+        queue.trials.insert(key);
     queue.waitingCpuMillis += reservedFor(stepOf(entry.job, id)).cpuMillis;
     servicesToPlace_.insert(policy->service);
 }
@@ -92,6 +95,7 @@
     if (const QueuePolicy *const policy = policyOf(entry.job)) {
         ReadyQueue &queue = ready_[policy->service];
         queue.keys.erase(found->second);
+        queue.trials.erase(found->second);
         queue.waitingCpuMillis -= reservedFor(stepOf(entry.job, id)).cpuMillis;
     }
     entry.ready.erase(found);
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -174,6 +174,7 @@
     recordClock(worker, reply.workerClock);
     worker.hasResponded = true;
     worker.isSuspect = false;
+    recordReturn(worker);
     // Replies on two connections can arrive out of order. An older list of running tasks is
     // ignored, because a task that it lacks may have started since.
     const bool isOlder = reply.workerClock < worker.listClock;
@@ -219,6 +220,7 @@
             task->phaseSince = hooks_.clock().steady;
             task->lastReplyNumber = ++replyCount_;
         }
+        updateTrial(worker, running.task, *task);
         return;
     }
     // The task was started by an earlier leader. It can be Blocked here if the ends of its
@@ -238,12 +240,13 @@
     dequeue(*entry, running.task);
     task->phase = TaskPhase::Running;
     task->phaseSince = hooks_.clock().steady;
-    task->startedAt = task->phaseSince;
     task->worker = worker.entry.id;
     task->run = running.run;
     task->checkpoint = running.checkpoint;
     task->percent = running.percent;
     worker.tasks.insert(running.task);
+    beginRun(worker, running.task, *task);
+    task->hasBegun = true;
     worker.used += reservedFor(stepOf(entry->job, running.task));
     entry->job.markStarted();
 }
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -26,10 +26,10 @@
     task.phase = TaskPhase::Starting;
     task.readySince = std::max(task.phaseSince, entry.job.acceptedSteady());
     task.phaseSince = hooks_.clock().steady;
-    task.startedAt = task.phaseSince;
     task.worker = worker.entry.id;
     task.lastReplyNumber = 0;
     worker.tasks.insert(id);
+    beginRun(worker, id, task);
     worker.used += reservedFor(stepOf(entry.job, id));
 }
 
@@ -93,6 +93,7 @@
     switch (reply.status) {
     case OrderStatus::Accepted:
         recordClock(*worker, reply.workerClock);
+        task->hasBegun = true;
         if (task->phase == TaskPhase::Starting) {
             task->phase = TaskPhase::Running;
             task->phaseSince = now;
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -20,7 +20,10 @@
 
     Resources used;
     std::set<TaskId> tasks;
-    std::set<TaskId> strayTasks; ///< listed as running there, not assigned to it, being stopped
+    std::set<TaskId> strayTasks;     ///< listed as running there, not assigned to it, being stopped
+    std::set<TaskId> startingTasks;  ///< runs that no report has shown at work for a while
+    std::set<TaskId> trialTasks;     ///< tasks under which a worker has crashed; all of one job
+    std::vector<LostRun> silentRuns; ///< given up when the lease expired; it may have crashed
     Millis idleSince = 0;
     Millis fullUntil = 0;
 
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -4,6 +4,7 @@
 #include <chicorywick/scheduler/pacing.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace chicorywick::scheduler {
@@ -76,7 +77,7 @@
     if (isOtherIncarnation && known->entry.incarnation > entry.incarnation)
         return; // outdated entry that discovery has not replaced yet
     if (isOtherIncarnation) {
-        handleLostTasks(*known, "replaced");
+        handleLostTasks(*known, LossReason::Replaced);
         dropWorker(entry.id);
         known = nullptr;
     }
@@ -131,7 +132,7 @@
     worker.isReplaced = true;
     worker.hasResponded = false;
     ++rosterRevision_;
-    handleLostTasks(worker, "replaced");
+    handleLostTasks(worker, LossReason::Replaced);
 }
 
 void Scheduler::endWorker(const std::string &id)
@@ -189,10 +190,14 @@
                     {"newest_start_ms", std::to_string(now - newestStart)}});
 }
 
-void Scheduler::handleLostTasks(Worker &worker, const char *reason)
+void Scheduler::handleLostTasks(Worker &worker, LossReason reason)
 {
-    logLostWorker(worker, reason);
+    const char *const how = reason == LossReason::Replaced ? "replaced" : "lease-over";
+    logLostWorker(worker, how);
     const Millis now = hooks_.clock().steady;
+    std::vector<LostRun> runs;
+    if (!worker.isEndPlanned())
+        runs = unprovenRuns(worker);
     for (const TaskId &id : std::set(worker.tasks)) {
         JobEntry *const entry = entryOf(id.job);
         Task *const task = taskOf(id);
@@ -202,7 +207,7 @@
                        {{"task", id.text()},
                         {"run", std::to_string(task->run)},
                         {"worker", worker.entry.id},
-                        {"how", reason},
+                        {"how", how},
                         {"age_ms", std::to_string(now - task->startedAt)}});
         if (isTerminal(entry->job.state()) || task->phase == TaskPhase::Done)
             release(id, *task);
@@ -210,7 +215,15 @@
             requeue(*entry, id, *task);
     }
     worker.tasks.clear();
+    worker.startingTasks.clear();
+    worker.trialTasks.clear();
     worker.used = {};
+    if (reason == LossReason::LeaseExpired) {
+        recordSilence(worker, runs);
+        return;
+    }
+    recordCrash(std::exchange(worker.silentRuns, {}));
+    recordCrash(runs);
 }
 
 void Scheduler::retryWorkers()
@@ -219,7 +232,7 @@
     for (auto &[id, worker] : workers_) {
         if (!worker->tasks.empty() && now - worker->replyAt > settings_.unresponsiveAfterMs
             && isLeaseExpired(*worker))
-            handleLostTasks(*worker, "lease-over");
+            handleLostTasks(*worker, LossReason::LeaseExpired);
         std::vector<TaskId> unstopped;
         for (const TaskId &task : worker->tasks) {
             const Task *const state = taskOf(task);
@@ -229,6 +242,7 @@
         }
         for (const TaskId &task : unstopped)
             stop(task, *taskOf(task));
+        checkTrials(*worker);
         renew(*worker);
     }
 }
@@ -248,6 +262,11 @@
         base::logEvent(base::Event::WorkerGone,
                        {{"worker", item->first}, {"service", worker.entry.service}});
         const std::string id = (item++)->first;
+        // It may have been cut off, so its crash is no evidence against the runs that were
+        // starting.
+        for (LostRun &run : worker.silentRuns)
+            run.isSettled = true;
+        recordCrash(std::exchange(worker.silentRuns, {}));
         dropWorker(id);
     }
 }
