Keep failed and crashed runs that another leader has stored

When a write of progress finds the row changed by another leader, only ends of tasks were taken from it; the following write replaced the other leader's failed runs by the own ones.

Change: failed and crashed runs of the stored progress are added to the own ones, and a job whose attempts are used up fails.

Ruled out: the ends themselves, which are merged already.

--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -98,6 +98,10 @@
     /// @brief Tasks of open occurrences that are done according to the stored progress.
     std::vector<TaskId> tasksDoneIn(const JobProgress &progress) const;
 
+    /// @brief Adds the failed and crashed runs of stored progress; returns the tasks that gained
+    /// any.
+    std::vector<TaskId> mergeLostRuns(const JobProgress &progress);
+
     /// @brief Begins all due occurrences; returns their numbers.
     std::vector<std::int64_t> beginDueOccurrences(Millis wall);
 
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -195,6 +195,7 @@
     void handleEnd(Worker &worker, const EndedTask &end);
     void handleDone(JobEntry &entry, const EndedTask &end);
     void handleFailure(JobEntry &entry, Worker &worker, const EndedTask &end);
+    void failIfExhausted(JobEntry &entry, const TaskId &id);
     void requeue(JobEntry &entry, const TaskId &id, Task &task);
     void release(const TaskId &id, Task &task);
     void recordTaskResult(Worker &worker, bool isGood, const std::string &job);
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -198,6 +198,36 @@
     return done;
 }
 
+std::vector<TaskId> Job::mergeLostRuns(const JobProgress &progress)
+{
+    std::vector<TaskId> changed;
+    const auto merge = [&](const TaskId &id, const auto &add) {
+        Task *const found = task(id);
+        if (found == nullptr)
+            return;
+        const auto failedBefore = found->failedRuns.size();
+        const CrashHistory crashesBefore = found->crashes;
+        add(*found);
+        if (found->failedRuns.size() != failedBefore || !(found->crashes == crashesBefore))
+            changed.push_back(id);
+    };
+    for (const OccurrenceProgress &open : progress.open) {
+        const auto idAt = [&](const std::pair<int, int> &place) {
+            return TaskId{.job = spec_.id,
+                          .occurrence = open.number,
+                          .step = place.first,
+                          .index = place.second};
+        };
+        for (const auto &[place, runs] : open.failedRuns)
+            merge(idAt(place), [&runs = runs](Task &found) {
+                found.failedRuns.insert(runs.begin(), runs.end());
+            });
+        for (const auto &[place, crashes] : open.crashes)
+            merge(idAt(place), [&crashes = crashes](Task &found) { found.crashes.merge(crashes); });
+    }
+    return changed;
+}
+
 Occurrence *Job::occurrence(std::int64_t number)
 {
     const auto found = occurrences_.find(number);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -98,8 +98,6 @@
     Task *const task = entry.job.task(end.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
-    const StepSpec &step = stepOf(entry.job, end.task);
-    const QueuePolicy *const policy = policyOf(entry.job);
     const bool isNew = task->failedRuns.insert(end.run).second;
     if (isNew) {
         markDirty(end.task.job);
@@ -110,18 +108,25 @@
         task->avoidedWorker = worker.entry.id;
         requeue(entry, end.task, *task);
     }
-    const int attempts = static_cast<int>(task->failedRuns.size());
-    const bool areAttemptsExhausted =
-            policy != nullptr && !step.isPerpetual && attempts >= policy->maxAttempts;
-    base::logEvent(base::Event::JobAttemptLost, {{"task", end.task.text()},
-                                                 {"run", std::to_string(end.run)},
-                                                 {"worker", worker.entry.id},
-                                                 {"how", "failed"},
-                                                 {"attempts", std::to_string(attempts)}});
-    if (areAttemptsExhausted && !isTerminal(entry.job.state())) {
-        entry.job.fail(hooks_.clock().steady);
-        finishJob(entry);
-    }
+    base::logEvent(base::Event::JobAttemptLost,
+                   {{"task", end.task.text()},
+                    {"run", std::to_string(end.run)},
+                    {"worker", worker.entry.id},
+                    {"how", "failed"},
+                    {"attempts", std::to_string(task->failedRuns.size())}});
+    failIfExhausted(entry, end.task);
+}
+
+void Scheduler::failIfExhausted(JobEntry &entry, const TaskId &id)
+{
+    const Task *const task = entry.job.task(id);
+    const QueuePolicy *const policy = policyOf(entry.job);
+    if (task == nullptr || policy == nullptr || stepOf(entry.job, id).isPerpetual
+        || isTerminal(entry.job.state())
+        || static_cast<int>(task->failedRuns.size()) < policy->maxAttempts)
+        return;
+    entry.job.fail(hooks_.clock().steady);
+    finishJob(entry);
 }
 
 void Scheduler::handleEnd(Worker &worker, const EndedTask &end)
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -149,6 +149,13 @@
     }
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
         handleDone(*entry, EndedTask{.task = task});
+    for (const TaskId &task : entry->job.mergeLostRuns(progress)) {
+        if (entry->ready.contains(task)) {
+            dequeue(*entry, task);
+            enqueue(*entry, task);
+        }
+        failIfExhausted(*entry, task);
+    }
     markDirty(id);
 }
 
--- a/packages/scheduler/src/scheduler_takeover_test.cpp
+++ b/packages/scheduler/src/scheduler_takeover_test.cpp
@@ -108,4 +108,32 @@
     CHECK(fixture.workers.startsOf(second) == 1);
 }
 
+// Guards against attempts beyond the maximum: a leader that returns after a partition overwrote the
+// failed and crashed runs that its successor had stored.
+TEST_CASE("failed and crashed runs stored by another leader are kept")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.submit("a", {step(2)});
+    fixture.submit("b", {step(1)});
+    fixture.run(500);
+    const OccurrenceProgress lost{.number = 0,
+                                  .doneTasks = {{}},
+                                  .failedRuns = {{{0, 0}, {1}}},
+                                  .crashes = {{{0, 1}, {.runs = {2}, .startingRuns = {2}}}}};
+    fixture.scheduler->mergeStoredProgress(
+            "a", {.state = JobState::Running, .begunOccurrences = 1, .open = {lost}});
+    fixture.run(100);
+    REQUIRE(fixture.stored["a"].open.size() == 1);
+    CHECK(fixture.stored["a"].open[0].failedRuns == lost.failedRuns);
+    CHECK(fixture.stored["a"].open[0].crashes == lost.crashes);
+    // The queue allows two attempts.
+    fixture.scheduler->mergeStoredProgress(
+            "b", {.state = JobState::Running,
+                  .begunOccurrences = 1,
+                  .open = {{.number = 0, .doneTasks = {{}}, .failedRuns = {{{0, 0}, {1, 2}}}}}});
+    CHECK(fixture.scheduler->stateOf("b") == JobState::Failed);
+}
+
 } // namespace chicorywick::scheduler
