--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -64,6 +64,8 @@
     JobSubmitted = 6012,
     JobRefused = 6013,
     JobCancelled = 6014,
+    WorkerLost = 6015,
+    JobGivenUp = 6016,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -1,6 +1,7 @@
 #include <chicorywick/scheduler/job.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorywick::scheduler {
 
@@ -126,6 +127,17 @@
                 failed->highestRun = runs.empty() ? 0 : *runs.rbegin();
             }
         }
+        for (const auto &[place, crashes] : open.crashes) {
+            const TaskId id{.job = spec_.id,
+                            .occurrence = open.number,
+                            .step = place.first,
+                            .index = place.second};
+            Task *const crashed = task(id);
+            if (crashed == nullptr || crashes.empty())
+                continue;
+            crashed->crashes = crashes;
+            crashed->highestRun = std::max(crashed->highestRun, *crashes.runs.rbegin());
+        }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             if (!isStepReady(occurrence, step))
                 continue;
@@ -152,6 +164,8 @@
                 if (!each.failedRuns.empty())
                     open.failedRuns[{static_cast<int>(step), static_cast<int>(index)}] =
                             each.failedRuns;
+                if (!each.crashes.empty())
+                    open.crashes[{static_cast<int>(step), static_cast<int>(index)}] = each.crashes;
             }
         progress.open.push_back(std::move(open));
     }
@@ -184,6 +198,36 @@
     return done;
 }
 
+std::vector<TaskId> Job::mergeLostRuns(const JobProgress &progress)
+{
+    std::vector<TaskId> changed;
+    const auto merge = [&](const TaskId &id, const auto &add) {
+        Task *const found = task(id);
+        if (found == nullptr)
+            return;
+        const auto failedBefore = found->failedRuns.size();
+        const CrashHistory crashesBefore = found->crashes;
+        add(*found);
+        if (found->failedRuns.size() != failedBefore || !(found->crashes == crashesBefore))
+            changed.push_back(id);
+    };
+    for (const OccurrenceProgress &open : progress.open) {
+        const auto idAt = [&](const std::pair<int, int> &place) {
+            return TaskId{.job = spec_.id,
+                          .occurrence = open.number,
+                          .step = place.first,
+                          .index = place.second};
+        };
+        for (const auto &[place, runs] : open.failedRuns)
+            merge(idAt(place), [&runs = runs](Task &found) {
+                found.failedRuns.insert(runs.begin(), runs.end());
+            });
+        for (const auto &[place, crashes] : open.crashes)
+            merge(idAt(place), [&crashes = crashes](Task &found) { found.crashes.merge(crashes); });
+    }
+    return changed;
+}
+
 Occurrence *Job::occurrence(std::int64_t number)
 {
     const auto found = occurrences_.find(number);
@@ -198,7 +242,12 @@
 
 Task *Job::task(const TaskId &id)
 {
-    Occurrence *const owner = occurrence(id.occurrence);
+    return const_cast<Task *>(std::as_const(*this).task(id));
+}
+
+const Task *Job::task(const TaskId &id) const
+{
+    const Occurrence *const owner = occurrence(id.occurrence);
     if (owner == nullptr || id.step < 0 || id.index < 0)
         return nullptr;
     const auto step = static_cast<std::size_t>(id.step);
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -65,6 +65,12 @@
     return entry != nullptr ? entry->job.task(id) : nullptr;
 }
 
+const Task *Scheduler::taskOf(const TaskId &id) const
+{
+    const JobEntry *const entry = entryOf(id.job);
+    return entry != nullptr ? entry->job.task(id) : nullptr;
+}
+
 const QueuePolicy *Scheduler::policyOf(const Job &job) const
 {
     const auto found = queues_.find(job.spec().queue);
@@ -143,6 +149,13 @@
     }
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
         handleDone(*entry, EndedTask{.task = task});
+    for (const TaskId &task : entry->job.mergeLostRuns(progress)) {
+        if (entry->ready.contains(task)) {
+            dequeue(*entry, task);
+            enqueue(*entry, task);
+        }
+        failIfExhausted(*entry, task);
+    }
     markDirty(id);
 }
 
