Start no task of a job whose cancellation is already known

In the code, a leader that reads the rows of a job and of its cancellation together (a stalled watch, a dropped history, a lost announcement of the job) added the job first, and its tasks were placed at once. The cancellation stopped them one row later.

Change: the cancellations of a page are applied before its jobs. A job that is known as cancelled is added in that state, so nothing is placed; the state is stored and shown to callers, and tasks that workers list are stopped.

Measured: three of the four new tests in controller_cancellation_test.cpp fail on the former code (a start order is sent: rows in one watch page, cancellation announced first, rows read after a loss of history) and pass now. The fourth, a new leader that stops tasks of its predecessor, passes on both. entry_tests 35 of 35, scheduler_tests 31 of 31.

Ruled out: the load of a new leader; it adds workers after all jobs, so the order of the rows does not matter there.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -158,16 +158,29 @@
     });
 }
 
-void Controller::Impl::applyJobRow(const Row &row)
+// A job and its cancellation can be read together, the job first. With the cancellations applied
+// first, no task of a cancelled job starts.
+void Controller::Impl::applyJobRows(const std::vector<Row> &rows)
+{
+    for (const Row &row : rows)
+        applyCancellation(row);
+    for (const Row &row : rows)
+        applyJobRow(row);
+}
+
+void Controller::Impl::applyCancellation(const Row &row)
 {
-    if (row.isRemoved)
+    const std::string id = layout::cancelledJob(row.key.key);
+    if (id.empty() || row.isRemoved)
         return;
-    const std::string cancelled = layout::cancelledJob(row.key.key);
-    if (!cancelled.empty()) {
-        cancelled_.insert(cancelled);
-        scheduler_.cancelJob(cancelled);
+    cancelled_.insert(id);
+    scheduler_.cancelJob(id);
+}
+
+void Controller::Impl::applyJobRow(const Row &row)
+{
+    if (row.isRemoved || !layout::cancelledJob(row.key.key).empty())
         return;
-    }
     const auto progress = loadedProgress_.find(row.key.key);
     if (row.value == kEndedJobValue) {
         if (progress != loadedProgress_.end())
@@ -186,6 +199,9 @@
                                                                     : checked.error().message}});
         return;
     }
+    const bool hasEnded = progress != loadedProgress_.end() && isTerminal(progress->second.state);
+    if (cancelled_.contains(row.key.key) && !hasEnded)
+        return scheduler_.addCancelledJob(spec.value());
     // A job without stored progress may have been started by a previous leader, unless the job was
     // stored after this leader's claim: previous leaders had stopped by then.
     std::optional<scheduler::JobProgress> initialProgress;
@@ -194,15 +210,13 @@
     else if (!isLoaded_ && row.version < fence_)
         initialProgress = scheduler::JobProgress{};
     scheduler_.addJob(spec.value(), initialProgress);
-    if (cancelled_.contains(spec.value().id))
-        scheduler_.cancelJob(spec.value().id);
 }
 
 // Until loading completes, rows are left to loadJobs(): a previous leader may have started the job.
 void Controller::Impl::applyStored(const Row &row)
 {
     if (isLoaded_ && !isStopped_)
-        applyJobRow(row);
+        applyJobRows({row});
 }
 
 void Controller::Impl::watchJobs()
@@ -215,8 +229,7 @@
                                 return self->reloadJobs();
                             if (!page)
                                 return self->retryAfterPause([self] { self->watchJobs(); });
-                            for (const Row &row : page.value().rows)
-                                self->applyJobRow(row);
+                            self->applyJobRows(page.value().rows);
                             self->jobsVersion_ = std::max(self->jobsVersion_, page.value().version);
                             self->runAfter(kWatchPause, [self] { self->watchJobs(); });
                         });
--- /dev/null
+++ b/packages/entry/src/controller_cancellation_test.cpp
@@ -0,0 +1,67 @@
+#include "controller_fixture.h"
+
+#include <chicorywick/entry/layout.h>
+
+#include <doctest/doctest.h>
+
+namespace chicorywick::entry {
+
+// Guards against starts after an acknowledged cancellation when a stalled watch delivers the rows
+// of a job and of its cancellation together.
+TEST_CASE("a job whose cancellation arrives with it starts no task")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    fixture.answerWatch(RowPage{.rows = {fixture.jobRow("a")}});
+    REQUIRE(fixture.workers.hasStarted("a"));
+    fixture.answerWatch(RowPage{.rows = {fixture.jobRow("b"), fixture.cancelRow("b")}});
+    CHECK(!fixture.workers.hasStarted("b"));
+    CHECK(fixture.controller->reportedState("b") == scheduler::JobState::Cancelled);
+    const Row &progress = fixture.table.rows[fixture.rows.progressRow("b")];
+    REQUIRE(decodeProgress(progress.value).has_value());
+    CHECK(decodeProgress(progress.value).value().state == scheduler::JobState::Cancelled);
+}
+
+// Guards against the same starts when the announcement of the job's row is late or lost.
+TEST_CASE("a job whose cancellation was announced before it starts no task")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    fixture.controller->applyStored(fixture.cancelRow("a"));
+    fixture.controller->applyStored(fixture.jobRow("a"));
+    fixture.run();
+    CHECK(!fixture.workers.hasStarted("a"));
+    CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
+}
+
+// Guards against the same starts when the store has dropped the history that the watch needs.
+TEST_CASE("a cancelled job that is first read after a loss of history starts no task")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    fixture.store(fixture.jobRow("a"));
+    fixture.store(fixture.cancelRow("a"));
+    fixture.answerWatch(base::makeError(base::Code::HistoryUnavailable));
+    CHECK(!fixture.workers.hasStarted("a"));
+    CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
+}
+
+// Guards against tasks of a cancelled job that run on because the leader which started them is
+// gone.
+TEST_CASE("a new leader stops the tasks of a job that was cancelled before it loaded")
+{
+    ControllerFixture fixture;
+    fixture.store(fixture.jobRow("a"));
+    fixture.store(fixture.cancelRow("a"));
+    fixture.store({.key = fixture.rows.progressRow("a"),
+                   .value = encode(scheduler::JobProgress{.state = scheduler::JobState::Running,
+                                                          .begunOccurrences = 1,
+                                                          .open = {{.doneTasks = {{}}}}})});
+    fixture.workers.running.push_back({.task = {.job = "a"}, .run = 1});
+    fixture.startTerm();
+    CHECK(fixture.workers.hasStopped("a"));
+    CHECK(!fixture.workers.hasStarted("a"));
+    CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
+}
+
+} // namespace chicorywick::entry
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -40,6 +40,8 @@
     void retryAfterPause(std::function<void()> action);
     void runAfter(std::chrono::milliseconds pause, std::function<void()> action);
 
+    void applyJobRows(const std::vector<Row> &rows);
+    void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
     void watchJobs();
     void reloadJobs();
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -80,8 +80,7 @@
                 // The watch starts at the oldest version of all reads, so that it misses no row.
                 const Version version = page.value().version;
                 self->jobsVersion_ = part == 0 ? version : std::min(self->jobsVersion_, version);
-                for (const Row &row : page.value().rows)
-                    self->applyJobRow(row);
+                self->applyJobRows(page.value().rows);
                 self->loadJobs(part + 1);
             });
 }
--- a/packages/entry/src/fake_table.h
+++ b/packages/entry/src/fake_table.h
@@ -17,6 +17,8 @@
     std::vector<std::pair<base::Code, bool>> failures;
     int calls = 0;
     Transaction lastTransaction; ///< the latest one without an injected failure
+    /// The pending watch of each table; the test answers it.
+    std::map<std::string, Callback<RowPage>> watches;
 
     void transact(const Transaction &transaction, std::chrono::milliseconds /*timeout*/,
                   Callback<TransactionResult> done) override
@@ -49,9 +51,13 @@
         done(std::move(page));
     }
 
-    void watch(const std::string & /*table*/, Version /*after*/, std::chrono::milliseconds /*wait*/,
-               Callback<RowPage> /*done*/) override
-    {}
+    void watch(const std::string &table, Version /*after*/, std::chrono::milliseconds /*wait*/,
+               Callback<RowPage> done) override
+    {
+        watches.insert_or_assign(table, std::move(done));
+    }
+
+    Version version() const { return version_; }
 
 private:
     bool apply(const Transaction &transaction)
@@ -63,6 +69,8 @@
         ++version_;
         for (const RowWrite &write : transaction.writes)
             rows[write.key] = {.key = write.key, .value = write.value, .version = version_};
+        for (const RowKey &removal : transaction.removals)
+            rows.erase(removal);
         return true;
     }
 
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -90,6 +90,10 @@
     void addJob(const JobSpec &spec, const std::optional<JobProgress> &progress);
     void cancelJob(const std::string &id);
 
+    /// @brief Adds a job that was cancelled before; tasks that an earlier leader started are
+    /// stopped.
+    void addCancelledJob(const JobSpec &spec);
+
     /// @brief Applies progress of a job that another leader has stored.
     void mergeStoredProgress(const std::string &id, const JobProgress &progress);
 
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -155,6 +155,16 @@
     finishJob(*entry);
 }
 
+// The job has no open occurrences, so tasks that workers list as running are unknown and get
+// stopped.
+void Scheduler::addCancelledJob(const JobSpec &spec)
+{
+    if (jobs_.contains(spec.id))
+        return cancelJob(spec.id);
+    addJob(spec, JobProgress{.state = JobState::Cancelled});
+    markDirty(spec.id);
+}
+
 // Removes the waiting tasks of a job in a final state from the queue and stops the running ones.
 void Scheduler::finishJob(JobEntry &entry)
 {
