Store the cancellation of a job that is not stored yet

Cause: callers could see a task of a job start after its cancellation was answered with 410. A submission that got no answer can be carried out by the store seconds later. The intake answered 410 from the absence of the job's row and stored nothing, so the job ran when its row appeared.

Change: the cancellation row is written in both cases, and 410 is sent once it is stored. A job whose row appears later is added as cancelled. A GET of the ID is answered 410 as before, a submission is answered 200, and its job shows as cancelled. The leader of the cell removes the row after the retention time if no job has come, and a new leader does so too, counted from its load, as for ended jobs. Rows and memory are bounded by the cancellations of one retention time, plus one for each change of leaders. The cost is one write for a cancellation of an unknown ID.

The test that a cancellation is stored for existing jobs only described the fault. Its checks remain, and its successor also checks that the row and the announcement of an unknown job exist. A new test checks that a cancellation that cannot be stored is answered with an error, for known and unknown jobs.

Ruled out: a condition on the absence of the job's row. The cancellation has to be stored in both cases, so a plain write suffices.

Conclusion: not shown to be the cause of the report.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -100,6 +100,7 @@
                                                    settings.fence))
     , tickTimer_(*ports.loop)
     , fence_(settings.fence)
+    , retentionMs_(settings.retentionMs)
 {}
 
 void Controller::Impl::start()
@@ -173,7 +174,7 @@
     const std::string id = layout::cancelledJob(row.key.key);
     if (id.empty() || row.isRemoved)
         return;
-    cancelled_.insert(id);
+    cancelled_.add(id, hooks_.clock().steady);
     scheduler_.cancelJob(id);
 }
 
@@ -335,6 +336,15 @@
         journal_->forget(id);
         cancelled_.erase(id);
     }
+    // Cancellations of jobs that were never stored, or whose removal failed before.
+    const auto hasJob = [this](const std::string &id) {
+        return scheduler_.stateOf(id).has_value();
+    };
+    for (const std::string &id :
+         cancelled_.takeExpired(hooks_.clock().steady - retentionMs_, hasJob)) {
+        const RowKey row = rows_.cancelRow(id);
+        byPart[row.part].removals.push_back(row);
+    }
     for (auto &[part, transaction] : byPart)
         for (std::size_t from = 0; from < transaction.removals.size(); from += kRemovalsPerWrite) {
             const auto begin = transaction.removals.begin() + static_cast<std::ptrdiff_t>(from);
--- a/packages/entry/src/controller_cancellation_test.cpp
+++ b/packages/entry/src/controller_cancellation_test.cpp
@@ -64,4 +64,56 @@
     CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
 }
 
+// Guards against rows of unknown jobs that accumulate, and against their early removal: a
+// submission can be carried out seconds after its cancellation.
+TEST_CASE("the cancellation of a job that is never stored is removed after the retention time")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    fixture.store(fixture.cancelRow("a"));
+    fixture.controller->applyStored(fixture.cancelRow("a"));
+    fixture.now += ControllerFixture::kRetentionMs - 1;
+    fixture.run();
+    CHECK(fixture.table.rows.contains(fixture.rows.cancelRow("a")));
+    fixture.now += 1;
+    fixture.run();
+    CHECK(!fixture.table.rows.contains(fixture.rows.cancelRow("a")));
+}
+
+// Guards against the same rows after a change of leaders.
+TEST_CASE("a new leader removes the cancellation of a job that is never stored")
+{
+    ControllerFixture fixture;
+    fixture.store(fixture.cancelRow("a"));
+    fixture.startTerm();
+    fixture.now += ControllerFixture::kRetentionMs;
+    fixture.run();
+    CHECK(!fixture.table.rows.contains(fixture.rows.cancelRow("a")));
+}
+
+// Guards against a job that runs after its cancellation was repeated, or whose rows stay after the
+// retention time, because its submission was stored late.
+TEST_CASE("a cancellation outlives a job that is stored after it")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    fixture.store(fixture.cancelRow("a"));
+    fixture.controller->applyStored(fixture.cancelRow("a"));
+    fixture.now += ControllerFixture::kRetentionMs - 1;
+    fixture.controller->applyStored(fixture.cancelRow("a"));
+    fixture.now += 1;
+    fixture.run();
+    CHECK(fixture.table.rows.contains(fixture.rows.cancelRow("a")));
+    fixture.store(fixture.jobRow("a"));
+    fixture.controller->applyStored(fixture.jobRow("a"));
+    fixture.now += ControllerFixture::kRetentionMs;
+    fixture.run();
+    CHECK(!fixture.workers.hasStarted("a"));
+    CHECK(fixture.table.rows.contains(fixture.rows.cancelRow("a")));
+    fixture.now += 1;
+    fixture.run();
+    CHECK(!fixture.table.rows.contains(fixture.rows.jobRow("a")));
+    CHECK(!fixture.table.rows.contains(fixture.rows.cancelRow("a")));
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cancellation_index.h"
 #include "machine_inventory.h"
 #include "pool_balancer.h"
 #include "progress_journal.h"
@@ -65,10 +66,11 @@
     boost::asio::steady_timer tickTimer_;
 
     Version fence_;
+    scheduler::Millis retentionMs_;
     bool isStopped_ = false;
     bool isLoaded_ = false;
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
-    std::set<std::string> cancelled_; ///< includes jobs whose row has not been read yet
+    CancellationIndex cancelled_;
     Version jobsVersion_ = 0;
     Version workersVersion_ = 0;
     scheduler::Millis compactedAt_ = 0;
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -275,28 +275,36 @@
                 });
 }
 
+// The cancellation is also stored if the job is not: a submission that got no answer may still be
+// carried out seconds later, and its job must not run then.
 void Intake::cancel(const std::string &id, const http::Responder &respond)
 {
-    ifJobExists(id, respond, [self = shared_from_this(), id, respond] {
-        self->storeCancellation(id, 1, respond);
-    });
+    table_.read(rangeOf(rowsOf(id).jobRow(id)), kStoreTimeout,
+                [self = shared_from_this(), id, respond](const base::Result<RowPage> &page) {
+                    if (!page)
+                        return respond(refusal(kUnavailable, page.error().code));
+                    self->storeCancellation(id, !page.value().rows.empty(), 1, respond);
+                });
 }
 
-void Intake::storeCancellation(const std::string &id, int attempts, const http::Responder &respond)
+void Intake::storeCancellation(const std::string &id, bool isJobStored, int attempts,
+                               const http::Responder &respond)
 {
     table_.transact({.writes = {{.key = rowsOf(id).cancelRow(id), .value = kCancelValue}}},
                     kStoreTimeout,
-                    [self = shared_from_this(), id, attempts,
+                    [self = shared_from_this(), id, isJobStored, attempts,
                      respond](const base::Result<TransactionResult> &result) {
                         if (result) {
-                            base::logEvent(base::Event::JobCancelled, {{"job", id}});
+                            base::logEvent(base::Event::JobCancelled,
+                                           {{"job", id}, {"job_stored", isJobStored ? "1" : "0"}});
                             self->announce(id, {.key = self->rowsOf(id).cancelRow(id),
                                                 .value = kCancelValue,
                                                 .version = result.value().version});
-                            return respond(http::Response{.status = kOk});
+                            return respond(isJobStored ? http::Response{.status = kOk}
+                                                       : refusal(kGone, base::Code::NotFound));
                         }
                         if (attempts < kMaxAttempts)
-                            return self->storeCancellation(id, attempts + 1, respond);
+                            return self->storeCancellation(id, isJobStored, attempts + 1, respond);
                         respond(refusal(isUnknown(result.error()) ? kOutcomeUnknown : kUnavailable,
                                         result.error().code));
                     });
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -51,7 +51,8 @@
     void respondState(const std::string &id, const http::Responder &respond);
     void readState(const std::string &id, const http::Responder &respond);
     void cancel(const std::string &id, const http::Responder &respond);
-    void storeCancellation(const std::string &id, int attempts, const http::Responder &respond);
+    void storeCancellation(const std::string &id, bool isJobStored, int attempts,
+                           const http::Responder &respond);
     void ifJobExists(const std::string &id, const http::Responder &respond,
                      const std::function<void()> &exists);
     void respondWaiting(const std::string &queue, const http::Responder &respond);
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -168,18 +168,38 @@
     CHECK(fixture.call("GET", "/q/").body == "3");
 }
 
-// Guards against a lost cancellation, and against cancellation rows for jobs that do not exist.
-TEST_CASE("a cancellation is stored for existing jobs only")
+// Guards against a lost cancellation, and against a job that runs because the store carries out its
+// submission after the cancellation was answered with 410.
+TEST_CASE("a cancellation is stored also for a job that is not stored yet")
 {
     Fixture fixture;
     CHECK(fixture.call("DELETE", "/q/a1").status == 410);
-    fixture.call("POST", "/q/a1");
+    REQUIRE(fixture.table.rows.contains(kRows.cancelRow("a1")));
+    REQUIRE(fixture.announced.size() == 1);
+    CHECK(fixture.announced[0].key == kRows.cancelRow("a1"));
+    CHECK(fixture.call("GET", "/q/a1").status == 410);
+    CHECK(fixture.call("DELETE", "/q/a1").status == 410);
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
     CHECK(fixture.call("DELETE", "/q/a1").status == 200);
     CHECK(fixture.table.rows.contains(kRows.cancelRow("a1")));
     CHECK(layout::cancelledJob(kRows.cancelRow("a1").key) == "a1");
     CHECK(layout::cancelledJob("a1").empty());
 }
 
+// Guards against an acknowledged cancellation that no leader ever sees.
+TEST_CASE("a cancellation that cannot be stored is not acknowledged")
+{
+    Fixture fixture;
+    using base::Code;
+    const std::vector<std::pair<Code, bool>> outage(3, {Code::PlatformUnavailable, false});
+    fixture.table.failures = outage;
+    CHECK(fixture.call("DELETE", "/q/a1").status == 503);
+    fixture.call("POST", "/q/a1");
+    fixture.table.failures = outage;
+    CHECK(fixture.call("DELETE", "/q/a1").status == 503);
+    CHECK(!fixture.table.rows.contains(kRows.cancelRow("a1")));
+}
+
 // Guards against requests that reach the wrong queue when one path prefix contains another.
 TEST_CASE("a request is routed by host and longest path prefix")
 {
