Apply cancellations that are announced while a leader loads

Cause: a leader dropped every announced row until it had loaded, which takes up to some seconds on a small machine.

Change: announced cancellations are applied at once. Announced jobs are still left to the load.

Ruled out: applying announced jobs as well. A job that an earlier leader may have started must wait for the workers' lists.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -213,11 +213,15 @@
     scheduler_.addJob(spec.value(), initialProgress);
 }
 
-// Until loading completes, rows are left to loadJobs(): a previous leader may have started the job.
+// Until loading completes, rows of jobs are left to loadJobs(): a previous leader may have started
+// the job. A cancellation may be newer than the rows that were read.
 void Controller::Impl::applyStored(const Row &row)
 {
-    if (isLoaded_ && !isStopped_)
-        applyJobRows({row});
+    if (isStopped_)
+        return;
+    if (isLoaded_)
+        return applyJobRows({row});
+    applyCancellation(row);
 }
 
 void Controller::Impl::watchJobs()
--- a/packages/entry/src/controller_cancellation_test.cpp
+++ b/packages/entry/src/controller_cancellation_test.cpp
@@ -116,4 +116,21 @@
     CHECK(!fixture.table.rows.contains(fixture.rows.cancelRow("a")));
 }
 
+// Guards against starts of a cancelled job whose cancellation was announced while the new leader
+// loaded, before the first watch of the jobs table is answered.
+TEST_CASE("a cancellation that is announced while the leader loads takes effect")
+{
+    ControllerFixture fixture;
+    fixture.store(fixture.jobRow("a"));
+    fixture.discovery.isHeld = true;
+    fixture.startTerm();
+    REQUIRE(!fixture.controller->isLoaded());
+    fixture.controller->applyStored(fixture.cancelRow("a"));
+    fixture.discovery.release();
+    fixture.run();
+    REQUIRE(fixture.controller->isLoaded());
+    CHECK(!fixture.workers.hasStarted("a"));
+    CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
+}
+
 } // namespace chicorywick::entry
