Test cancellations under faults and changes of leaders

Some submissions are stored seconds after their cancellation, and a leader knows a stored row up to a second later. It fails if a task of a cancelled job starts later than 3 s after the cancellation (late orders excepted), or runs later than 3.9 s after it on a worker that was reachable for 3 s, unless a late order started it in the last 3 s.

--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -67,6 +67,8 @@
 
     /// @brief Returns how a run ends; by default it succeeds after workMs.
     std::function<EndKind(const TaskId &, std::int64_t run)> outcome;
+    /// Called for each run that starts; it is late if its order was executed seconds after sending.
+    std::function<void(const std::string &worker, const TaskId &task, bool isLate)> onStarted;
     Millis workMs = 500;
     Millis replyDelayMs = 0; ///< replies to renewals wait unread for this time
     std::int64_t load = 0;   ///< reported for every running task
@@ -87,6 +89,9 @@
     int startsOf(const TaskId &task) const;
     std::vector<std::string> workersRunning(const TaskId &task) const;
     int runningCount() const;
+
+    /// @brief Tasks that run on a worker now; none if it has crashed.
+    std::vector<TaskId> tasksOn(const std::string &worker);
     int ordersSent() const { return ordersSent_; }
     int acknowledgedEnds() const { return acknowledged_; }
     void setDemand(const std::string &job, Resources demand) { demands_[job] = demand; }
@@ -107,6 +112,7 @@
         std::int64_t fence = 0;
         Millis leaseUntil = 0;
         std::int64_t nextEnd = 1;
+        std::int64_t lastEndAtLapse = 0; ///< number of the last end when the lease lapsed
         std::map<TaskId, Run> running;
         std::map<TaskId, std::int64_t> tombstones;
         std::vector<EndedTask> ended;
@@ -134,6 +140,7 @@
     int acknowledged_ = 0;
     int ordersSent_ = 0;
     std::uint64_t lastGeneration_ = 0;
+    bool isExecutingLate_ = false;
 };
 
 } // namespace chicorywick::scheduler
