Apply cancellations that another leader has stored as progress

Cause: a leader that finds the progress row of a job changed by another leader merges it. The progress of a cancelled job lists no open occurrence, which was read as "all tasks of the begun occurrences are done". The job ended in another state than cancelled (from the code: completed, MIXED) for its callers.

Change: merging the progress of a cancelled job cancels it.

Ruled out as a way to UNASKED: the tasks were stopped before this change too.

Conclusion: found while looking for the cause of UNASKED; not that cause.

--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -141,6 +141,9 @@
         finishJob(*entry);
         return;
     }
+    // The progress of a cancelled job does not tell which tasks are done.
+    if (progress.state == JobState::Cancelled)
+        return cancelJob(id);
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
         handleDone(*entry, EndedTask{.task = task});
     markDirty(id);
--- a/packages/scheduler/src/scheduler_takeover_test.cpp
+++ b/packages/scheduler/src/scheduler_takeover_test.cpp
@@ -63,6 +63,23 @@
     CHECK(fixture.scheduler->progressOf("b")->open[0].doneTasks[0] == std::set<int>{1});
 }
 
+// Guards against a cancelled job that is shown as completed: its stored progress lists no open
+// occurrence, as does that of a job whose tasks are all done.
+TEST_CASE("a cancellation stored by another leader is applied")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.submit("a", {step(2)});
+    fixture.run(500);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    fixture.scheduler->mergeStoredProgress("a",
+                                           {.state = JobState::Cancelled, .begunOccurrences = 1});
+    CHECK(fixture.scheduler->stateOf("a") == JobState::Cancelled);
+    fixture.run(1'000);
+    CHECK(fixture.workers.runningCount() == 0);
+}
+
 // Guards against waiting for the lease of a worker whose machine already runs another one, and
 // against a new leader that waits for workers which ended long ago.
 TEST_CASE("a new worker on the same machine shows that the previous one has ended")
