Read the rows stored during a load before tasks start

Cause: a leader reads the parts of its jobs table one after another, which takes some seconds on a small machine. It learnt a cancellation that was stored after its part had been read from the first watch only, while tasks of the job could start with the first replies of workers (UNASKED). Just after a claim, announcements of cancellations still go to the former leader.

Change: after the jobs, and before the workers, the load asks for the rows that were stored since with a watch that does not wait. If that call fails, the load goes on, and the next watch reads the rows as before.

Measured: the new test fails on the former code (a start order is sent and the job is not shown as cancelled) and passes now. entry_tests 41 of 41, hosted_tests 7 of 7. The load has one more call of the store; its effect on the time of a change of leaders was not measured.

Ruled out: repeating announcements. They are lost only while the leader is unknown or unreachable, and the rows tell the same.

Conclusion: not shown to be the cause of the report.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -224,6 +224,12 @@
     applyCancellation(row);
 }
 
+void Controller::Impl::applyWatchedRows(const RowPage &page)
+{
+    applyJobRows(page.rows);
+    jobsVersion_ = std::max(jobsVersion_, page.version);
+}
+
 void Controller::Impl::watchJobs()
 {
     ports_.table->watch(rows_.jobsTable(), jobsVersion_, kWatchTimeout,
@@ -234,8 +240,7 @@
                                 return self->reloadJobs();
                             if (!page)
                                 return self->retryAfterPause([self] { self->watchJobs(); });
-                            self->applyJobRows(page.value().rows);
-                            self->jobsVersion_ = std::max(self->jobsVersion_, page.value().version);
+                            self->applyWatchedRows(page.value());
                             self->runAfter(kWatchPause, [self] { self->watchJobs(); });
                         });
 }
--- a/packages/entry/src/controller_cancellation_test.cpp
+++ b/packages/entry/src/controller_cancellation_test.cpp
@@ -133,4 +133,22 @@
     CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
 }
 
+// Guards against the same starts if the announcement does not reach the new leader.
+TEST_CASE("a cancellation that is stored while the leader loads takes effect")
+{
+    ControllerFixture fixture;
+    std::string id = "a";
+    while (fixture.rows.jobRow(id).part != fixture.rows.jobPart(0))
+        id += 'a';
+    fixture.store(fixture.jobRow(id));
+    fixture.table.onRead = [&](const RowRange &range) {
+        if (range.part == fixture.rows.jobPart(1))
+            fixture.store(fixture.cancelRow(id));
+    };
+    fixture.startTerm();
+    REQUIRE(fixture.controller->isLoaded());
+    CHECK(!fixture.workers.hasStarted(id));
+    CHECK(fixture.controller->reportedState(id) == scheduler::JobState::Cancelled);
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -31,11 +31,13 @@
     std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
 
 private:
-    // Loads waves, roster, progress, jobs and workers, in this order (controller_loading.cpp).
+    // Loads waves, roster, progress, jobs, rows stored since, and workers, in this order
+    // (controller_loading.cpp).
     void loadWaves();
     void loadRoster();
     void loadProgress();
     void loadJobs(int part);
+    void loadNewRows();
     void loadWorkers();
     void finishLoading();
     void retryAfterPause(std::function<void()> action);
@@ -44,6 +46,7 @@
     void applyJobRows(const std::vector<Row> &rows);
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
+    void applyWatchedRows(const RowPage &page);
     void watchJobs();
     void reloadJobs();
     void watchWorkers();
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -10,6 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto kReadTimeout = 2000ms;
+constexpr auto kNoWait = 0ms;
 
 } // namespace
 
@@ -69,7 +70,7 @@
     if (part == rows_.jobParts()) {
         if (isLoaded_)
             return watchJobs();
-        return loadWorkers();
+        return loadNewRows();
     }
     readAll(*ports_.table, {.table = rows_.jobsTable(), .part = rows_.jobPart(part)}, kReadTimeout,
             [self = shared_from_this(), part](const base::Result<RowPage> &page) {
@@ -85,6 +86,21 @@
             });
 }
 
+// Reading all parts takes seconds on a small machine. A cancellation that was stored meanwhile must
+// be known before tasks start.
+void Controller::Impl::loadNewRows()
+{
+    ports_.table->watch(rows_.jobsTable(), jobsVersion_, kNoWait,
+                        [self = shared_from_this()](const base::Result<RowPage> &page) {
+                            if (self->isStopped_)
+                                return;
+                            // After a failure, the watch that follows the load reads the rows.
+                            if (page)
+                                self->applyWatchedRows(page.value());
+                            self->loadWorkers();
+                        });
+}
+
 void Controller::Impl::loadWorkers()
 {
     ports_.discovery->load([self = shared_from_this()](const base::Result<WorkerList> &list) {
--- a/packages/entry/src/fake_table.h
+++ b/packages/entry/src/fake_table.h
@@ -2,6 +2,7 @@
 
 #include <chicorywick/entry/table.h>
 
+#include <functional>
 #include <map>
 #include <utility>
 #include <vector>
@@ -17,8 +18,10 @@
     std::vector<std::pair<base::Code, bool>> failures;
     int calls = 0;
     Transaction lastTransaction; ///< the latest one without an injected failure
-    /// The pending watch of each table; the test answers it.
+    /// The pending watch of each table; the test answers it. A watch that does not wait is answered
+    /// at once.
     std::map<std::string, Callback<RowPage>> watches;
+    std::function<void(const RowRange &)> onRead; ///< called before the rows are read
 
     void transact(const Transaction &transaction, std::chrono::milliseconds /*timeout*/,
                   Callback<TransactionResult> done) override
@@ -43,6 +46,8 @@
     void read(const RowRange &range, std::chrono::milliseconds /*timeout*/,
               Callback<RowPage> done) override
     {
+        if (onRead)
+            onRead(range);
         RowPage page{.version = version_};
         for (const auto &[key, row] : rows)
             if (key.table == range.table && key.part == range.part && key.key >= range.from
@@ -51,9 +56,16 @@
         done(std::move(page));
     }
 
-    void watch(const std::string &table, Version /*after*/, std::chrono::milliseconds /*wait*/,
+    void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
                Callback<RowPage> done) override
     {
+        if (wait.count() == 0) {
+            RowPage page{.version = version_};
+            for (const auto &[key, row] : rows)
+                if (key.table == table && row.version > after)
+                    page.rows.push_back(row);
+            return done(std::move(page));
+        }
         watches.insert_or_assign(table, std::move(done));
     }
 
