--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -100,6 +100,7 @@
                                                    settings.fence))
     , tickTimer_(*ports.loop)
     , fence_(settings.fence)
+    , retentionMs_(settings.retentionMs)
 {}
 
 void Controller::Impl::start()
@@ -158,16 +159,29 @@
     });
 }
 
-void Controller::Impl::applyJobRow(const Row &row)
+// A job and its cancellation can be read together, the job first. With the cancellations applied
+// first, no task of a cancelled job starts.
+void Controller::Impl::applyJobRows(const std::vector<Row> &rows)
+{
+    for (const Row &row : rows)
+        applyCancellation(row);
+    for (const Row &row : rows)
+        applyJobRow(row);
+}
+
+void Controller::Impl::applyCancellation(const Row &row)
 {
-    if (row.isRemoved)
+    const std::string id = layout::cancelledJob(row.key.key);
+    if (id.empty() || row.isRemoved)
         return;
-    const std::string cancelled = layout::cancelledJob(row.key.key);
-    if (!cancelled.empty()) {
-        cancelled_.insert(cancelled);
-        scheduler_.cancelJob(cancelled);
+    cancelled_.add(id, hooks_.clock().steady);
+    scheduler_.cancelJob(id);
+}
+
+void Controller::Impl::applyJobRow(const Row &row)
+{
+    if (row.isRemoved || !layout::cancelledJob(row.key.key).empty())
         return;
-    }
     const auto progress = loadedProgress_.find(row.key.key);
     if (row.value == kEndedJobValue) {
         if (progress != loadedProgress_.end())
@@ -186,6 +200,9 @@
                                                                     : checked.error().message}});
         return;
     }
+    const bool hasEnded = progress != loadedProgress_.end() && isTerminal(progress->second.state);
+    if (cancelled_.contains(row.key.key) && !hasEnded)
+        return scheduler_.addCancelledJob(spec.value());
     // A job without stored progress may have been started by a previous leader, unless the job was
     // stored after this leader's claim: previous leaders had stopped by then.
     std::optional<scheduler::JobProgress> initialProgress;
@@ -194,15 +211,23 @@
     else if (!isLoaded_ && row.version < fence_)
         initialProgress = scheduler::JobProgress{};
     scheduler_.addJob(spec.value(), initialProgress);
-    if (cancelled_.contains(spec.value().id))
-        scheduler_.cancelJob(spec.value().id);
 }
 
-// Until loading completes, rows are left to loadJobs(): a previous leader may have started the job.
+// Until loading completes, rows of jobs are left to loadJobs(): a previous leader may have started
+// the job. A cancellation may be newer than the rows that were read.
 void Controller::Impl::applyStored(const Row &row)
 {
-    if (isLoaded_ && !isStopped_)
-        applyJobRow(row);
+    if (isStopped_)
+        return;
+    if (isLoaded_)
+        return applyJobRows({row});
+    applyCancellation(row);
+}
+
+void Controller::Impl::applyWatchedRows(const RowPage &page)
+{
+    applyJobRows(page.rows);
+    jobsVersion_ = std::max(jobsVersion_, page.version);
 }
 
 void Controller::Impl::watchJobs()
@@ -215,9 +240,7 @@
                                 return self->reloadJobs();
                             if (!page)
                                 return self->retryAfterPause([self] { self->watchJobs(); });
-                            for (const Row &row : page.value().rows)
-                                self->applyJobRow(row);
-                            self->jobsVersion_ = std::max(self->jobsVersion_, page.value().version);
+                            self->applyWatchedRows(page.value());
                             self->runAfter(kWatchPause, [self] { self->watchJobs(); });
                         });
 }
@@ -322,6 +345,15 @@
         journal_->forget(id);
         cancelled_.erase(id);
     }
+    // Cancellations of jobs that were never stored, or whose removal failed before.
+    const auto hasJob = [this](const std::string &id) {
+        return scheduler_.stateOf(id).has_value();
+    };
+    for (const std::string &id :
+         cancelled_.takeExpired(hooks_.clock().steady - retentionMs_, hasJob)) {
+        const RowKey row = rows_.cancelRow(id);
+        byPart[row.part].removals.push_back(row);
+    }
     for (auto &[part, transaction] : byPart)
         for (std::size_t from = 0; from < transaction.removals.size(); from += kRemovalsPerWrite) {
             const auto begin = transaction.removals.begin() + static_cast<std::ptrdiff_t>(from);
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cancellation_index.h"
 #include "machine_inventory.h"
 #include "pool_balancer.h"
 #include "progress_journal.h"
@@ -30,17 +31,22 @@
     std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
 
 private:
-    // Loads waves, roster, progress, jobs and workers, in this order (controller_loading.cpp).
+    // Loads waves, roster, progress, jobs, rows stored since, and workers, in this order
+    // (controller_loading.cpp).
     void loadWaves();
     void loadRoster();
     void loadProgress();
     void loadJobs(int part);
+    void loadNewRows();
     void loadWorkers();
     void finishLoading();
     void retryAfterPause(std::function<void()> action);
     void runAfter(std::chrono::milliseconds pause, std::function<void()> action);
 
+    void applyJobRows(const std::vector<Row> &rows);
+    void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
+    void applyWatchedRows(const RowPage &page);
     void watchJobs();
     void reloadJobs();
     void watchWorkers();
@@ -63,10 +69,11 @@
     boost::asio::steady_timer tickTimer_;
 
     Version fence_;
+    scheduler::Millis retentionMs_;
     bool isStopped_ = false;
     bool isLoaded_ = false;
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
-    std::set<std::string> cancelled_; ///< includes jobs whose row has not been read yet
+    CancellationIndex cancelled_;
     Version jobsVersion_ = 0;
     Version workersVersion_ = 0;
     scheduler::Millis compactedAt_ = 0;
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -72,6 +72,8 @@
     Millis crashDelayMs = 10;
     Millis downMs = 3'200; ///< time after a crash until the worker is back as a new incarnation
     std::function<void(const WorkerEntry &)> onRestart;
+    /// Called for each run that starts; it is late if its order was executed seconds after sending.
+    std::function<void(const std::string &worker, const TaskId &task, bool isLate)> onStarted;
     Millis workMs = 500;
     Millis replyDelayMs = 0; ///< replies to renewals wait unread for this time
     std::int64_t load = 0;   ///< reported for every running task
@@ -93,6 +95,9 @@
     int crashesUnder(const TaskId &task) const;
     std::vector<std::string> workersRunning(const TaskId &task) const;
     int runningCount() const;
+
+    /// @brief Tasks that run on a worker now; none if it has crashed.
+    std::vector<TaskId> tasksOn(const std::string &worker);
     int ordersSent() const { return ordersSent_; }
     int acknowledgedEnds() const { return acknowledged_; }
     void setDemand(const std::string &job, Resources demand) { demands_[job] = demand; }
@@ -113,6 +118,7 @@
         std::int64_t fence = 0;
         Millis leaseUntil = 0;
         std::int64_t nextEnd = 1;
+        std::int64_t lastEndAtLapse = 0; ///< number of the last end when the lease lapsed
         std::map<TaskId, Run> running;
         std::map<TaskId, std::int64_t> tombstones;
         std::vector<EndedTask> ended;
@@ -143,6 +149,7 @@
     int acknowledged_ = 0;
     int ordersSent_ = 0;
     std::uint64_t lastGeneration_ = 0;
+    bool isExecutingLate_ = false;
 };
 
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -147,6 +147,9 @@
         finishJob(*entry);
         return;
     }
+    // The progress of a cancelled job does not tell which tasks are done.
+    if (progress.state == JobState::Cancelled)
+        return cancelJob(id);
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
         handleDone(*entry, EndedTask{.task = task});
     for (const TaskId &task : entry->job.mergeLostRuns(progress)) {
@@ -168,6 +171,16 @@
     finishJob(*entry);
 }
 
+// The job has no open occurrences, so tasks that workers list as running are unknown and get
+// stopped.
+void Scheduler::addCancelledJob(const JobSpec &spec)
+{
+    if (jobs_.contains(spec.id))
+        return cancelJob(spec.id);
+    addJob(spec, JobProgress{.state = JobState::Cancelled});
+    markDirty(spec.id);
+}
+
 // Removes the waiting tasks of a job in a final state from the queue and stops the running ones.
 void Scheduler::finishJob(JobEntry &entry)
 {
