Reserve the capacity of runs that are being stopped unassigned

Cause: the room of a worker was counted from the tasks that are assigned to it. A run that was to be stopped without being assigned did not count: runs of unknown jobs, runs of tasks that are done or assigned elsewhere, the second run of a task that was done elsewhere (shown by an end or by stored progress), and that of a perpetual task which stayed on its former worker. The next task was started beside it while it still ran, on a worker that does not guard its capacity over it (LIMIT); a worker that does rejected the start.

Change: such a run reserves the size of its step on its worker. It is forgotten when the worker lists its end, when a later list lacks it, or, if it was never listed, when a list that was requested after its confirmed stop lacks it. Stops without an answer are repeated. While the size of a run is unknown, the worker gets no start. Fake workers can leave their capacity unguarded and change it; they record a start that brings them over it.

Tasks whose lease has expired: a start that arrives later is rejected for its lease. Runs of former leaders: the first list shows them, and their later starts are fenced.

Conclusion: a run reserves its room from the start order to its proven end.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -203,6 +203,16 @@
     void reconcileRunning(Worker &worker, const RunningTask &running);
     bool shouldReturnTo(const JobEntry &entry, const Task &task, const RunningTask &running) const;
     void reconcileAbsent(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
+
+    // Runs that are not assigned to their worker (scheduler_unassigned.cpp)
+    void stopUnassigned(Worker &worker, const RunningTask &running);
+    void stopAndRelease(const TaskId &id, Task &task);
+    void handleUnassignedStop(const std::string &workerId, const TaskId &id, std::int64_t run,
+                              const OrderReply &reply);
+    void reconcileUnassigned(Worker &worker, std::uint64_t repliesBeforeSend,
+                             const RenewReply &reply);
+    void retryUnassignedStops(Worker &worker);
+
     void recordClock(Worker &worker, Millis workerClock);
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseExpired(const Worker &worker) const;
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -65,6 +65,13 @@
     void setReachable(const std::string &id, bool isReachable);
     void setFaults(CallFaults faults) { faults_ = faults; }
 
+    /// @brief A worker that does not guard its capacity accepts every start; one that exceeds its
+    /// capacity is recorded as a violation.
+    void setGuardsCapacity(const std::string &id, bool isGuarded);
+
+    /// @brief Changes the capacity of a running worker and returns its new discovery entry.
+    WorkerEntry setCapacity(const std::string &id, Resources capacity);
+
     /// @brief Returns how a run ends; by default it succeeds after workMs.
     std::function<EndKind(const TaskId &, std::int64_t run)> outcome;
     Millis workMs = 500;
@@ -103,6 +110,8 @@
     {
         WorkerEntry entry;
         bool isReachable = true;
+        bool isCapacityGuarded = true;
+        std::vector<std::pair<Millis, Resources>> formerCapacities; ///< time of change, capacity
         std::uint64_t generation = 0;
         std::int64_t fence = 0;
         Millis leaseUntil = 0;
@@ -114,6 +123,7 @@
     };
 
     Worker *findReachable(const WorkerAddress &address);
+    bool hasRoom(const Worker &worker, const Resources &used) const;
     OrderReply executeStart(Worker &worker, const StartOrder &order);
     OrderReply executeStop(Worker &worker, const StopOrder &order);
     void end(Worker &worker, const TaskId &task, EndKind kind);
@@ -133,6 +143,7 @@
     std::vector<std::string> violations_;
     int acknowledged_ = 0;
     int ordersSent_ = 0;
+    Millis orderSentAt_ = 0; ///< of the order that is being executed
     std::uint64_t lastGeneration_ = 0;
 };
 
--- a/packages/scheduler/src/fake_workers_test.cpp
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -12,6 +12,8 @@
 constexpr Millis kCallTimeoutMs = 700;
 constexpr Millis kMaxExtraDelayMs = 5'000;
 constexpr Millis kStopMs = 50;
+// A capacity that has shrunk counts after the contact time of 3 s and one heartbeat.
+constexpr Millis kShrinkNoticeMs = 4'000;
 
 } // namespace
 
@@ -57,6 +59,30 @@
     workers_.at(id).isReachable = isReachable;
 }
 
+void FakeWorkers::setGuardsCapacity(const std::string &id, bool isGuarded)
+{
+    workers_.at(id).isCapacityGuarded = isGuarded;
+}
+
+WorkerEntry FakeWorkers::setCapacity(const std::string &id, Resources capacity)
+{
+    Worker &worker = workers_.at(id);
+    worker.formerCapacities.emplace_back(loop_.now(), worker.entry.capacity);
+    worker.entry.capacity = capacity;
+    return worker.entry;
+}
+
+// A start order that is executed late was sent for the capacity at that time.
+bool FakeWorkers::hasRoom(const Worker &worker, const Resources &used) const
+{
+    return worker.entry.capacity.covers(used)
+           || std::any_of(worker.formerCapacities.begin(), worker.formerCapacities.end(),
+                          [this, &used](const auto &former) {
+                              return former.first + kShrinkNoticeMs >= orderSentAt_
+                                     && former.second.covers(used);
+                          });
+}
+
 FakeWorkers::Worker *FakeWorkers::findReachable(const WorkerAddress &address)
 {
     const auto found = workers_.find(address.id);
@@ -107,7 +133,11 @@
     for (const auto &[task, run] : worker.running)
         used += demands_[task.job];
     used += demands_[order.task.job];
-    if (!worker.entry.capacity.covers(used))
+    if (!worker.isCapacityGuarded) {
+        if (!hasRoom(worker, used))
+            violations_.push_back(order.task.text() + " brings " + worker.entry.id
+                                  + " over its capacity");
+    } else if (!worker.entry.capacity.covers(used))
         return {.status = OrderStatus::NoCapacity, .workerClock = loop_.now()};
     for (auto &[id, other] : workers_) {
         expire(other);
@@ -168,7 +198,8 @@
         return;
     }
     const std::uint64_t generation = addressed->second.generation;
-    loop_.after(delay, [this, address, order, execute, done, isLost, generation] {
+    loop_.after(delay, [this, address, order, execute, done, isLost, generation,
+                        sentAt = loop_.now()] {
         Worker *const worker = findReachable(address);
         // A late order is queued in the worker's process and is lost when the process ends.
         if (worker == nullptr || worker->generation != generation) {
@@ -176,6 +207,7 @@
                 loop_.after(kCallTimeoutMs, [done] { done({.status = OrderStatus::Unknown}); });
             return;
         }
+        orderSentAt_ = sentAt;
         const OrderReply reply = (this->*execute)(*worker, order);
         if (!isLost)
             loop_.after(kNetworkDelayMs, [done, reply] { done(reply); });
--- /dev/null
+++ b/packages/scheduler/src/scheduler_capacity_test.cpp
@@ -0,0 +1,200 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+constexpr Resources kSmallWorker{.cpuMillis = 4'000, .memoryMib = 8'000, .accelerators = 4};
+const std::string kAddress = "10.0.0.1:80";
+
+// One task that needs a whole small worker.
+StepSpec wholeWorkerStep()
+{
+    StepSpec whole = step(1);
+    whole.demand = kSmallWorker;
+    return whole;
+}
+
+void addUnguardedWorkers(SchedulerFixture &fixture, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        const std::string id = "w" + std::to_string(i);
+        const WorkerEntry entry = fixture.workers.add(id, "s", kSmallWorker);
+        fixture.workers.setGuardsCapacity(id, false);
+        fixture.scheduler->upsertWorker(entry);
+    }
+}
+
+void extendLease(SchedulerFixture &fixture, const std::string &worker)
+{
+    fixture.workers.renew({.id = worker, .address = kAddress},
+                          {.leaseUntil = fixture.loop.now() + 60'000, .fence = fixture.term},
+                          [](const RenewReply &) {});
+    fixture.run(10);
+}
+
+// Starts a task past the scheduler, as an earlier leader did, and begins a new term.
+void inheritRun(SchedulerFixture &fixture, const TaskId &task)
+{
+    fixture.workers.start({.id = "w0", .address = kAddress},
+                          {.task = task,
+                           .run = 1,
+                           .leaseUntil = fixture.loop.now() + 60'000,
+                           .fence = fixture.term},
+                          [](const OrderReply &) {});
+    fixture.run(10);
+    REQUIRE(fixture.workers.runningCount() == 1);
+    const auto roster = fixture.scheduler->roster();
+    fixture.startTerm();
+    fixture.scheduler->addInheritedWorkers(roster);
+    for (const WorkerEntry &entry : roster)
+        fixture.scheduler->upsertWorker(entry);
+}
+
+} // namespace
+
+// Guards against a start beside a run of a forgotten job, whose size is unknown, while it stops.
+TEST_CASE("a worker gets no start while a run of an unknown job is being stopped")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    addUnguardedWorkers(fixture, 1);
+    fixture.run(100);
+    fixture.workers.setDemand("forgotten", {.cpuMillis = 3'500});
+    fixture.workers.setDemand("b", step(1).demand);
+    inheritRun(fixture, {.job = "forgotten"});
+    fixture.submit("b", {step(1)});
+    fixture.run(1'000);
+    CHECK(fixture.workers.violations().empty());
+    CHECK(fixture.workers.workersRunning({.job = "b"}).size() == 1);
+}
+
+// Guards against a start beside a run of a task that is already done, while that run stops.
+TEST_CASE("a run of a finished task reserves its capacity until it has ended")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    addUnguardedWorkers(fixture, 1);
+    fixture.run(100);
+    StepSpec large = step(1);
+    large.demand.cpuMillis = 3'000;
+    const JobSpec finished = fixture.spec("a", {large, step(1, {0})});
+    for (const char *job : {"b", "c"})
+        fixture.workers.setDemand(job, step(1).demand);
+    fixture.workers.setDemand("a", large.demand);
+    inheritRun(fixture, {.job = "a"});
+    fixture.scheduler->addJob(finished, JobProgress{.state = JobState::Running,
+                                                    .begunOccurrences = 1,
+                                                    .open = {{.number = 0, .doneTasks = {{0}}}}});
+    fixture.scheduler->cancelJob("a");
+    fixture.submit("b", {step(1)});
+    fixture.submit("c", {step(1)});
+    fixture.run(20);
+    // The size of the finished task is known, so the rest of the worker stays usable.
+    CHECK(fixture.workers.runningCount() == 2);
+    fixture.run(1'000);
+    CHECK(fixture.workers.violations().empty());
+    CHECK(fixture.workers.runningCount() == 2);
+}
+
+// Guards against a start beside the second run of a task whose first run, on a worker that was
+// silent, turns out to be done.
+TEST_CASE("a run stopped because its task is done elsewhere reserves its capacity until it ends")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    addUnguardedWorkers(fixture, 2);
+    for (const char *job : {"a", "b"})
+        fixture.workers.setDemand(job, kSmallWorker);
+    fixture.submit("a", {wholeWorkerStep()});
+    fixture.run(300);
+    const auto first = fixture.workers.workersRunning({.job = "a"});
+    REQUIRE(first.size() == 1);
+    const std::string second = first[0] == "w0" ? "w1" : "w0";
+    fixture.workers.setReachable(first[0], false);
+    while (fixture.workers.startsOf({.job = "a"}) < 2)
+        fixture.run(10);
+    fixture.run(100);
+    fixture.submit("b", {wholeWorkerStep()});
+    fixture.run(10);
+    SUBCASE("shown by stored progress")
+    {
+        fixture.scheduler->mergeStoredProgress(
+                "a", {.state = JobState::Completed, .begunOccurrences = 1});
+    }
+    SUBCASE("while stops get lost")
+    {
+        fixture.workers.setFaults({.lateOrder = 1});
+        fixture.scheduler->mergeStoredProgress(
+                "a", {.state = JobState::Completed, .begunOccurrences = 1});
+        fixture.run(500);
+        fixture.workers.setFaults({});
+    }
+    fixture.run(3'000);
+    CHECK(fixture.workers.violations().empty());
+    CHECK(fixture.workers.workersRunning({.job = "b"}) == std::vector{second});
+}
+
+// Guards against a start beside the second run of a perpetual task that stays on its former worker.
+TEST_CASE("a run stopped because its task returned to its former worker reserves its capacity")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    addUnguardedWorkers(fixture, 2);
+    StepSpec perpetual = step(1);
+    perpetual.isPerpetual = true;
+    perpetual.estimatedMs = 2'000;
+    fixture.workers.setDemand("a", perpetual.demand);
+    fixture.workers.setDemand("b", kSmallWorker);
+    fixture.submit("a", {perpetual});
+    fixture.run(2'000);
+    const TaskId task{.job = "a"};
+    const auto former = fixture.workers.workersRunning(task);
+    REQUIRE(former.size() == 1);
+    extendLease(fixture, former[0]);
+    fixture.workers.setReachable(former[0], false);
+    while (fixture.workers.startsOf(task) < 2)
+        fixture.run(50);
+    const auto violationsBefore = fixture.workers.violations();
+    fixture.submit("b", {wholeWorkerStep()});
+    fixture.run(50);
+    fixture.workers.setReachable(former[0], true);
+    fixture.run(3'000);
+    REQUIRE(fixture.workers.workersRunning(task) == former);
+    CHECK(fixture.workers.violations() == violationsBefore);
+    CHECK(fixture.workers.workersRunning({.job = "b"}).size() == 1);
+}
+
+// Guards against a second start on a worker that may still carry out one whose answer was lost.
+TEST_CASE("a cancelled start without an answer reserves its capacity until the worker rejects it")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    addUnguardedWorkers(fixture, 1);
+    fixture.run(100);
+    for (const char *job : {"a", "b"})
+        fixture.workers.setDemand(job, kSmallWorker);
+    fixture.workers.setFaults({.lateOrder = 1});
+    fixture.submit("a", {wholeWorkerStep()});
+    fixture.submit("b", {wholeWorkerStep()});
+    fixture.run(10);
+    SUBCASE("cancelled at once")
+    {
+        fixture.scheduler->cancelJob("a");
+    }
+    SUBCASE("cancelled after the time-out")
+    {
+        fixture.run(800);
+        fixture.scheduler->cancelJob("a");
+    }
+    fixture.run(300);
+    CHECK(fixture.workers.ordersSent() > 0);
+    fixture.workers.setFaults({});
+    fixture.run(8'000);
+    CHECK(fixture.workers.violations().empty());
+    CHECK(fixture.workers.workersRunning({.job = "b"}).size() == 1);
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -74,8 +74,9 @@
     dequeue(entry, end.task);
     const bool runsElsewhere = !task->worker.empty() && task->run != end.run;
     if (runsElsewhere)
-        sendStop(end.task, task->run, task->worker);
-    release(end.task, *task);
+        stopAndRelease(end.task, *task);
+    else
+        release(end.task, *task);
     entry.job.markStarted();
     markDirty(end.task.job);
     // For a job in a final state, the end is only recorded in its progress.
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -125,9 +125,10 @@
         if (const auto count = ofStepByWorker.find(workerId); count != ofStepByWorker.end())
             candidate.tasksOfStep = count->second;
         candidate.tasksOfStep += static_cast<int>(std::count_if(
-                worker->strayTasks.begin(), worker->strayTasks.end(), [&id](const TaskId &stray) {
-                    return stray.job == id.job && stray.occurrence == id.occurrence
-                           && stray.step == id.step;
+                worker->unassigned.begin(), worker->unassigned.end(), [&id](const auto &stray) {
+                    const TaskId &other = stray.first.first;
+                    return other.job == id.job && other.occurrence == id.occurrence
+                           && other.step == id.step;
                 }));
         const auto plan = planned.find(workerId);
         if (plan != planned.end())
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -179,7 +179,6 @@
     const bool isOlder = reply.workerClock < worker.listClock;
     worker.listClock = std::max(worker.listClock, reply.workerClock);
     if (!isOlder) {
-        worker.strayTasks.clear();
         for (const RunningTask &running : reply.running)
             reconcileRunning(worker, running);
     }
@@ -187,6 +186,8 @@
         if (end.number <= worker.lastSeenEnd)
             continue;
         worker.lastSeenEnd = end.number;
+        if (worker.unassigned.erase({end.task, end.run}) > 0)
+            servicesToPlace_.insert(worker.entry.service);
         handleEnd(worker, end);
         const bool isDurable = !dirty_.contains(end.task.job) && worker.unstoredEnds.empty();
         if (isDurable)
@@ -194,8 +195,10 @@
         else
             worker.unstoredEnds.emplace_back(batch_, end.number);
     }
-    if (!isOlder)
+    if (!isOlder) {
         reconcileAbsent(worker, repliesBeforeSend, reply);
+        reconcileUnassigned(worker, repliesBeforeSend, reply);
+    }
     pace(worker);
     if (worker.entry.isDraining || worker.cordons.contains(CordonReason::Maintenance))
         drainPerpetual(worker);
@@ -207,7 +210,7 @@
     JobEntry *const entry = entryOf(running.task.job);
     Task *const task = entry != nullptr ? entry->job.task(running.task) : nullptr;
     if (task == nullptr) {
-        sendStop(running.task, running.run, worker.entry.id);
+        stopUnassigned(worker, running);
         return;
     }
     if (task->worker == worker.entry.id && task->run == running.run) {
@@ -228,11 +231,9 @@
     task->highestRun = std::max(task->highestRun, running.run);
     if (!isFree && shouldReturnTo(*entry, *task, running)) {
         // Its end shows up as the end of another run and does not affect the task.
-        sendStop(running.task, task->run, task->worker);
-        release(running.task, *task);
+        stopAndRelease(running.task, *task);
     } else if (!isFree) {
-        worker.strayTasks.insert(running.task);
-        sendStop(running.task, running.run, worker.entry.id);
+        stopUnassigned(worker, running);
         return;
     }
     dequeue(*entry, running.task);
@@ -242,6 +243,7 @@
     task->run = running.run;
     task->checkpoint = running.checkpoint;
     task->percent = running.percent;
+    worker.unassigned.erase({running.task, running.run});
     worker.tasks.insert(running.task);
     worker.used += reservedFor(stepOf(entry->job, running.task));
     entry->job.markStarted();
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -147,6 +147,9 @@
     Worker *const worker = workerOf(workerId);
     if (worker == nullptr || !hooks_.maySendOrders())
         return;
+    const auto unassigned = worker->unassigned.find({id, run});
+    if (unassigned != worker->unassigned.end())
+        unassigned->second.isStopPending = true;
     orders_.stop(worker->address(),
                  {.task = id, .run = run, .fence = settings_.fence, .validity = validity()},
                  [this, alive = alive_, id, run, workerId](const OrderReply &reply) {
@@ -154,6 +157,7 @@
                          return;
                      if (reply.status == OrderStatus::Fenced)
                          return hooks_.onFenced();
+                     handleUnassignedStop(workerId, id, run, reply);
                      Task *const task = taskOf(id);
                      if (task == nullptr || task->worker != workerId || task->run != run)
                          return;
--- /dev/null
+++ b/packages/scheduler/src/scheduler_unassigned.cpp
@@ -0,0 +1,84 @@
+#include "scheduler_worker.h"
+
+#include <algorithm>
+
+namespace chicorywick::scheduler {
+
+// Stops a run that a worker lists and that is not assigned to it. A worker that does not guard its
+// capacity accepts starts beside the run, so it reserves its size until a list shows its end.
+void Scheduler::stopUnassigned(Worker &worker, const RunningTask &running)
+{
+    UnassignedRun &run = worker.unassigned[{running.task, running.run}];
+    run.listedAt = worker.listClock;
+    const JobEntry *const entry = entryOf(running.task.job);
+    const bool isStepKnown = entry != nullptr && running.task.step >= 0
+                             && running.task.step < std::ssize(entry->job.spec().steps);
+    if (isStepKnown)
+        run.demand = reservedFor(stepOf(entry->job, running.task));
+    sendStop(running.task, running.run, worker.entry.id);
+}
+
+// Stops the current run of a task that is done or runs elsewhere, and frees the task from it.
+void Scheduler::stopAndRelease(const TaskId &id, Task &task)
+{
+    const std::string workerId = task.worker;
+    Worker *const worker = workerOf(workerId);
+    const JobEntry *const entry = entryOf(id.job);
+    if (worker != nullptr && entry != nullptr)
+        worker->unassigned[{id, task.run}].demand = reservedFor(stepOf(entry->job, id));
+    release(id, task);
+    sendStop(id, task.run, workerId);
+}
+
+void Scheduler::handleUnassignedStop(const std::string &workerId, const TaskId &id,
+                                     std::int64_t run, const OrderReply &reply)
+{
+    Worker *const worker = workerOf(workerId);
+    if (worker == nullptr)
+        return;
+    const auto found = worker->unassigned.find({id, run});
+    if (found == worker->unassigned.end())
+        return;
+    UnassignedRun &stopped = found->second;
+    stopped.isStopPending = false;
+    const bool isConfirmed =
+            reply.status == OrderStatus::Accepted || reply.status == OrderStatus::StaleRun;
+    if (!isConfirmed || stopped.isStopConfirmed)
+        return;
+    stopped.isStopConfirmed = true;
+    stopped.lastReplyNumber = ++replyCount_;
+    // A run that was never there produces no end, so the long poll does not return early.
+    if (stopped.listedAt == 0)
+        probe(*worker);
+}
+
+// Forgets the runs that a list lacks. A run that was never listed may still be started by an order
+// on its way, unless the worker had confirmed its stop before the list was requested.
+void Scheduler::reconcileUnassigned(Worker &worker, std::uint64_t repliesBeforeSend,
+                                    const RenewReply &reply)
+{
+    const auto isGone = [&](const auto &item) {
+        const auto &[key, run] = item;
+        const bool isListed =
+                std::any_of(reply.running.begin(), reply.running.end(),
+                            [&key = key](const RunningTask &running) {
+                                return running.task == key.first && running.run == key.second;
+                            });
+        const bool wasListed = run.listedAt != 0 && run.listedAt < reply.workerClock;
+        const bool isRejected = run.isStopConfirmed && run.lastReplyNumber <= repliesBeforeSend;
+        return !isListed && (wasListed || isRejected);
+    };
+    if (std::erase_if(worker.unassigned, isGone) > 0)
+        servicesToPlace_.insert(worker.entry.service);
+}
+
+void Scheduler::retryUnassignedStops(Worker &worker)
+{
+    if (worker.isReplaced)
+        return;
+    for (const auto &[key, run] : std::map(worker.unassigned))
+        if (!run.isStopConfirmed && !run.isStopPending)
+            sendStop(key.first, key.second, worker.entry.id);
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -3,9 +3,23 @@
 #include <chicorywick/scheduler/scheduler.h>
 
 #include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
 
 namespace chicorywick::scheduler {
 
+/// @brief A run that may be on a worker and is not assigned to it; it is being stopped and reserves
+/// its capacity until then.
+struct UnassignedRun
+{
+    std::optional<Resources> demand; ///< empty: the job is unknown
+    Millis listedAt = 0; ///< the worker's clock at the newest list with the run; 0: not listed
+    bool isStopPending = false;
+    bool isStopConfirmed = false;
+    std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a stop order
+};
+
 /// @brief State of one incarnation of a worker.
 struct Scheduler::Worker
 {
@@ -20,7 +34,7 @@
 
     Resources used;
     std::set<TaskId> tasks;
-    std::set<TaskId> strayTasks; ///< listed as running there, not assigned to it, being stopped
+    std::map<std::pair<TaskId, std::int64_t>, UnassignedRun> unassigned; ///< by task and run
     Millis idleSince = 0;
     Millis fullUntil = 0;
 
@@ -58,10 +72,18 @@
                    && reply.incarnation != entry.incarnation);
     }
 
+    /// @brief Capacity for further tasks; negative after the worker has shrunk below its load.
+    /// None while the size of a run is unknown.
     Resources free() const
     {
+        constexpr Resources kNone{.cpuMillis = -1, .memoryMib = -1, .accelerators = -1};
         Resources left = entry.capacity;
         left -= used;
+        for (const auto &[key, run] : unassigned) {
+            if (!run.demand)
+                return kNone;
+            left -= *run.demand;
+        }
         return left;
     }
 };
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -205,6 +205,7 @@
         }
         for (const TaskId &task : unstopped)
             stop(task, *taskOf(task));
+        retryUnassignedStops(*worker);
         renew(*worker);
     }
 }
