Stop the current run of a task that is done under an equal run number

Cause: a new leader does not know the run numbers on workers that are silent, so it can give a run the number that its predecessor gave to one on another worker. When that run turned out to be done, the end was taken for that of the current run: the task left its worker without a stop, and the next start there went beside the run, which ended only after the worker's next list.

Change: an end counts as that of the current run only on the worker of that run.

Ruled out: ends of other kinds already compare the worker.

Conclusion: nothing further.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -181,7 +181,7 @@
 
     // Task ends (scheduler_ends.cpp)
     void handleEnd(Worker &worker, const EndedTask &end);
-    void handleDone(JobEntry &entry, const EndedTask &end);
+    void handleDone(JobEntry &entry, const EndedTask &end, const std::string &workerId);
     void handleFailure(JobEntry &entry, Worker &worker, const EndedTask &end);
     void requeue(JobEntry &entry, const TaskId &id, Task &task);
     void release(const TaskId &id, Task &task);
--- a/packages/scheduler/src/scheduler_capacity_test.cpp
+++ b/packages/scheduler/src/scheduler_capacity_test.cpp
@@ -137,6 +137,44 @@
     CHECK(fixture.workers.workersRunning({.job = "b"}) == std::vector{second});
 }
 
+// Guards against an end under a run number that two leaders have given to runs on two workers: the
+// run that goes on was neither stopped nor counted.
+TEST_CASE("an end on another worker with an equal run number stops the current run")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    addUnguardedWorkers(fixture, 2);
+    for (const char *job : {"a", "b"})
+        fixture.workers.setDemand(job, kSmallWorker);
+    fixture.workers.workMs = 1'000;
+    const JobSpec spec = fixture.spec("a", {wholeWorkerStep()});
+    fixture.scheduler->addJob(spec, std::nullopt);
+    fixture.run(300);
+    const auto first = fixture.workers.workersRunning({.job = "a"});
+    REQUIRE(first.size() == 1);
+    fixture.workers.setReachable(first[0], false);
+    fixture.workers.workMs = 0;
+    const auto roster = fixture.scheduler->roster();
+    fixture.startTerm();
+    fixture.scheduler->addInheritedWorkers(roster);
+    fixture.scheduler->addJob(spec, JobProgress{});
+    for (const WorkerEntry &entry : roster)
+        fixture.scheduler->upsertWorker(entry);
+    while (fixture.workers.startsOf({.job = "a"}) < 2)
+        fixture.run(10);
+    fixture.run(10);
+    fixture.submit("b", {wholeWorkerStep()});
+    fixture.workers.setReachable(first[0], true);
+    // The waiting job can only go to the worker of the second run.
+    fixture.scheduler->setCordoned(first[0], CordonReason::Move, true);
+    while (fixture.scheduler->stateOf("a") != JobState::Completed)
+        fixture.run(1);
+    fixture.run(200);
+    CHECK(fixture.workers.violations().empty());
+    CHECK(fixture.workers.workersRunning({.job = "a"}).empty());
+    CHECK(fixture.workers.workersRunning({.job = "b"}).size() == 1);
+}
+
 // Guards against a start beside the second run of a perpetual task that stays on its former worker.
 TEST_CASE("a run stopped because its task returned to its former worker reserves its capacity")
 {
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -66,13 +66,15 @@
     enqueue(entry, id);
 }
 
-void Scheduler::handleDone(JobEntry &entry, const EndedTask &end)
+void Scheduler::handleDone(JobEntry &entry, const EndedTask &end, const std::string &workerId)
 {
     Task *const task = entry.job.task(end.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
     dequeue(entry, end.task);
-    const bool runsElsewhere = !task->worker.empty() && task->run != end.run;
+    // Two leaders can have given the same run number to runs on two workers.
+    const bool runsElsewhere =
+            !task->worker.empty() && (task->run != end.run || task->worker != workerId);
     if (runsElsewhere)
         stopAndRelease(end.task, *task);
     else
@@ -139,7 +141,7 @@
     switch (end.kind) {
     case EndKind::Done:
         recordTaskResult(worker, true, end.task.job);
-        handleDone(*entry, end);
+        handleDone(*entry, end, worker.entry.id);
         break;
     case EndKind::Failed:
         handleFailure(*entry, worker, end);
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -142,7 +142,7 @@
         return;
     }
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
-        handleDone(*entry, EndedTask{.task = task});
+        handleDone(*entry, EndedTask{.task = task}, {});
     markDirty(id);
 }
 
