Place waiting tasks as soon as the capacity of a worker grows

Cause: a changed capacity did not mark the worker's service for placement, so waiting tasks stayed in the queue until the next tick, up to 100 ms later, and on a worker that had rejected a start for lack of room until its back-off of 200 ms was over.

Change: a capacity that has grown ends the back-off and causes a placement. A worker that has not replied yet causes none, so that a takeover stays cheap.

Ruled out: negative free capacity is never covered by a demand, also not by one of zero in that resource, in single placements and in those of gangs; a reserved worker is chosen by its current capacity. An entry of a former incarnation does not replace a later one, and stored rosters carry no capacity.

Conclusion: nothing further.

--- a/packages/scheduler/src/scheduler_capacity_test.cpp
+++ b/packages/scheduler/src/scheduler_capacity_test.cpp
@@ -235,4 +235,58 @@
     CHECK(fixture.workers.workersRunning({.job = "b"}).size() == 1);
 }
 
+// Guards against starts for the former capacity of a worker, and against stops of what runs there.
+TEST_CASE("a worker that has shrunk below its load keeps its tasks and gets no others")
+{
+    Resources shrunk = kSmallWorker;
+    SUBCASE("processor")
+    {
+        shrunk.cpuMillis = 1'000;
+    }
+    SUBCASE("memory")
+    {
+        shrunk.memoryMib = 1'000;
+    }
+    SUBCASE("accelerators")
+    {
+        shrunk.accelerators = 1;
+    }
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    addUnguardedWorkers(fixture, 1);
+    StepSpec accelerated = step(2);
+    accelerated.demand.accelerators = 1;
+    fixture.workers.setDemand("a", accelerated.demand);
+    fixture.workers.setDemand("b", step(1).demand);
+    fixture.submit("a", {accelerated});
+    fixture.run(300);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    fixture.scheduler->upsertWorker(fixture.workers.setCapacity("w0", shrunk));
+    StepSpec leftover = step(1);
+    leftover.usesLeftoverCpu = true;
+    fixture.submit("b", {step(1), leftover});
+    fixture.run(6'000);
+    CHECK(fixture.workers.workersRunning({.job = "a", .index = 1}).size() == 1);
+    CHECK(fixture.workers.runningCount() == 2);
+    fixture.scheduler->upsertWorker(fixture.workers.setCapacity("w0", kSmallWorker));
+    fixture.run(10);
+    CHECK(fixture.workers.runningCount() == 4);
+    CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against waiting tasks that are placed only at the next tick after a capacity has grown,
+// and against a back-off for the former capacity.
+TEST_CASE("a capacity that grows is used at once")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1, {.cpuMillis = 500, .memoryMib = 8'000});
+    fixture.submit("a", {step(1)});
+    fixture.run(3 * kTickMs + 1);
+    REQUIRE(fixture.workers.runningCount() == 0);
+    fixture.scheduler->upsertWorker(fixture.workers.setCapacity("w0", kSmallWorker));
+    fixture.run(5);
+    CHECK(fixture.workers.runningCount() == 1);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -99,6 +99,7 @@
         workersByMachine_[entry.machine].push_back(known);
         ++rosterRevision_;
     }
+    const bool hasGrown = known->hasResponded && !known->entry.capacity.covers(entry.capacity);
     known->entry = entry;
     known->isListed = true;
     replaceFormerIncarnations(entry);
@@ -107,6 +108,11 @@
     if (entry.isDraining)
         drainPerpetual(*known);
     renew(*known);
+    if (hasGrown) {
+        known->fullUntil = 0;
+        servicesToPlace_.insert(entry.service);
+        place();
+    }
 }
 
 // A machine runs one worker at a time, so all but the latest incarnation on it have ended.
