Call for empty workers by the full size of a service's workers

Cause: extraWorkersFor took the current capacity of the service's first worker as the size of all. If that worker had shrunk, or was of a smaller kind, a waiting task that fitted on no worker looked too large for the service and called for no machine.

Change: a task counts if it fits the largest capacity that any worker of the service has shown in its present incarnation.

Ruled out: the largest value of each resource over different workers; it would let a task that fits no machine drain the spare pool.

Conclusion: a new leader knows only the capacities of its own term, so while all workers of a service are shrunk, a task above them waits for one to grow.

--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,6 +34,14 @@
                && accelerators >= demand.accelerators;
     }
 
+    /// @brief Raises each resource to at least that of the other.
+    void raiseTo(const Resources &other)
+    {
+        cpuMillis = std::max(cpuMillis, other.cpuMillis);
+        memoryMib = std::max(memoryMib, other.memoryMib);
+        accelerators = std::max(accelerators, other.accelerators);
+    }
+
     Resources &operator+=(const Resources &other)
     {
         cpuMillis += other.cpuMillis;
--- a/packages/scheduler/src/scheduler_capacity_test.cpp
+++ b/packages/scheduler/src/scheduler_capacity_test.cpp
@@ -289,4 +289,30 @@
     CHECK(fixture.workers.runningCount() == 1);
 }
 
+// Guards against a waiting task that looks too large for its pool because one worker has shrunk.
+TEST_CASE("a task calls for an empty worker while a worker of its service is shrunk")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2, kSmallWorker);
+    StepSpec spread = step(2);
+    spread.maxPerWorker = 1;
+    fixture.submit("a", {spread});
+    fixture.run(500);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    Resources shrunk = kSmallWorker;
+    shrunk.cpuMillis = 1'000;
+    fixture.scheduler->upsertWorker(fixture.workers.setCapacity("w0", shrunk));
+    SUBCASE("one of them") {}
+    SUBCASE("all of them")
+    {
+        fixture.scheduler->upsertWorker(fixture.workers.setCapacity("w1", shrunk));
+    }
+    fixture.submit("b", {wholeWorkerStep()});
+    fixture.submit("larger than any worker",
+                   {StepSpec{.taskCount = 1, .demand = {.cpuMillis = 5'000}, .estimatedMs = 500}});
+    fixture.run(1'000);
+    CHECK(fixture.scheduler->loads()["s"].extraWorkers == 1);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -149,7 +149,6 @@
     if (queue == ready_.end() || workers.empty())
         return 0;
     const Millis now = hooks_.clock().steady;
-    const Resources size = workers.front()->entry.capacity;
     const auto shareOf = [](std::int64_t demand, std::int64_t capacity) {
         return capacity > 0 ? static_cast<double>(demand) / static_cast<double>(capacity) : 0;
     };
@@ -174,8 +173,13 @@
                 std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
                     return worker->free().covers(demand) && isUsable(*worker, now);
                 });
-        if (fitsSomewhere || !size.covers(demand))
+        // A worker that has shrunk still shows the size of the machines that can join.
+        const auto large = std::find_if(workers.begin(), workers.end(), [&](const Worker *worker) {
+            return worker->fullCapacity.covers(demand);
+        });
+        if (fitsSomewhere || large == workers.end())
             continue;
+        const Resources size = (*large)->fullCapacity;
         const double part = std::max(shareOf(demand.cpuMillis, size.cpuMillis),
                                      shareOf(demand.memoryMib, size.memoryMib));
         needed += part > kMaxSharedPart ? 1 : part;
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -32,6 +32,7 @@
     bool isInherited = false; ///< an earlier leader may have started tasks on it
     bool isInStoredRoster = false;
 
+    Resources fullCapacity; ///< largest capacity that this incarnation has shown, by resource
     Resources used;
     std::set<TaskId> tasks;
     std::map<std::pair<TaskId, std::int64_t>, UnassignedRun> unassigned; ///< by task and run
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -101,6 +101,7 @@
     }
     const bool hasGrown = known->hasResponded && !known->entry.capacity.covers(entry.capacity);
     known->entry = entry;
+    known->fullCapacity.raiseTo(entry.capacity);
     known->isListed = true;
     replaceFormerIncarnations(entry);
     if (known->isReplaced)
