Count accelerators when waiting tasks call for empty workers

Cause: extraWorkersFor summed the shares of processor and memory only, so tasks that wait for accelerators and need little else called for a single worker, or for none if they need nothing else.

Change: the share of accelerators counts too.

Ruled out: placement compares all three resources already.

Conclusion: nothing further.

--- a/packages/scheduler/src/scheduler_capacity_test.cpp
+++ b/packages/scheduler/src/scheduler_capacity_test.cpp
@@ -315,4 +315,20 @@
     CHECK(fixture.scheduler->loads()["s"].extraWorkers == 1);
 }
 
+// Guards against tasks that wait for accelerators and call for no machine because they need hardly
+// any processor.
+TEST_CASE("tasks that wait for accelerators call for as many workers as these fill")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1, kSmallWorker);
+    StepSpec accelerated = step(8);
+    accelerated.demand = {.cpuMillis = 100, .accelerators = 2};
+    fixture.workers.setDemand("a", accelerated.demand);
+    fixture.submit("a", {accelerated});
+    fixture.run(1'000);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    CHECK(fixture.scheduler->loads()["s"].extraWorkers == 3);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -180,8 +180,9 @@
         if (fitsSomewhere || large == workers.end())
             continue;
         const Resources size = (*large)->fullCapacity;
-        const double part = std::max(shareOf(demand.cpuMillis, size.cpuMillis),
-                                     shareOf(demand.memoryMib, size.memoryMib));
+        const double part = std::max({shareOf(demand.cpuMillis, size.cpuMillis),
+                                      shareOf(demand.memoryMib, size.memoryMib),
+                                      shareOf(demand.accelerators, size.accelerators)});
         needed += part > kMaxSharedPart ? 1 : part;
     }
     return static_cast<int>(std::ceil(needed));
