--- /dev/null
+++ b/packages/scheduler/src/scheduler_capacity_random_test.cpp
@@ -0,0 +1,181 @@
+#include "scheduler_fixture.h"
+
+#include <chicorywick/base/rng.h>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+constexpr int kWorkers = 6;
+constexpr int kSeeds = 60;
+constexpr Millis kFaultyMs = 60'000;
+constexpr Millis kActionPeriodMs = 150;
+constexpr Millis kWorkTimes[] = {200, 600, 2'500};
+constexpr Millis kMaxDiscoveryDelayMs = 1'000;
+constexpr Millis kRecoveryMs = 60'000;
+constexpr Resources kFullSize{.cpuMillis = 8'000, .memoryMib = 16'000, .accelerators = 4};
+
+// Random load and faults on workers of which most do not guard their capacity.
+class RandomDay
+{
+public:
+    explicit RandomDay(std::uint64_t seed)
+        : fixture_(seed)
+        , rng_(seed)
+    {
+        for (int i = 0; i < kWorkers; ++i)
+            addWorker("w" + std::to_string(i));
+    }
+
+    void run()
+    {
+        const Millis end = fixture_.loop.now() + kFaultyMs;
+        while (fixture_.loop.now() < end) {
+            act();
+            fixture_.run(kActionPeriodMs);
+        }
+        fixture_.workers.setFaults({});
+        fixture_.workers.workMs = kWorkTimes[0];
+        for (const auto &[id, entry] : std::map(entries_)) {
+            fixture_.workers.setReachable(id, true);
+            changeCapacity(id, kFullSize);
+        }
+        fixture_.run(kRecoveryMs);
+    }
+
+    const std::vector<std::string> &violations() const { return fixture_.workers.violations(); }
+
+    // Leaves out gangs: fake workers do not end the members of a gang together.
+    std::vector<std::string> unfinishedJobs() const
+    {
+        std::vector<std::string> unfinished;
+        for (const auto &[id, spec] : jobs_)
+            if (!cancelled_.contains(id) && !spec.steps[0].isGang
+                && fixture_.scheduler->stateOf(id) != JobState::Completed)
+                unfinished.push_back(id);
+        return unfinished;
+    }
+
+private:
+    std::int64_t upTo(std::int64_t limit)
+    {
+        return static_cast<std::int64_t>(rng_.below(static_cast<std::uint64_t>(limit) + 1));
+    }
+
+    std::string anyWorker() { return "w" + std::to_string(upTo(kWorkers - 1)); }
+
+    void addWorker(const std::string &id)
+    {
+        entries_[id] = fixture_.workers.add(id, "s", kFullSize);
+        fixture_.workers.setGuardsCapacity(id, id == "w0");
+        fixture_.scheduler->upsertWorker(entries_[id]);
+    }
+
+    void changeCapacity(const std::string &id, Resources capacity)
+    {
+        entries_[id] = fixture_.workers.setCapacity(id, capacity);
+        fixture_.loop.after(upTo(kMaxDiscoveryDelayMs),
+                            [this, id] { fixture_.scheduler->upsertWorker(entries_[id]); });
+    }
+
+    void submit()
+    {
+        const std::string id = "job" + std::to_string(jobs_.size());
+        StepSpec work{.taskCount = static_cast<int>(1 + upTo(4)),
+                      .demand = {.cpuMillis = 500 + upTo(3'500),
+                                 .memoryMib = 500 + upTo(7'500),
+                                 .accelerators = rng_.chance(0.3) ? upTo(4) : 0},
+                      .estimatedMs = 500};
+        work.usesLeftoverCpu = rng_.chance(0.1);
+        work.isPerpetual = rng_.chance(0.2);
+        work.isGang = !work.isPerpetual && rng_.chance(0.1);
+        work.taskCount = work.isGang ? 2 : work.taskCount;
+        Resources reserved = work.demand;
+        if (work.usesLeftoverCpu)
+            reserved.cpuMillis = 0;
+        fixture_.workers.setDemand(id, reserved);
+        jobs_.emplace(id, fixture_.spec(id, {work}));
+        fixture_.scheduler->addJob(jobs_.at(id), std::nullopt);
+    }
+
+    void cancel()
+    {
+        const std::string id = "job" + std::to_string(upTo(std::ssize(jobs_)));
+        if (!jobs_.contains(id))
+            return;
+        cancelled_.insert(id);
+        fixture_.scheduler->cancelJob(id);
+    }
+
+    // Some cancelled jobs are forgotten with the change, so that their runs have no known size.
+    void changeLeader()
+    {
+        const auto roster = fixture_.scheduler->roster();
+        fixture_.startTerm();
+        fixture_.scheduler->addInheritedWorkers(roster);
+        for (const auto &[id, spec] : jobs_) {
+            if (cancelled_.contains(id) && rng_.chance(0.5))
+                continue;
+            const auto stored = fixture_.stored.find(id);
+            fixture_.scheduler->addJob(spec, stored != fixture_.stored.end() ? stored->second
+                                                                             : JobProgress{});
+            if (cancelled_.contains(id))
+                fixture_.scheduler->cancelJob(id);
+        }
+        for (const auto &[id, entry] : entries_)
+            fixture_.scheduler->upsertWorker(entry);
+    }
+
+    void act()
+    {
+        fixture_.workers.workMs = kWorkTimes[upTo(2)];
+        const std::string worker = anyWorker();
+        if (rng_.chance(0.6))
+            submit();
+        if (rng_.chance(0.2))
+            cancel();
+        if (rng_.chance(0.2))
+            changeCapacity(worker, {.cpuMillis = upTo(kFullSize.cpuMillis),
+                                    .memoryMib = upTo(kFullSize.memoryMib),
+                                    .accelerators = upTo(kFullSize.accelerators)});
+        if (rng_.chance(0.1))
+            changeCapacity(worker, kFullSize);
+        if (rng_.chance(0.1))
+            fixture_.workers.setReachable(anyWorker(), rng_.chance(0.6));
+        if (rng_.chance(0.1))
+            fixture_.workers.setFaults({.lostReply = 0.1 * static_cast<double>(upTo(3)),
+                                        .lateOrder = 0.1 * static_cast<double>(upTo(3))});
+        if (rng_.chance(0.01))
+            addWorker(worker);
+        if (rng_.chance(0.02))
+            changeLeader();
+    }
+
+    SchedulerFixture fixture_;
+    base::Rng rng_;
+    std::map<std::string, WorkerEntry> entries_;
+    std::map<std::string, JobSpec> jobs_;
+    std::set<std::string> cancelled_;
+};
+
+} // namespace
+
+// Guards against starts over the capacity of a worker under any mix of faults and changes.
+TEST_CASE("no start brings a worker over its capacity on random days")
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CAPTURE(seed);
+        RandomDay day(seed);
+        day.run();
+        for (const std::string &violation : day.violations())
+            FAIL_CHECK(violation);
+        for (const std::string &job : day.unfinishedJobs())
+            FAIL_CHECK("unfinished: " << job);
+    }
+}
+
+} // namespace chicorywick::scheduler
