--- a/packages/scheduler/src/scheduler_capacity_random_test.cpp
+++ b/packages/scheduler/src/scheduler_capacity_random_test.cpp
@@ -16,6 +16,7 @@
 constexpr Millis kActionPeriodMs = 150;
 constexpr Millis kWorkTimes[] = {200, 600, 2'500};
 constexpr Millis kMaxDiscoveryDelayMs = 1'000;
+constexpr Millis kLateLeaseMs = 20'000;
 constexpr Millis kRecoveryMs = 60'000;
 constexpr Resources kFullSize{.cpuMillis = 8'000, .memoryMib = 16'000, .accelerators = 4};
 
@@ -23,9 +24,10 @@
 class RandomDay
 {
 public:
-    explicit RandomDay(std::uint64_t seed)
+    RandomDay(std::uint64_t seed, bool hasLateRenewals)
         : fixture_(seed)
         , rng_(seed)
+        , hasLateRenewals_(hasLateRenewals)
     {
         for (int i = 0; i < kWorkers; ++i)
             addWorker("w" + std::to_string(i));
@@ -144,6 +146,14 @@
                                     .accelerators = upTo(kFullSize.accelerators)});
         if (rng_.chance(0.1))
             changeCapacity(worker, kFullSize);
+        if (hasLateRenewals_ && rng_.chance(0.1)) {
+            fixture_.workers.renew(
+                    {.id = worker, .address = entries_[worker].address},
+                    {.leaseUntil = fixture_.loop.now() + kLateLeaseMs, .fence = fixture_.term},
+                    [](const RenewReply &) {});
+            fixture_.run(2);
+            fixture_.workers.setReachable(worker, false);
+        }
         if (rng_.chance(0.1))
             fixture_.workers.setReachable(anyWorker(), rng_.chance(0.6));
         if (rng_.chance(0.1))
@@ -157,6 +167,7 @@
 
     SchedulerFixture fixture_;
     base::Rng rng_;
+    bool hasLateRenewals_;
     std::map<std::string, WorkerEntry> entries_;
     std::map<std::string, JobSpec> jobs_;
     std::set<std::string> cancelled_;
@@ -169,7 +180,7 @@
 {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
         CAPTURE(seed);
-        RandomDay day(seed);
+        RandomDay day(seed, false);
         day.run();
         for (const std::string &violation : day.violations())
             FAIL_CHECK(violation);
@@ -178,4 +189,20 @@
     }
 }
 
+// Guards against the same where a worker that was silent turns out to run tasks which have started
+// elsewhere meanwhile. Its lease outlasts the one that is known, so such tasks do run twice.
+TEST_CASE("no start brings a worker over its capacity on days with late renewals")
+{
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CAPTURE(seed);
+        RandomDay day(seed, true);
+        day.run();
+        for (const std::string &violation : day.violations())
+            if (violation.ends_with("over its capacity"))
+                FAIL_CHECK(violation);
+        for (const std::string &job : day.unfinishedJobs())
+            FAIL_CHECK("unfinished: " << job);
+    }
+}
+
 } // namespace chicorywick::scheduler
