Plan pools by the full size of a service's workers

Cause: the pool balancer took the current capacity of the last worker in the list as the machine size of a service. A worker that had shrunk made the pool ask for too many machines. One that had shrunk to nothing, or was known only from a stored roster, made the size 0, and the pool asked for none until a task had waited 0.4 s.

Change: the size is the largest processor capacity that any worker of the service has shown in its present incarnation (ServiceLoad::machineCpuMillis).

Ruled out: fallbacks for services without workers are as before.

Conclusion: capacity that shrunk workers lack is not planned for ahead; tasks that fit nowhere call for machines after 0.4 s, as before.

--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -84,29 +84,28 @@
 PoolBalancer::demands(const std::vector<scheduler::WorkerView> &views) const
 {
     std::map<std::string, int> machines;
-    std::map<std::string, std::int64_t> size;
     for (const scheduler::WorkerView &view : views) {
-        size[view.entry.service] = view.entry.capacity.cpuMillis;
         const bool isCounted = view.isUsable && !view.entry.isDraining && !view.isCordoned
                                && !moving_.contains(view.entry.machine);
         if (isCounted)
             ++machines[view.entry.service];
     }
     std::int64_t fallbackSize = 0;
-    for (const auto &[service, cpuMillis] : size)
-        fallbackSize = std::max(fallbackSize, cpuMillis);
+    auto loads = scheduler_.loads();
+    for (const auto &[service, load] : loads)
+        fallbackSize = std::max(fallbackSize, load.machineCpuMillis);
     const std::map<std::string, int> usable = machines;
     for (const auto &[name, move] : moving_)
         if (move.pool != sparePool_)
             ++machines[move.pool];
-    auto loads = scheduler_.loads();
     std::vector<scheduler::PoolDemand> demands;
     for (const std::string &service : services_) {
         const scheduler::ServiceLoad &load = loads[service];
         const double wanted =
                 std::max(static_cast<double>(load.runningCpuMillis + load.waitingCpuMillis),
                          load.arrivingCpuMillis * kDemandHeadroom);
-        const std::int64_t machineSize = size.contains(service) ? size[service] : fallbackSize;
+        const std::int64_t machineSize =
+                load.machineCpuMillis > 0 ? load.machineCpuMillis : fallbackSize;
         const auto usableNow = usable.find(service);
         const int withRoom =
                 (usableNow != usable.end() ? usableNow->second : 0) + load.extraWorkers;
--- a/packages/scheduler/src/scheduler_capacity_test.cpp
+++ b/packages/scheduler/src/scheduler_capacity_test.cpp
@@ -315,6 +315,19 @@
     CHECK(fixture.scheduler->loads()["s"].extraWorkers == 1);
 }
 
+// Guards against a pool plan that divides the work of a service by the size of a shrunk worker, or
+// of one that is known only from a stored roster.
+TEST_CASE("the machine size of a service is that of its largest worker before it shrank")
+{
+    SchedulerFixture fixture;
+    fixture.addWorkers(2, kSmallWorker);
+    fixture.run(300);
+    for (const char *id : {"w0", "w1"})
+        fixture.scheduler->upsertWorker(fixture.workers.setCapacity(id, {.cpuMillis = 0}));
+    fixture.scheduler->addInheritedWorkers({{.id = "x", .service = "s", .address = kAddress}});
+    CHECK(fixture.scheduler->loads()["s"].machineCpuMillis == kSmallWorker.cpuMillis);
+}
+
 // Guards against tasks that wait for accelerators and call for no machine because they need hardly
 // any processor.
 TEST_CASE("tasks that wait for accelerators call for as many workers as these fill")
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -198,6 +198,7 @@
             if (isUsable(*worker, now))
                 load.capacityCpuMillis += worker->entry.capacity.cpuMillis;
             load.runningCpuMillis += worker->used.cpuMillis;
+            load.machineCpuMillis = std::max(load.machineCpuMillis, worker->fullCapacity.cpuMillis);
         }
     }
     for (const auto &[service, queue] : ready_) {
