--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -68,7 +68,7 @@
     std::int64_t runningCpuMillis = 0;
     std::int64_t capacityCpuMillis = 0;
     std::int64_t machineCpuMillis = 0; ///< of the largest worker, with its full capacity
-    double arrivingCpuMillis = 0; ///< moving average of submitted CPU time per unit of time
+    double arrivingCpuMillis = 0;      ///< moving average of submitted CPU time per unit of time
     int spreadWorkers = 0; ///< workers needed by the largest perpetual step with maxPerWorker
     int extraWorkers = 0;  ///< empty workers needed by waiting tasks that fit on no worker now
 
