--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -67,7 +67,8 @@
     std::int64_t waitingCpuMillis = 0;
     std::int64_t runningCpuMillis = 0;
     std::int64_t capacityCpuMillis = 0;
-    double arrivingCpuMillis = 0; ///< moving average of submitted CPU time per unit of time
+    std::int64_t machineCpuMillis = 0; ///< of the largest worker, with its full capacity
+    double arrivingCpuMillis = 0;      ///< moving average of submitted CPU time per unit of time
     int spreadWorkers = 0; ///< workers needed by the largest perpetual step with maxPerWorker
     int extraWorkers = 0;  ///< empty workers needed by waiting tasks that fit on no worker now
 
@@ -197,7 +198,7 @@
 
     // Task ends (scheduler_ends.cpp)
     void handleEnd(Worker &worker, const EndedTask &end);
-    void handleDone(JobEntry &entry, const EndedTask &end);
+    void handleDone(JobEntry &entry, const EndedTask &end, const std::string &workerId);
     void handleFailure(JobEntry &entry, Worker &worker, const EndedTask &end);
     void failIfExhausted(JobEntry &entry, const TaskId &id);
     void requeue(JobEntry &entry, const TaskId &id, Task &task);
@@ -220,6 +221,16 @@
     void reconcileRunning(Worker &worker, const RunningTask &running);
     bool shouldReturnTo(const JobEntry &entry, const Task &task, const RunningTask &running) const;
     void reconcileAbsent(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
+
+    // Runs that are not assigned to their worker (scheduler_unassigned.cpp)
+    void stopUnassigned(Worker &worker, const RunningTask &running);
+    void stopAndRelease(const TaskId &id, Task &task);
+    void handleUnassignedStop(const std::string &workerId, const TaskId &id, std::int64_t run,
+                              const OrderReply &reply);
+    void reconcileUnassigned(Worker &worker, std::uint64_t repliesBeforeSend,
+                             const RenewReply &reply);
+    void retryUnassignedStops(Worker &worker);
+
     void recordClock(Worker &worker, Millis workerClock);
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseExpired(const Worker &worker) const;
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -65,6 +65,13 @@
     void setReachable(const std::string &id, bool isReachable);
     void setFaults(CallFaults faults) { faults_ = faults; }
 
+    /// @brief A worker that does not guard its capacity accepts every start; one that exceeds its
+    /// capacity is recorded as a violation.
+    void setGuardsCapacity(const std::string &id, bool isGuarded);
+
+    /// @brief Changes the capacity of a running worker and returns its new discovery entry.
+    WorkerEntry setCapacity(const std::string &id, Resources capacity);
+
     /// @brief Returns how a run ends; by default it succeeds after workMs.
     std::function<EndKind(const TaskId &, std::int64_t run)> outcome;
     /// @brief True for a task that crashes each worker soon after its start; by default none does.
@@ -93,6 +100,8 @@
     const std::vector<std::string> &violations() const { return violations_; }
     int startsOf(const TaskId &task) const;
     int crashesUnder(const TaskId &task) const;
+    /// @brief The most workers that ended while they ran one task of the job.
+    int workersLostUnder(const std::string &job) const;
     std::vector<std::string> workersRunning(const TaskId &task) const;
     int runningCount() const;
 
@@ -114,6 +123,8 @@
     {
         WorkerEntry entry;
         bool isReachable = true;
+        bool isCapacityGuarded = true;
+        std::vector<std::pair<Millis, Resources>> formerCapacities; ///< time of change, capacity
         std::uint64_t generation = 0;
         std::int64_t fence = 0;
         Millis leaseUntil = 0;
@@ -126,6 +137,7 @@
     };
 
     Worker *findReachable(const WorkerAddress &address);
+    bool hasRoom(const Worker &worker, const Resources &used) const;
     OrderReply executeStart(Worker &worker, const StartOrder &order);
     OrderReply executeStop(Worker &worker, const StopOrder &order);
     void crashSoon(const std::string &id, const TaskId &cause);
@@ -142,12 +154,14 @@
     std::map<std::string, Worker> workers_;
     std::map<std::string, Resources> demands_;
     std::map<TaskId, int> starts_;
+    std::map<TaskId, int> losses_;             ///< workers that ended while they ran the task
     std::map<TaskId, int> crashes_;            ///< by the task that is the cause
     std::map<TaskId, int> startsAfterCrashes_; ///< after the third crash
     std::set<TaskId> doneAndAcknowledged_;
     std::vector<std::string> violations_;
     int acknowledged_ = 0;
     int ordersSent_ = 0;
+    Millis orderSentAt_ = 0; ///< of the order that is being executed
     std::uint64_t lastGeneration_ = 0;
     bool isExecutingLate_ = false;
 };
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -68,16 +68,19 @@
     enqueue(entry, id);
 }
 
-void Scheduler::handleDone(JobEntry &entry, const EndedTask &end)
+void Scheduler::handleDone(JobEntry &entry, const EndedTask &end, const std::string &workerId)
 {
     Task *const task = entry.job.task(end.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
     dequeue(entry, end.task);
-    const bool runsElsewhere = !task->worker.empty() && task->run != end.run;
+    // Two leaders can have given the same run number to runs on two workers.
+    const bool runsElsewhere =
+            !task->worker.empty() && (task->run != end.run || task->worker != workerId);
     if (runsElsewhere)
-        sendStop(end.task, task->run, task->worker);
-    release(end.task, *task);
+        stopAndRelease(end.task, *task);
+    else
+        release(end.task, *task);
     entry.job.markStarted();
     markDirty(end.task.job);
     // For a job in a final state, the end is only recorded in its progress.
@@ -145,7 +148,7 @@
     switch (end.kind) {
     case EndKind::Done:
         recordTaskResult(worker, true, end.task.job);
-        handleDone(*entry, end);
+        handleDone(*entry, end, worker.entry.id);
         break;
     case EndKind::Failed:
         handleFailure(*entry, worker, end);
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -151,7 +151,7 @@
     if (progress.state == JobState::Cancelled)
         return cancelJob(id);
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
-        handleDone(*entry, EndedTask{.task = task});
+        handleDone(*entry, EndedTask{.task = task}, {});
     for (const TaskId &task : entry->job.mergeLostRuns(progress)) {
         if (entry->ready.contains(task)) {
             dequeue(*entry, task);
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -153,7 +153,6 @@
     if (queue == ready_.end() || workers.empty())
         return 0;
     const Millis now = hooks_.clock().steady;
-    const Resources size = workers.front()->entry.capacity;
     const auto shareOf = [](std::int64_t demand, std::int64_t capacity) {
         return capacity > 0 ? static_cast<double>(demand) / static_cast<double>(capacity) : 0;
     };
@@ -178,10 +177,16 @@
                 std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
                     return worker->free().covers(demand) && isUsable(*worker, now);
                 });
-        if (fitsSomewhere || !size.covers(demand))
+        // A worker that has shrunk still shows the size of the machines that can join.
+        const auto large = std::find_if(workers.begin(), workers.end(), [&](const Worker *worker) {
+            return worker->fullCapacity.covers(demand);
+        });
+        if (fitsSomewhere || large == workers.end())
             continue;
-        const double part = std::max(shareOf(demand.cpuMillis, size.cpuMillis),
-                                     shareOf(demand.memoryMib, size.memoryMib));
+        const Resources size = (*large)->fullCapacity;
+        const double part = std::max({shareOf(demand.cpuMillis, size.cpuMillis),
+                                      shareOf(demand.memoryMib, size.memoryMib),
+                                      shareOf(demand.accelerators, size.accelerators)});
         needed += part > kMaxSharedPart ? 1 : part;
     }
     return static_cast<int>(std::ceil(needed));
@@ -197,6 +202,7 @@
             if (isUsable(*worker, now))
                 load.capacityCpuMillis += worker->entry.capacity.cpuMillis;
             load.runningCpuMillis += worker->used.cpuMillis;
+            load.machineCpuMillis = std::max(load.machineCpuMillis, worker->fullCapacity.cpuMillis);
         }
     }
     for (const auto &[service, queue] : ready_) {
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -100,7 +100,9 @@
         workersByMachine_[entry.machine].push_back(known);
         ++rosterRevision_;
     }
+    const bool hasGrown = known->hasResponded && !known->entry.capacity.covers(entry.capacity);
     known->entry = entry;
+    known->fullCapacity.raiseTo(entry.capacity);
     known->isListed = true;
     replaceFormerIncarnations(entry);
     if (known->isReplaced)
@@ -108,6 +110,11 @@
     if (entry.isDraining)
         drainPerpetual(*known);
     renew(*known);
+    if (hasGrown) {
+        known->fullUntil = 0;
+        servicesToPlace_.insert(entry.service);
+        place();
+    }
 }
 
 // A machine runs one worker at a time, so all but the latest incarnation on it have ended.
@@ -243,6 +250,7 @@
         for (const TaskId &task : unstopped)
             stop(task, *taskOf(task));
         checkTrials(*worker);
+        retryUnassignedStops(*worker);
         renew(*worker);
     }
 }
