Give up only tasks that no recent run beside them excuses

Callers saw, or would see: ordinary jobs given up, or waiting for ever, beside tasks that crash their workers.

Cause: the evidence of a crash was too narrow and its cost without a bound. A run that had been seen at work for 250 ms counted as no suspect, so that a task on trial beside one that crashes its worker after 0.3 to 1.5 s was blamed. The age of a run included the time in which its worker was down. A partition during which the registration lapsed, or that ended with a drain, counted as a crash. Trials closed any number of workers and were examined without a limit; a reservation could go to a worker that lacks the label or the room.

Change: a second crash at the start gives a job up only if no other job's run had started there within 2 s, else a third is awaited on a worker of its own. Ages count up to the last report. The runs of a silent worker are kept by machine until another incarnation shows a crash, the same one replies, or a planned end explains it. At most an eighth of the workers, but three, is closed for trials at a time; crashed ones do not count; 24 trials without a worker end a pass; reservations go to workers that can take the task. Adopted runs have survived their start.

Ruled out: a longer time until a run counts as settled, which puts every short task beside a crash on trial.

Conclusion: two changes of leaders with workers that are down for longer than their lease can still lose two counts.

--- a/packages/scheduler/include/chicorywick/scheduler/crash_history.h
+++ b/packages/scheduler/include/chicorywick/scheduler/crash_history.h
@@ -8,8 +8,9 @@
 /// @brief What else ran on a worker when it crashed under a task.
 struct CrashEvidence
 {
-    bool isStarting = false;     ///< the worker had not shown the run at work yet
+    bool isStarting = false;     ///< no report had shown the run at work for a while
     bool isOnlyStarting = false; ///< no run of another job was starting there
+    bool isOnlyRecent = false;   ///< no run of another job had started there in the last seconds
     bool isOnlyUnproven = false; ///< every run of another job there had lasted long
 
     bool operator==(const CrashEvidence &) const = default;
@@ -34,6 +35,9 @@
     /// @brief The next run gets a worker where every run of another job has lasted long.
     bool needsOwnWorker() const;
 
+    /// @brief The next run waits until it is known whether workers that fell silent have crashed.
+    bool needsEvidence(int silentRuns) const;
+
     /// @brief True if the task has to be given up after a crash that is already recorded.
     bool isCause(const CrashEvidence &latest) const;
 };
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -33,7 +33,8 @@
     std::string avoidedWorker; ///< worker on which the last run failed
     std::string checkpoint;
     Millis phaseSince = 0;
-    Millis heldUntil = 0;              ///< no start before, unless the fate of its last run shows
+    Millis heldUntil = 0; ///< no start before, unless the worker of a lost run returns
+    int silentRuns = 0; ///< runs that were lost when a lease expired, and may have crashed a worker
     Millis startedAt = 0;              ///< when the current run was assigned or adopted
     Millis readySince = 0;             ///< time from which the current run could start
     std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a start or stop order
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -172,7 +172,8 @@
         TaskId task;
         std::int64_t run = 0;
         bool hasBegun = false;
-        bool isSettled = false;
+        bool isSettled = false; ///< a report had shown it at work for a while
+        bool isRecent = false;  ///< it had started in the last seconds
 
         bool operator==(const LostRun &) const = default;
     };
@@ -245,11 +246,15 @@
     void pace(Worker &worker);
 
     // Tasks that crash their workers (scheduler_crashes.cpp)
-    bool isProven(const Task &task) const;
+    bool isProven(const Worker &worker, const Task &task) const;
     std::vector<LostRun> unprovenRuns(const Worker &worker) const;
     void recordCrash(const std::vector<LostRun> &runs);
-    void recordSilence(Worker &worker, const std::vector<LostRun> &runs);
-    void recordReturn(Worker &worker);
+    void requeueReady(JobEntry &entry, const TaskId &id);
+    void recordSilence(const Worker &worker, const std::vector<LostRun> &runs);
+    std::vector<LostRun> endSilence(const std::string &machine);
+    void recordReturn(const Worker &worker);
+    void recordIncarnation(const WorkerEntry &entry);
+    void expireSilences();
     void giveUp(JobEntry &entry);
     void beginRun(Worker &worker, const TaskId &id, Task &task);
     void updateTrial(Worker &worker, const TaskId &id, Task &task);
@@ -257,6 +262,8 @@
     void checkTrials(Worker &worker);
     bool mayStartBeside(const Worker &worker, const TaskId &id, const Task &task) const;
     void placeTrials(const std::string &service);
+    static bool isOnTrial(const std::vector<Worker *> &workers, const std::string &job);
+    bool canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const;
     void reserveForTrial(const JobEntry &entry, const TaskId &id);
 
     // Placement (scheduler_placing.cpp)
@@ -295,6 +302,14 @@
     std::set<std::string> perpetualJobs_;
     std::deque<std::pair<Millis, std::string>> endedJobs_; ///< end time and id, ordered by end time
     std::map<std::string, std::unique_ptr<Worker>> workers_;
+    /// Runs of a worker whose lease has expired, until the machine's next sign of life.
+    struct Silence
+    {
+        Millis incarnation = 0;
+        Millis since = 0;
+        std::vector<LostRun> runs;
+    };
+    std::map<std::string, Silence> silences_; ///< by machine
     std::map<std::string, std::vector<Worker *>> workersByService_;
     std::unordered_map<std::string, std::vector<Worker *>> workersByMachine_;
     struct ReadyQueue
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -11,16 +11,27 @@
 
 // A run that its worker shows at work after this time has survived its start.
 constexpr Millis kSettleMs = 250;
+// A run that started this recently can have crashed its worker although it had been seen at work.
+constexpr Millis kRecentMs = 2'000;
 // A run that has lasted this long is not suspected when its worker crashes.
 constexpr Millis kProvenMs = 10'000;
+// Bounds of the workers that are closed to other tasks for trials, and of the trials examined in
+// one pass that find no worker.
+constexpr std::size_t kClosedWorkersShare = 8;
+constexpr std::size_t kMinClosedWorkers = 3;
+constexpr int kMaxUnplaceableTrials = 24;
 // Longest wait for a silent worker to show whether it has crashed again under a task.
 constexpr Millis kEvidenceWaitMs = 10'000;
+// A machine that returns later than this is not taken for one that has crashed.
+constexpr Millis kMaxSilenceMs = 60'000;
 
 } // namespace
 
-bool Scheduler::isProven(const Task &task) const
+// The age counts up to the latest report, because a worker is down for seconds before its crash
+// shows.
+bool Scheduler::isProven(const Worker &worker, const Task &task) const
 {
-    return task.isSettled && hooks_.clock().steady - task.startedAt >= kProvenMs;
+    return task.isSettled && worker.reportAt - task.startedAt >= kProvenMs;
 }
 
 std::vector<Scheduler::LostRun> Scheduler::unprovenRuns(const Worker &worker) const
@@ -28,11 +39,12 @@
     std::vector<LostRun> runs;
     for (const TaskId &id : worker.tasks) {
         const Task *const task = taskOf(id);
-        if (task != nullptr && task->phase != TaskPhase::Done && !isProven(*task))
+        if (task != nullptr && task->phase != TaskPhase::Done && !isProven(worker, *task))
             runs.push_back({.task = id,
                             .run = task->run,
                             .hasBegun = task->hasBegun,
-                            .isSettled = task->isSettled});
+                            .isSettled = task->isSettled,
+                            .isRecent = worker.reportAt - task->startedAt < kRecentMs});
     }
     return runs;
 }
@@ -42,9 +54,12 @@
 void Scheduler::recordCrash(const std::vector<LostRun> &runs)
 {
     std::set<std::string> startingJobs;
+    std::set<std::string> recentJobs;
     std::set<std::string> jobs;
     for (const LostRun &run : runs) {
         jobs.insert(run.task.job);
+        if (run.isRecent)
+            recentJobs.insert(run.task.job);
         if (!run.isSettled)
             startingJobs.insert(run.task.job);
     }
@@ -55,38 +70,90 @@
         if (entry == nullptr || task == nullptr || isTerminal(entry->job.state())
             || task->phase == TaskPhase::Done)
             continue;
-        task->heldUntil = 0;
         // A start without an answer was often sent to a worker that had crashed already.
         const bool isStarting = run.hasBegun && !run.isSettled;
         task->crashes.record(run.run, isStarting);
         markDirty(run.task.job);
         if (task->crashes.isCause({.isStarting = isStarting,
                                    .isOnlyStarting = startingJobs.size() == 1,
+                                   .isOnlyRecent = recentJobs.size() == 1,
                                    .isOnlyUnproven = jobs.size() == 1}))
             causes.insert(run.task.job);
-        if (entry->ready.contains(run.task)) {
-            dequeue(*entry, run.task);
-            enqueue(*entry, run.task);
-        }
+        requeueReady(*entry, run.task);
     }
     for (const std::string &job : causes)
         giveUp(*entryOf(job));
 }
 
-// A worker that has crashed returns as another incarnation, one that was cut off replies again.
-void Scheduler::recordSilence(Worker &worker, const std::vector<LostRun> &runs)
+// The place of a task in the queue depends on its crash history.
+void Scheduler::requeueReady(JobEntry &entry, const TaskId &id)
 {
-    worker.silentRuns.insert(worker.silentRuns.end(), runs.begin(), runs.end());
-    for (const LostRun &run : runs)
-        if (Task *const task = taskOf(run.task); task != nullptr && !task->crashes.empty())
-            task->heldUntil = hooks_.clock().steady + kEvidenceWaitMs;
+    if (!entry.ready.contains(id))
+        return;
+    dequeue(entry, id);
+    enqueue(entry, id);
 }
 
-void Scheduler::recordReturn(Worker &worker)
+// Keeps the runs of a worker whose lease has expired. A worker that has crashed returns as another
+// incarnation, one that was cut off replies again.
+void Scheduler::recordSilence(const Worker &worker, const std::vector<LostRun> &runs)
 {
-    for (const LostRun &run : std::exchange(worker.silentRuns, {}))
-        if (Task *const task = taskOf(run.task))
+    const Millis now = hooks_.clock().steady;
+    Silence &silence = silences_[worker.entry.machine];
+    silence.incarnation = worker.entry.incarnation;
+    silence.since = now;
+    silence.runs.insert(silence.runs.end(), runs.begin(), runs.end());
+    for (const LostRun &run : runs) {
+        Task *const task = taskOf(run.task);
+        if (task == nullptr)
+            continue;
+        ++task->silentRuns;
+        if (task->crashes.needsEvidence(task->silentRuns))
+            task->heldUntil = now + kEvidenceWaitMs;
+    }
+}
+
+// Takes the runs of a silence that has ended; their tasks need not wait for its outcome any longer.
+std::vector<Scheduler::LostRun> Scheduler::endSilence(const std::string &machine)
+{
+    const auto found = silences_.find(machine);
+    if (found == silences_.end())
+        return {};
+    std::vector<LostRun> runs = std::move(found->second.runs);
+    silences_.erase(found);
+    for (const LostRun &run : runs)
+        if (Task *const task = taskOf(run.task)) {
+            --task->silentRuns;
             task->heldUntil = 0;
+        }
+    return runs;
+}
+
+// A reply that was written before the lease expired can be read after it.
+void Scheduler::recordReturn(const Worker &worker)
+{
+    const auto found = silences_.find(worker.entry.machine);
+    if (found != silences_.end() && found->second.incarnation == worker.entry.incarnation
+        && worker.reportAt > found->second.since)
+        endSilence(worker.entry.machine);
+}
+
+void Scheduler::recordIncarnation(const WorkerEntry &entry)
+{
+    const auto found = silences_.find(entry.machine);
+    if (found != silences_.end() && found->second.incarnation < entry.incarnation)
+        recordCrash(endSilence(entry.machine));
+}
+
+void Scheduler::expireSilences()
+{
+    const Millis now = hooks_.clock().steady;
+    std::vector<std::string> expired;
+    for (const auto &[machine, silence] : silences_)
+        if (now - silence.since > kMaxSilenceMs)
+            expired.push_back(machine);
+    for (const std::string &machine : expired)
+        endSilence(machine);
 }
 
 void Scheduler::giveUp(JobEntry &entry)
@@ -121,9 +188,9 @@
     if (!task.isSettled && age >= kSettleMs) {
         task.isSettled = true;
         worker.startingTasks.erase(id);
-        if (!task.crashes.needsOwnWorker())
-            endTrial(worker, id);
     }
+    if (task.isSettled && !task.crashes.needsOwnWorker())
+        endTrial(worker, id);
     if (!task.crashes.empty() && age >= kProvenMs) {
         task.crashes = {};
         endTrial(worker, id);
@@ -158,41 +225,91 @@
         return true;
     return std::none_of(worker.tasks.begin(), worker.tasks.end(), [&](const TaskId &other) {
         const Task *const neighbour = taskOf(other);
-        return isOtherJob(other) && neighbour != nullptr && !isProven(*neighbour);
+        return isOtherJob(other) && neighbour != nullptr && !isProven(worker, *neighbour);
     });
 }
 
 // Tasks on trial are placed before the others. If no worker can take one, a worker is kept free of
-// other starts until it can; the share bounds how many starts of other tasks are held up.
+// other starts until it can. The bounds keep ordinary crashes from closing the service to other
+// tasks.
 void Scheduler::placeTrials(const std::string &service)
 {
-    constexpr std::size_t kReservedWorkersShare = 4;
     const ReadyQueue &queue = ready_[service];
     if (queue.trials.empty())
         return;
-    const std::size_t maxReserved =
-            std::max<std::size_t>(1, workersFor(service).size() / kReservedWorkersShare);
+    const std::vector<Worker *> &workers = workersFor(service);
+    const std::size_t maxClosed = std::max(kMinClosedWorkers, workers.size() / kClosedWorkersShare);
     const Millis now = hooks_.clock().steady;
+    // A worker that has crashed under a trial is down for seconds.
+    auto closed = static_cast<std::size_t>(
+            std::count_if(workers.begin(), workers.end(), [this, now](const Worker *worker) {
+                return !worker->trialTasks.empty() && !worker->hasRenewalFailed
+                       && isUsable(*worker, now);
+            }));
+    int unplaceable = 0;
     for (const ReadyKey &key : std::set(queue.trials)) {
+        if (unplaceable >= kMaxUnplaceableTrials)
+            return;
         JobEntry *const entry = entryOf(key.id.job);
-        const bool isHeld = entry == nullptr || isStartUncertain(*entry, service)
-                            || entry->job.task(key.id)->heldUntil > now;
-        if (isHeld || tryPlace(*entry, key.id))
+        if (entry == nullptr || isStartUncertain(*entry, service))
+            continue;
+        const Task &task = *entry->job.task(key.id);
+        const bool mustWait = closed >= maxClosed && !task.crashes.needsOwnWorker()
+                              && !isOnTrial(workers, key.id.job);
+        if (task.heldUntil > now || mustWait)
+            continue;
+        if (tryPlace(*entry, key.id)) {
+            ++closed;
             continue;
-        if (reserved_.size() < maxReserved)
+        }
+        ++unplaceable;
+        if (reserved_.size() < maxClosed)
             reserveForTrial(*entry, key.id);
     }
 }
 
+bool Scheduler::isOnTrial(const std::vector<Worker *> &workers, const std::string &job)
+{
+    return std::any_of(workers.begin(), workers.end(), [&job](const Worker *worker) {
+        return !worker->trialTasks.empty() && worker->trialTasks.begin()->job == job;
+    });
+}
+
+// True if the worker can take a task of the step once the finite tasks there have ended.
+bool Scheduler::canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const
+{
+    const std::vector<std::string> &labels = worker.entry.labels;
+    if (!step.requiredLabel.empty()
+        && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
+        return false;
+    Resources later = worker.entry.capacity;
+    int siblings = 0;
+    for (const TaskId &other : worker.tasks) {
+        const JobEntry *const owner = entryOf(other.job);
+        if (owner == nullptr)
+            continue;
+        const StepSpec &neighbour = stepOf(owner->job, other);
+        if (neighbour.isPerpetual)
+            later -= reservedFor(neighbour);
+        siblings +=
+                id.job == other.job && id.occurrence == other.occurrence && id.step == other.step
+                        ? 1
+                        : 0;
+    }
+    return later.covers(reservedFor(step))
+           && (step.maxPerWorker == 0 || siblings < step.maxPerWorker);
+}
+
+// Reserves the emptiest worker that can run the task once the finite tasks there have ended.
 void Scheduler::reserveForTrial(const JobEntry &entry, const TaskId &id)
 {
-    const Resources demand = reservedFor(stepOf(entry.job, id));
+    const StepSpec &step = stepOf(entry.job, id);
     const Millis now = hooks_.clock().steady;
     const Worker *emptiest = nullptr;
     for (const Worker *const worker : workersFor(policyOf(entry.job)->service)) {
-        const bool isCandidate = isUsable(*worker, now) && worker->entry.capacity.covers(demand)
-                                 && worker->trialTasks.empty()
-                                 && !reserved_.contains(worker->entry.id);
+        const bool isCandidate = isUsable(*worker, now) && worker->trialTasks.empty()
+                                 && !reserved_.contains(worker->entry.id)
+                                 && canTakeLater(*worker, step, id);
         if (isCandidate && (emptiest == nullptr || worker->tasks.size() < emptiest->tasks.size()))
             emptiest = worker;
     }
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -153,10 +153,7 @@
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
         handleDone(*entry, EndedTask{.task = task}, {});
     for (const TaskId &task : entry->job.mergeLostRuns(progress)) {
-        if (entry->ready.contains(task)) {
-            dequeue(*entry, task);
-            enqueue(*entry, task);
-        }
+        requeueReady(*entry, task);
         failIfExhausted(*entry, task);
     }
     markDirty(id);
@@ -227,6 +224,7 @@
     refreshBands();
     retryWorkers();
     pruneWorkers();
+    expireSilences();
     // Quarantines and capacity back-offs of workers end without an event.
     markAllServicesForPlacement();
     place();
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -139,7 +139,7 @@
                     return other.job == id.job && other.occurrence == id.occurrence
                            && other.step == id.step;
                 }));
-        if (!task.crashes.empty())
+        if (task.crashes.needsTrial() || task.crashes.needsOwnWorker())
             candidate.neighbours = static_cast<int>(worker->tasks.size());
         const auto plan = planned.find(workerId);
         if (plan != planned.end())
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -247,8 +247,10 @@
     task->percent = running.percent;
     worker.unassigned.erase({running.task, running.run});
     worker.tasks.insert(running.task);
-    beginRun(worker, running.task, *task);
+    // The run has survived its start, so it needs no trial.
+    task->startedAt = task->phaseSince;
     task->hasBegun = true;
+    task->isSettled = true;
     worker.used += reservedFor(stepOf(entry->job, running.task));
     entry->job.markStarted();
 }
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -35,9 +35,8 @@
     Resources fullCapacity; ///< largest capacity that this incarnation has shown, by resource
     Resources used;
     std::set<TaskId> tasks;
-    std::set<TaskId> startingTasks;  ///< runs that no report has shown at work for a while
-    std::set<TaskId> trialTasks;     ///< tasks under which a worker has crashed; all of one job
-    std::vector<LostRun> silentRuns; ///< given up when the lease expired; it may have crashed
+    std::set<TaskId> startingTasks; ///< runs that no report has shown at work for a while
+    std::set<TaskId> trialTasks;    ///< tasks under which a worker has crashed; all of one job
     std::map<std::pair<TaskId, std::int64_t>, UnassignedRun> unassigned; ///< by task and run
     Millis idleSince = 0;
     Millis fullUntil = 0;
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -4,7 +4,6 @@
 #include <chicorywick/scheduler/pacing.h>
 
 #include <algorithm>
-#include <utility>
 #include <vector>
 
 namespace chicorywick::scheduler {
@@ -104,6 +103,7 @@
     known->entry = entry;
     known->fullCapacity.raiseTo(entry.capacity);
     known->isListed = true;
+    recordIncarnation(entry);
     replaceFormerIncarnations(entry);
     if (known->isReplaced)
         return;
@@ -229,7 +229,8 @@
         recordSilence(worker, runs);
         return;
     }
-    recordCrash(std::exchange(worker.silentRuns, {}));
+    if (worker.isEndPlanned())
+        endSilence(worker.entry.machine);
     recordCrash(runs);
 }
 
@@ -270,11 +271,6 @@
         base::logEvent(base::Event::WorkerGone,
                        {{"worker", item->first}, {"service", worker.entry.service}});
         const std::string id = (item++)->first;
-        // It may have been cut off, so its crash is no evidence against the runs that were
-        // starting.
-        for (LostRun &run : worker.silentRuns)
-            run.isSettled = true;
-        recordCrash(std::exchange(worker.silentRuns, {}));
         dropWorker(id);
     }
 }
