Finish all members of a gang with the first that ends done

Cause: the end `done` of a gang member marked only that member as done. If the worker of another member crashed before it had listed its end, that member went back to the queue. A gang starts only when all its members are ready, so it never started again: callers saw the job as running for ever. A new leader that read such a row waited in the same way.

Change: one end `done` finishes all members, as it represents the gang. Members whose run is the same are freed from their worker; the run keeps its room there until its end is listed, and is stopped with the next tick otherwise. Other runs are stopped at once. None of them counts as failed or crashed. All members are stored in the batch that the end waits for before it is acknowledged. A new leader finishes gangs of which stored progress lists only some members.

Ruled out: missing room as the cause, as both workers are free while the job waits. Stopping the members of the same run at once: their ends are usually listed within milliseconds, so most stops would be needless calls.

Limits: the fake workers end the members of a gang independently; the tests start them at the same time, so that they end together.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -199,6 +199,9 @@
     // Task ends (scheduler_ends.cpp)
     void handleEnd(Worker &worker, const EndedTask &end);
     void handleDone(JobEntry &entry, const EndedTask &end, const std::string &workerId);
+    void releaseDone(const TaskId &id, Task &task, const EndedTask &end,
+                     const std::string &workerId);
+    void finishPartlyDoneGangs(JobEntry &entry);
     void handleFailure(JobEntry &entry, Worker &worker, const EndedTask &end);
     void failIfExhausted(JobEntry &entry, const TaskId &id);
     void requeue(JobEntry &entry, const TaskId &id, Task &task);
@@ -224,6 +227,7 @@
 
     // Runs that are not assigned to their worker (scheduler_unassigned.cpp)
     void stopUnassigned(Worker &worker, const RunningTask &running);
+    void detachRun(const TaskId &id, Task &task);
     void stopAndRelease(const TaskId &id, Task &task);
     void handleUnassignedStop(const std::string &workerId, const TaskId &id, std::int64_t run,
                               const OrderReply &reply);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -3,6 +3,7 @@
 #include <chicorywick/base/log_event.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace chicorywick::scheduler {
 
@@ -14,6 +15,20 @@
 constexpr Millis kFirstQuarantineMs = 3'000;
 constexpr Millis kLongestQuarantineMs = 24'000;
 
+// Tasks that are done once the given one is. The members of a gang end together, so the end of one
+// represents all: the others may never list theirs, and cannot run again without it.
+std::vector<TaskId> tasksFinishedBy(const Job &job, const TaskId &id)
+{
+    if (!stepOf(job, id).isGang)
+        return {id};
+    std::vector<TaskId> unfinished;
+    TaskId member = id;
+    for (member.index = 0; member.index < stepOf(job, id).taskCount; ++member.index)
+        if (job.task(member)->phase != TaskPhase::Done)
+            unfinished.push_back(member);
+    return unfinished;
+}
+
 } // namespace
 
 void Scheduler::recordTaskResult(Worker &worker, bool isGood, const std::string &job)
@@ -73,19 +88,16 @@
     Task *const task = entry.job.task(end.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
-    dequeue(entry, end.task);
-    // Two leaders can have given the same run number to runs on two workers.
-    const bool runsElsewhere =
-            !task->worker.empty() && (task->run != end.run || task->worker != workerId);
-    if (runsElsewhere)
-        stopAndRelease(end.task, *task);
-    else
-        release(end.task, *task);
     entry.job.markStarted();
     markDirty(end.task.job);
     // For a job in a final state, the end is only recorded in its progress.
     const bool wasTerminal = isTerminal(entry.job.state());
-    const std::vector<int> unblocked = entry.job.finishTask(end.task, hooks_.clock().steady);
+    std::vector<int> unblocked;
+    for (const TaskId &id : tasksFinishedBy(entry.job, end.task)) {
+        dequeue(entry, id);
+        releaseDone(id, *entry.job.task(id), end, workerId);
+        unblocked = entry.job.finishTask(id, hooks_.clock().steady);
+    }
     if (wasTerminal)
         return;
     if (isTerminal(entry.job.state())) {
@@ -96,6 +108,43 @@
         enqueueReady(entry);
 }
 
+// Frees a task from its worker when an end of the task or of another member of its gang shows that
+// it is done.
+void Scheduler::releaseDone(const TaskId &id, Task &task, const EndedTask &end,
+                            const std::string &workerId)
+{
+    const bool isSameRun = task.run == end.run;
+    if (id == end.task && isSameRun && task.worker == workerId)
+        release(id, task);
+    else if (id != end.task && isSameRun)
+        detachRun(id, task); // its own end is usually listed before the next tick
+    else if (!task.worker.empty())
+        // Two leaders can have given the same run number to runs on two workers.
+        stopAndRelease(id, task);
+}
+
+// The stored progress can list only some members of a gang as done.
+void Scheduler::finishPartlyDoneGangs(JobEntry &entry)
+{
+    std::vector<TaskId> unfinished;
+    for (const auto &[number, occurrence] : entry.job.occurrences())
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<Task> &members = occurrence.steps[step];
+            const auto member = std::find_if(members.begin(), members.end(), [](const Task &task) {
+                return task.phase != TaskPhase::Done;
+            });
+            const bool isPartlyDone = entry.job.spec().steps[step].isGang
+                                      && occurrence.doneCounts[step] > 0 && member != members.end();
+            if (isPartlyDone)
+                unfinished.push_back({.job = entry.job.spec().id,
+                                      .occurrence = number,
+                                      .step = static_cast<int>(step),
+                                      .index = static_cast<int>(member - members.begin())});
+        }
+    for (const TaskId &id : unfinished)
+        handleDone(entry, EndedTask{.task = id}, {});
+}
+
 void Scheduler::handleFailure(JobEntry &entry, Worker &worker, const EndedTask &end)
 {
     Task *const task = entry.job.task(end.task);
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -133,6 +133,7 @@
                                               {"resumed", progress ? "1" : "0"}});
     if (!progress)
         recordArrival(entry.job);
+    finishPartlyDoneGangs(entry);
     enqueueReady(entry);
     place();
 }
--- a/packages/scheduler/src/scheduler_unassigned.cpp
+++ b/packages/scheduler/src/scheduler_unassigned.cpp
@@ -18,15 +18,21 @@
     sendStop(running.task, running.run, worker.entry.id);
 }
 
-// Stops the current run of a task that is done or runs elsewhere, and frees the task from it.
-void Scheduler::stopAndRelease(const TaskId &id, Task &task)
+// Frees a task from its current run. The next tick stops the run unless its end is listed before.
+void Scheduler::detachRun(const TaskId &id, Task &task)
 {
-    const std::string workerId = task.worker;
-    Worker *const worker = workerOf(workerId);
+    Worker *const worker = workerOf(task.worker);
     const JobEntry *const entry = entryOf(id.job);
     if (worker != nullptr && entry != nullptr)
         worker->unassigned[{id, task.run}].demand = reservedFor(stepOf(entry->job, id));
     release(id, task);
+}
+
+// Stops the current run of a task that is done or runs elsewhere, and frees the task from it.
+void Scheduler::stopAndRelease(const TaskId &id, Task &task)
+{
+    const std::string workerId = task.worker;
+    detachRun(id, task);
     sendStop(id, task.run, workerId);
 }
 
