Count planned gang members towards the limit of their step per worker

Cause: a gang is placed in one pass, and workers are chosen for all members before any is assigned. The choice counted only assigned tasks of the step, so two members of a step with a limit of one per worker could start on the same worker (ROUTE). Callers who spread a gang to survive the loss of a worker lost all its members at once.

Change: members that are planned in the pass count like assigned ones. That also holds for the rack preference of steps that need one rack, which ignored planned members for the same reason.

Measured, in virtual time: the three new tests fail on the former code and pass now.

Ruled out: single tasks; each is assigned before the next one is placed.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -273,7 +273,7 @@
     void reserve(const JobEntry &entry, const TaskId &id);
     bool tryPlaceGang(JobEntry &entry, const TaskId &id);
     Worker *chooseWorker(JobEntry &entry, const TaskId &id,
-                         const std::map<std::string, Resources> &planned);
+                         const std::map<std::string, int> &plannedMembers);
 
     // Start and stop orders (scheduler_starts.cpp)
     void assign(JobEntry &entry, const TaskId &id, Worker &worker);
--- a/packages/scheduler/src/scheduler_gang_test.cpp
+++ b/packages/scheduler/src/scheduler_gang_test.cpp
@@ -15,6 +15,15 @@
     return {.taskCount = 2, .demand = kMemberSize, .estimatedMs = kGangWorkMs, .isGang = true};
 }
 
+// Both members fit on one worker, but must not share it.
+StepSpec gangOnePerWorker()
+{
+    StepSpec limited = step(2);
+    limited.isGang = true;
+    limited.maxPerWorker = 1;
+    return limited;
+}
+
 StepSpec nextStep()
 {
     return {.taskCount = 1, .demand = kMemberSize, .estimatedMs = kGangWorkMs, .after = {0}};
@@ -158,4 +167,55 @@
     fixture.checkCompletes();
 }
 
+// Guards against members of one placement that share a worker beyond the limit of their step.
+TEST_CASE("a gang waits until its members can keep to the limit of their step per worker")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = kGangWorkMs;
+    fixture.addWorkers(1);
+    fixture.submit("a", {gangOnePerWorker()});
+    fixture.run(3'000);
+    CHECK(fixture.workers.startsOf(kFirst) == 0);
+    CHECK(fixture.workers.startsOf(kSecond) == 0);
+    fixture.scheduler->upsertWorker(fixture.workers.add("w1", "s", kWorkerSize));
+    fixture.run(1'000);
+    CHECK(fixture.workers.tasksOn("w0").size() == 1);
+    CHECK(fixture.workers.tasksOn("w1").size() == 1);
+    fixture.run(3'000);
+    CHECK(fixture.scheduler->stateOf("a") == JobState::Completed);
+}
+
+// Guards against a limit that counts only the members which are placed already.
+TEST_CASE("the members of a gang with a limit of one per worker start on two workers")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = kGangWorkMs;
+    fixture.addWorkers(2);
+    fixture.submit("a", {gangOnePerWorker()});
+    fixture.run(1'000);
+    CHECK(fixture.workers.tasksOn("w0").size() == 1);
+    CHECK(fixture.workers.tasksOn("w1").size() == 1);
+}
+
+// Guards against a gang that is spread over racks although one rack has room for all its members.
+TEST_CASE("the members of a gang that needs one rack are placed in the same rack")
+{
+    SchedulerFixture fixture;
+    const auto addInRack = [&fixture](const std::string &id, const std::string &rack,
+                                      Resources size) {
+        fixture.scheduler->upsertWorker(fixture.workers.add(id, "s", size, {rack}));
+    };
+    fixture.workers.workMs = kGangWorkMs;
+    StepSpec oneRack = gang();
+    oneRack.needsOneRack = true;
+    addInRack("w0", "r0", {.cpuMillis = 10'000, .memoryMib = 32'768});
+    addInRack("w1", "r1", {.cpuMillis = 12'000, .memoryMib = 32'768});
+    addInRack("w2", "r0", kWorkerSize);
+    fixture.run(100);
+    fixture.submit("a", {oneRack});
+    fixture.run(1'000);
+    CHECK(fixture.workers.tasksOn("w0").size() == 1);
+    CHECK(fixture.workers.tasksOn("w2").size() == 1);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -103,8 +103,9 @@
     return entry.uncertainUntil > hooks_.clock().steady && hasSilentInheritedWorker(service);
 }
 
+// Members of the same gang that are about to start count like those that have started.
 Scheduler::Worker *Scheduler::chooseWorker(JobEntry &entry, const TaskId &id,
-                                           const std::map<std::string, Resources> &planned)
+                                           const std::map<std::string, int> &plannedMembers)
 {
     const QueuePolicy *const policy = policyOf(entry.job);
     const StepSpec &step = stepOf(entry.job, id);
@@ -117,6 +118,8 @@
     for (const Task &sibling : siblings)
         if (!sibling.worker.empty())
             ++ofStepByWorker[sibling.worker];
+    for (const auto &[workerId, count] : plannedMembers)
+        ofStepByWorker[workerId] += count;
     const Resources demand = reservedFor(step);
     const Millis now = hooks_.clock().steady;
     for (Worker *const worker : workersFor(policy->service)) {
@@ -141,9 +144,9 @@
                 }));
         if (!task.crashes.empty())
             candidate.neighbours = static_cast<int>(worker->tasks.size());
-        const auto plan = planned.find(workerId);
-        if (plan != planned.end())
-            candidate.free -= plan->second;
+        const auto planned = plannedMembers.find(workerId);
+        for (int i = 0; planned != plannedMembers.end() && i < planned->second; ++i)
+            candidate.free -= demand;
         if (step.needsOneRack)
             for (const auto &[other, count] : ofStepByWorker) {
                 const Worker *const holder = workerOf(other);
@@ -224,16 +227,15 @@
         if (!member.checkpoint.empty())
             checkpoint = member.checkpoint;
     }
-    const StepSpec &step = stepOf(entry.job, id);
-    std::map<std::string, Resources> planned;
+    std::map<std::string, int> plannedMembers;
     std::vector<Worker *> chosen;
     for (std::size_t index = 0; index < members.size(); ++index) {
         TaskId member = id;
         member.index = static_cast<int>(index);
-        Worker *const worker = chooseWorker(entry, member, planned);
+        Worker *const worker = chooseWorker(entry, member, plannedMembers);
         if (worker == nullptr)
             return false;
-        planned[worker->entry.id] += reservedFor(step);
+        ++plannedMembers[worker->entry.id];
         chosen.push_back(worker);
     }
     for (std::size_t index = 0; index < members.size(); ++index) {
