Start test processes without inherited sockets

Cause: Asio sockets lack close-on-exec, so each daemon that a test starts inherits the listening sockets and connections of the stand-ins. A connection that a stand-in closes stays open, and a closed listener still holds its port.

Change: child processes keep standard input, output and error only.

Ruled out: connections in TIME_WAIT; the listener sets SO_REUSEADDR.

--- a/tests/e2e/child_process.cpp
+++ b/tests/e2e/child_process.cpp
@@ -20,6 +20,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDERR_FILENO);
+    // An inherited socket of a stand-in would stay open after the stand-in has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<char *> arguments;
     for (const std::string &argument : command)
         arguments.push_back(const_cast<char *>(argument.c_str()));
