Add a loopback proxy for stand-ins that crash

Cause: http::Server stops accepting when it is destroyed, but its idle connections stay open for up to 60 s, so a stand-in built on it cannot show a process that is gone.

Change: LoopbackProxy forwards connections to a port of this host. close() closes all of them and refuses new ones while the port stays bound, so that no other process takes it; listen() accepts again at the same port.

Ruled out: changing the product's server for a test; draining it, which would answer the pending requests; an event loop and a thread for each stand-in.

--- /dev/null
+++ b/tests/hosted/loopback_proxy.cpp
@@ -0,0 +1,146 @@
+#include "loopback_proxy.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <cstddef>
+#include <utility>
+
+namespace chicorywick::hosted {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kBufferBytes = 16 * 1024;
+
+struct Direction
+{
+    tcp::socket &from;
+    tcp::socket &to;
+    std::array<char, kBufferBytes> buffer{};
+};
+
+} // namespace
+
+// One forwarded connection. Its pending operations share ownership of it.
+class LoopbackProxy::Connection : public std::enable_shared_from_this<LoopbackProxy::Connection>
+{
+public:
+    Connection(boost::asio::io_context &loop, tcp::socket caller)
+        : caller_(std::move(caller))
+        , target_(loop)
+    {}
+
+    void start(const tcp::endpoint &target)
+    {
+        target_.async_connect(target, [self = shared_from_this()](boost::system::error_code error) {
+            if (error)
+                return self->close();
+            boost::system::error_code ignored;
+            self->caller_.set_option(tcp::no_delay(true), ignored);
+            self->target_.set_option(tcp::no_delay(true), ignored);
+            self->forward(self->requests_);
+            self->forward(self->responses_);
+        });
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        caller_.close(ignored);
+        target_.close(ignored);
+    }
+
+private:
+    void forward(Direction &direction)
+    {
+        direction.from.async_read_some(boost::asio::buffer(direction.buffer),
+                                       [self = shared_from_this(), &direction](
+                                               boost::system::error_code error, std::size_t size) {
+                                           if (error)
+                                               return self->close();
+                                           self->write(direction, size);
+                                       });
+    }
+
+    void write(Direction &direction, std::size_t size)
+    {
+        boost::asio::async_write(direction.to, boost::asio::buffer(direction.buffer, size),
+                                 [self = shared_from_this(),
+                                  &direction](boost::system::error_code error, std::size_t) {
+                                     if (error)
+                                         return self->close();
+                                     self->forward(direction);
+                                 });
+    }
+
+    tcp::socket caller_;
+    tcp::socket target_;
+    Direction requests_{.from = caller_, .to = target_};
+    Direction responses_{.from = target_, .to = caller_};
+};
+
+LoopbackProxy::LoopbackProxy(boost::asio::io_context &loop, std::uint16_t targetPort)
+    : loop_(loop)
+    , target_(boost::asio::ip::make_address("127.0.0.1"), targetPort)
+    , acceptor_(loop)
+{
+    bind();
+    listen();
+}
+
+LoopbackProxy::~LoopbackProxy()
+{
+    closeSockets();
+}
+
+// A bound socket that does not listen refuses connections and keeps its port.
+void LoopbackProxy::bind()
+{
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(tcp::endpoint(target_.address(), port_));
+    port_ = acceptor_.local_endpoint().port();
+}
+
+void LoopbackProxy::close()
+{
+    closeSockets();
+    bind();
+}
+
+void LoopbackProxy::closeSockets()
+{
+    ++generation_;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (const std::weak_ptr<Connection> &item : std::exchange(connections_, {}))
+        if (const auto connection = item.lock())
+            connection->close();
+}
+
+void LoopbackProxy::listen()
+{
+    acceptor_.listen();
+    accept(++generation_);
+}
+
+// An accept that completed before close() runs its handler afterwards; it must not accept again.
+void LoopbackProxy::accept(int generation)
+{
+    acceptor_.async_accept([this, generation](boost::system::error_code error, tcp::socket caller) {
+        if (error == boost::asio::error::operation_aborted || generation != generation_)
+            return;
+        if (!error) {
+            std::erase_if(connections_, [](const auto &item) { return item.expired(); });
+            const auto connection = std::make_shared<Connection>(loop_, std::move(caller));
+            connections_.push_back(connection);
+            connection->start(target_);
+        }
+        accept(generation);
+    });
+}
+
+} // namespace chicorywick::hosted
