Let worker stand-ins crash under a task and come back

Cause: the users report tasks that crash each worker that starts them (rule BUDGET), and no stand-in crashes.

Change: a task with the spec "crash" crashes its stand-in 10 ms after the start: connections close, new ones are refused, and running tasks, unread ends and the fencing token are lost. After 3.2 s (a parameter) the stand-in is back with a new "born", a new clock and a new registration row; every second one has a new id on the same machine. RunRecord counts crashes by task and records a violation at the third start after three crashes.

Ruled out: attributing a crash to the tasks beside the one that caused it; the rule limits only the task at fault.

--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -1,5 +1,8 @@
 #include "hosted_deployment.h"
 
+#include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/records.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <httplib.h>
@@ -49,7 +52,7 @@
 } // namespace
 
 HostedDeployment::HostedDeployment(int daemons, int runners, std::uint64_t seed,
-                                   int machinesPerCell)
+                                   int machinesPerCell, std::chrono::milliseconds runnerDownTime)
     : store_(loop_, seed)
     , machinesPerCell_(machinesPerCell)
 {
@@ -59,11 +62,8 @@
                R"({"version":1,"routes":[{"name":"r","host":"work.example","path_prefix":"/q/",)"
                R"("service":"s","max_attempts":2,"stretch":1.6,"target_completion_ms":600}],)"
                R"("services":[{"name":"s"}],"limits":{}})");
-    for (int i = 0; i < runners; ++i) {
-        runners_.push_back(
-                std::make_unique<HostedRunner>(loop_, "i-" + std::to_string(i), record_));
-        store_.put("servers", runners_.back()->id(), runners_.back()->registration("s"));
-    }
+    for (int i = 0; i < runners; ++i)
+        addRunner(i, runnerDownTime);
     const auto ports = freePorts(loop_, daemons * kPortsPerDaemon);
     for (int i = 0; i < daemons; ++i)
         ports_.emplace_back(ports.begin() + i * kPortsPerDaemon,
@@ -87,6 +87,21 @@
     std::filesystem::remove_all(directory_);
 }
 
+void HostedDeployment::addRunner(int number, std::chrono::milliseconds downTime)
+{
+    const auto identity = number % 2 == 0 ? RestartIdentity::SameId : RestartIdentity::NewId;
+    runners_.push_back(std::make_unique<HostedRunner>(
+            loop_, "i-" + std::to_string(number), record_,
+            CrashBehaviour{.downTime = downTime, .identity = identity}));
+    HostedRunner &runner = *runners_.back();
+    store_.put("servers", runner.id(), runner.registration("s"));
+    runner.setRestartHandler([this, &runner](const std::string &formerId) {
+        if (formerId != runner.id())
+            store_.remove("servers", formerId);
+        store_.put("servers", runner.id(), runner.registration("s"));
+    });
+}
+
 std::string HostedDeployment::settingsFile(int number) const
 {
     const auto &ports = ports_[static_cast<std::size_t>(number)];
@@ -136,6 +151,19 @@
                        {"mem_mb", 500},
                        {"estimated_ms", 300},
                        {"after", {0}}}}}};
+    return post(daemon, id, body);
+}
+
+int HostedDeployment::submitCrashing(int daemon, const std::string &id) const
+{
+    const json body{
+            {"spec", kCrashSpec},
+            {"steps", {{{"count", 1}, {"cpu", 1'000}, {"mem_mb", 500}, {"estimated_ms", 300}}}}};
+    return post(daemon, id, body);
+}
+
+int HostedDeployment::post(int daemon, const std::string &id, const json &body) const
+{
     const auto response = makeClient(ports_[static_cast<std::size_t>(daemon)][0])
                                   .Post("/q/" + id, body.dump(), "application/json");
     return response ? response->status : 0;
@@ -169,6 +197,35 @@
     onLoop([&] { runners_[static_cast<std::size_t>(number)]->setUnresponsive(isUnresponsive); });
 }
 
+int HostedDeployment::leader()
+{
+    const entry::RowKey row = entry::layout::leaderRow(0);
+    std::string value;
+    onLoop([&] { value = store_.value(row.table, row.part, row.key); });
+    const auto record = entry::decodeLeader(value);
+    for (int i = 0; record && i < daemonCount(); ++i)
+        if (record.value().holder.starts_with("edge-" + std::to_string(i) + "#"))
+            return i;
+    return -1;
+}
+
+int HostedDeployment::crashes()
+{
+    int count = 0;
+    onLoop([&] {
+        for (const auto &[task, crashesOfTask] : record_.crashes)
+            count += crashesOfTask;
+    });
+    return count;
+}
+
+int HostedDeployment::crashingTaskStarts()
+{
+    int count = 0;
+    onLoop([&] { count = record_.crashingTaskStarts; });
+    return count;
+}
+
 int HostedDeployment::acknowledgedTasks()
 {
     int count = 0;
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -19,7 +19,9 @@
 {
 public:
     /// @brief Each runner is a rack of its own, so that a small size gives several cells.
-    HostedDeployment(int daemons, int runners, std::uint64_t seed, int machinesPerCell = 280);
+    /// Every second one has a new id after a crash.
+    HostedDeployment(int daemons, int runners, std::uint64_t seed, int machinesPerCell = 280,
+                     std::chrono::milliseconds runnerDownTime = CrashBehaviour().downTime);
     ~HostedDeployment();
     HostedDeployment(const HostedDeployment &) = delete;
     HostedDeployment &operator=(const HostedDeployment &) = delete;
@@ -34,6 +36,9 @@
     /// @brief Submits a job to a daemon; returns the HTTP status, or 0 without a response.
     int submit(int daemon, const std::string &id) const;
 
+    /// @brief Like submit(), for a job of one task that crashes each runner that starts it.
+    int submitCrashing(int daemon, const std::string &id) const;
+
     /// @brief Returns the job state that a daemon reports; empty unless the status is 200.
     std::optional<std::string> stateOf(int daemon, const std::string &id) const;
 
@@ -41,10 +46,21 @@
     void setRunnerUnresponsive(int number, bool isUnresponsive);
     std::vector<std::string> violations();
 
+    /// @brief The daemon that leads the first cell, or -1.
+    int leader();
+
+    /// @brief Number of runner crashes.
+    int crashes();
+
+    /// @brief Number of starts of tasks that crash their runner.
+    int crashingTaskStarts();
+
     /// @brief Number of completed tasks whose end a daemon has acknowledged.
     int acknowledgedTasks();
 
 private:
+    int post(int daemon, const std::string &id, const json &body) const;
+    void addRunner(int number, std::chrono::milliseconds downTime);
     void onLoop(const std::function<void()> &action);
     std::string settingsFile(int number) const;
 
--- a/tests/hosted/hosted_runner.cpp
+++ b/tests/hosted/hosted_runner.cpp
@@ -13,6 +13,10 @@
 
 constexpr auto kTaskDuration = 300ms;
 constexpr std::int64_t kMaxLeaseMs = 6'000;
+constexpr std::int64_t kClockAtStartMs = 1'000;
+// Rule BUDGET: a task may be started twice more after three runners have crashed under it.
+constexpr int kCrashesBeforeLimit = 3;
+constexpr int kMaxStartsAfterLimit = 2;
 
 http::Response jsonResponse(int status, const json &body)
 {
@@ -21,41 +25,52 @@
             .body = body.dump()};
 }
 
+std::uint16_t listenOnAnyPort(http::Server &server)
+{
+    if (!server.listen({.host = "127.0.0.1"}))
+        throw std::runtime_error("a runner stand-in cannot listen");
+    return server.port();
+}
+
 } // namespace
 
-HostedRunner::HostedRunner(boost::asio::io_context &loop, std::string id, RunRecord &record)
+HostedRunner::HostedRunner(boost::asio::io_context &loop, std::string machine, RunRecord &record,
+                           CrashBehaviour behaviour)
     : loop_(loop)
-    , id_(std::move(id))
+    , machine_(std::move(machine))
+    , id_(machine_)
     , record_(record)
+    , behaviour_(behaviour)
     , server_(loop, [this](const http::Request &request,
                            const http::Responder &respond) { handle(request, respond); })
+    , proxy_(loop, listenOnAnyPort(server_))
     , expiry_(loop)
+    , restartTimer_(loop)
     , startTime_(entry::systemNow().wall)
-{
-    if (!server_.listen({.host = "127.0.0.1"}))
-        throw std::runtime_error("a runner stand-in cannot listen");
-}
+{}
 
 std::int64_t HostedRunner::steadyNowMs() const
 {
-    return entry::systemNow().steady;
+    return entry::systemNow().steady - clockOriginMs_;
 }
 
 std::string HostedRunner::registration(const std::string &service) const
 {
     return json{{"service", service},
-                {"address", "127.0.0.1:" + std::to_string(server_.port())},
+                {"address", "127.0.0.1:" + std::to_string(port())},
                 {"zone", "z"},
-                {"machine", "m-" + id_},
+                {"machine", "m-" + machine_},
                 {"state", "ready"},
                 {"capacity", {{"cpu", 16'000}, {"mem_mb", 32'768}, {"gpu", 0}}},
-                {"labels", json::array({"a", "r-" + id_})},
+                {"labels", json::array({"a", "r-" + machine_})},
                 {"born", startTime_}}
             .dump();
 }
 
 void HostedRunner::handle(const http::Request &request, const http::Responder &respond)
 {
+    if (isDown_)
+        return; // received before the crash
     if (isUnresponsive_)
         return; // the request of the daemon times out
     if (http::headerOf(request.headers, "x-expect-instance") != id_)
@@ -97,6 +112,24 @@
         return respond(jsonResponse(200, {{"clock_ms", steadyNowMs()}}));
     if (activeRun != running_.end() || (tombstones_.contains(task) && tombstones_[task] >= run))
         return respond(jsonResponse(409, {{"clock_ms", steadyNowMs()}, {"reason", "old"}}));
+    const bool isCrashing = body.at("spec") == kCrashSpec;
+    recordStart(task, isCrashing);
+    const std::chrono::milliseconds duration = isCrashing ? behaviour_.crashDelay : kTaskDuration;
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, duration);
+    timer->async_wait([this, task, isCrashing](const boost::system::error_code &error) {
+        if (error)
+            return;
+        if (isCrashing)
+            crash(task);
+        else
+            end(task, "done");
+    });
+    running_[task] = {.run = run, .timer = timer};
+    respond(jsonResponse(200, {{"clock_ms", steadyNowMs()}}));
+}
+
+void HostedRunner::recordStart(const std::string &task, bool isCrashing)
+{
     auto &runnerIds = record_.runningOn[task];
     if (!runnerIds.empty())
         record_.violations.push_back(task + " runs twice");
@@ -104,13 +137,54 @@
         record_.violations.push_back(task + " started after its end was acknowledged");
     runnerIds.insert(id_);
     ++record_.starts;
-    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kTaskDuration);
-    timer->async_wait([this, task](const boost::system::error_code &error) {
+    if (!isCrashing)
+        return;
+    ++record_.crashingTaskStarts;
+    if (record_.crashes[task] >= kCrashesBeforeLimit
+        && ++record_.startsAfterThirdCrash[task] == kMaxStartsAfterLimit + 1)
+        record_.violations.push_back("BUDGET: " + task
+                                     + " started three more times after three runner crashes");
+}
+
+// The ends that no daemon has read are lost with everything else that the process held.
+void HostedRunner::crash(const std::string &task)
+{
+    ++record_.crashes[task];
+    isDown_ = true;
+    for (const auto &[lost, run] : running_) {
+        run.timer->cancel();
+        record_.runningOn[lost].erase(id_);
+    }
+    for (const PendingPoll &pending : std::exchange(pendingPolls_, {}))
+        pending.timer->cancel();
+    running_.clear();
+    tombstones_.clear();
+    ended_.clear();
+    expiry_.cancel();
+    proxy_.close();
+    restartTimer_.expires_after(behaviour_.downTime);
+    restartTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error)
-            end(task, "done");
+            restart();
     });
-    running_[task] = {.run = run, .timer = timer};
-    respond(jsonResponse(200, {{"clock_ms", steadyNowMs()}}));
+}
+
+void HostedRunner::restart()
+{
+    const std::string formerId = id_;
+    ++restarts_;
+    if (behaviour_.identity == RestartIdentity::NewId)
+        id_ = machine_ + "-" + std::to_string(restarts_);
+    const scheduler::Now now = entry::systemNow();
+    startTime_ = now.wall;
+    clockOriginMs_ = now.steady - kClockAtStartMs;
+    fencingToken_ = 0;
+    leaseUntil_ = 0;
+    nextEndSequence_ = 1;
+    isDown_ = false;
+    proxy_.listen();
+    if (restartHandler_)
+        restartHandler_(formerId);
 }
 
 void HostedRunner::stop(const json &body, const http::Responder &respond)
--- a/tests/hosted/hosted_runner.h
+++ b/tests/hosted/hosted_runner.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "loopback_proxy.h"
+
 #include <chicorywick/http/server.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <set>
@@ -15,6 +18,9 @@
 
 using nlohmann::json;
 
+/// @brief A task with this spec crashes the runner that starts it.
+inline constexpr const char *kCrashSpec = "crash";
+
 /// @brief Shared by all runner stand-ins; records task runs and violated guarantees.
 struct RunRecord
 {
@@ -22,6 +28,22 @@
     std::set<std::string> doneAndAcknowledged;
     std::vector<std::string> violations;
     int starts = 0;
+    std::map<std::string, int> crashes; ///< of runners, by the task that caused them
+    std::map<std::string, int> startsAfterThirdCrash;
+    int crashingTaskStarts = 0;
+};
+
+/// @brief Whether a runner has its former id when it is back after a crash.
+enum class RestartIdentity { SameId, NewId };
+
+/// @brief How a runner stand-in crashes and restarts.
+struct CrashBehaviour
+{
+    std::chrono::milliseconds crashDelay{10}; ///< from the start of the task
+    std::chrono::milliseconds downTime{3'200};
+    RestartIdentity identity = RestartIdentity::SameId;
+
+    bool operator==(const CrashBehaviour &) const = default;
 };
 
 /// @brief Stand-in for a runner with task starts and stops, leases, fencing tokens and end reports.
@@ -30,14 +52,22 @@
 class HostedRunner
 {
 public:
-    HostedRunner(boost::asio::io_context &loop, std::string id, RunRecord &record);
+    HostedRunner(boost::asio::io_context &loop, std::string machine, RunRecord &record,
+                 CrashBehaviour behaviour = {});
 
-    std::uint16_t port() const { return server_.port(); }
+    std::uint16_t port() const { return proxy_.port(); }
     const std::string &id() const { return id_; }
 
     /// @brief Returns the registration row for service discovery.
     std::string registration(const std::string &service) const;
 
+    /// @brief Sets the function that registers the runner after a restart; it receives the former
+    /// id.
+    void setRestartHandler(std::function<void(const std::string &formerId)> handler)
+    {
+        restartHandler_ = std::move(handler);
+    }
+
     /// @brief While set, requests get no response.
     void setUnresponsive(bool isUnresponsive) { isUnresponsive_ = isUnresponsive; }
 
@@ -57,6 +87,9 @@
     void start(const json &body, const http::Responder &respond);
     void stop(const json &body, const http::Responder &respond);
     void longPoll(const json &body, const http::Responder &respond);
+    void crash(const std::string &task);
+    void restart();
+    void recordStart(const std::string &task, bool isCrashing);
     void end(const std::string &task, const char *outcome);
     void scheduleExpiry();
     json statusJson() const;
@@ -64,19 +97,27 @@
     std::int64_t steadyNowMs() const;
 
     boost::asio::io_context &loop_;
+    std::string machine_;
     std::string id_;
     RunRecord &record_;
+    CrashBehaviour behaviour_;
     http::Server server_;
+    LoopbackProxy proxy_;
+    std::function<void(const std::string &)> restartHandler_;
     std::map<std::string, Run> running_;
     std::map<std::string, std::int64_t> tombstones_; ///< highest ended or stopped run of each task
     std::vector<json> ended_;
     std::vector<PendingPoll> pendingPolls_;
     boost::asio::steady_timer expiry_;
+    boost::asio::steady_timer restartTimer_;
     std::int64_t fencingToken_ = 0;
     std::int64_t leaseUntil_ = 0;
     std::int64_t nextEndSequence_ = 1;
     std::int64_t startTime_;
+    std::int64_t clockOriginMs_ = 0; ///< the runner's clock starts anew with each incarnation
+    int restarts_ = 0;
     bool isUnresponsive_ = false;
+    bool isDown_ = false;
 };
 
 } // namespace chicorywick::hosted
--- a/tests/hosted/hosted_store.cpp
+++ b/tests/hosted/hosted_store.cpp
@@ -65,6 +65,21 @@
     notifyWatches();
 }
 
+void HostedStore::remove(const std::string &table, const std::string &key)
+{
+    rows_[{table, "", key}] = {.version = ++version_, .isRemoved = true};
+    notifyWatches();
+}
+
+std::string HostedStore::value(const std::string &table, const std::string &part,
+                               const std::string &key) const
+{
+    const auto found = rows_.find({table, part, key});
+    if (found == rows_.end() || found->second.isRemoved)
+        return {};
+    return adapter::fromBase64(found->second.value).value_or("");
+}
+
 void HostedStore::handle(const http::Request &request, const http::Responder &respond)
 {
     if (faults_.isDown)
--- a/tests/hosted/hosted_store.h
+++ b/tests/hosted/hosted_store.h
@@ -35,6 +35,11 @@
 
     std::uint16_t port() const { return server_.port(); }
     void put(const std::string &table, const std::string &key, const std::string &value);
+    void remove(const std::string &table, const std::string &key);
+
+    /// @brief Returns the value of a row, or an empty string.
+    std::string value(const std::string &table, const std::string &part,
+                      const std::string &key) const;
     void setFaults(const StoreFaults &faults) { faults_ = faults; }
 
 private:
