Submit jobs that crash their workers in the soak

Their own random generator keeps the faults of a seed. A job is asked for at least once after the faults, so that the report names its state; a job that is failed is reported at once.

--- a/tests/hosted/hosted_test.cpp
+++ b/tests/hosted/hosted_test.cpp
@@ -120,7 +120,7 @@
 // The faults are random with a fixed seed; tools/soak runs the same for longer.
 TEST_CASE("overlapping kills, pauses, stops and outages violate no guarantee")
 {
-    const SoakReport report = runSoak(7, 12s);
+    const SoakReport report = runSoak({.seed = 7, .duration = 12s});
     CHECK(report.accepted > 0);
     for (const std::string &violation : report.violations)
         FAIL_CHECK(violation);
--- a/tests/hosted/soak.cpp
+++ b/tests/hosted/soak.cpp
@@ -4,6 +4,7 @@
 
 #include <chicorywick/base/rng.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace chicorywick::hosted {
@@ -19,7 +20,7 @@
 // Longest outage of a daemon, a runner or the store. It exceeds the 6 s leases, so that some
 // expire.
 constexpr std::uint64_t kMaxFaultMs = 7'000;
-// All accepted jobs have to complete within this time after the last fault.
+// All accepted jobs have to end within this time after the last fault.
 constexpr auto kSettleTime = 60s;
 
 // A fault in effect and the action that ends it.
@@ -29,29 +30,45 @@
     std::function<void()> end;
 };
 
+struct AcceptedJob
+{
+    std::string id;
+    const char *expectedState;
+};
+
 class Soak
 {
 public:
-    explicit Soak(std::uint64_t seed)
-        : rng_(seed)
-        , deployment_(kDaemons, kRunners, seed)
+    explicit Soak(const SoakPlan &plan)
+        : plan_(plan)
+        , rng_(plan.seed)
+        , crashingRng_(plan.seed)
+        , deployment_(kDaemons, kRunners, plan.seed)
         , isDown_(kDaemons, false)
-    {}
+    {
+        for (int job = 0; job < plan.crashingJobs; ++job)
+            crashingJobsDue_.emplace_back(
+                    crashingRng_.below(static_cast<std::uint64_t>(plan.duration / 1ms * 3 / 4)));
+        std::ranges::sort(crashingJobsDue_);
+    }
 
-    SoakReport run(std::chrono::seconds duration)
+    SoakReport run()
     {
         if (!deployment_.waitUntilReady())
             report_.violations.emplace_back("the daemons did not become ready after the start");
-        const auto end = Clock::now() + duration;
+        const auto start = Clock::now();
+        const auto end = start + plan_.duration;
         while (Clock::now() < end) {
             endFaults(false);
             if (rng_.chance(0.12))
                 injectFault();
             submitJob();
+            submitCrashingJob(Clock::now() - start);
             std::this_thread::sleep_for(kStep);
         }
         endFaults(true);
         awaitCompletion();
+        report_.crashes = deployment_.crashes();
         for (std::string &violation : deployment_.violations())
             report_.violations.push_back(std::move(violation));
         return report_;
@@ -65,7 +82,22 @@
         if (isDown_[static_cast<std::size_t>(daemon)] || deployment_.submit(daemon, id) != 200)
             return;
         ++report_.accepted;
-        accepted_.push_back(id);
+        accepted_.push_back({.id = id, .expectedState = "completed"});
+    }
+
+    // A job that was not accepted is due again at the next step.
+    void submitCrashingJob(Clock::duration elapsed)
+    {
+        const auto next = static_cast<std::size_t>(report_.acceptedCrashing);
+        if (next >= crashingJobsDue_.size() || crashingJobsDue_[next] > elapsed)
+            return;
+        const int daemon = static_cast<int>(crashingRng_.below(kDaemons));
+        const std::string id = "crashing" + std::to_string(next);
+        if (isDown_[static_cast<std::size_t>(daemon)]
+            || deployment_.submitCrashing(daemon, id) != 200)
+            return;
+        ++report_.acceptedCrashing;
+        accepted_.push_back({.id = id, .expectedState = "failed"});
     }
 
     void injectFault()
@@ -136,23 +168,32 @@
         if (!deployment_.waitUntilReady())
             report_.violations.emplace_back("the daemons did not become ready after the faults");
         const auto limit = Clock::now() + kSettleTime;
-        for (const std::string &id : accepted_) {
+        for (const AcceptedJob &job : accepted_) {
             std::optional<std::string> state;
-            while (state != "completed" && Clock::now() < limit) {
-                state = deployment_.stateOf(static_cast<int>(rng_.below(kDaemons)), id);
-                if (state != "completed")
+            // Asks at least once, so that the report names the state of every job.
+            do {
+                state = deployment_.stateOf(static_cast<int>(rng_.below(kDaemons)), job.id);
+                if (!isFinal(state))
                     std::this_thread::sleep_for(kStep);
-            }
-            if (state != "completed")
-                report_.violations.push_back(id + " is " + state.value_or("unknown")
-                                             + " after the faults");
+            } while (!isFinal(state) && Clock::now() < limit);
+            if (state != job.expectedState)
+                report_.violations.push_back(job.id + " is " + state.value_or("unknown")
+                                             + " after the faults instead of " + job.expectedState);
         }
     }
 
+    static bool isFinal(const std::optional<std::string> &state)
+    {
+        return state == "completed" || state == "failed";
+    }
+
+    SoakPlan plan_;
     base::Rng rng_;
+    base::Rng crashingRng_; ///< separate, so that the faults of a seed do not depend on these jobs
+    std::vector<std::chrono::milliseconds> crashingJobsDue_; ///< since the start of the faults
     HostedDeployment deployment_;
     SoakReport report_;
-    std::vector<std::string> accepted_;
+    std::vector<AcceptedJob> accepted_;
     std::vector<bool> isDown_;
     std::vector<ActiveFault> activeFaults_;
     int submitted_ = 0;
@@ -160,9 +201,9 @@
 
 } // namespace
 
-SoakReport runSoak(std::uint64_t seed, std::chrono::seconds duration)
+SoakReport runSoak(const SoakPlan &plan)
 {
-    return Soak(seed).run(duration);
+    return Soak(plan).run();
 }
 
 } // namespace chicorywick::hosted
--- a/tests/hosted/soak.h
+++ b/tests/hosted/soak.h
@@ -7,10 +7,22 @@
 
 namespace chicorywick::hosted {
 
+/// @brief Parameters of a soak run.
+struct SoakPlan
+{
+    std::uint64_t seed = 1;
+    std::chrono::seconds duration{20}; ///< of the faults
+    int crashingJobs = 0;              ///< jobs that crash each runner that starts them
+
+    bool operator==(const SoakPlan &) const = default;
+};
+
 /// @brief Result of a soak run.
 struct SoakReport
 {
     int accepted = 0;
+    int acceptedCrashing = 0; ///< accepted jobs that crash their runners; not in accepted
+    int crashes = 0;          ///< of runners
     int faults = 0;
     std::vector<std::string> violations;
 
@@ -18,7 +30,8 @@
 };
 
 /// @brief Submits jobs to daemon processes while these are killed, stopped, paused and restarted,
-/// the store fails and runners do not respond; then waits until all accepted jobs have completed.
-SoakReport runSoak(std::uint64_t seed, std::chrono::seconds duration);
+/// the store fails and runners do not respond; then waits until all accepted jobs have completed
+/// and those that crash their runners have failed.
+SoakReport runSoak(const SoakPlan &plan);
 
 } // namespace chicorywick::hosted
