Reserve the ports of test daemons until the deployment ends

Cause: a daemon's port was free between its choice and the daemon's start, and while the daemon was down. In 2 of 35 starts of soaks, five beside each other, another process had taken one: "a listener cannot be bound to its address: Address already in use", then "the daemons did not become ready".

Change: a bound socket that does not listen keeps each port; SO_REUSEADDR on both sides lets the daemon listen there.

Ruled out: retrying with other ports; settings and peers name the first ones.

--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -21,18 +21,14 @@
 
 constexpr int kPortsPerDaemon = 4;
 
-// Returns ports that were free during the call; another process can take them afterwards. All
-// acceptors stay open until the return, so that the ports differ.
-std::vector<std::uint16_t> freePorts(boost::asio::io_context &loop, int count)
-{
-    std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
-    std::vector<std::uint16_t> ports;
-    for (int i = 0; i < count; ++i) {
-        acceptors.push_back(std::make_unique<tcp::acceptor>(
-                loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)));
-        ports.push_back(acceptors.back()->local_endpoint().port());
-    }
-    return ports;
+// A bound socket that does not listen reserves its port; a daemon can still listen there, because
+// both set SO_REUSEADDR.
+tcp::acceptor reservePort(boost::asio::io_context &loop)
+{
+    tcp::acceptor reservation(loop, tcp::v4());
+    reservation.set_option(tcp::acceptor::reuse_address(true));
+    reservation.bind(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return reservation;
 }
 
 httplib::Client makeClient(std::uint16_t port)
@@ -64,10 +60,13 @@
                R"("services":[{"name":"s"}],"limits":{}})");
     for (int i = 0; i < runners; ++i)
         addRunner(i, runnerDownTime);
-    const auto ports = freePorts(loop_, daemons * kPortsPerDaemon);
-    for (int i = 0; i < daemons; ++i)
-        ports_.emplace_back(ports.begin() + i * kPortsPerDaemon,
-                            ports.begin() + (i + 1) * kPortsPerDaemon);
+    for (int i = 0; i < daemons; ++i) {
+        ports_.emplace_back();
+        for (int port = 0; port < kPortsPerDaemon; ++port) {
+            reservations_.push_back(reservePort(loop_));
+            ports_.back().push_back(reservations_.back().local_endpoint().port());
+        }
+    }
     thread_ = std::thread([this] {
         const auto work = boost::asio::make_work_guard(loop_);
         loop_.run();
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -5,6 +5,7 @@
 #include "hosted_store.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
 #include <optional>
@@ -72,6 +73,7 @@
     std::thread thread_;
     std::string directory_;
     std::vector<std::vector<std::uint16_t>> ports_;
+    std::vector<boost::asio::ip::tcp::acceptor> reservations_; ///< keep ports_ for the daemons
     std::vector<std::unique_ptr<e2e::ChildProcess>> daemons_;
 };
 
