Test that unanswered starts of finished tasks reserve their capacity

Cause: no test needed the condition that a run which was never listed is forgotten only after its confirmed stop.

Change: a test in which neither the start nor the stop of a task is answered and the task is done elsewhere, with 20 delays.

Conclusion: nothing further.

--- a/packages/scheduler/src/scheduler_capacity_test.cpp
+++ b/packages/scheduler/src/scheduler_capacity_test.cpp
@@ -235,6 +235,36 @@
     CHECK(fixture.workers.workersRunning({.job = "b"}).size() == 1);
 }
 
+// Guards against a start on a worker that may still carry out one for a task that is done by now:
+// neither the start nor the stop was answered, and the worker lists no run.
+TEST_CASE("an unanswered start of a task done elsewhere reserves its capacity until its stop")
+{
+    // The delays of the two orders and the time until the worker's next list differ by seed.
+    constexpr std::uint64_t kSeeds = 20;
+    constexpr Millis kPhaseMs = 60;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CAPTURE(seed);
+        SchedulerFixture fixture(seed);
+        fixture.workers.workMs = 0;
+        addUnguardedWorkers(fixture, 1);
+        fixture.run(300 + kPhaseMs * static_cast<Millis>(seed));
+        for (const char *job : {"a", "b"})
+            fixture.workers.setDemand(job, kSmallWorker);
+        fixture.workers.setFaults({.lateOrder = 1});
+        fixture.submit("a", {wholeWorkerStep()});
+        fixture.submit("b", {wholeWorkerStep()});
+        fixture.run(10);
+        fixture.scheduler->mergeStoredProgress(
+                "a", {.state = JobState::Completed, .begunOccurrences = 1});
+        fixture.run(10);
+        fixture.workers.setFaults({});
+        fixture.run(9'000);
+        CHECK(fixture.workers.violations().empty());
+        CHECK(fixture.workers.startsOf({.job = "a"}) == 0);
+        CHECK(fixture.workers.workersRunning({.job = "b"}).size() == 1);
+    }
+}
+
 // Guards against starts for the former capacity of a worker, and against stops of what runs there.
 TEST_CASE("a worker that has shrunk below its load keeps its tasks and gets no others")
 {
