Refuse jobs with more than 10,000 tasks in all their steps

A job of 200 steps with 10,000 tasks each was accepted with 200. The leader of its cell then allocated all its tasks at once, and so did each successor that loaded the row: callers of the cell would see no leader.

validateSubmission bounded the tasks of each step only. It now also bounds their sum, with 400 and result code 2003, as for a payload that is too large. The bound equals the former one of a step.

The new test failed before: the submission got 200 and was stored.

Ruled out: a larger bound. The numbers of 10,000 done tasks take 49 KB of a progress row of 64 KB.

--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -26,6 +26,10 @@
         spec.steps.push_back({.taskCount = 1});
         if (body == "cycle")
             spec.steps.back().after = {0};
+        if (body == "many tasks")
+            spec.steps.assign(200, {.taskCount = scheduler::kMaxTasksPerJob});
+        if (body == "most tasks")
+            spec.steps.assign(2, {.taskCount = scheduler::kMaxTasksPerJob / 2});
         return spec;
     }
     std::string encodeState(scheduler::JobState state) const override
@@ -108,6 +112,17 @@
     CHECK(fixture.table.rows.empty());
 }
 
+// Guards against an accepted job that takes the memory of each leader of its cell in turn.
+TEST_CASE("a submission with too many tasks in all its steps is rejected")
+{
+    Fixture fixture;
+    const auto refused = fixture.call("POST", "/q/a1", "many tasks");
+    CHECK(refused.status == 400);
+    CHECK(refused.headers.at("X-Result-Code") == "2003");
+    CHECK(fixture.table.rows.empty());
+    CHECK(fixture.call("POST", "/q/a2", "most tasks").status == 200);
+}
+
 // Guards against a rejection of a job that runs: a store call without an answer may have stored it.
 TEST_CASE("a submission with an unknown outcome is never reported as rejected")
 {
--- a/packages/entry/src/submission_rules.cpp
+++ b/packages/entry/src/submission_rules.cpp
@@ -6,7 +6,6 @@
 
 constexpr std::size_t kMaxPayloadBytes = 4'000;
 constexpr std::size_t kMaxSteps = 200;
-constexpr int kMaxTasksPerStep = 10'000;
 constexpr std::int64_t kMaxResource = 1'000'000'000;
 
 base::Error invalid(const std::string &what)
@@ -22,9 +21,9 @@
 base::Result<void> validateStep(const scheduler::StepSpec &step, std::size_t number)
 {
     const std::string place = "step " + std::to_string(number) + ": ";
-    if (step.taskCount < 1 || step.taskCount > kMaxTasksPerStep)
+    if (step.taskCount < 1 || step.taskCount > scheduler::kMaxTasksPerJob)
         return invalid(place + "the number of tasks must be between 1 and "
-                       + std::to_string(kMaxTasksPerStep));
+                       + std::to_string(scheduler::kMaxTasksPerJob));
     const bool hasDemand = isInRange(step.demand.cpuMillis) && isInRange(step.demand.memoryMib)
                            && isInRange(step.demand.accelerators);
     if (!hasDemand || !isInRange(step.estimatedMs) || !isInRange(step.latencyTargetMs)
@@ -48,11 +47,17 @@
                                                                   + " bytes");
     if (spec.steps.empty() || spec.steps.size() > kMaxSteps)
         return invalid("the number of steps must be between 1 and " + std::to_string(kMaxSteps));
+    int tasks = 0;
     for (std::size_t number = 0; number < spec.steps.size(); ++number) {
         const auto checked = validateStep(spec.steps[number], number);
         if (!checked)
             return checked;
+        tasks += spec.steps[number].taskCount;
     }
+    if (tasks > scheduler::kMaxTasksPerJob)
+        return base::makeError(base::Code::InputTooLarge,
+                               "the job has " + std::to_string(tasks) + " tasks, more than "
+                                       + std::to_string(scheduler::kMaxTasksPerJob));
     if (spec.repeatCount < 0 || spec.intervalMs < 0 || spec.firstStartWall < 0)
         return invalid("a time or the number of occurrences is negative");
     return base::ok();
--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -82,6 +82,10 @@
     bool operator==(const StepSpec &) const = default;
 };
 
+/// @brief Largest number of tasks of a job. A waiting task takes up to 1 KB of the 260 MB of an
+/// entry instance, and the numbers of the tasks that are done must fit into one row of 64 KB.
+inline constexpr int kMaxTasksPerJob = 10'000;
+
 /// @brief An accepted job.
 struct JobSpec
 {
