Bound the open occurrences of a job

A job with repeat_count 1,000,000 and interval 0, or a start long ago, began all occurrences at once. Its leader, and each successor that loaded the row, ran out of memory or time: callers of the cell would see no leader. The time of an occurrence could also overflow, and the occurrence started at once.

At most 500 occurrences of a job, with 10,000 tasks in total, are open. Further due ones wait and begin in order as open ones end and their ends are stored. A successor then begins every occurrence that the former leader can have begun, so it knows the tasks that still run. The time check divides and cannot overflow.

Before, the tests saw 20,000 open occurrences instead of 500, a bad_alloc under a limit of 4 GB, and an early start. Without counting ends that are not stored, the test of a change of leaders found 160 of 2,000 occurrences that did not start exactly once.

Ruled out: a bound on repeat_count, because jobs may recur for long.

--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -102,8 +102,9 @@
     /// any.
     std::vector<TaskId> mergeLostRuns(const JobProgress &progress);
 
-    /// @brief Begins all due occurrences; returns their numbers.
-    std::vector<std::int64_t> beginDueOccurrences(Millis wall);
+    /// @brief Begins due occurrences in order, as far as the limit of open occurrences allows;
+    /// returns their numbers. Occurrences whose end is not stored yet count as open.
+    std::vector<std::int64_t> beginDueOccurrences(Millis wall, std::size_t unstoredEnds);
 
     Occurrence *occurrence(std::int64_t number);
     const Occurrence *occurrence(std::int64_t number) const;
@@ -129,6 +130,8 @@
 
 private:
     bool isStepReady(const Occurrence &occurrence, std::size_t step) const;
+    bool isDue(std::int64_t number, Millis wall) const;
+    std::size_t maxOpenOccurrences() const;
     Occurrence &beginOccurrence(std::int64_t number);
     std::int64_t occurrenceCount() const { return spec_.repeatCount > 0 ? spec_.repeatCount : 1; }
 
--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -86,6 +86,10 @@
 /// entry instance, and the numbers of the tasks that are done must fit into one row of 64 KB.
 inline constexpr int kMaxTasksPerJob = 10'000;
 
+/// @brief Largest number of begun and unfinished occurrences of a job. Each takes up to 45 bytes of
+/// the job's progress row of 64 KB, besides its tasks.
+inline constexpr int kMaxOpenOccurrences = 500;
+
 /// @brief An accepted job.
 struct JobSpec
 {
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -164,6 +164,7 @@
         std::uint64_t sequence = 0;
         Millis uncertainUntil = 0; ///< until then, tasks may run on an unresponsive worker
         std::map<TaskId, ReadyKey> ready;
+        std::deque<std::uint64_t> unstoredOccurrences; ///< batches of the ends of occurrences
     };
     enum class LossReason { Replaced, LeaseExpired };
     /// A run that its worker has lost.
@@ -185,7 +186,9 @@
     const QueuePolicy *policyOf(const Job &job) const;
     void markDirty(const std::string &id);
     void recordArrival(const Job &job);
+    std::vector<std::int64_t> beginDueOccurrences(JobEntry &entry);
     void enqueueReady(JobEntry &entry);
+    void enqueueReady(JobEntry &entry, const Occurrence &occurrence);
     void enqueue(JobEntry &entry, const TaskId &id);
     void dequeue(JobEntry &entry, const TaskId &id);
     ReadyKey keyOf(const JobEntry &entry, const TaskId &id) const;
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -77,15 +77,36 @@
                        });
 }
 
-std::vector<std::int64_t> Job::beginDueOccurrences(Millis wall)
+// Divides, because the product of a number and the interval may exceed the range.
+bool Job::isDue(std::int64_t number, Millis wall) const
+{
+    if (spec_.repeatCount == 0)
+        return true;
+    if (wall < spec_.firstStartWall)
+        return false;
+    return spec_.intervalMs == 0 || number <= (wall - spec_.firstStartWall) / spec_.intervalMs;
+}
+
+std::size_t Job::maxOpenOccurrences() const
+{
+    int tasks = 0;
+    for (const StepSpec &step : spec_.steps)
+        tasks += step.taskCount;
+    return static_cast<std::size_t>(
+            std::clamp(kMaxTasksPerJob / std::max(tasks, 1), 1, kMaxOpenOccurrences));
+}
+
+// A successor has to begin the same occurrences as the leader before it: otherwise it would not
+// know the tasks that still run. It begins as many as this leader if ends that are not stored
+// count.
+std::vector<std::int64_t> Job::beginDueOccurrences(Millis wall, std::size_t unstoredEnds)
 {
     std::vector<std::int64_t> begun;
     if (isTerminal(state()))
         return begun;
-    while (begunOccurrences_ < occurrenceCount()) {
-        const Millis due = spec_.firstStartWall + begunOccurrences_ * spec_.intervalMs;
-        if (spec_.repeatCount > 0 && due > wall)
-            break;
+    const std::size_t limit = maxOpenOccurrences();
+    while (begunOccurrences_ < occurrenceCount() && occurrences_.size() + unstoredEnds < limit
+           && isDue(begunOccurrences_, wall)) {
         Occurrence &occurrence = beginOccurrence(begunOccurrences_);
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             if (!isStepReady(occurrence, step))
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -86,6 +86,8 @@
     // For a job in a final state, the end is only recorded in its progress.
     const bool wasTerminal = isTerminal(entry.job.state());
     const std::vector<int> unblocked = entry.job.finishTask(end.task, hooks_.clock().steady);
+    if (entry.job.occurrence(end.task.occurrence) == nullptr)
+        entry.unstoredOccurrences.push_back(batch_);
     if (wasTerminal)
         return;
     if (isTerminal(entry.job.state())) {
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -117,7 +117,7 @@
         entry.uncertainUntil = createdAt_ + longestLocalLease(settings_.previousLeaseMs);
     }
     jobs_.emplace(spec.id, std::move(owned));
-    entry.job.beginDueOccurrences(now.wall);
+    beginDueOccurrences(entry);
     if (isTerminal(entry.job.state())) {
         recordEndedJob(entry);
     } else {
@@ -213,16 +213,24 @@
             }
 }
 
+std::vector<std::int64_t> Scheduler::beginDueOccurrences(JobEntry &entry)
+{
+    while (!entry.unstoredOccurrences.empty() && entry.unstoredOccurrences.front() <= storedBatch_)
+        entry.unstoredOccurrences.pop_front();
+    return entry.job.beginDueOccurrences(hooks_.clock().wall, entry.unstoredOccurrences.size());
+}
+
 void Scheduler::tick()
 {
-    const Now now = hooks_.clock();
     expireEndedJobs();
     for (const std::string &id : std::vector(recurringJobs_.begin(), recurringJobs_.end())) {
         JobEntry &entry = *entryOf(id);
-        if (entry.job.beginDueOccurrences(now.wall).empty())
+        const std::vector<std::int64_t> begun = beginDueOccurrences(entry);
+        if (begun.empty())
             continue;
         markDirty(id);
-        enqueueReady(entry);
+        for (const std::int64_t number : begun)
+            enqueueReady(entry, *entry.job.occurrence(number));
     }
     refreshBands();
     retryWorkers();
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -104,15 +104,20 @@
 void Scheduler::enqueueReady(JobEntry &entry)
 {
     for (const auto &[number, occurrence] : entry.job.occurrences())
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
-            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-                if (occurrence.steps[step][index].phase != TaskPhase::Ready)
-                    continue;
-                enqueue(entry, {.job = entry.job.spec().id,
-                                .occurrence = number,
-                                .step = static_cast<int>(step),
-                                .index = static_cast<int>(index)});
-            }
+        enqueueReady(entry, occurrence);
+}
+
+void Scheduler::enqueueReady(JobEntry &entry, const Occurrence &occurrence)
+{
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+        for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+            if (occurrence.steps[step][index].phase != TaskPhase::Ready)
+                continue;
+            enqueue(entry, {.job = entry.job.spec().id,
+                            .occurrence = occurrence.number,
+                            .step = static_cast<int>(step),
+                            .index = static_cast<int>(index)});
+        }
 }
 
 void Scheduler::refreshBands()
