--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -98,6 +98,8 @@
         releaseDone(id, *entry.job.task(id), end, workerId);
         unblocked = entry.job.finishTask(id, hooks_.clock().steady);
     }
+    if (entry.job.occurrence(end.task.occurrence) == nullptr)
+        entry.unstoredOccurrences.push_back(batch_);
     if (wasTerminal)
         return;
     if (isTerminal(entry.job.state())) {
