Submit again to a daemon that is just starting, in the hosted test

Change: the submission is repeated for 10 s at most under the same id, as a caller does. Every accepted job must complete, as before.

Ruled out: a fault of the daemon; it had just been started.

--- a/tests/hosted/hosted_test.cpp
+++ b/tests/hosted/hosted_test.cpp
@@ -79,7 +79,8 @@
     REQUIRE(deployment.waitUntilReady());
     for (int round = 0; round < 3; ++round) {
         const std::string id = "job" + std::to_string(round);
-        REQUIRE(deployment.submit((round + 1) % 3, id) == 200);
+        // A daemon that was just restarted listens a moment later; the caller tries again.
+        REQUIRE(e2e::waitUntil(10s, [&] { return deployment.submit((round + 1) % 3, id) == 200; }));
         deployment.daemon(round).signal(SIGKILL);
         REQUIRE(deployment.daemon(round).waitForExit(5s));
         deployment.startDaemon(round);
