Ignore the timer of a run that has ended in the worker stand-in

A timer that has expired runs its handler also if a stop, a lease or a crash has ended its run in the same turn of the loop; the handler then used the missing run.

Change: the handler checks that its run is still there.

The fault was not seen under a debugger, so that this was its cause is read from the code.

Ruled out: the daemons; the process that ended was the soak itself.

--- a/tests/hosted/hosted_runner.cpp
+++ b/tests/hosted/hosted_runner.cpp
@@ -116,8 +116,10 @@
     recordStart(task, isCrashing);
     const std::chrono::milliseconds duration = isCrashing ? behaviour_.crashDelay : kTaskDuration;
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_, duration);
-    timer->async_wait([this, task, isCrashing](const boost::system::error_code &error) {
-        if (error)
+    timer->async_wait([this, task, run, isCrashing](const boost::system::error_code &error) {
+        // A timer that has expired runs its handler also if the run has ended meanwhile.
+        const auto found = running_.find(task);
+        if (error || found == running_.end() || found->second.run != run)
             return;
         if (isCrashing)
             crash(task);
