Read lost runs of stored progress in one place

Cause: a last reading of the change. Job::restore() and mergeLostRuns() read the failed and crashed runs of stored progress in two loops each; three places spelled out when a task is suspected of crashes; two tests of the entry package held the same stand-in for silent workers.

No behaviour changes.

Ruled out: sharing the label and sibling checks of reserve() and canTakeLater(); reserve() ignores labels, so its behaviour would change.

--- a/packages/entry/src/pool_balancer_test.cpp
+++ b/packages/entry/src/pool_balancer_test.cpp
@@ -1,4 +1,5 @@
 #include "pool_balancer.h"
+#include "silent_workers.h"
 
 #include <doctest/doctest.h>
 
@@ -9,25 +10,6 @@
 constexpr scheduler::Resources kMachineSize{.cpuMillis = 16'000, .memoryMib = 32'768};
 constexpr int kSpareMachines = 10;
 
-// Workers that never reply.
-class SilentWorkers : public scheduler::WorkerOrders
-{
-public:
-    void start(const scheduler::WorkerAddress & /*worker*/, const scheduler::StartOrder & /*order*/,
-               std::function<void(const scheduler::OrderReply &)> /*done*/) override
-    {}
-    void stop(const scheduler::WorkerAddress & /*worker*/, const scheduler::StopOrder & /*order*/,
-              std::function<void(const scheduler::OrderReply &)> /*done*/) override
-    {}
-    void pace(const scheduler::WorkerAddress & /*worker*/, const scheduler::PaceOrder & /*order*/,
-              std::function<void(const scheduler::OrderReply &)> /*done*/) override
-    {}
-    void renew(const scheduler::WorkerAddress & /*worker*/, const scheduler::RenewOrder & /*order*/,
-               std::function<void(const scheduler::RenewReply &)> /*done*/) override
-    {}
-    void closeConnections(const scheduler::WorkerAddress & /*worker*/) override {}
-};
-
 // Lists spare machines and records which of them move.
 class SpareMachines : public MachinePort
 {
--- a/packages/entry/src/roster_journal_test.cpp
+++ b/packages/entry/src/roster_journal_test.cpp
@@ -1,5 +1,6 @@
 #include "fake_table.h"
 #include "roster_journal.h"
+#include "silent_workers.h"
 
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
@@ -10,25 +11,6 @@
 
 namespace {
 
-// Workers that never answer; the roster does not depend on their answers.
-class SilentWorkers : public scheduler::WorkerOrders
-{
-public:
-    void start(const scheduler::WorkerAddress & /*worker*/, const scheduler::StartOrder & /*order*/,
-               std::function<void(const scheduler::OrderReply &)> /*done*/) override
-    {}
-    void stop(const scheduler::WorkerAddress & /*worker*/, const scheduler::StopOrder & /*order*/,
-              std::function<void(const scheduler::OrderReply &)> /*done*/) override
-    {}
-    void pace(const scheduler::WorkerAddress & /*worker*/, const scheduler::PaceOrder & /*order*/,
-              std::function<void(const scheduler::OrderReply &)> /*done*/) override
-    {}
-    void renew(const scheduler::WorkerAddress & /*worker*/, const scheduler::RenewOrder & /*order*/,
-               std::function<void(const scheduler::RenewReply &)> /*done*/) override
-    {}
-    void closeConnections(const scheduler::WorkerAddress & /*worker*/) override {}
-};
-
 struct Fixture
 {
     FakeTable table;
--- a/packages/scheduler/include/chicorywick/scheduler/crash_history.h
+++ b/packages/scheduler/include/chicorywick/scheduler/crash_history.h
@@ -35,6 +35,8 @@
     /// @brief The next run gets a worker where every run of another job has lasted long.
     bool needsOwnWorker() const;
 
+    bool isSuspected() const { return needsTrial() || needsOwnWorker(); }
+
     /// @brief The next run waits until it is known whether workers that fell silent have crashed.
     bool needsEvidence(int silentRuns) const;
 
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -138,27 +138,6 @@
                 occurrence.steps[step][static_cast<std::size_t>(index)].phase = TaskPhase::Done;
                 ++occurrence.doneCounts[step];
             }
-        for (const auto &[place, runs] : open.failedRuns) {
-            const TaskId id{.job = spec_.id,
-                            .occurrence = open.number,
-                            .step = place.first,
-                            .index = place.second};
-            if (Task *failed = task(id)) {
-                failed->failedRuns = runs;
-                failed->highestRun = runs.empty() ? 0 : *runs.rbegin();
-            }
-        }
-        for (const auto &[place, crashes] : open.crashes) {
-            const TaskId id{.job = spec_.id,
-                            .occurrence = open.number,
-                            .step = place.first,
-                            .index = place.second};
-            Task *const crashed = task(id);
-            if (crashed == nullptr || crashes.empty())
-                continue;
-            crashed->crashes = crashes;
-            crashed->highestRun = std::max(crashed->highestRun, *crashes.runs.rbegin());
-        }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             if (!isStepReady(occurrence, step))
                 continue;
@@ -167,6 +146,7 @@
                     ready.phase = TaskPhase::Ready;
         }
     }
+    mergeLostRuns(progress);
 }
 
 JobProgress Job::progress() const
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -170,7 +170,7 @@
     task.hasBegun = false;
     task.isSettled = false;
     worker.startingTasks.insert(id);
-    if (task.crashes.needsTrial() || task.crashes.needsOwnWorker())
+    if (task.crashes.isSuspected())
         worker.trialTasks.insert(id);
 }
 
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -142,7 +142,7 @@
                     return other.job == id.job && other.occurrence == id.occurrence
                            && other.step == id.step;
                 }));
-        if (task.crashes.needsTrial() || task.crashes.needsOwnWorker())
+        if (task.crashes.isSuspected())
             candidate.neighbours = static_cast<int>(worker->tasks.size());
         const auto planned = plannedMembers.find(workerId);
         for (int i = 0; planned != plannedMembers.end() && i < planned->second; ++i)
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -80,8 +80,7 @@
     entry.ready.emplace(id, key);
     ReadyQueue &queue = ready_[policy->service];
     queue.keys.insert(key);
-    const CrashHistory &crashes = entry.job.task(id)->crashes;
-    if (!stepOf(entry.job, id).isGang && (crashes.needsTrial() || crashes.needsOwnWorker()))
+    if (!stepOf(entry.job, id).isGang && entry.job.task(id)->crashes.isSuspected())
         queue.trials.insert(key);
     queue.waitingCpuMillis += reservedFor(stepOf(entry.job, id)).cpuMillis;
     servicesToPlace_.insert(policy->service);
