review: a lasting job with an unmet label blocks its service (case 4)

Scheduler::reserve() keeps a worker free for each lasting task that fits nowhere, also if the worker lacks the label that the task requires. Five such tasks keep all five workers of a service from any other job. The stand-ins end the daemons if a trial is ended early.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/apps/chicorywickd ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin restart review/4/record.txt
+exec target/review/standin label review/4/record.txt
--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -281,4 +281,57 @@
     return !jobs.empty();
 }
 
+// Plays short jobs on a service beside a lasting job; each of them has to start.
+bool runBesideLastingJob(int runners, const json &lasting, Record &record)
+{
+    Deployment deployment({.daemons = 3, .runners = {{"s", runners}}},
+                          {{"q", "s"}, {"lasting", "s"}}, record);
+    if (!deployment.waitUntilReady())
+        return false;
+    if (!deployment.submit("lasting", jobId(9'000), lasting))
+        return false;
+    std::this_thread::sleep_for(2s);
+    std::vector<std::string> jobs;
+    const auto start = Clock::now();
+    while (Clock::now() - start < 20s) {
+        const std::string id = jobId(static_cast<int>(jobs.size()));
+        if (deployment.submit("q", id, shortJob(2, 600)))
+            jobs.push_back(id);
+        std::this_thread::sleep_for(300ms);
+    }
+    std::this_thread::sleep_for(14s);
+    const auto open = awaitEnd(deployment, "q", jobs, 3s);
+    deployment.onLoop([&] {
+        for (const std::string &id : open)
+            if (deployment.log().starts(id) == 0)
+                record.addBreach("LOST", "job " + id
+                                                 + " was accepted, and 14 s after the end of "
+                                                   "the traffic nothing of it has started");
+        record.add("the lasting job had " + std::to_string(deployment.log().starts(jobId(9'000)))
+                   + " starts");
+    });
+    record.add(std::to_string(jobs.size()) + " jobs were accepted, " + std::to_string(open.size())
+               + " are not shown as completed");
+    return !jobs.empty();
+}
+
+// A lasting job requires a label that no runner has.
+bool runUnmetLabel(bool hasTrouble, Record &record)
+{
+    constexpr int kTasks = 5;
+    json lasting = lastingJob("last", kTasks);
+    lasting["steps"][0]["requires"] = hasTrouble ? "special" : kCommonLabel;
+    return runBesideLastingJob(kTasks, lasting, record);
+}
+
+// A lasting job wants more tasks, one a runner, than its service has runners.
+bool runWideJob(bool hasTrouble, Record &record)
+{
+    constexpr int kRunners = 4;
+    constexpr int kWideTasks = 28;
+    json lasting = lastingJob("last", hasTrouble ? kWideTasks : kRunners);
+    lasting["steps"][0]["max_per_server"] = 1;
+    return runBesideLastingJob(kRunners, lasting, record);
+}
+
 } // namespace chicorywick::review
--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -14,5 +14,7 @@
 bool runFailingTasks(bool hasTrouble, Record &record);
 bool runSlowUpkeep(bool hasTrouble, Record &record);
 bool runForeignEntries(bool hasTrouble, Record &record);
+bool runUnmetLabel(bool hasTrouble, Record &record);
+bool runWideJob(bool hasTrouble, Record &record);
 
 } // namespace chicorywick::review
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -35,6 +36,19 @@
     return reservation;
 }
 
+constexpr std::size_t kMaxDaemons = 8;
+std::array<std::atomic<pid_t>, kMaxDaemons> startedProcesses;
+
+// Ends the daemons if the trial itself is ended early.
+void endTrial(int /*signal*/)
+{
+    for (const auto &process : startedProcesses)
+        if (process > 0)
+            ::kill(process, SIGKILL);
+    constexpr int kCouldNotRun = 2;
+    ::_exit(kCouldNotRun);
+}
+
 std::string address(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -62,6 +76,7 @@
                                              store_, log_, record));
     for (int i = 0; i < size.daemons; ++i) {
         auto daemon = std::make_unique<Daemon>();
+        daemon->number = static_cast<std::size_t>(i);
         for (int port = 0; port < kPortsPerDaemon; ++port) {
             reservations_.push_back(reservePort(loop_));
             daemon->ports.push_back(reservations_.back().local_endpoint().port());
@@ -87,6 +102,8 @@
         const auto work = boost::asio::make_work_guard(loop_);
         loop_.run();
     });
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        std::signal(signal, endTrial);
     for (const auto &daemon : daemons_)
         startDaemon(*daemon);
     supervisor_ = std::thread([this] { supervise(); });
@@ -131,6 +148,7 @@
     if (failure != 0)
         throw std::runtime_error("cannot start " + command.front());
     daemon.process = process;
+    startedProcesses.at(daemon.number) = process;
 }
 
 void Deployment::supervise()
@@ -151,6 +169,7 @@
                         + (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                                : "status " + std::to_string(WEXITSTATUS(status))));
             daemon->process = -1;
+            startedProcesses.at(daemon->number) = 0;
             daemon->restartAt = std::chrono::steady_clock::now() + kRestartDelay;
         }
         std::this_thread::sleep_for(kSupervision);
@@ -256,7 +275,7 @@
                 {"state", "ready"},
                 {"seq_no", 1},
                 {"capacity", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}},
-                {"labels", {"general", runners_[runner]->place().rack}},
+                {"labels", {kCommonLabel, runners_[runner]->place().rack}},
                 {"born", born}});
     record_.add("an entry of the service log-agent, with the machine " + machine
                 + ", comes from another writer");
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -83,6 +83,7 @@
 private:
     struct Daemon
     {
+        std::size_t number = 0;
         std::vector<std::uint16_t> ports;
         std::string settingsFile;
         std::string logFile;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -17,11 +17,10 @@
 // usage: standin CASE RECORD-FILE; TROUBLE=0 in the environment leaves the disruption out.
 int main(int argc, char **argv)
 {
-    const std::map<std::string, Case> cases{{"restart", runRestarts},
-                                            {"route", runRemovedRoute},
-                                            {"failing", runFailingTasks},
-                                            {"upkeep", runSlowUpkeep},
-                                            {"agents", runForeignEntries}};
+    const std::map<std::string, Case> cases{
+            {"restart", runRestarts},  {"route", runRemovedRoute},    {"failing", runFailingTasks},
+            {"upkeep", runSlowUpkeep}, {"agents", runForeignEntries}, {"label", runUnmetLabel},
+            {"wide", runWideJob}};
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
         std::cerr << "usage: standin CASE RECORD-FILE\n";
--- a/review/standin/runner.cpp
+++ b/review/standin/runner.cpp
@@ -146,7 +146,7 @@
                 {"state", "ready"},
                 {"seq_no", ++sequence_},
                 {"capacity", {{"cpu", 16'000}, {"mem_mb", 32'768}, {"gpu", 0}}},
-                {"labels", {"general", place_.rack}},
+                {"labels", {kCommonLabel, place_.rack}},
                 {"born", born_}});
     heartbeat_.expires_after(kHeartbeat);
     heartbeat_.async_wait([this](const boost::system::error_code &error) {
@@ -213,7 +213,7 @@
                          : isInUpkeep_ ? "upkeep"
                                        : "down"},
                {"zone", place_.zone},
-               {"labels", {"general", place_.rack}},
+               {"labels", {kCommonLabel, place_.rack}},
                {"capacity", {{"cpu", 16'000}, {"mem_mb", 32'768}, {"gpu", 0}}}};
     if (isUp_)
         entry["id"] = id_;
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -19,6 +19,9 @@
 
 namespace chicorywick::review {
 
+/// @brief A label that all runners have.
+inline constexpr const char *kCommonLabel = "general";
+
 /// @brief A run of a task: its number and the runner that runs it.
 struct RunPlace
 {
