--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -120,6 +120,7 @@
         }
     loop_.stop();
     loopThread_.join();
+    // With KEEP_LOGS in the environment, the logs of the daemons stay for a closer look.
     if (::getenv("KEEP_LOGS") == nullptr)
         std::filesystem::remove_all(directory_);
     else
--- a/review/standin/runner.cpp
+++ b/review/standin/runner.cpp
@@ -38,7 +38,6 @@
 {
     std::set<RunPlace> &places = running_[task];
     record_.add("start " + task + " run " + std::to_string(place.run) + " on " + place.runner);
-    ++starts_;
     ++startsByJob_[jobOf(task)];
     for (const RunPlace &other : places) {
         record_.addBreach("TWICE", task + ": run " + std::to_string(place.run) + " starts on "
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -43,7 +43,6 @@
     void ended(const std::string &task, const RunPlace &place, const std::string &how);
     void acknowledged(const std::string &task, const RunPlace &place, const std::string &how);
 
-    int starts() const { return starts_; }
     int starts(const std::string &job) const;
 
     /// @brief How long nothing of a task has run, since its latest end; 0 if it runs or never did.
@@ -60,7 +59,6 @@
     std::map<std::string, std::set<RunPlace>> doneBeforeStart_;
     std::map<std::string, int> startsByJob_;
     std::map<std::string, std::chrono::steady_clock::time_point> endedAt_; ///< latest, by task
-    int starts_ = 0;
 };
 
 /// @brief A machine and the place of a runner in the fleet.
