Keep the tasks that a worker takes after a restart under its id

What callers saw: a worker crashed and was back within a fraction of a second under its id.

Cause: orders name a worker by its id, so either incarnation can have taken a start. When a reply or discovery showed the restart, all tasks of the id counted as lost and the lists of that reply were dropped. Renewals also acknowledged ends by the numbers of the former incarnation, and answers with the new clock were mixed with lease ends on the former one. A new leader with an older roster did the same.

Change: Scheduler::beginIncarnation() starts with empty state. Runs that the former incarnation had listed are lost at once; the others wait for the first list of the new one that was requested after their answer. Ends are acknowledged only while nothing since the last list points to a restart. A start answered with a clock that has fallen back asks for a list at once. Crash evidence of all runs is kept together.

The fake workers' clocks now start anew with each incarnation of an id.

Ruled out: keeping workers with a failed renewal from starts (a restart can go unnoticed until a start is answered); deciding by the clock alone (a short former life cannot be told apart).

--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -42,6 +42,7 @@
     bool isStopConfirmed = false;
     bool isStopPending = false;
     bool hasBegun = false;   ///< the worker has accepted or listed the current run
+    bool isListed = false;   ///< the worker has listed the current run
     bool isSettled = false;  ///< a task list has shown the current run at work for a while
     bool wasMissing = false; ///< start order without a reply, and the worker did not list the task
     int percent = 0;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -179,6 +179,16 @@
         bool operator==(const LostRun &) const = default;
     };
 
+    /// The worker incarnation that a start order was meant for.
+    struct StartDestination
+    {
+        std::string workerId;
+        std::uint64_t generation = 0;
+        Millis clockAtSend = 0; ///< newest clock reading of the worker before the order was sent
+
+        bool operator==(const StartDestination &) const = default;
+    };
+
     // Jobs (scheduler_jobs.cpp) and the ready queue (scheduler_queue.cpp)
     JobEntry *entryOf(const std::string &id);
     const JobEntry *entryOf(const std::string &id) const;
@@ -222,6 +232,7 @@
     void renew(Worker &worker);
     void probe(Worker &worker);
     RenewOrder renewalFor(const Worker &worker) const;
+    void acceptRenewal(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void applyRenewal(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void handleRenewal(const std::string &id, std::uint64_t generation,
                        std::uint64_t repliesBeforeSend, const RenewReply &reply);
@@ -243,19 +254,27 @@
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseExpired(const Worker &worker) const;
     bool isUsable(const Worker &worker, Millis now) const;
-    void replaceWorker(Worker &worker);
-    void replaceFormerIncarnations(const WorkerEntry &entry);
     void handleLostTasks(Worker &worker, LossReason reason);
+    void loseTask(const TaskId &id, const std::string &workerId, const char *reason);
+    static void logJoined(const WorkerEntry &entry);
     void logLostWorker(const Worker &worker, const char *reason) const;
     void retryWorkers();
     void pruneWorkers();
     void drainPerpetual(Worker &worker);
     void pace(Worker &worker);
 
+    // Incarnations of a worker (scheduler_incarnations.cpp)
+    void replaceWorker(Worker &worker);
+    void replaceFormerIncarnations(const WorkerEntry &entry);
+    void beginIncarnation(Worker &worker, const WorkerEntry &entry);
+    void decideInheritedTasks(Worker &worker, std::uint64_t repliesBeforeSend,
+                              const RenewReply &reply);
+    void suspectRestart(Worker &worker);
+
     // Tasks that crash their workers (scheduler_crashes.cpp)
     bool isProven(const Worker &worker, const Task &task) const;
     std::vector<LostRun> unprovenRuns(const Worker &worker) const;
-    void recordCrash(const std::vector<LostRun> &runs);
+    void recordCrash(const std::vector<LostRun> &lost, const std::vector<LostRun> &all);
     void requeueReady(JobEntry &entry, const TaskId &id);
     void recordSilence(const Worker &worker, const std::vector<LostRun> &runs);
     std::vector<LostRun> endSilence(const std::string &machine);
@@ -288,8 +307,10 @@
     // Start and stop orders (scheduler_starts.cpp)
     void assign(JobEntry &entry, const TaskId &id, Worker &worker);
     void sendStart(JobEntry &entry, const TaskId &id, Worker &worker);
-    void handleStart(const TaskId &id, std::int64_t run, const std::string &workerId,
+    void handleStart(const TaskId &id, std::int64_t run, const StartDestination &destination,
                      const OrderReply &reply);
+    void recordAcceptedStart(Worker &worker, const TaskId &id, const StartDestination &destination,
+                             const OrderReply &reply);
     void stop(const TaskId &id, Task &task);
     void sendStop(const TaskId &id, std::int64_t run, const std::string &workerId);
 
--- a/packages/scheduler/include/chicorywick/scheduler/worker_orders.h
+++ b/packages/scheduler/include/chicorywick/scheduler/worker_orders.h
@@ -3,6 +3,7 @@
 #include <chicorywick/scheduler/model.h>
 #include <chicorywick/scheduler/task_id.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -123,6 +124,9 @@
     bool operator==(const EndedTask &) const = default;
 };
 
+/// @brief A worker lists at most this many ends in a reply.
+inline constexpr std::size_t kMaxEndsPerReply = 500;
+
 struct RenewReply
 {
     OrderStatus status = OrderStatus::Unknown;
@@ -131,6 +135,9 @@
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
 
+    /// @brief True if the worker may have more ends than it has listed.
+    bool mayOmitEnds() const { return ended.size() >= kMaxEndsPerReply; }
+
     bool operator==(const RenewReply &) const = default;
 };
 
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -62,6 +62,12 @@
     WorkerEntry add(const std::string &id, const std::string &service, Resources capacity,
                     std::vector<std::string> labels = {});
     void crash(const std::string &id);
+
+    /// @brief Crashes a worker; after a delay it runs again under its id and address, with a new
+    /// incarnation, clock and end numbers, and the callback gets its discovery entry. Callers learn
+    /// of the crash by a reset of their connections or, if it is silent, by their time-outs.
+    void restart(const std::string &id, Millis delay, bool isSilent,
+                 const std::function<void(const WorkerEntry &)> &onBack);
     void setReachable(const std::string &id, bool isReachable);
     void setFaults(CallFaults faults) { faults_ = faults; }
 
@@ -82,8 +88,9 @@
     /// Called for each run that starts; it is late if its order was executed seconds after sending.
     std::function<void(const std::string &worker, const TaskId &task, bool isLate)> onStarted;
     Millis workMs = 500;
-    Millis replyDelayMs = 0; ///< replies to renewals wait unread for this time
-    std::int64_t load = 0;   ///< reported for every running task
+    Millis maxLeaseMs = 60'000; ///< longer leases are shortened to this
+    Millis replyDelayMs = 0;    ///< replies to renewals wait unread for this time
+    std::int64_t load = 0;      ///< reported for every running task
     int pacesSent = 0;
 
     void start(const WorkerAddress &worker, const StartOrder &order,
@@ -134,10 +141,14 @@
         std::map<TaskId, std::int64_t> tombstones;
         std::vector<EndedTask> ended;
         std::vector<std::function<void()>> waiting;
+        std::vector<std::function<void()>> resets; ///< run when the connections are reset
+        Millis clockOrigin = 0;                    ///< virtual time at which its clock showed 0
     };
 
     Worker *findReachable(const WorkerAddress &address);
+    Millis clockOf(const Worker &worker) const { return loop_.now() - worker.clockOrigin; }
     bool hasRoom(const Worker &worker, const Resources &used) const;
+    void extendLease(Worker &worker, Millis leaseUntil);
     OrderReply executeStart(Worker &worker, const StartOrder &order);
     OrderReply executeStop(Worker &worker, const StopOrder &order);
     void crashSoon(const std::string &id, const TaskId &cause);
@@ -152,6 +163,7 @@
     base::Rng rng_;
     CallFaults faults_;
     std::map<std::string, Worker> workers_;
+    std::set<std::string> formerIds_; ///< ids of all workers that have been added
     std::map<std::string, Resources> demands_;
     std::map<TaskId, int> starts_;
     std::map<TaskId, int> losses_;             ///< workers that ended while they ran the task
--- a/packages/scheduler/src/fake_workers_test.cpp
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -14,6 +14,8 @@
 constexpr Millis kStopMs = 50;
 // A capacity that has shrunk counts after the contact time of 3 s and one heartbeat.
 constexpr Millis kShrinkNoticeMs = 4'000;
+// The clock of a worker that has been restarted under its id shows this time at first.
+constexpr Millis kClockAtRestartMs = 20;
 
 } // namespace
 
@@ -48,9 +50,30 @@
                     .labels = std::move(labels),
                     .capacity = capacity,
                     .incarnation = loop_.now()};
+    if (!formerIds_.insert(id).second)
+        worker.clockOrigin = loop_.now() - kClockAtRestartMs;
     return worker.entry;
 }
 
+void FakeWorkers::restart(const std::string &id, Millis delay, bool isSilent,
+                          const std::function<void(const WorkerEntry &)> &onBack)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end())
+        return;
+    const WorkerEntry entry = found->second.entry;
+    for (const auto &[task, run] : found->second.running)
+        ++losses_[task];
+    const auto resets = std::move(found->second.resets);
+    workers_.erase(found);
+    if (!isSilent)
+        for (const auto &reset : resets)
+            reset();
+    loop_.after(delay, [this, entry, onBack] {
+        onBack(add(entry.id, entry.service, entry.capacity, entry.labels));
+    });
+}
+
 void FakeWorkers::crash(const std::string &id)
 {
     workers_.erase(id);
@@ -114,7 +137,7 @@
 
 void FakeWorkers::expire(Worker &worker)
 {
-    if (worker.leaseUntil == 0 || loop_.now() <= worker.leaseUntil)
+    if (worker.leaseUntil == 0 || clockOf(worker) <= worker.leaseUntil)
         return;
     while (!worker.running.empty())
         end(worker, worker.running.begin()->first, EndKind::LeaseExpired);
@@ -137,19 +160,26 @@
         wake();
 }
 
+// A lease beyond the longest one is shortened to it.
+void FakeWorkers::extendLease(Worker &worker, Millis leaseUntil)
+{
+    worker.leaseUntil =
+            std::max(worker.leaseUntil, std::min(leaseUntil, clockOf(worker) + maxLeaseMs));
+}
+
 OrderReply FakeWorkers::executeStart(Worker &worker, const StartOrder &order)
 {
     if (order.fence < worker.fence)
-        return {.status = OrderStatus::Fenced, .workerClock = loop_.now()};
+        return {.status = OrderStatus::Fenced, .workerClock = clockOf(worker)};
     worker.fence = order.fence;
-    if (order.leaseUntil <= loop_.now())
-        return {.status = OrderStatus::ExpiredLease, .workerClock = loop_.now()};
-    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+    if (order.leaseUntil <= clockOf(worker))
+        return {.status = OrderStatus::ExpiredLease, .workerClock = clockOf(worker)};
+    extendLease(worker, order.leaseUntil);
     const auto present = worker.running.find(order.task);
     if (present != worker.running.end() && present->second.run == order.run)
-        return {.status = OrderStatus::Accepted, .workerClock = loop_.now()};
+        return {.status = OrderStatus::Accepted, .workerClock = clockOf(worker)};
     if (worker.tombstones.contains(order.task) && worker.tombstones[order.task] >= order.run)
-        return {.status = OrderStatus::StaleRun, .workerClock = loop_.now()};
+        return {.status = OrderStatus::StaleRun, .workerClock = clockOf(worker)};
     Resources used;
     for (const auto &[task, run] : worker.running)
         used += demands_[task.job];
@@ -159,7 +189,7 @@
             violations_.push_back(order.task.text() + " brings " + worker.entry.id
                                   + " over its capacity");
     } else if (!worker.entry.capacity.covers(used))
-        return {.status = OrderStatus::NoCapacity, .workerClock = loop_.now()};
+        return {.status = OrderStatus::NoCapacity, .workerClock = clockOf(worker)};
     for (auto &[id, other] : workers_) {
         expire(other);
         if (other.running.contains(order.task))
@@ -192,13 +222,13 @@
                         if (run != found->second.running.end() && run->second.run == order.run)
                             end(found->second, order.task, kind);
                     });
-    return {.status = OrderStatus::Accepted, .workerClock = loop_.now()};
+    return {.status = OrderStatus::Accepted, .workerClock = clockOf(worker)};
 }
 
 OrderReply FakeWorkers::executeStop(Worker &worker, const StopOrder &order)
 {
     if (order.fence < worker.fence)
-        return {.status = OrderStatus::Fenced, .workerClock = loop_.now()};
+        return {.status = OrderStatus::Fenced, .workerClock = clockOf(worker)};
     worker.fence = order.fence;
     worker.tombstones[order.task] = std::max(worker.tombstones[order.task], order.run);
     loop_.after(kStopMs, [this, id = worker.entry.id, generation = worker.generation, order] {
@@ -209,7 +239,7 @@
                 end(found->second, order.task, EndKind::Stopped);
         }
     });
-    return {.status = OrderStatus::Accepted, .workerClock = loop_.now()};
+    return {.status = OrderStatus::Accepted, .workerClock = clockOf(worker)};
 }
 
 template <typename Order>
@@ -282,7 +312,7 @@
             return;
         }
         worker->fence = order.fence;
-        worker->leaseUntil = std::max(worker->leaseUntil, order.leaseUntil);
+        extendLease(*worker, order.leaseUntil);
         std::erase_if(worker->ended, [this, worker, &order](const EndedTask &end) {
             const bool isAcked = end.number <= order.lastAckedEnd;
             acknowledged_ += isAcked ? 1 : 0;
@@ -298,7 +328,7 @@
                 return;
             *isAnswered = true;
             RenewReply reply{.status = OrderStatus::Accepted,
-                             .workerClock = loop_.now(),
+                             .workerClock = clockOf(*now),
                              .incarnation = now->entry.incarnation,
                              .ended = now->ended};
             for (const auto &[task, run] : now->running)
@@ -308,12 +338,14 @@
         };
         if (order.waitMs == 0 || !worker->ended.empty())
             return answer();
-        worker->waiting.emplace_back(answer);
-        loop_.after(order.waitMs, answer);
-        loop_.after(order.waitMs + kCallTimeoutMs, [done, isAnswered] {
+        const auto fail = [done, isAnswered] {
             if (!std::exchange(*isAnswered, true))
                 done({.status = OrderStatus::Unknown});
-        });
+        };
+        worker->waiting.emplace_back(answer);
+        worker->resets.emplace_back(fail);
+        loop_.after(order.waitMs, answer);
+        loop_.after(order.waitMs + kCallTimeoutMs, fail);
     });
 }
 
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -49,14 +49,15 @@
     return runs;
 }
 
-// Adds a crash to the history of each run that can be its cause, and gives up the jobs whose tasks
-// are shown to be the cause.
-void Scheduler::recordCrash(const std::vector<LostRun> &runs)
+// Adds a crash to the history of each lost run, and gives up the jobs whose tasks are shown to be
+// the cause. All runs that can be the cause count as evidence, also if it is not known yet whether
+// they are lost.
+void Scheduler::recordCrash(const std::vector<LostRun> &lost, const std::vector<LostRun> &all)
 {
     std::set<std::string> startingJobs;
     std::set<std::string> recentJobs;
     std::set<std::string> jobs;
-    for (const LostRun &run : runs) {
+    for (const LostRun &run : all) {
         jobs.insert(run.task.job);
         if (run.isRecent)
             recentJobs.insert(run.task.job);
@@ -64,7 +65,7 @@
             startingJobs.insert(run.task.job);
     }
     std::set<std::string> causes;
-    for (const LostRun &run : runs) {
+    for (const LostRun &run : lost) {
         JobEntry *const entry = entryOf(run.task.job);
         Task *const task = taskOf(run.task);
         if (entry == nullptr || task == nullptr || isTerminal(entry->job.state())
@@ -141,8 +142,10 @@
 void Scheduler::recordIncarnation(const WorkerEntry &entry)
 {
     const auto found = silences_.find(entry.machine);
-    if (found != silences_.end() && found->second.incarnation < entry.incarnation)
-        recordCrash(endSilence(entry.machine));
+    if (found == silences_.end() || found->second.incarnation >= entry.incarnation)
+        return;
+    const std::vector<LostRun> runs = endSilence(entry.machine);
+    recordCrash(runs, runs);
 }
 
 void Scheduler::expireSilences()
@@ -168,6 +171,7 @@
 {
     task.startedAt = hooks_.clock().steady;
     task.hasBegun = false;
+    task.isListed = false;
     task.isSettled = false;
     worker.startingTasks.insert(id);
     if (task.crashes.isSuspected())
@@ -184,6 +188,7 @@
 void Scheduler::updateTrial(Worker &worker, const TaskId &id, Task &task)
 {
     task.hasBegun = true;
+    task.isListed = true;
     const Millis age = worker.reportAt - task.startedAt;
     if (!task.isSettled && age >= kSettleMs) {
         task.isSettled = true;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -63,6 +63,7 @@
         worker->fullUntil = 0;
         worker->startingTasks.erase(id);
         worker->trialTasks.erase(id);
+        worker->inheritedTasks.erase(id);
         servicesToPlace_.insert(worker->entry.service);
         if (worker->tasks.empty())
             worker->idleSince = hooks_.clock().steady;
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// A worker returns at most this many ends per reply. A reply with that many may omit ended tasks.
-constexpr std::size_t kMaxEndsPerReply = 500;
 // Maximum fraction by which a worker's clock may run slow.
 constexpr double kClockSkew = 0.02;
 // Margin added to a computed lease end, because timers can fire late.
@@ -54,8 +52,11 @@
 
 RenewOrder Scheduler::renewalFor(const Worker &worker) const
 {
-    RenewOrder order{
-            .lastAckedEnd = worker.lastAckedEnd, .fence = settings_.fence, .validity = validity()};
+    RenewOrder order{.fence = settings_.fence, .validity = validity()};
+    // Ends are numbered anew in each incarnation: a restarted worker would forget ends that nobody
+    // has read.
+    if (worker.restartSuspectedAt == 0)
+        order.lastAckedEnd = worker.lastAckedEnd;
     // After a failed renewal the lease end stays the same. Otherwise the lease of an unresponsive
     // worker would never expire here and its tasks could not start elsewhere.
     if (worker.clockAtReply != 0 && !worker.tasks.empty())
@@ -69,7 +70,8 @@
 {
     if (worker.isProbing || worker.isReplaced || !worker.hasResponded || !hooks_.maySendOrders())
         return;
-    const RenewOrder order = renewalFor(worker);
+    RenewOrder order = renewalFor(worker);
+    order.lastAckedEnd = 0; // sent also when the worker may just have restarted
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     worker.isProbing = true;
     orders_.renew(worker.address(), order,
@@ -80,9 +82,8 @@
                           return;
                       probed->isProbing = false;
                       // Other failures are handled by the pending renewal.
-                      if (reply.status == OrderStatus::Accepted
-                          && !probed->isOtherIncarnation(reply))
-                          applyRenewal(*probed, repliesBeforeSend, reply);
+                      if (reply.status == OrderStatus::Accepted)
+                          acceptRenewal(*probed, repliesBeforeSend, reply);
                       else if (reply.status == OrderStatus::Fenced)
                           hooks_.onFenced();
                   });
@@ -146,18 +147,35 @@
         hooks_.onFenced();
         return;
     }
-    if (worker->isOtherIncarnation(reply)) {
+    // Another worker uses the address.
+    if (reply.status == OrderStatus::WrongIncarnation) {
         replaceWorker(*worker);
         place();
         return;
     }
     worker->hasRenewalFailed = reply.status != OrderStatus::Accepted;
     if (worker->hasRenewalFailed) {
+        suspectRestart(*worker);
         worker->retryAt = now + settings_.retryMs;
         return;
     }
     worker->retryAt = 0;
-    applyRenewal(*worker, repliesBeforeSend, reply);
+    acceptRenewal(*worker, repliesBeforeSend, reply);
+}
+
+void Scheduler::acceptRenewal(Worker &worker, std::uint64_t repliesBeforeSend,
+                              const RenewReply &reply)
+{
+    if (worker.isReplaced)
+        return;
+    const std::string id = worker.entry.id;
+    if (worker.isOtherIncarnation(reply)) {
+        WorkerEntry restarted = worker.entry;
+        restarted.incarnation = reply.incarnation;
+        restarted.isDraining = false;
+        beginIncarnation(worker, restarted);
+    }
+    applyRenewal(worker, repliesBeforeSend, reply);
     Worker *const still = workerOf(id);
     if (still != nullptr)
         renew(*still);
@@ -174,6 +192,12 @@
     recordClock(worker, reply.workerClock);
     worker.hasResponded = true;
     worker.isSuspect = false;
+    if (repliesBeforeSend >= worker.restartSuspectedAt)
+        worker.restartSuspectedAt = 0;
+    // Starts that were meant for the former incarnation carry lease ends on its clock, which the
+    // worker shortens to its longest lease.
+    if (!worker.inheritedTasks.empty())
+        worker.leaseSent = std::max(worker.leaseSent, reply.workerClock + settings_.maxLeaseMs);
     recordReturn(worker);
     // Replies on two connections can arrive out of order. An older list of running tasks is
     // ignored, because a task that it lacks may have started since.
@@ -197,6 +221,7 @@
             worker.unstoredEnds.emplace_back(batch_, end.number);
     }
     if (!isOlder) {
+        decideInheritedTasks(worker, repliesBeforeSend, reply);
         reconcileAbsent(worker, repliesBeforeSend, reply);
         reconcileUnassigned(worker, repliesBeforeSend, reply);
     }
@@ -250,6 +275,7 @@
     // The run has survived its start, so it needs no trial.
     task->startedAt = task->phaseSince;
     task->hasBegun = true;
+    task->isListed = true;
     task->isSettled = true;
     worker.used += reservedFor(stepOf(entry->job, running.task));
     entry->job.markStarted();
@@ -273,7 +299,7 @@
 void Scheduler::reconcileAbsent(Worker &worker, std::uint64_t repliesBeforeSend,
                                 const RenewReply &reply)
 {
-    if (reply.ended.size() >= kMaxEndsPerReply)
+    if (reply.mayOmitEnds())
         return;
     std::vector<const TaskId *> present;
     for (const RunningTask &running : reply.running)
--- /dev/null
+++ b/packages/scheduler/src/scheduler_restart_test.cpp
@@ -0,0 +1,206 @@
+#include "crash_fixture.h"
+
+#include <chicorywick/base/rng.h>
+
+#include <doctest/doctest.h>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+/// @brief Restarts of a worker that is back within a fraction of a second under its id.
+struct RestartFixture : CrashFixture
+{
+    explicit RestartFixture(std::uint64_t seed = 1)
+        : CrashFixture(seed)
+    {
+        workers.maxLeaseMs = SchedulerSettings().maxLeaseMs;
+    }
+
+    Millis downTimeMs = 100;
+    Millis discoveryDelayMs = 500; ///< from the return of a worker to its discovery entry
+    bool isSilent = false;         ///< connections are not reset
+
+    std::string busiestWorker()
+    {
+        std::string busiest;
+        for (const WorkerEntry &entry : scheduler->roster())
+            if (busiest.empty()
+                || workers.tasksOn(entry.id).size() > workers.tasksOn(busiest).size())
+                busiest = entry.id;
+        return busiest;
+    }
+
+    void restart(const std::string &id)
+    {
+        workers.restart(id, downTimeMs, isSilent, [this](const WorkerEntry &entry) {
+            loop.after(discoveryDelayMs, [this, entry] { scheduler->upsertWorker(entry); });
+        });
+    }
+};
+
+} // namespace
+
+// Guards against a second start of tasks that a worker took, or finished, between its restart and
+// the time at which the scheduler learned of it (review/5).
+TEST_CASE("tasks taken by a worker that has restarted under its id start nowhere else")
+{
+    constexpr int kWorkers = 5;
+    constexpr std::uint64_t kSeeds = 30;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CAPTURE(seed);
+        RestartFixture fixture(seed);
+        base::Rng rng(seed);
+        fixture.isSilent = seed % 2 == 0;
+        // Every third seed, discovery shows the restart before any reply of the worker does.
+        fixture.discoveryDelayMs = seed % 3 == 0 ? 1 : 500;
+        fixture.addWorkers(kWorkers);
+        int jobs = 0;
+        for (int restart = 0; restart < 10; ++restart) {
+            for (int i = 0; i < 40; ++i) {
+                fixture.workers.workMs = rng.chance(0.5) ? 30 : 700;
+                fixture.submit("job" + std::to_string(jobs++), {step(1)});
+                fixture.run(10 + static_cast<Millis>(rng.below(100)));
+            }
+            fixture.downTimeMs = 5 + static_cast<Millis>(rng.below(200));
+            fixture.restart(fixture.busiestWorker());
+            // A start that is refused while the worker is down keeps others away until it replies.
+            fixture.run(static_cast<Millis>(rng.below(2)) * fixture.downTimeMs);
+        }
+        fixture.run(20'000);
+        CHECK(fixture.workers.violations().empty());
+        for (int job = 0; job < jobs; ++job) {
+            CAPTURE(job);
+            CHECK(fixture.scheduler->stateOf("job" + std::to_string(job)) == JobState::Completed);
+        }
+    }
+}
+
+// Guards against acknowledgements with the end numbers of the former incarnation: the new one
+// forgets ends that nobody has read.
+TEST_CASE("ends of the former incarnation are not acknowledged to the new one")
+{
+    RestartFixture fixture;
+    fixture.workers.workMs = 20;
+    fixture.addWorkers(1);
+    for (int job = 0; job < 30; ++job)
+        fixture.submit("before" + std::to_string(job), {step(1)});
+    fixture.run(1'000);
+    REQUIRE(fixture.workers.acknowledgedEnds() == 30);
+    fixture.downTimeMs = 10;
+    fixture.restart("w0");
+    fixture.run(20);
+    for (int job = 0; job < 10; ++job) {
+        fixture.submit("after" + std::to_string(job), {step(1)});
+        fixture.run(30);
+    }
+    fixture.run(10'000);
+    CHECK(fixture.workers.violations().empty());
+    for (int job = 0; job < 10; ++job) {
+        CAPTURE(job);
+        const std::string id = "after" + std::to_string(job);
+        CHECK(fixture.scheduler->stateOf(id) == JobState::Completed);
+        CHECK(fixture.workers.startsOf({.job = id}) == 1);
+    }
+}
+
+// Guards against a new leader that takes the tasks of a restarted worker for lost, because the
+// roster that it has read names the former incarnation.
+TEST_CASE("a new leader adopts the tasks of a worker that has restarted under its id")
+{
+    for (const bool isDiscoveredFirst : {false, true}) {
+        CAPTURE(isDiscoveredFirst);
+        RestartFixture fixture;
+        fixture.addWorkers(1);
+        const auto formerRoster = fixture.scheduler->roster();
+        fixture.restart("w0");
+        fixture.run(2'000);
+        fixture.workers.workMs = 0;
+        std::vector<JobSpec> jobs;
+        for (int job = 0; job < 5; ++job) {
+            jobs.push_back(fixture.spec("job" + std::to_string(job), {step(1)}));
+            fixture.scheduler->addJob(jobs.back(), std::nullopt);
+        }
+        fixture.run(500);
+        REQUIRE(fixture.workers.runningCount() == 5);
+        const auto currentRoster = fixture.scheduler->roster();
+        fixture.workers.setReachable("w0", !isDiscoveredFirst);
+        fixture.startTerm();
+        fixture.scheduler->addInheritedWorkers(formerRoster);
+        for (const JobSpec &job : jobs)
+            fixture.scheduler->addJob(job, JobProgress{});
+        fixture.scheduler->upsertWorker(fixture.workers.add("w1", "s", kWorkerSize));
+        fixture.run(isDiscoveredFirst ? 0 : 300);
+        for (const WorkerEntry &entry : currentRoster)
+            fixture.scheduler->upsertWorker(entry);
+        fixture.run(300);
+        fixture.workers.setReachable("w0", true);
+        fixture.run(8'000);
+        CHECK(fixture.workers.violations().empty());
+        CHECK(fixture.workers.runningCount() == 5);
+    }
+}
+
+// Guards against a perpetual task that stands because the scheduler believes that the restarted
+// worker still runs it.
+TEST_CASE("a perpetual task that was lost in a restart is back within a second")
+{
+    for (const Millis discoveryDelayMs : {1, 500}) {
+        CAPTURE(discoveryDelayMs);
+        RestartFixture fixture;
+        fixture.discoveryDelayMs = discoveryDelayMs;
+        fixture.workers.workMs = 0;
+        fixture.addWorkers(2);
+        StepSpec perpetual = step(4);
+        perpetual.isPerpetual = true;
+        fixture.submit("a", {perpetual});
+        fixture.run(5'000);
+        REQUIRE(fixture.workers.runningCount() == 4);
+        fixture.restart(fixture.workers.workersRunning({.job = "a"}).front());
+        fixture.run(1'000);
+        CHECK(fixture.workers.runningCount() == 4);
+        CHECK(fixture.workers.violations().empty());
+    }
+}
+
+// Guards against a lease that is taken to end on the clock of the former incarnation: a worker that
+// falls silent for good after its restart would hold its tasks for the length of its former life.
+TEST_CASE("tasks of a restarted worker that falls silent are lost when its longest lease has ended")
+{
+    RestartFixture fixture;
+    fixture.discoveryDelayMs = 30'000;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.run(60'000);
+    fixture.isSilent = true;
+    fixture.restart("w0");
+    fixture.run(110);
+    fixture.submit("a", {step(1)});
+    fixture.run(3);
+    REQUIRE(fixture.workers.runningCount() == 1);
+    fixture.workers.setReachable("w0", false);
+    fixture.scheduler->upsertWorker(fixture.workers.add("w1", "s", kWorkerSize));
+    fixture.run(9'000);
+    CHECK(fixture.workers.startsOf({.job = "a"}) == 2);
+    CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against crashes that no longer count when the worker is back at once.
+TEST_CASE("a task that crashes workers which restart at once is given up")
+{
+    for (const Millis downMs : {50, 100, 400}) {
+        CAPTURE(downMs);
+        RestartFixture fixture;
+        fixture.workers.downMs = downMs;
+        fixture.addWorkers(4);
+        fixture.submit("good", {step(20)});
+        fixture.submit("bad", {step(2)});
+        fixture.run(30'000);
+        CHECK(fixture.scheduler->stateOf("bad") == JobState::Failed);
+        CHECK(fixture.scheduler->stateOf("good") == JobState::Completed);
+        CHECK(fixture.workers.crashesUnder({.job = "bad"}) <= 3);
+        CHECK(fixture.workers.violations().empty());
+    }
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -55,15 +55,38 @@
                     {"worker_age_ms", std::to_string(now - worker.replyAt)}});
     orders_.start(worker.address(), order,
                   [this, alive = alive_, id, run = task.run,
-                   workerId = worker.entry.id](const OrderReply &reply) {
+                   destination = StartDestination{.workerId = worker.entry.id,
+                                                  .generation = worker.generation,
+                                                  .clockAtSend = worker.clockAtReply}](
+                          const OrderReply &reply) {
                       if (*alive)
-                          handleStart(id, run, workerId, reply);
+                          handleStart(id, run, destination, reply);
                   });
 }
 
-void Scheduler::handleStart(const TaskId &id, std::int64_t run, const std::string &workerId,
+// Processes the clock in the answer. A clock that has fallen back shows that the worker has
+// restarted: it read the clock after the order was sent.
+void Scheduler::recordAcceptedStart(Worker &worker, const TaskId &id,
+                                    const StartDestination &destination, const OrderReply &reply)
+{
+    const bool isForFormer = worker.generation != destination.generation;
+    const bool hasRestarted =
+            !isForFormer && reply.workerClock != 0 && reply.workerClock < destination.clockAtSend;
+    if (!isForFormer && !hasRestarted)
+        recordClock(worker, reply.workerClock);
+    if (hasRestarted) {
+        worker.isSuspect = true;
+        suspectRestart(worker);
+    }
+    // Only a task list shows which incarnation has taken the start.
+    if (hasRestarted || worker.inheritedTasks.contains(id))
+        probe(worker);
+}
+
+void Scheduler::handleStart(const TaskId &id, std::int64_t run, const StartDestination &destination,
                             const OrderReply &reply)
 {
+    const std::string &workerId = destination.workerId;
     JobEntry *const entry = entryOf(id.job);
     Task *const task = taskOf(id);
     if (entry == nullptr || task == nullptr)
@@ -92,7 +115,7 @@
     Millis fullUntil = 0;
     switch (reply.status) {
     case OrderStatus::Accepted:
-        recordClock(*worker, reply.workerClock);
+        recordAcceptedStart(*worker, id, destination, reply);
         task->hasBegun = true;
         if (task->phase == TaskPhase::Starting) {
             task->phase = TaskPhase::Running;
@@ -105,6 +128,7 @@
     case OrderStatus::Unknown:
         // The worker's task list shows whether the start was executed.
         worker->isSuspect = true;
+        suspectRestart(*worker);
         task->lastReplyNumber = 0;
         probe(*worker);
         return;
@@ -125,6 +149,7 @@
     case OrderStatus::Fenced:
         // The worker gets no further starts until a renewal is accepted.
         worker->isSuspect = true;
+        suspectRestart(*worker);
         task->avoidedWorker = workerId;
         break;
     }
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace chicorywick::scheduler {
 
@@ -38,6 +39,10 @@
     std::set<TaskId> startingTasks; ///< runs that no report has shown at work for a while
     std::set<TaskId> trialTasks;    ///< tasks under which a worker has crashed; all of one job
     std::map<std::pair<TaskId, std::int64_t>, UnassignedRun> unassigned; ///< by task and run
+    /// Tasks assigned to the former incarnation with this id whose start this one may have taken;
+    /// its task list decides.
+    std::set<TaskId> inheritedTasks;
+    std::vector<LostRun> formerRuns; ///< runs that can have crashed the former incarnation
     Millis idleSince = 0;
     Millis fullUntil = 0;
 
@@ -52,6 +57,9 @@
     bool isProbing = false;
     bool hasRenewalFailed = false; ///< the last renewal was not accepted
     bool isSuspect = false;        ///< an order failed after the last accepted renewal
+    /// The worker may have restarted since this reply number; 0: it has not. Until a task list that
+    /// was requested later shows its incarnation, no end is acknowledged.
+    std::uint64_t restartSuspectedAt = 0;
     Millis retryAt = 0;
     Millis renewedAt = 0;
 
@@ -70,12 +78,11 @@
     /// @brief True if the worker is shutting down, or an order to its machine may end it.
     bool isEndPlanned() const { return entry.isDraining || !cordons.empty(); }
 
-    /// @brief True if the reply comes from another incarnation.
+    /// @brief True if the reply comes from another incarnation with the same id.
     bool isOtherIncarnation(const RenewReply &reply) const
     {
-        return reply.status == OrderStatus::WrongIncarnation
-               || (reply.incarnation != 0 && entry.incarnation != 0
-                   && reply.incarnation != entry.incarnation);
+        return reply.incarnation != 0 && entry.incarnation != 0
+               && reply.incarnation != entry.incarnation;
     }
 
     /// @brief Capacity for further tasks; negative after the worker has shrunk below its load.
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -54,6 +54,14 @@
     return found != workersByService_.end() ? found->second : kNone;
 }
 
+void Scheduler::logJoined(const WorkerEntry &entry)
+{
+    base::logEvent(base::Event::WorkerJoined, {{"worker", entry.id},
+                                               {"service", entry.service},
+                                               {"machine", entry.machine},
+                                               {"address", entry.address}});
+}
+
 void Scheduler::addInheritedWorkers(const std::vector<WorkerEntry> &workers)
 {
     for (const WorkerEntry &entry : workers) {
@@ -75,7 +83,12 @@
                 || known->entry.address != entry.address || known->entry.service != entry.service);
     if (isOtherIncarnation && known->entry.incarnation > entry.incarnation)
         return; // outdated entry that discovery has not replaced yet
-    if (isOtherIncarnation) {
+    // Start orders that were on their way can have reached a restarted worker only at its address.
+    const bool hasRestarted = isOtherIncarnation && known->entry.address == entry.address
+                              && known->entry.incarnation != entry.incarnation;
+    if (hasRestarted) {
+        beginIncarnation(*known, entry);
+    } else if (isOtherIncarnation) {
         handleLostTasks(*known, LossReason::Replaced);
         dropWorker(entry.id);
         known = nullptr;
@@ -83,10 +96,7 @@
     if (known == nullptr) {
         known = &addWorker(entry);
         known->idleSince = hooks_.clock().steady;
-        base::logEvent(base::Event::WorkerJoined, {{"worker", entry.id},
-                                                   {"service", entry.service},
-                                                   {"machine", entry.machine},
-                                                   {"address", entry.address}});
+        logJoined(entry);
     } else if (!known->entry.isDraining && entry.isDraining) {
         base::logEvent(base::Event::WorkerLeaving,
                        {{"worker", entry.id},
@@ -117,31 +127,6 @@
     }
 }
 
-// A machine runs one worker at a time, so all but the latest incarnation on it have ended.
-void Scheduler::replaceFormerIncarnations(const WorkerEntry &entry)
-{
-    if (entry.machine.empty())
-        return;
-    const std::vector<Worker *> &incarnations = workersByMachine_.at(entry.machine);
-    Worker *latest = workerOf(entry.id);
-    for (Worker *const worker : incarnations)
-        if (worker->entry.incarnation > latest->entry.incarnation)
-            latest = worker;
-    for (Worker *const worker : incarnations)
-        if (worker != latest)
-            replaceWorker(*worker);
-}
-
-void Scheduler::replaceWorker(Worker &worker)
-{
-    if (worker.isReplaced)
-        return;
-    worker.isReplaced = true;
-    worker.hasResponded = false;
-    ++rosterRevision_;
-    handleLostTasks(worker, LossReason::Replaced);
-}
-
 void Scheduler::endWorker(const std::string &id)
 {
     if (Worker *const worker = workerOf(id)) {
@@ -201,29 +186,16 @@
 {
     const char *const how = reason == LossReason::Replaced ? "replaced" : "lease-over";
     logLostWorker(worker, how);
-    const Millis now = hooks_.clock().steady;
     std::vector<LostRun> runs;
     if (!worker.isEndPlanned())
         runs = unprovenRuns(worker);
-    for (const TaskId &id : std::set(worker.tasks)) {
-        JobEntry *const entry = entryOf(id.job);
-        Task *const task = taskOf(id);
-        if (entry == nullptr || task == nullptr)
-            continue;
-        base::logEvent(base::Event::JobAttemptLost,
-                       {{"task", id.text()},
-                        {"run", std::to_string(task->run)},
-                        {"worker", worker.entry.id},
-                        {"how", how},
-                        {"age_ms", std::to_string(now - task->startedAt)}});
-        if (isTerminal(entry->job.state()) || task->phase == TaskPhase::Done)
-            release(id, *task);
-        else
-            requeue(*entry, id, *task);
-    }
+    for (const TaskId &id : std::set(worker.tasks))
+        loseTask(id, worker.entry.id, how);
     worker.tasks.clear();
     worker.startingTasks.clear();
     worker.trialTasks.clear();
+    worker.inheritedTasks.clear();
+    worker.formerRuns.clear();
     worker.used = {};
     if (reason == LossReason::LeaseExpired) {
         recordSilence(worker, runs);
@@ -231,7 +203,26 @@
     }
     if (worker.isEndPlanned())
         endSilence(worker.entry.machine);
-    recordCrash(runs);
+    recordCrash(runs, runs);
+}
+
+// Frees a task whose run is lost; it starts again unless it is done or its job has ended.
+void Scheduler::loseTask(const TaskId &id, const std::string &workerId, const char *reason)
+{
+    JobEntry *const entry = entryOf(id.job);
+    Task *const task = taskOf(id);
+    if (entry == nullptr || task == nullptr)
+        return;
+    base::logEvent(base::Event::JobAttemptLost,
+                   {{"task", id.text()},
+                    {"run", std::to_string(task->run)},
+                    {"worker", workerId},
+                    {"how", reason},
+                    {"age_ms", std::to_string(hooks_.clock().steady - task->startedAt)}});
+    if (isTerminal(entry->job.state()) || task->phase == TaskPhase::Done)
+        release(id, *task);
+    else
+        requeue(*entry, id, *task);
 }
 
 void Scheduler::retryWorkers()
