Do not crash when a worker with a task of a removed queue is drained

Cause: drainPerpetual() looks for a free worker for a running task. chooseWorker() read the service from the policy of its queue, which is a null pointer once the route is removed.

Change: Scheduler::workersFor(const Job &) names no worker for a job without a known policy, and serves chooseWorker(), reserve() and reserveForTrial(), which had the same access. The other callers of policyOf() check already.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -229,6 +229,7 @@
     Worker &addWorker(const WorkerEntry &entry);
     void dropWorker(const std::string &id);
     const std::vector<Worker *> &workersFor(const std::string &service) const;
+    const std::vector<Worker *> &workersFor(const Job &job) const;
     void renew(Worker &worker);
     void probe(Worker &worker);
     RenewOrder renewalFor(const Worker &worker) const;
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -311,7 +311,7 @@
     const StepSpec &step = stepOf(entry.job, id);
     const Millis now = hooks_.clock().steady;
     const Worker *emptiest = nullptr;
-    for (const Worker *const worker : workersFor(policyOf(entry.job)->service)) {
+    for (const Worker *const worker : workersFor(entry.job)) {
         const bool isCandidate = isUsable(*worker, now) && worker->trialTasks.empty()
                                  && !reserved_.contains(worker->entry.id)
                                  && canTakeLater(*worker, step, id);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -107,7 +107,6 @@
 Scheduler::Worker *Scheduler::chooseWorker(JobEntry &entry, const TaskId &id,
                                            const std::map<std::string, int> &plannedMembers)
 {
-    const QueuePolicy *const policy = policyOf(entry.job);
     const StepSpec &step = stepOf(entry.job, id);
     const Task &task = *entry.job.task(id);
     std::vector<Worker *> usable;
@@ -122,7 +121,7 @@
         ofStepByWorker[workerId] += count;
     const Resources demand = reservedFor(step);
     const Millis now = hooks_.clock().steady;
-    for (Worker *const worker : workersFor(policy->service)) {
+    for (Worker *const worker : workersFor(entry.job)) {
         ++examinedWorkers_;
         const std::string &workerId = worker->entry.id;
         const bool isCandidate = worker->free().covers(demand) && isUsable(*worker, now)
@@ -174,12 +173,10 @@
 // service is full. No other task takes the capacity that ending tasks release there.
 void Scheduler::reserve(const JobEntry &entry, const TaskId &id)
 {
-    const QueuePolicy *const policy = policyOf(entry.job);
-    const Job &job = entry.job;
-    const StepSpec &step = stepOf(job, id);
+    const StepSpec &step = stepOf(entry.job, id);
     Worker *mostFree = nullptr;
     const Millis now = hooks_.clock().steady;
-    for (Worker *const worker : workersFor(policy->service)) {
+    for (Worker *const worker : workersFor(entry.job)) {
         const bool isCandidate = isUsable(*worker, now)
                                  && worker->entry.capacity.covers(reservedFor(step))
                                  && !reserved_.contains(worker->entry.id);
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -54,6 +54,14 @@
     return found != workersByService_.end() ? found->second : kNone;
 }
 
+// The workers of the service that the job's queue uses; none while the queue has no known policy.
+const std::vector<Scheduler::Worker *> &Scheduler::workersFor(const Job &job) const
+{
+    static const std::vector<Worker *> kNone;
+    const QueuePolicy *const policy = policyOf(job);
+    return policy != nullptr ? workersFor(policy->service) : kNone;
+}
+
 void Scheduler::logJoined(const WorkerEntry &entry)
 {
     base::logEvent(base::Event::WorkerJoined, {{"worker", entry.id},
