Run accepted jobs to their end after their queue is removed

After the operator removed a route, waiting tasks of its jobs never started again: a lasting task that had lost its worker stood still, a finite job stopped between two steps, attempts used up meanwhile did not count, and a wave waited for tasks that could move nowhere.

Cause: the service and the limits of a job are looked up in the policy of its queue, and the operator's configuration holds the existing queues only. A new leader could not know the policy at all.

Change: the intake stores the policy with the job (JobSpec::acceptedPolicy); Scheduler::policyOf() uses it while the queue is removed. Services of such jobs count as used for waves and for lending. Rows of former versions have no policy; their tasks wait as before. The row grows by about 100 bytes.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -120,16 +120,23 @@
 
 void Controller::Impl::configure(const Configuration &configuration)
 {
+    configuration_ = configuration;
     std::vector<scheduler::QueuePolicy> queues;
     for (const QueueRoute &route : configuration.routes)
         queues.push_back(route.policy);
     scheduler_.setQueues(queues);
-    poolBalancer_->configure(configuration);
+    applyUsedServices();
+}
+
+// Jobs of a removed queue still use its service, so this also follows the loading of the jobs.
+void Controller::Impl::applyUsedServices()
+{
+    poolBalancer_->configure(configuration_);
+    const std::set<std::string> used = scheduler_.usedServices();
     std::set<std::string> unusedPools;
-    for (const auto &[name, setup] : configuration.services)
-        unusedPools.insert(name);
-    for (const QueueRoute &route : configuration.routes)
-        unusedPools.erase(route.policy.service);
+    for (const auto &[name, setup] : configuration_.services)
+        if (!used.contains(name))
+            unusedPools.insert(name);
     waves_->setUnusedPools(unusedPools);
 }
 
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -43,6 +43,7 @@
     void retryAfterPause(std::function<void()> action);
     void runAfter(std::chrono::milliseconds pause, std::function<void()> action);
 
+    void applyUsedServices();
     void applyJobRows(const std::vector<Row> &rows);
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
@@ -68,6 +69,7 @@
     std::shared_ptr<PoolBalancer> poolBalancer_;
     boost::asio::steady_timer tickTimer_;
 
+    Configuration configuration_;
     Version fence_;
     scheduler::Millis retentionMs_;
     bool isStopped_ = false;
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -122,6 +122,7 @@
 {
     isLoaded_ = true;
     loadedProgress_.clear();
+    applyUsedServices();
     base::logEvent(base::Event::LeadershipReady,
                    {{"cell", std::to_string(cell_.number)},
                     {"workers", std::to_string(scheduler_.roster().size())}});
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -139,6 +139,7 @@
     submission->spec = std::move(decoded.value());
     submission->spec.id = route.rest;
     submission->spec.queue = route.policy.name;
+    submission->spec.acceptedPolicy = route.policy;
     submission->spec.submittedWall = now.wall;
     submission->value = encode(submission->spec);
     submission->respond = std::move(respond);
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -96,6 +96,17 @@
     CHECK(fixture.table.rows.size() == 1);
 }
 
+// Guards against a leader that does not know how to run an accepted job once its route is removed.
+TEST_CASE("a stored job carries the policy of its queue")
+{
+    Fixture fixture;
+    REQUIRE(fixture.call("POST", "/q/a1").status == 200);
+    REQUIRE(fixture.table.rows.size() == 1);
+    const auto job = decodeJob(fixture.table.rows.begin()->second.value);
+    REQUIRE(job.has_value());
+    CHECK(job.value().acceptedPolicy == scheduler::QueuePolicy{.name = "r", .service = "s"});
+}
+
 // Guards against jobs that are stored although the route, the format, the id or the steps are
 // invalid.
 TEST_CASE("invalid requests are rejected with their status and stored nowhere")
@@ -245,6 +256,14 @@
                             .submittedWall = 7};
     spec.steps.push_back({.taskCount = 2, .after = {0}, .isGang = true, .preferredRack = "r"});
     CHECK(decodeJob(encode(spec)).value() == spec);
+    spec.acceptedPolicy = {.name = "q",
+                           .service = "s",
+                           .priority = 1,
+                           .maxAttempts = 2,
+                           .stretch = 1.5,
+                           .targetCompletionMs = 600,
+                           .needsAdvice = true};
+    CHECK(decodeJob(encode(spec)).value() == spec);
     scheduler::JobProgress progress{.state = scheduler::JobState::Running, .begunOccurrences = 1};
     progress.open.push_back({.number = 0,
                              .doneTasks = {{1, 2}},
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -30,10 +30,8 @@
 
 void PoolBalancer::configure(const Configuration &configuration)
 {
-    services_.clear();
+    services_ = scheduler_.usedServices();
     sparePool_.clear();
-    for (const QueueRoute &route : configuration.routes)
-        services_.insert(route.policy.service);
     for (const auto &[name, setup] : configuration.services)
         if (setup.isSpare)
             sparePool_ = name;
--- a/packages/entry/src/pool_balancer.h
+++ b/packages/entry/src/pool_balancer.h
@@ -44,7 +44,7 @@
     scheduler::Scheduler &scheduler_;
     MachineInventory &inventory_;
     std::int64_t fence_;
-    std::set<std::string> services_; ///< services with queues
+    std::set<std::string> services_; ///< services with queues or unfinished jobs
     std::string sparePool_;
     std::map<std::string, Move> moving_; ///< by machine
     bool isStopped_ = false;
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -76,6 +76,24 @@
             .maxUnavailable = json.value("unavailable", 0)};
 }
 
+Json encodePolicy(const scheduler::QueuePolicy &policy)
+{
+    return {{"service", policy.service},           {"priority", policy.priority},
+            {"attempts", policy.maxAttempts},      {"stretch", policy.stretch},
+            {"target", policy.targetCompletionMs}, {"advice", policy.needsAdvice}};
+}
+
+scheduler::QueuePolicy decodePolicy(const std::string &queue, const Json &json)
+{
+    return {.name = queue,
+            .service = json.at("service"),
+            .priority = json.at("priority"),
+            .maxAttempts = json.at("attempts"),
+            .stretch = json.at("stretch"),
+            .targetCompletionMs = json.at("target"),
+            .needsAdvice = json.at("advice")};
+}
+
 } // namespace
 
 const char *jobStateName(scheduler::JobState state)
@@ -117,6 +135,8 @@
               {"steps", Json::array()}};
     for (const scheduler::StepSpec &step : spec.steps)
         json["steps"].push_back(encodeStep(step));
+    if (spec.acceptedPolicy)
+        json["policy"] = encodePolicy(*spec.acceptedPolicy);
     if (spec.repeatCount > 0) {
         json["repeat"] = spec.repeatCount;
         json["first"] = spec.firstStartWall;
@@ -137,6 +157,8 @@
                                 .submittedWall = json.at("submitted")};
         for (const Json &step : json.at("steps"))
             spec.steps.push_back(decodeStep(step));
+        if (json.contains("policy"))
+            spec.acceptedPolicy = decodePolicy(spec.queue, json.at("policy"));
         return spec;
     });
 }
--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,20 @@
 /// the job's progress row of 64 KB, besides its tasks.
 inline constexpr int kMaxOpenOccurrences = 500;
 
+/// @brief Scheduling policy of a queue.
+struct QueuePolicy
+{
+    std::string name;
+    std::string service;
+    int priority = 0; ///< 0 is the highest
+    int maxAttempts = 1;
+    double stretch = 1.0; ///< completion objective: stretch * critical path + targetCompletionMs
+    Millis targetCompletionMs = 0;
+    bool needsAdvice = false; ///< steps run only on workers named by the advice service
+
+    bool operator==(const QueuePolicy &) const = default;
+};
+
 /// @brief An accepted job.
 struct JobSpec
 {
@@ -101,24 +116,13 @@
     Millis firstStartWall = 0;
     Millis intervalMs = 0;
     Millis submittedWall = 0;
+    /// Policy of the queue when the job was accepted, which is in force while the queue is removed;
+    /// empty for rows of former versions.
+    std::optional<QueuePolicy> acceptedPolicy = {};
 
     bool operator==(const JobSpec &) const = default;
 };
 
-/// @brief Scheduling policy of a queue.
-struct QueuePolicy
-{
-    std::string name;
-    std::string service;
-    int priority = 0; ///< 0 is the highest
-    int maxAttempts = 1;
-    double stretch = 1.0; ///< completion objective: stretch * critical path + targetCompletionMs
-    Millis targetCompletionMs = 0;
-    bool needsAdvice = false; ///< steps run only on workers named by the advice service
-
-    bool operator==(const QueuePolicy &) const = default;
-};
-
 /// @brief A discovered worker: one incarnation of an instance.
 struct WorkerEntry
 {
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -87,6 +87,9 @@
 
     void setQueues(const std::vector<QueuePolicy> &queues);
 
+    /// @brief Services of all queues, and of removed queues with unfinished jobs.
+    std::set<std::string> usedServices() const;
+
     /// @brief Adds a job. If it has stored progress, its tasks may already be running on a worker.
     void addJob(const JobSpec &spec, const std::optional<JobProgress> &progress);
     void cancelJob(const std::string &id);
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -71,10 +71,25 @@
     return entry != nullptr ? entry->job.task(id) : nullptr;
 }
 
+// An accepted job runs to its end also if the operator removes its queue.
 const QueuePolicy *Scheduler::policyOf(const Job &job) const
 {
     const auto found = queues_.find(job.spec().queue);
-    return found != queues_.end() ? &found->second : nullptr;
+    if (found != queues_.end())
+        return &found->second;
+    const std::optional<QueuePolicy> &accepted = job.spec().acceptedPolicy;
+    return accepted ? &*accepted : nullptr;
+}
+
+std::set<std::string> Scheduler::usedServices() const
+{
+    std::set<std::string> services;
+    for (const auto &[name, policy] : queues_)
+        services.insert(policy.service);
+    for (const auto &[id, entry] : openJobs_)
+        if (const QueuePolicy *const policy = policyOf(entry->job))
+            services.insert(policy->service);
+    return services;
 }
 
 void Scheduler::setQueues(const std::vector<QueuePolicy> &queues)
