Keep workers free only for perpetual tasks that they can take

Cause: reserve() compared the worker's whole capacity and the limit per worker, not the label and not the room that perpetual tasks leave. canTakeLater() and extraWorkersFor() answered the same question differently, and tasks that can never start used up the 24 demands that a placement pass looks at.

Change: isAllowedOn() decides on label and limit, canTakeLater() on the room as well; reserve(), reserveForTrial() and extraWorkersFor() use them. A step that fits nowhere is examined once in a pass, and a label that no worker has does not count towards the 24.

Ruled out: refusing such jobs at the submission (a worker with the label may join).

--- a/packages/scheduler/include/chicorywick/scheduler/placement.h
+++ b/packages/scheduler/include/chicorywick/scheduler/placement.h
@@ -9,6 +9,9 @@
 
 namespace chicorywick::scheduler {
 
+/// @brief True if the labels hold the one that the step requires, or it requires none.
+bool hasRequiredLabel(const StepSpec &step, const std::vector<std::string> &labels);
+
 /// @brief A worker considered for a task.
 struct PlacementCandidate
 {
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -293,7 +293,6 @@
     bool mayStartBeside(const Worker &worker, const TaskId &id, const Task &task) const;
     void placeTrials(const std::string &service);
     static bool isOnTrial(const std::vector<Worker *> &workers, const std::string &job);
-    bool canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const;
     void reserveForTrial(const JobEntry &entry, const TaskId &id);
 
     // Placement (scheduler_placing.cpp)
@@ -303,7 +302,10 @@
     bool hasSilentInheritedWorker(const std::string &service) const;
     bool isStartUncertain(const JobEntry &entry, const std::string &service) const;
     bool tryPlace(JobEntry &entry, const TaskId &id);
-    void reserve(const JobEntry &entry, const TaskId &id);
+    bool isLabelUnmet(const StepSpec &step, const std::string &service) const;
+    bool isAllowedOn(const Worker &worker, const StepSpec &step, const TaskId &id) const;
+    bool canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const;
+    bool reserve(const JobEntry &entry, const TaskId &id);
     bool tryPlaceGang(JobEntry &entry, const TaskId &id);
     Worker *chooseWorker(JobEntry &entry, const TaskId &id,
                          const std::map<std::string, int> &plannedMembers);
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -46,6 +46,12 @@
 
 } // namespace
 
+bool hasRequiredLabel(const StepSpec &step, const std::vector<std::string> &labels)
+{
+    return step.requiredLabel.empty()
+           || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+}
+
 std::optional<std::size_t> choosePlacement(const StepSpec &step,
                                            std::span<const PlacementCandidate> candidates)
 {
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -280,31 +280,6 @@
     });
 }
 
-// True if the worker can take a task of the step once the finite tasks there have ended.
-bool Scheduler::canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const
-{
-    const std::vector<std::string> &labels = worker.entry.labels;
-    if (!step.requiredLabel.empty()
-        && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
-        return false;
-    Resources later = worker.entry.capacity;
-    int siblings = 0;
-    for (const TaskId &other : worker.tasks) {
-        const JobEntry *const owner = entryOf(other.job);
-        if (owner == nullptr)
-            continue;
-        const StepSpec &neighbour = stepOf(owner->job, other);
-        if (neighbour.isPerpetual)
-            later -= reservedFor(neighbour);
-        siblings +=
-                id.job == other.job && id.occurrence == other.occurrence && id.step == other.step
-                        ? 1
-                        : 0;
-    }
-    return later.covers(reservedFor(step))
-           && (step.maxPerWorker == 0 || siblings < step.maxPerWorker);
-}
-
 // Reserves the emptiest worker that can run the task once the finite tasks there have ended.
 void Scheduler::reserveForTrial(const JobEntry &entry, const TaskId &id)
 {
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -59,7 +59,7 @@
     if (worker != nullptr && worker->tasks.erase(id) > 0) {
         const JobEntry *const entry = entryOf(id.job);
         if (entry != nullptr)
-            worker->used -= reservedFor(stepOf(entry->job, id));
+            worker->removeUse(stepOf(entry->job, id));
         worker->fullUntil = 0;
         worker->startingTasks.erase(id);
         worker->trialTasks.erase(id);
--- a/packages/scheduler/src/scheduler_incarnations.cpp
+++ b/packages/scheduler/src/scheduler_incarnations.cpp
@@ -67,7 +67,7 @@
         task->isStopConfirmed = false;
         worker.inheritedTasks.insert(id);
         worker.tasks.insert(id);
-        worker.used += reservedFor(stepOf(entryOf(id.job)->job, id));
+        worker.addUse(stepOf(entryOf(id.job)->job, id));
         if (former.startingTasks.contains(id))
             worker.startingTasks.insert(id);
         if (former.trialTasks.contains(id))
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -3,6 +3,7 @@
 #include <chicorywick/scheduler/placement.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace chicorywick::scheduler {
@@ -57,7 +58,8 @@
     for (auto item = keys.begin(); item != keys.end() && unplaceableCount < kMaxUnplaceable
                                    && examinedTasks < kMaxExaminedTasks;
          ++examinedTasks) {
-        const TaskId id = item->id;
+        const ReadyKey key = *item;
+        const TaskId &id = key.id;
         ++item; // placement removes the key, and for a gang those of all members
         JobEntry *const entry = entryOf(id.job);
         if (entry == nullptr || (hasSilentWorker && entry->uncertainUntil > now))
@@ -80,14 +82,29 @@
         if (!isKnownUnplaceable && tryPlace(*entry, id))
             continue;
         if (!isKnownUnplaceable) {
-            ++unplaceableCount;
+            // A label that no worker has costs one look, however many tasks require it.
+            unplaceableCount += isLabelUnmet(step, service) ? 0 : 1;
             unplaceableSteps.push_back(&step);
         }
-        if (step.isPerpetual)
-            reserve(*entry, id);
+        // The other waiting tasks of the step fit nowhere either.
+        ReadyKey last = key;
+        last.id.index = std::numeric_limits<int>::max();
+        const auto next = keys.upper_bound(last);
+        if (step.isPerpetual && reserve(*entry, id))
+            while (item != next && reserve(*entry, item->id))
+                ++item;
+        item = next;
     }
 }
 
+bool Scheduler::isLabelUnmet(const StepSpec &step, const std::string &service) const
+{
+    const std::vector<Worker *> &workers = workersFor(service);
+    return std::none_of(workers.begin(), workers.end(), [&step](const Worker *worker) {
+        return hasRequiredLabel(step, worker->entry.labels);
+    });
+}
+
 // Until each inherited worker has replied or its lease has expired, a task without a known worker
 // may still run on an unresponsive one.
 bool Scheduler::hasSilentInheritedWorker(const std::string &service) const
@@ -169,34 +186,51 @@
     return chosen ? usable[*chosen] : nullptr;
 }
 
-// Reserves the worker with the most free CPU for a perpetual task, which has to run even when the
-// service is full. No other task takes the capacity that ending tasks release there.
-void Scheduler::reserve(const JobEntry &entry, const TaskId &id)
+// Tasks of the step that the worker runs or is stopping count towards the limit of the step.
+bool Scheduler::isAllowedOn(const Worker &worker, const StepSpec &step, const TaskId &id) const
+{
+    if (!hasRequiredLabel(step, worker.entry.labels))
+        return false;
+    if (step.maxPerWorker == 0)
+        return true;
+    const auto isOfStep = [&id](const TaskId &other) {
+        return other.job == id.job && other.occurrence == id.occurrence && other.step == id.step;
+    };
+    const auto assigned = std::count_if(worker.tasks.begin(), worker.tasks.end(), isOfStep);
+    const auto stopping =
+            std::count_if(worker.unassigned.begin(), worker.unassigned.end(),
+                          [&isOfStep](const auto &run) { return isOfStep(run.first.first); });
+    return assigned + stopping < step.maxPerWorker;
+}
+
+// True if the worker can take a task of the step once the finite tasks there have ended.
+bool Scheduler::canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const
+{
+    Resources later = worker.entry.capacity;
+    later -= worker.usedByPerpetual;
+    return later.covers(reservedFor(step)) && isAllowedOn(worker, step, id);
+}
+
+// Reserves the worker with the most free CPU of those that can take a perpetual task later; it has
+// to run even when the service is full. No other task takes the capacity that ending tasks release
+// there. Returns false if there is no such worker.
+bool Scheduler::reserve(const JobEntry &entry, const TaskId &id)
 {
     const StepSpec &step = stepOf(entry.job, id);
     Worker *mostFree = nullptr;
     const Millis now = hooks_.clock().steady;
     for (Worker *const worker : workersFor(entry.job)) {
-        const bool isCandidate = isUsable(*worker, now)
-                                 && worker->entry.capacity.covers(reservedFor(step))
-                                 && !reserved_.contains(worker->entry.id);
+        const bool isCandidate = isUsable(*worker, now) && !reserved_.contains(worker->entry.id)
+                                 && canTakeLater(*worker, step, id);
         if (!isCandidate)
             continue;
-        const bool hasSibling = step.maxPerWorker > 0
-                                && std::count_if(worker->tasks.begin(), worker->tasks.end(),
-                                                 [&id](const TaskId &other) {
-                                                     return other.job == id.job
-                                                            && other.occurrence == id.occurrence
-                                                            && other.step == id.step;
-                                                 })
-                                           >= step.maxPerWorker;
-        if (hasSibling)
-            continue;
         if (mostFree == nullptr || worker->free().cpuMillis > mostFree->free().cpuMillis)
             mostFree = worker;
     }
-    if (mostFree != nullptr)
-        reserved_.insert(mostFree->entry.id);
+    if (mostFree == nullptr)
+        return false;
+    reserved_.insert(mostFree->entry.id);
+    return true;
 }
 
 bool Scheduler::tryPlace(JobEntry &entry, const TaskId &id)
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -1,5 +1,7 @@
 #include "scheduler_worker.h"
 
+#include <chicorywick/scheduler/placement.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -176,14 +178,17 @@
                                             [static_cast<std::size_t>(key.id.index)];
         if (now - std::max(task.phaseSince, entry->job.acceptedSteady()) < kWaitForRoomMs)
             continue;
-        const Resources demand = reservedFor(stepOf(entry->job, key.id));
+        const StepSpec &step = stepOf(entry->job, key.id);
+        const Resources demand = reservedFor(step);
         const bool fitsSomewhere =
                 std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
-                    return worker->free().covers(demand) && isUsable(*worker, now);
+                    return worker->free().covers(demand) && isUsable(*worker, now)
+                           && isAllowedOn(*worker, step, key.id);
                 });
         // A worker that has shrunk still shows the size of the machines that can join.
         const auto large = std::find_if(workers.begin(), workers.end(), [&](const Worker *worker) {
-            return worker->fullCapacity.covers(demand);
+            return worker->fullCapacity.covers(demand)
+                   && hasRequiredLabel(step, worker->entry.labels);
         });
         if (fitsSomewhere || large == workers.end())
             continue;
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -277,7 +277,7 @@
     task->hasBegun = true;
     task->isListed = true;
     task->isSettled = true;
-    worker.used += reservedFor(stepOf(entry->job, running.task));
+    worker.addUse(stepOf(entry->job, running.task));
     entry->job.markStarted();
 }
 
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -30,7 +30,7 @@
     task.lastReplyNumber = 0;
     worker.tasks.insert(id);
     beginRun(worker, id, task);
-    worker.used += reservedFor(stepOf(entry.job, id));
+    worker.addUse(stepOf(entry.job, id));
 }
 
 void Scheduler::sendStart(JobEntry &entry, const TaskId &id, Worker &worker)
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -10,6 +10,15 @@
 
 namespace chicorywick::scheduler {
 
+/// @brief Resources that a task reserves on its worker.
+inline Resources reservedFor(const StepSpec &step)
+{
+    Resources demand = step.demand;
+    if (step.usesLeftoverCpu)
+        demand.cpuMillis = 0;
+    return demand;
+}
+
 /// @brief A run that may be on a worker and is not assigned to it; it is being stopped and reserves
 /// its capacity until then.
 struct UnassignedRun
@@ -35,6 +44,7 @@
 
     Resources fullCapacity; ///< largest capacity that this incarnation has shown, by resource
     Resources used;
+    Resources usedByPerpetual; ///< part of `used` that does not become free by itself
     std::set<TaskId> tasks;
     std::set<TaskId> startingTasks; ///< runs that no report has shown at work for a while
     std::set<TaskId> trialTasks;    ///< tasks under which a worker has crashed; all of one job
@@ -85,6 +95,19 @@
                && reply.incarnation != entry.incarnation;
     }
 
+    void addUse(const StepSpec &step)
+    {
+        used += reservedFor(step);
+        if (step.isPerpetual)
+            usedByPerpetual += reservedFor(step);
+    }
+    void removeUse(const StepSpec &step)
+    {
+        used -= reservedFor(step);
+        if (step.isPerpetual)
+            usedByPerpetual -= reservedFor(step);
+    }
+
     /// @brief Capacity for further tasks; negative after the worker has shrunk below its load.
     /// None while the size of a run is unknown.
     Resources free() const
@@ -116,13 +139,4 @@
     return std::max(kMinStartUpMs, kStartUpFactor * step.estimatedMs);
 }
 
-/// @brief Resources that a task reserves on its worker.
-inline Resources reservedFor(const StepSpec &step)
-{
-    Resources demand = step.demand;
-    if (step.usesLeftoverCpu)
-        demand.cpuMillis = 0;
-    return demand;
-}
-
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -205,6 +205,7 @@
     worker.inheritedTasks.clear();
     worker.formerRuns.clear();
     worker.used = {};
+    worker.usedByPerpetual = {};
     if (reason == LossReason::LeaseExpired) {
         recordSilence(worker, runs);
         return;
