Give machines to lasting tasks before larger shortages of finite work

Cause: planPoolMoves() serves the largest shortage first, so a pool that lacked a few machines for its lasting tasks got none while other pools' peaks took turns; restarted tasks waited for up to 37 s. And tasks of a step with a limit per worker called for machines by their share of CPU only: six tasks, one machine.

Change: PoolDemand::urgent, the machines that perpetual tasks wait for, is served first; waiting tasks with a limit call for as many workers as the limit demands.

Ruled out by job.waiting: trials, holds, quarantine and silent workers as the cause of these waits.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -66,6 +66,7 @@
     JobCancelled = 6014,
     WorkerLost = 6015,
     JobGivenUp = 6016,
+    JobWaiting = 6017,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -86,6 +86,8 @@
          "a worker ended or fell silent while it ran tasks"},
         {Event::JobGivenUp, Severity::Warning, "job.given-up",
          "a job failed because one of its tasks crashes the workers that start it"},
+        {Event::JobWaiting, Severity::Warning, "job.waiting",
+         "a task of a lasting job has waited for seconds; the counts are workers of its service"},
         {Event::MemberJoined, Severity::Info, "member.joined", "an entry instance joined"},
         {Event::MemberSuspected, Severity::Warning, "member.suspected",
          "an entry instance does not answer"},
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -93,9 +93,12 @@
     for (const auto &[service, load] : loads)
         fallbackSize = std::max(fallbackSize, load.machineCpuMillis);
     const std::map<std::string, int> usable = machines;
+    std::map<std::string, int> joining;
     for (const auto &[name, move] : moving_)
         if (move.pool != sparePool_)
-            ++machines[move.pool];
+            ++joining[move.pool];
+    for (const auto &[service, count] : joining)
+        machines[service] += count;
     std::vector<scheduler::PoolDemand> demands;
     for (const std::string &service : services_) {
         const scheduler::ServiceLoad &load = loads[service];
@@ -112,7 +115,8 @@
                  .machines = machines[service],
                  .desired = std::max({scheduler::machinesFor(wanted, machineSize),
                                       load.spreadWorkers, load.extraWorkers > 0 ? withRoom : 0}),
-                 .minimum = kMinMachinesPerService});
+                 .minimum = kMinMachinesPerService,
+                 .urgent = std::max(load.extraWorkersForPerpetual - joining[service], 0)});
     }
     return demands;
 }
--- a/packages/scheduler/include/chicorywick/scheduler/pool_plan.h
+++ b/packages/scheduler/include/chicorywick/scheduler/pool_plan.h
@@ -16,6 +16,7 @@
     int machines = 0; ///< up, or moving to the pool
     int desired = 0;  ///< machines needed for running, waiting and arriving work
     int minimum = 0;  ///< machines that never leave the pool
+    int urgent = 0;   ///< part of the shortage that perpetual tasks wait for
 
     bool operator==(const PoolDemand &) const = default;
 };
@@ -49,9 +50,9 @@
     bool operator==(const PoolPolicy &) const = default;
 };
 
-/// @brief Plans moves to pools that need machines: spare machines first, then idle machines of
-/// pools with a surplus. Idle machines that no pool needs move to the spare pool, where they cost
-/// nothing.
+/// @brief Plans moves to pools that need machines, urgent ones first: spare machines, then idle
+/// machines of pools with a surplus. Idle machines that no pool needs move to the spare pool, where
+/// they cost nothing.
 std::vector<PoolMove> planPoolMoves(std::span<const PoolDemand> pools,
                                     std::span<const MovableMachine> movable,
                                     const std::string &sparePool, const PoolPolicy &policy);
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -71,6 +71,7 @@
     double arrivingCpuMillis = 0;      ///< moving average of submitted CPU time per unit of time
     int spreadWorkers = 0; ///< workers needed by the largest perpetual step with maxPerWorker
     int extraWorkers = 0;  ///< empty workers needed by waiting tasks that fit on no worker now
+    int extraWorkersForPerpetual = 0; ///< those of them that perpetual tasks need
 
     bool operator==(const ServiceLoad &) const = default;
 };
@@ -182,6 +183,15 @@
         bool operator==(const LostRun &) const = default;
     };
 
+    /// Empty workers that waiting tasks of a service need.
+    struct ExtraWorkers
+    {
+        int all = 0;
+        int forPerpetual = 0;
+
+        bool operator==(const ExtraWorkers &) const = default;
+    };
+
     /// The worker incarnation that a start order was meant for.
     struct StartDestination
     {
@@ -209,7 +219,13 @@
     void stopAllTasks(JobEntry &entry);
     void finishJob(JobEntry &entry);
     void refreshBands();
-    int extraWorkersFor(const std::string &service) const;
+    ExtraWorkers extraWorkersFor(const std::string &service) const;
+
+    // Log of perpetual tasks that wait (scheduler_waiting.cpp)
+    void reportWaiting();
+    void reportWaiting(const std::string &service, const TaskId &id, Millis waitedMs,
+                       int waitingTasks) const;
+
     void recordEndedJob(const JobEntry &entry);
     void expireEndedJobs();
 
@@ -370,6 +386,7 @@
     std::uint64_t nextGeneration_ = 0;
     std::uint64_t replyCount_ = 0; ///< start and stop replies; a task list sent earlier is outdated
     Millis bandsRefreshedAt_ = 0;
+    Millis waitingReportedAt_ = 0;
     std::set<std::string> reserved_; ///< ids of workers kept free during one placement pass
     bool isPlacing_ = false;
 };
--- a/packages/scheduler/src/plans_test.cpp
+++ b/packages/scheduler/src/plans_test.cpp
@@ -91,6 +91,21 @@
     CHECK(moves == std::vector<PoolMove>{{"parked", "hot"}, {"idle", "hot"}});
 }
 
+// Guards against perpetual tasks that stand for a whole peak of another pool, because the machines
+// go to the pool with the larger shortage (hhbma-wick-grown, lost machines beside peaks).
+TEST_CASE("machines that perpetual tasks wait for come before larger shortages")
+{
+    const std::vector<PoolDemand> pools{
+            {.service = "peak", .machines = 4, .desired = 24},
+            {.service = "lasting", .machines = 15, .desired = 21, .urgent = 2}};
+    const std::vector<MovableMachine> movable{
+            {.machine = "a", .pool = "spare", .isInSparePool = true},
+            {.machine = "b", .pool = "spare", .isInSparePool = true},
+            {.machine = "c", .pool = "spare", .isInSparePool = true}};
+    CHECK(planPoolMoves(pools, movable, "spare", {})
+          == std::vector<PoolMove>{{"a", "lasting"}, {"b", "lasting"}, {"c", "peak"}});
+}
+
 // Guards against idle machines that stay on, and against a pool that shrinks below its minimum.
 TEST_CASE("idle machines above the minimum of a pool move to the spare pool")
 {
--- a/packages/scheduler/src/pool_plan.cpp
+++ b/packages/scheduler/src/pool_plan.cpp
@@ -44,13 +44,13 @@
                          return left->desired - left->machines > right->desired - right->machines;
                      });
     std::vector<PoolMove> moves;
+    std::map<std::string, int> given;
     const auto isFull = [&] { return static_cast<int>(moves.size()) >= policy.maxMoves; };
-    for (const PoolDemand *pool : shortPools) {
-        int missing = pool->desired - pool->machines;
+    const auto fill = [&](const PoolDemand &pool, int missing) {
         for (const MovableMachine *&offer : offers) {
-            if (missing == 0 || isFull())
+            if (missing <= 0 || isFull())
                 break;
-            if (offer == nullptr || offer->pool == pool->service)
+            if (offer == nullptr || offer->pool == pool.service)
                 continue;
             const bool isLendable =
                     offer->isInSparePool
@@ -59,11 +59,16 @@
                 continue;
             if (!offer->isInSparePool)
                 --surplus[offer->pool];
-            moves.push_back({.machine = offer->machine, .pool = pool->service});
+            moves.push_back({.machine = offer->machine, .pool = pool.service});
             offer = nullptr;
             --missing;
+            ++given[pool.service];
         }
-    }
+    };
+    for (const PoolDemand *pool : shortPools)
+        fill(*pool, std::min(pool->urgent, pool->desired - pool->machines));
+    for (const PoolDemand *pool : shortPools)
+        fill(*pool, pool->desired - pool->machines - given[pool->service]);
     for (const MovableMachine *offer : offers) {
         const bool isReturnable = offer != nullptr && !offer->isInSparePool && !sparePool.empty()
                                   && surplus[offer->pool] > 0
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -252,6 +252,7 @@
     // Quarantines and capacity back-offs of workers end without an event.
     markAllServicesForPlacement();
     place();
+    reportWaiting();
 }
 
 void Scheduler::recordEndedJob(const JobEntry &entry)
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <tuple>
 
 namespace chicorywick::scheduler {
 
@@ -26,6 +28,39 @@
 // Bands change as slack decreases. Two updates per second keep the queue order nearly current.
 constexpr Millis kBandRefreshMs = 500;
 
+// The empty workers that a number of tasks fill.
+class ExtraWorkerCount
+{
+public:
+    void add(const TaskId &id, const StepSpec &step, const Resources &workerSize)
+    {
+        const Resources demand = reservedFor(step);
+        const double part = std::max({shareOf(demand.cpuMillis, workerSize.cpuMillis),
+                                      shareOf(demand.memoryMib, workerSize.memoryMib),
+                                      shareOf(demand.accelerators, workerSize.accelerators)});
+        parts_ += part > kMaxSharedPart ? 1 : part;
+        if (step.maxPerWorker == 0)
+            return;
+        const int tasks = ++tasksOfStep_[{id.job, id.occurrence, id.step}];
+        widestStep_ = std::max(widestStep_, (tasks + step.maxPerWorker - 1) / step.maxPerWorker);
+    }
+
+    int workers() const { return std::max(static_cast<int>(std::ceil(parts_)), widestStep_); }
+
+private:
+    // Two tasks of more than half a worker each do not share one.
+    static constexpr double kMaxSharedPart = 0.5;
+
+    static double shareOf(std::int64_t demand, std::int64_t capacity)
+    {
+        return capacity > 0 ? static_cast<double>(demand) / static_cast<double>(capacity) : 0;
+    }
+
+    double parts_ = 0;
+    std::map<std::tuple<std::string, std::int64_t, int>, int> tasksOfStep_; ///< with a limit
+    int widestStep_ = 0; ///< workers for the tasks of one step with a limit
+};
+
 } // namespace
 
 void Scheduler::recordArrival(const Job &job)
@@ -149,22 +184,18 @@
     return waiting;
 }
 
-// Counts the workers that waiting tasks need because each usable worker lacks the room for one of
-// them. The service can have free CPU in total, for example when every worker runs a perpetual task
-// and the waiting ones need almost a whole worker.
-int Scheduler::extraWorkersFor(const std::string &service) const
+// Counts the workers that waiting tasks need because no usable worker can take one of them now. The
+// service can have free CPU in total, for example when every worker runs a perpetual task and the
+// waiting ones need almost a whole worker.
+Scheduler::ExtraWorkers Scheduler::extraWorkersFor(const std::string &service) const
 {
     const auto queue = ready_.find(service);
     const auto &workers = workersFor(service);
     if (queue == ready_.end() || workers.empty())
-        return 0;
+        return {};
     const Millis now = hooks_.clock().steady;
-    const auto shareOf = [](std::int64_t demand, std::int64_t capacity) {
-        return capacity > 0 ? static_cast<double>(demand) / static_cast<double>(capacity) : 0;
-    };
-    // Two tasks of more than half a worker each do not share one.
-    constexpr double kMaxSharedPart = 0.5;
-    double needed = 0;
+    ExtraWorkerCount all;
+    ExtraWorkerCount perpetual;
     int examined = 0;
     for (const ReadyKey &key : queue->second.keys) {
         if (++examined > kMaxExaminedForRoom)
@@ -192,13 +223,11 @@
         });
         if (fitsSomewhere || large == workers.end())
             continue;
-        const Resources size = (*large)->fullCapacity;
-        const double part = std::max({shareOf(demand.cpuMillis, size.cpuMillis),
-                                      shareOf(demand.memoryMib, size.memoryMib),
-                                      shareOf(demand.accelerators, size.accelerators)});
-        needed += part > kMaxSharedPart ? 1 : part;
+        all.add(key.id, step, (*large)->fullCapacity);
+        if (step.isPerpetual)
+            perpetual.add(key.id, step, (*large)->fullCapacity);
     }
-    return static_cast<int>(std::ceil(needed));
+    return {.all = all.workers(), .forPerpetual = perpetual.workers()};
 }
 
 std::map<std::string, ServiceLoad> Scheduler::loads() const
@@ -216,7 +245,9 @@
     }
     for (const auto &[service, queue] : ready_) {
         loads[service].waitingCpuMillis = queue.waitingCpuMillis;
-        loads[service].extraWorkers = extraWorkersFor(service);
+        const ExtraWorkers extra = extraWorkersFor(service);
+        loads[service].extraWorkers = extra.all;
+        loads[service].extraWorkersForPerpetual = extra.forPerpetual;
     }
     for (const auto &[service, rate] : arrivals_)
         loads[service].arrivingCpuMillis =
--- a/packages/scheduler/src/scheduler_reservation_test.cpp
+++ b/packages/scheduler/src/scheduler_reservation_test.cpp
@@ -127,4 +127,19 @@
     CHECK(fixture.scheduler->loads().at("s").extraWorkers == 2);
 }
 
+// Guards against a call for one machine when each of the waiting tasks needs a worker of its own.
+TEST_CASE("waiting tasks with a limit per worker call for a worker each")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    StepSpec spread = perpetualStep(5, {.cpuMillis = 1'000, .memoryMib = 1'000});
+    spread.maxPerWorker = 1;
+    fixture.submit("spread", {spread});
+    fixture.run(1'000);
+    REQUIRE(fixture.workers.runningCount() == 2);
+    CHECK(fixture.scheduler->loads().at("s").extraWorkers == 3);
+    CHECK(fixture.scheduler->loads().at("s").extraWorkersForPerpetual == 3);
+}
+
 } // namespace chicorywick::scheduler
