Start a lasting task again within 9 s although a silent worker gives no evidence

Cause: after the lease (up to 4.3 s), the task was held for 10 s, until it was known whether the silent worker had crashed under it.

Change: a perpetual task is held for 3 s. Finite tasks keep their 10 s.

Ruled out: no hold at all, which starts a deadly task once more before its crash shows.

--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -22,6 +22,9 @@
 constexpr int kMaxUnplaceableTrials = 24;
 // Longest wait for a silent worker to show whether it has crashed again under a task.
 constexpr Millis kEvidenceWaitMs = 10'000;
+// A perpetual task has to run again within 9 s of its last run. Its lease takes up to 4.3 s of
+// them.
+constexpr Millis kPerpetualEvidenceWaitMs = 3'000;
 // A machine that returns later than this is not taken for one that has crashed.
 constexpr Millis kMaxSilenceMs = 60'000;
 
@@ -109,8 +112,10 @@
         if (task == nullptr)
             continue;
         ++task->silentRuns;
-        if (task->crashes.needsEvidence(task->silentRuns))
-            task->heldUntil = now + kEvidenceWaitMs;
+        if (!task->crashes.needsEvidence(task->silentRuns))
+            continue;
+        const bool isPerpetual = stepOf(entryOf(run.task.job)->job, run.task).isPerpetual;
+        task->heldUntil = now + (isPerpetual ? kPerpetualEvidenceWaitMs : kEvidenceWaitMs);
     }
 }
 
--- a/packages/scheduler/src/scheduler_restart_test.cpp
+++ b/packages/scheduler/src/scheduler_restart_test.cpp
@@ -203,4 +203,29 @@
     }
 }
 
+// Guards against a perpetual task that stands for longer than the 9 s that the pages allow after
+// its last run, because it waits for evidence about a worker that never returns.
+TEST_CASE("a perpetual task with a crash behind it is back soon after its worker is gone for good")
+{
+    constexpr Millis kMaxPauseMs = 9'000;
+    RestartFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(4);
+    StepSpec perpetual = step(1);
+    perpetual.isPerpetual = true;
+    fixture.submit("a", {perpetual});
+    fixture.run(1'000);
+    const TaskId task{.job = "a"};
+    const auto holder = [&] { return fixture.workers.workersRunning(task).front(); };
+    REQUIRE(fixture.workers.workersRunning(task).size() == 1);
+    fixture.restart(holder());
+    fixture.run(2'000);
+    REQUIRE(fixture.workers.workersRunning(task).size() == 1);
+    REQUIRE(fixture.workers.startsOf(task) == 2);
+    fixture.workers.crash(holder());
+    fixture.run(kMaxPauseMs);
+    CHECK(fixture.workers.startsOf(task) == 3);
+    CHECK(fixture.workers.violations().empty());
+}
+
 } // namespace chicorywick::scheduler
