Keep the worker indices when a restarted worker shows another machine

What callers saw: nothing, found while reading again. An entry of a restarted worker that names another machine or service at the same address ended the leader with an exception (unordered_map::at).

Cause: beginIncarnation() replaced the entry before the index by machine was compared with it.

Change: Scheduler::reindex() keeps both indices, for restarts and for plain entries. recordCrash() takes the runs and the set of lost tasks, which saves two copies of the selection.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -246,6 +246,7 @@
     Worker *workerOf(const std::string &id);
     const Worker *workerOf(const std::string &id) const;
     Worker &addWorker(const WorkerEntry &entry);
+    void reindex(Worker &worker, const WorkerEntry &entry);
     void dropWorker(const std::string &id);
     const std::vector<Worker *> &workersFor(const std::string &service) const;
     const std::vector<Worker *> &workersFor(const Job &job) const;
@@ -294,7 +295,8 @@
     // Tasks that crash their workers (scheduler_crashes.cpp)
     bool isProven(const Worker &worker, const Task &task) const;
     std::vector<LostRun> unprovenRuns(const Worker &worker) const;
-    void recordCrash(const std::vector<LostRun> &lost, const std::vector<LostRun> &all);
+    void recordCrash(const std::vector<LostRun> &runs);
+    void recordCrash(const std::vector<LostRun> &runs, const std::set<TaskId> &lost);
     void requeueReady(JobEntry &entry, const TaskId &id);
     void recordSilence(const Worker &worker, const std::vector<LostRun> &runs);
     std::vector<LostRun> endSilence(const std::string &machine);
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -52,15 +52,22 @@
     return runs;
 }
 
+void Scheduler::recordCrash(const std::vector<LostRun> &runs)
+{
+    std::set<TaskId> lost;
+    for (const LostRun &run : runs)
+        lost.insert(run.task);
+    recordCrash(runs, lost);
+}
+
 // Adds a crash to the history of each lost run, and gives up the jobs whose tasks are shown to be
-// the cause. All runs that can be the cause count as evidence, also if it is not known yet whether
-// they are lost.
-void Scheduler::recordCrash(const std::vector<LostRun> &lost, const std::vector<LostRun> &all)
+// the cause. Runs that may not be lost count as evidence, because they can be the cause.
+void Scheduler::recordCrash(const std::vector<LostRun> &runs, const std::set<TaskId> &lost)
 {
     std::set<std::string> startingJobs;
     std::set<std::string> recentJobs;
     std::set<std::string> jobs;
-    for (const LostRun &run : all) {
+    for (const LostRun &run : runs) {
         jobs.insert(run.task.job);
         if (run.isRecent)
             recentJobs.insert(run.task.job);
@@ -68,7 +75,9 @@
             startingJobs.insert(run.task.job);
     }
     std::set<std::string> causes;
-    for (const LostRun &run : lost) {
+    for (const LostRun &run : runs) {
+        if (!lost.contains(run.task))
+            continue;
         JobEntry *const entry = entryOf(run.task.job);
         Task *const task = taskOf(run.task);
         if (entry == nullptr || task == nullptr || isTerminal(entry->job.state())
@@ -149,8 +158,7 @@
     const auto found = silences_.find(entry.machine);
     if (found == silences_.end() || found->second.incarnation >= entry.incarnation)
         return;
-    const std::vector<LostRun> runs = endSilence(entry.machine);
-    recordCrash(runs, runs);
+    recordCrash(endSilence(entry.machine));
 }
 
 void Scheduler::expireSilences()
--- a/packages/scheduler/src/scheduler_incarnations.cpp
+++ b/packages/scheduler/src/scheduler_incarnations.cpp
@@ -1,6 +1,6 @@
 #include "scheduler_worker.h"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -39,6 +39,7 @@
     logLostWorker(worker, "restarted");
     const bool isEndPlanned = worker.isEndPlanned();
     const std::vector<LostRun> runs = isEndPlanned ? std::vector<LostRun>() : unprovenRuns(worker);
+    reindex(worker, entry);
     const Worker former = std::exchange(worker, Worker());
     worker.entry = entry;
     worker.fullCapacity = entry.capacity;
@@ -48,10 +49,6 @@
     worker.idleSince = worker.addedAt;
     worker.formerRuns = runs;
     ++rosterRevision_;
-    if (former.entry.service != entry.service) {
-        std::erase(workersByService_[former.entry.service], &worker);
-        workersByService_[entry.service].push_back(&worker);
-    }
     logJoined(entry);
 
     std::set<TaskId> lost;
@@ -77,10 +74,7 @@
         loseTask(id, entry.id, "restarted");
     if (isEndPlanned)
         endSilence(entry.machine);
-    std::vector<LostRun> lostRuns;
-    std::copy_if(runs.begin(), runs.end(), std::back_inserter(lostRuns),
-                 [&lost](const LostRun &run) { return lost.contains(run.task); });
-    recordCrash(lostRuns, runs);
+    recordCrash(runs, lost);
 }
 
 // Takes an inherited task for lost with the former incarnation if the list lacks it although its
@@ -100,14 +94,11 @@
         if (task != nullptr && !task->isListed)
             lost.insert(id);
     }
-    std::vector<LostRun> lostRuns;
-    std::copy_if(worker.formerRuns.begin(), worker.formerRuns.end(), std::back_inserter(lostRuns),
-                 [&lost](const LostRun &run) { return lost.contains(run.task); });
     // A start without an answer can still arrive, so reconcileAbsent() stops it first.
     for (const TaskId &id : lost)
         if (taskOf(id)->phase != TaskPhase::Starting)
             loseTask(id, worker.entry.id, "restarted");
-    recordCrash(lostRuns, worker.formerRuns);
+    recordCrash(worker.formerRuns, lost);
     if (worker.inheritedTasks.empty())
         worker.formerRuns.clear();
 }
--- a/packages/scheduler/src/scheduler_restart_test.cpp
+++ b/packages/scheduler/src/scheduler_restart_test.cpp
@@ -228,4 +228,20 @@
     CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against a crash of the leader: the indices by service and machine lacked the new entry.
+TEST_CASE("a restarted worker may show another machine and service at its address")
+{
+    SchedulerFixture fixture;
+    fixture.addWorkers(1);
+    fixture.run(500);
+    WorkerEntry entry = fixture.workers.add("w0", "t", kWorkerSize);
+    entry.machine = "other";
+    entry.incarnation = fixture.loop.now();
+    fixture.scheduler->upsertWorker(entry);
+    fixture.scheduler->setQueues({{.name = "q", .service = "t"}});
+    fixture.submit("a", {step(1)});
+    fixture.run(2'000);
+    CHECK(fixture.scheduler->stateOf("a") == JobState::Completed);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -34,6 +34,21 @@
     return worker;
 }
 
+// Keeps the indices in step with an entry that is about to replace that of the worker.
+void Scheduler::reindex(Worker &worker, const WorkerEntry &entry)
+{
+    if (worker.entry.service != entry.service) {
+        std::erase(workersByService_[worker.entry.service], &worker);
+        workersByService_[entry.service].push_back(&worker);
+        ++rosterRevision_;
+    }
+    if (worker.entry.machine != entry.machine) {
+        std::erase(workersByMachine_[worker.entry.machine], &worker);
+        workersByMachine_[entry.machine].push_back(&worker);
+        ++rosterRevision_;
+    }
+}
+
 void Scheduler::dropWorker(const std::string &id)
 {
     Worker *const worker = workerOf(id);
@@ -111,12 +126,7 @@
                         {"service", entry.service},
                         {"tasks", std::to_string(known->tasks.size())}});
     }
-    // Service, address and incarnation are equal here; only discovery reports the machine.
-    if (known->entry.machine != entry.machine) {
-        std::erase(workersByMachine_[known->entry.machine], known);
-        workersByMachine_[entry.machine].push_back(known);
-        ++rosterRevision_;
-    }
+    reindex(*known, entry); // only discovery reports the machine
     const bool hasGrown = known->hasResponded && !known->entry.capacity.covers(entry.capacity);
     known->entry = entry;
     known->fullCapacity.raiseTo(entry.capacity);
@@ -212,7 +222,7 @@
     }
     if (worker.isEndPlanned())
         endSilence(worker.entry.machine);
-    recordCrash(runs, runs);
+    recordCrash(runs);
 }
 
 // Frees a task whose run is lost; it starts again unless it is done or its job has ended.
