Log why a run is stopped, and keep the lines on lasting tasks

Cause: a lasting task was ended while others of its step were away, and the log could not tell why. No line said that a stop was sent, for which reason and with which budget, and lines on lasting tasks were dropped with the hundreds a second on finite ones.

Change: job.stop-sent (CW6018) names the run, the reason, the assigned run, and how many of the step are away and may be. Ends that are neither done nor failed are logged as job.attempt-lost. Lines on tasks of lasting jobs have high priority: a rate limit of their own, as large as that of the others.

Evidence: base_tests "lines of high priority are written beside more normal ones than the rate limit allows" (the former LogStream has no priorities, so it drops them).

--- a/apps/chicorywickd/deployment.cpp
+++ b/apps/chicorywickd/deployment.cpp
@@ -94,9 +94,10 @@
     entry::Metrics metrics;
     base::LogStream log(STDOUT_FILENO, settings.value().node.name,
                         [] { return entry::systemNow().wall; });
-    base::setEventWriter([&](base::Event event, std::initializer_list<base::LogField> fields) {
+    base::setEventWriter([&](base::Event event, std::initializer_list<base::LogField> fields,
+                             base::LogPriority priority) {
         metrics.observe(event, fields);
-        log.write(event, fields);
+        log.write(event, fields, priority);
     });
     adapter::StoreClient platformStore(loop, settings.value().store);
     entry::InstrumentedTable store(platformStore, metrics);
--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -67,6 +67,7 @@
     WorkerLost = 6015,
     JobGivenUp = 6016,
     JobWaiting = 6017,
+    JobStopSent = 6018,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
@@ -84,6 +85,9 @@
 
 enum class Severity { Info, Warning, Error };
 
+/// @brief Lines of high priority are not dropped because of the number of normal ones.
+enum class LogPriority { Normal, High };
+
 /// @brief The catalogue row of an event.
 struct EventInfo
 {
@@ -110,13 +114,15 @@
 std::string formatEvent(Event event, std::initializer_list<LogField> fields);
 
 /// @brief Receives events in place of glog.
-using EventWriter = std::function<void(Event, std::initializer_list<LogField>)>;
+using EventWriter =
+        std::function<void(Event, std::initializer_list<LogField>, LogPriority priority)>;
 
 /// @brief Sets the event writer. Call it once, before any thread logs; an empty writer selects
 /// glog.
 void setEventWriter(EventWriter writer);
 
 /// @brief Passes an event to the event writer or to glog.
-void logEvent(Event event, std::initializer_list<LogField> fields = {});
+void logEvent(Event event, std::initializer_list<LogField> fields = {},
+              LogPriority priority = LogPriority::Normal);
 
 } // namespace chicorywick::base
--- a/packages/base/include/chicorywick/base/log_stream.h
+++ b/packages/base/include/chicorywick/base/log_stream.h
@@ -6,13 +6,15 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace chicorywick::base {
 
 /// @brief Limits of a log stream.
 struct LogStreamLimits
 {
-    int linesPerEvent = 60; ///< lines per event and second; the excess is dropped and counted
+    /// Lines per event, priority and second; the excess is dropped and counted.
+    int linesPerEvent = 60;
     std::size_t bufferBytes = 64 * 1024; ///< buffered while the descriptor accepts no data
 
     bool operator==(const LogStreamLimits &) const = default;
@@ -27,7 +29,8 @@
     LogStream(int descriptor, std::string node, std::function<std::int64_t()> wallMillis,
               LogStreamLimits limits = {});
 
-    void write(Event event, std::initializer_list<LogField> fields);
+    void write(Event event, std::initializer_list<LogField> fields,
+               LogPriority priority = LogPriority::Normal);
 
     /// @brief Writes as much of the buffer as the descriptor accepts without blocking.
     void flush();
@@ -44,8 +47,8 @@
     LogStreamLimits limits_;
     std::string buffer_;
     std::int64_t second_ = 0;
-    std::map<Event, int> written_;             ///< lines in the current second
-    std::map<Event, std::int64_t> unreported_; ///< dropped and not yet reported
+    std::map<std::pair<Event, LogPriority>, int> written_; ///< lines in the current second
+    std::map<Event, std::int64_t> unreported_;             ///< dropped and not yet reported
     std::int64_t dropped_ = 0;
 };
 
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -88,6 +88,8 @@
          "a job failed because one of its tasks crashes the workers that start it"},
         {Event::JobWaiting, Severity::Warning, "job.waiting",
          "a task of a lasting job has waited for seconds; the counts are workers of its service"},
+        {Event::JobStopSent, Severity::Info, "job.stop-sent",
+         "a stop of a run was sent; away and budget are tasks of its step, for lasting jobs"},
         {Event::MemberJoined, Severity::Info, "member.joined", "an entry instance joined"},
         {Event::MemberSuspected, Severity::Warning, "member.suspected",
          "an entry instance does not answer"},
@@ -166,10 +168,10 @@
     eventWriter() = std::move(writer);
 }
 
-void logEvent(Event event, std::initializer_list<LogField> fields)
+void logEvent(Event event, std::initializer_list<LogField> fields, LogPriority priority)
 {
     if (eventWriter())
-        return eventWriter()(event, fields);
+        return eventWriter()(event, fields, priority);
     const std::string line = formatEvent(event, fields);
     switch (eventInfo(event).severity) {
     case Severity::Info:
--- a/packages/base/src/log_stream.cpp
+++ b/packages/base/src/log_stream.cpp
@@ -54,12 +54,12 @@
     , limits_(limits)
 {}
 
-void LogStream::write(Event event, std::initializer_list<LogField> fields)
+void LogStream::write(Event event, std::initializer_list<LogField> fields, LogPriority priority)
 {
     const std::int64_t now = wallMillis_();
     if (now / kMillisPerSecond != second_)
         reportDropped(now / kMillisPerSecond);
-    if (++written_[event] > limits_.linesPerEvent) {
+    if (++written_[{event, priority}] > limits_.linesPerEvent) {
         ++unreported_[event];
         ++dropped_;
         return;
--- a/packages/base/src/log_stream_test.cpp
+++ b/packages/base/src/log_stream_test.cpp
@@ -67,6 +67,23 @@
     CHECK(text.find("lines=job.started:3") != std::string::npos);
 }
 
+// Guards against a cause that cannot be traced: the starts and losses of finite tasks, hundreds a
+// second, displaced the few lines on lasting tasks.
+TEST_CASE("lines of high priority are written beside more normal ones than the rate limit allows")
+{
+    const Pipe pipe;
+    LogStream stream(pipe.ends[1], "n", [] { return std::int64_t{1'000}; }, {.linesPerEvent = 2});
+    for (int i = 0; i < 5; ++i)
+        stream.write(Event::JobStarted, {{"task", "finite"}});
+    for (int i = 0; i < 5; ++i)
+        stream.write(Event::JobStarted, {{"task", "lasting"}}, LogPriority::High);
+    stream.flush();
+    const std::string text = pipe.read();
+    CHECK(std::count(text.begin(), text.end(), '\n') == 4);
+    CHECK(text.find("task=lasting") != std::string::npos);
+    CHECK(stream.droppedLines() == 6);
+}
+
 // Guards against a daemon that blocks on its log because the pipe is full and nobody reads it.
 TEST_CASE("a full pipe drops lines and does not block the writer")
 {
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -20,6 +20,16 @@
     Done,
 };
 
+/// @brief Why a run is stopped.
+enum class StopReason {
+    JobEnded,
+    NotStarted, ///< the worker's list lacks the run, and its start order may still arrive
+    Unassigned, ///< the run is not assigned to the worker that lists it
+    Superseded, ///< another run of the task is done or stays
+    Draining,   ///< the worker is shutting down
+    Maintenance,
+};
+
 /// @brief A task and its current run.
 struct Task
 {
@@ -41,6 +51,7 @@
     int unansweredStarts = 0;          ///< start orders without a reply yet
     bool isStopConfirmed = false;
     bool isStopPending = false;
+    StopReason stopReason = StopReason::JobEnded; ///< of the current run, while it is Stopping
     bool hasBegun = false;   ///< the worker has accepted or listed the current run
     bool isListed = false;   ///< the worker has listed the current run
     bool isSettled = false;  ///< a task list has shown the current run at work for a while
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -231,6 +231,7 @@
 
     // Task ends (scheduler_ends.cpp)
     void handleEnd(Worker &worker, const EndedTask &end);
+    void logEndedEarly(const JobEntry &entry, const Worker &worker, const EndedTask &end) const;
     void handleDone(JobEntry &entry, const EndedTask &end, const std::string &workerId);
     void releaseDone(const TaskId &id, Task &task, const EndedTask &end,
                      const std::string &workerId);
@@ -263,8 +264,8 @@
 
     // Runs that are not assigned to their worker (scheduler_unassigned.cpp)
     void stopUnassigned(Worker &worker, const RunningTask &running);
-    void detachRun(const TaskId &id, Task &task);
-    void stopAndRelease(const TaskId &id, Task &task);
+    void detachRun(const TaskId &id, Task &task, StopReason reason);
+    void stopAndRelease(const TaskId &id, Task &task, StopReason reason);
     void handleUnassignedStop(const std::string &workerId, const TaskId &id, std::int64_t run,
                               const OrderReply &reply);
     void reconcileUnassigned(Worker &worker, std::uint64_t repliesBeforeSend,
@@ -335,11 +336,15 @@
                      const OrderReply &reply);
     void recordAcceptedStart(Worker &worker, const TaskId &id, const StartDestination &destination,
                              const OrderReply &reply);
-    void stop(const TaskId &id, Task &task);
-    void sendStop(const TaskId &id, std::int64_t run, const std::string &workerId);
+    void stop(const TaskId &id, Task &task, StopReason reason);
+    void sendStop(const TaskId &id, std::int64_t run, const std::string &workerId,
+                  StopReason reason);
+    void logStop(const TaskId &id, std::int64_t run, const std::string &workerId,
+                 StopReason reason) const;
 
     // Disruption budgets (scheduler_disruption.cpp)
     int availableOthers(const JobEntry &entry, const TaskId &id) const;
+    int unavailableOthers(const JobEntry &entry, const TaskId &id) const;
     bool mayEvict(const JobEntry &entry, const TaskId &id) const;
 
     WorkerOrders &orders_;
--- a/packages/scheduler/src/scheduler_disruption.cpp
+++ b/packages/scheduler/src/scheduler_disruption.cpp
@@ -35,12 +35,15 @@
     return available;
 }
 
+int Scheduler::unavailableOthers(const JobEntry &entry, const TaskId &id) const
+{
+    return stepOf(entry.job, id).taskCount - 1 - availableOthers(entry, id);
+}
+
 bool Scheduler::mayEvict(const JobEntry &entry, const TaskId &id) const
 {
-    const StepSpec &step = stepOf(entry.job, id);
-    const int unavailable = step.taskCount - 1 - availableOthers(entry, id);
     // Without a configured budget, one task at a time may be unavailable.
-    return unavailable < std::max(step.maxUnavailable, 1);
+    return unavailableOthers(entry, id) < std::max(stepOf(entry.job, id).maxUnavailable, 1);
 }
 
 bool Scheduler::mayDisrupt(const std::string &workerId) const
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -17,6 +17,25 @@
 
 // Tasks that are done once the given one is. The members of a gang end together, so the end of one
 // represents all: the others may never list theirs, and cannot run again without it.
+const char *endKindName(EndKind kind)
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::LeaseExpired:
+        return "lapsed";
+    case EndKind::GangBroken:
+        return "gang-broken";
+    case EndKind::GangIncomplete:
+        return "gang-incomplete";
+    }
+    return "";
+}
+
 std::vector<TaskId> tasksFinishedBy(const Job &job, const TaskId &id)
 {
     if (!stepOf(job, id).isGang)
@@ -120,10 +139,11 @@
     if (id == end.task && isSameRun && task.worker == workerId)
         release(id, task);
     else if (id != end.task && isSameRun)
-        detachRun(id, task); // its own end is usually listed before the next tick
+        detachRun(id, task,
+                  StopReason::Superseded); // its own end is usually listed before the next tick
     else if (!task.worker.empty())
         // Two leaders can have given the same run number to runs on two workers.
-        stopAndRelease(id, task);
+        stopAndRelease(id, task, StopReason::Superseded);
 }
 
 // The stored progress can list only some members of a gang as done.
@@ -168,7 +188,8 @@
                     {"run", std::to_string(end.run)},
                     {"worker", worker.entry.id},
                     {"how", "failed"},
-                    {"attempts", std::to_string(task->failedRuns.size())}});
+                    {"attempts", std::to_string(task->failedRuns.size())}},
+                   logPriority(stepOf(entry.job, end.task)));
     failIfExhausted(entry, end.task);
 }
 
@@ -184,6 +205,17 @@
     finishJob(entry);
 }
 
+void Scheduler::logEndedEarly(const JobEntry &entry, const Worker &worker,
+                              const EndedTask &end) const
+{
+    base::logEvent(base::Event::JobAttemptLost,
+                   {{"task", end.task.text()},
+                    {"run", std::to_string(end.run)},
+                    {"worker", worker.entry.id},
+                    {"how", endKindName(end.kind)}},
+                   logPriority(stepOf(entry.job, end.task)));
+}
+
 void Scheduler::handleEnd(Worker &worker, const EndedTask &end)
 {
     JobEntry *const entry = entryOf(end.task.job);
@@ -209,8 +241,10 @@
     case EndKind::LeaseExpired:
     case EndKind::GangBroken:
     case EndKind::GangIncomplete:
-        if (isCurrent && task->phase != TaskPhase::Done)
+        if (isCurrent && task->phase != TaskPhase::Done) {
+            logEndedEarly(*entry, worker, end);
             requeue(*entry, end.task, *task);
+        }
         break;
     }
     // If the end completed the occurrence, the task no longer exists.
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -222,7 +222,7 @@
                       .occurrence = number,
                       .step = static_cast<int>(step),
                       .index = static_cast<int>(index)},
-                     task);
+                     task, StopReason::JobEnded);
             }
 }
 
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -258,7 +258,7 @@
     task->highestRun = std::max(task->highestRun, running.run);
     if (!isFree && shouldReturnTo(*entry, *task, running)) {
         // Its end shows up as the end of another run and does not affect the task.
-        stopAndRelease(running.task, *task);
+        stopAndRelease(running.task, *task, StopReason::Superseded);
     } else if (!isFree) {
         stopUnassigned(worker, running);
         return;
@@ -320,15 +320,17 @@
         if (task->phase == TaskPhase::Starting) {
             // The start may still arrive; a stop makes the worker reject it permanently.
             task->wasMissing = true;
-            stop(id, *task);
+            stop(id, *task, StopReason::NotStarted);
             continue;
         }
         if (task->phase == TaskPhase::Stopping && !task->isStopConfirmed)
             continue;
-        base::logEvent(base::Event::JobAttemptLost, {{"task", id.text()},
-                                                     {"run", std::to_string(task->run)},
-                                                     {"worker", worker.entry.id},
-                                                     {"how", "absent"}});
+        base::logEvent(base::Event::JobAttemptLost,
+                       {{"task", id.text()},
+                        {"run", std::to_string(task->run)},
+                        {"worker", worker.entry.id},
+                        {"how", "absent"}},
+                       logPriority(stepOf(entry->job, id)));
         if (isTerminal(entry->job.state()))
             release(id, *task);
         else
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -12,6 +12,25 @@
 // scheduler's differ until its next reply.
 constexpr Millis kFullPauseMs = 200;
 
+const char *stopReasonName(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::JobEnded:
+        return "job-ended";
+    case StopReason::NotStarted:
+        return "not-started";
+    case StopReason::Unassigned:
+        return "unassigned";
+    case StopReason::Superseded:
+        return "superseded";
+    case StopReason::Draining:
+        return "draining";
+    case StopReason::Maintenance:
+        return "maintenance";
+    }
+    return "";
+}
+
 } // namespace
 
 OrderValidity Scheduler::validity() const
@@ -52,7 +71,8 @@
                     {"worker", worker.entry.id},
                     {"waited_ms", std::to_string(now - task.readySince)},
                     {"free_cpu", std::to_string(worker.free().cpuMillis)},
-                    {"worker_age_ms", std::to_string(now - worker.replyAt)}});
+                    {"worker_age_ms", std::to_string(now - worker.replyAt)}},
+                   logPriority(stepOf(entry.job, id)));
     orders_.start(worker.address(), order,
                   [this, alive = alive_, id, run = task.run,
                    destination = StartDestination{.workerId = worker.entry.id,
@@ -111,7 +131,8 @@
                         {"run", std::to_string(run)},
                         {"worker", workerId},
                         {"how", "not-started"},
-                        {"status", std::to_string(static_cast<int>(reply.status))}});
+                        {"status", std::to_string(static_cast<int>(reply.status))}},
+                       logPriority(stepOf(entry->job, id)));
     Millis fullUntil = 0;
     switch (reply.status) {
     case OrderStatus::Accepted:
@@ -160,20 +181,45 @@
     worker->fullUntil = fullUntil;
 }
 
-void Scheduler::stop(const TaskId &id, Task &task)
+void Scheduler::stop(const TaskId &id, Task &task, StopReason reason)
 {
     task.phase = TaskPhase::Stopping;
+    task.stopReason = reason;
     // A stop that cannot be sent now is sent by a later tick.
     task.isStopPending = hooks_.maySendOrders();
     task.isStopConfirmed = false;
-    sendStop(id, task.run, task.worker);
+    sendStop(id, task.run, task.worker, reason);
+}
+
+// The budget is logged only where it has a meaning: for tasks of unfinished perpetual jobs.
+void Scheduler::logStop(const TaskId &id, std::int64_t run, const std::string &workerId,
+                        StopReason reason) const
+{
+    const JobEntry *const entry = entryOf(id.job);
+    const bool isKnown = entry != nullptr && entry->job.task(id) != nullptr;
+    const bool isPerpetual = isKnown && stepOf(entry->job, id).isPerpetual;
+    const bool hasBudget = isPerpetual && !isTerminal(entry->job.state());
+    const Task *const task = isKnown ? entry->job.task(id) : nullptr;
+    base::logEvent(
+            base::Event::JobStopSent,
+            {{"task", id.text()},
+             {"run", std::to_string(run)},
+             {"worker", workerId},
+             {"reason", stopReasonName(reason)},
+             {"assigned_run", task != nullptr ? std::to_string(task->run) : ""},
+             {"assigned_worker", task != nullptr ? task->worker : ""},
+             {"away", hasBudget ? std::to_string(unavailableOthers(*entry, id)) : ""},
+             {"budget", hasBudget ? std::to_string(stepOf(entry->job, id).maxUnavailable) : ""}},
+            isPerpetual ? base::LogPriority::High : base::LogPriority::Normal);
 }
 
-void Scheduler::sendStop(const TaskId &id, std::int64_t run, const std::string &workerId)
+void Scheduler::sendStop(const TaskId &id, std::int64_t run, const std::string &workerId,
+                         StopReason reason)
 {
     Worker *const worker = workerOf(workerId);
     if (worker == nullptr || !hooks_.maySendOrders())
         return;
+    logStop(id, run, workerId, reason);
     const auto unassigned = worker->unassigned.find({id, run});
     if (unassigned != worker->unassigned.end())
         unassigned->second.isStopPending = true;
--- a/packages/scheduler/src/scheduler_unassigned.cpp
+++ b/packages/scheduler/src/scheduler_unassigned.cpp
@@ -15,25 +15,28 @@
                              && running.task.step < std::ssize(entry->job.spec().steps);
     if (isStepKnown)
         run.demand = reservedFor(stepOf(entry->job, running.task));
-    sendStop(running.task, running.run, worker.entry.id);
+    sendStop(running.task, running.run, worker.entry.id, StopReason::Unassigned);
 }
 
 // Frees a task from its current run. The next tick stops the run unless its end is listed before.
-void Scheduler::detachRun(const TaskId &id, Task &task)
+void Scheduler::detachRun(const TaskId &id, Task &task, StopReason reason)
 {
     Worker *const worker = workerOf(task.worker);
     const JobEntry *const entry = entryOf(id.job);
-    if (worker != nullptr && entry != nullptr)
-        worker->unassigned[{id, task.run}].demand = reservedFor(stepOf(entry->job, id));
+    if (worker != nullptr && entry != nullptr) {
+        UnassignedRun &run = worker->unassigned[{id, task.run}];
+        run.demand = reservedFor(stepOf(entry->job, id));
+        run.stopReason = reason;
+    }
     release(id, task);
 }
 
 // Stops the current run of a task that is done or runs elsewhere, and frees the task from it.
-void Scheduler::stopAndRelease(const TaskId &id, Task &task)
+void Scheduler::stopAndRelease(const TaskId &id, Task &task, StopReason reason)
 {
     const std::string workerId = task.worker;
-    detachRun(id, task);
-    sendStop(id, task.run, workerId);
+    detachRun(id, task, reason);
+    sendStop(id, task.run, workerId, reason);
 }
 
 void Scheduler::handleUnassignedStop(const std::string &workerId, const TaskId &id,
@@ -84,7 +87,7 @@
         return;
     for (const auto &[key, run] : std::map(worker.unassigned))
         if (!run.isStopConfirmed && !run.isStopPending)
-            sendStop(key.first, key.second, worker.entry.id);
+            sendStop(key.first, key.second, worker.entry.id, run.stopReason);
 }
 
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/base/log_event.h>
 #include <chicorywick/scheduler/scheduler.h>
 
 #include <algorithm>
@@ -25,6 +26,7 @@
 {
     std::optional<Resources> demand; ///< empty: the job is unknown
     Millis listedAt = 0; ///< the worker's clock at the newest list with the run; 0: not listed
+    StopReason stopReason = StopReason::Unassigned;
     bool isStopPending = false;
     bool isStopConfirmed = false;
     std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a stop order
@@ -124,6 +126,13 @@
     }
 };
 
+/// @brief Priority of log lines on tasks of a step. Perpetual tasks are few and are traced for as
+/// long as they run, while finite ones start and end by the hundred each second.
+inline base::LogPriority logPriority(const StepSpec &step)
+{
+    return step.isPerpetual ? base::LogPriority::High : base::LogPriority::Normal;
+}
+
 /// @brief Returns the step of a task.
 inline const StepSpec &stepOf(const Job &job, const TaskId &id)
 {
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -237,7 +237,8 @@
                     {"run", std::to_string(task->run)},
                     {"worker", workerId},
                     {"how", reason},
-                    {"age_ms", std::to_string(hooks_.clock().steady - task->startedAt)}});
+                    {"age_ms", std::to_string(hooks_.clock().steady - task->startedAt)}},
+                   logPriority(stepOf(entry->job, id)));
     if (isTerminal(entry->job.state()) || task->phase == TaskPhase::Done)
         release(id, *task);
     else
@@ -259,7 +260,7 @@
                 unstopped.push_back(task);
         }
         for (const TaskId &task : unstopped)
-            stop(task, *taskOf(task));
+            stop(task, *taskOf(task), taskOf(task)->stopReason);
         checkTrials(*worker);
         retryUnassignedStops(*worker);
         renew(*worker);
@@ -300,7 +301,7 @@
                              || (mayEvict(*entry, id) && chooseWorker(*entry, id, {}) != nullptr);
         if (!step.isPerpetual || !mayStop)
             continue;
-        stop(id, *task);
+        stop(id, *task, worker.entry.isDraining ? StopReason::Draining : StopReason::Maintenance);
     }
 }
 
