Do not repeat a stop of a lasting task on old information

Cause: a stop without an answer was repeated on each tick for as long as it took, whatever had happened meanwhile. A start without an answer that the worker's list lacks is withdrawn by such a stop. The platform executes the start seconds later, the run comes to work, and the next repetition ends it. A stop for maintenance was sent within the budget and repeated when others had become unavailable.

Change: a stop of a lasting task that its worker lists is repeated only within the disruption budget, and one of a run that was never listed only while a fresh list lacks it; otherwise a list is requested. A withdrawn start that a list shows running is taken back as long as no worker has confirmed the stop. An unanswered stop may still be executed for 12 s, so the task counts as away until then.

Both tests failed before: "a perpetual run that starts late is kept although its stop is due" (2 starts, 1 stop executed) and "a stop for maintenance without an answer is not repeated over the disruption budget" (the task had moved). The fake workers now let a test choose which order is late.

Why it works: the run that the list shows is no longer Stopping, so nothing repeats its stop, and a list that is 300 ms old at most leaves no time for a run to start up unseen.

--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -52,9 +52,10 @@
     bool isStopConfirmed = false;
     bool isStopPending = false;
     StopReason stopReason = StopReason::JobEnded; ///< of the current run, while it is Stopping
-    bool hasBegun = false;   ///< the worker has accepted or listed the current run
-    bool isListed = false;   ///< the worker has listed the current run
-    bool isSettled = false;  ///< a task list has shown the current run at work for a while
+    Millis stopExpectedUntil = 0; ///< an unanswered stop of the current run may still be executed
+    bool hasBegun = false;        ///< the worker has accepted or listed the current run
+    bool isListed = false;        ///< the worker has listed the current run
+    bool isSettled = false;       ///< a task list has shown the current run at work for a while
     bool wasMissing = false; ///< start order without a reply, and the worker did not list the task
     int percent = 0;
     int pacePercent = 100;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -259,6 +259,7 @@
     void handleRenewal(const std::string &id, std::uint64_t generation,
                        std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void reconcileRunning(Worker &worker, const RunningTask &running);
+    bool isWithdrawnStart(const JobEntry &entry, const TaskId &id, const Task &task) const;
     bool shouldReturnTo(const JobEntry &entry, const Task &task, const RunningTask &running) const;
     void reconcileAbsent(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
 
@@ -281,6 +282,7 @@
     static void logJoined(const WorkerEntry &entry);
     void logLostWorker(const Worker &worker, const char *reason) const;
     void retryWorkers();
+    void retryStops(Worker &worker);
     void pruneWorkers();
     void drainPerpetual(Worker &worker);
     void pace(Worker &worker);
@@ -339,10 +341,13 @@
     void stop(const TaskId &id, Task &task, StopReason reason);
     void sendStop(const TaskId &id, std::int64_t run, const std::string &workerId,
                   StopReason reason);
+    bool mayRepeatStop(const Worker &worker, const TaskId &id, const Task &task) const;
     void logStop(const TaskId &id, std::int64_t run, const std::string &workerId,
                  StopReason reason) const;
 
     // Disruption budgets (scheduler_disruption.cpp)
+    bool isUnderBudget(const TaskId &id) const;
+    bool hasFreshList(const Worker &worker) const;
     int availableOthers(const JobEntry &entry, const TaskId &id) const;
     int unavailableOthers(const JobEntry &entry, const TaskId &id) const;
     bool mayEvict(const JobEntry &entry, const TaskId &id) const;
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -41,12 +42,15 @@
 /// @brief Faults injected into calls to fake workers.
 struct CallFaults
 {
-    double lostReply = 0; ///< fraction of orders executed without a reply
-    double lateOrder = 0; ///< fraction of orders executed seconds later, without a reply
+    double lostReply = 0;   ///< fraction of orders executed without a reply
+    double lateOrder = 0;   ///< fraction of orders executed seconds later, without a reply
+    double lateRenewal = 0; ///< the same for renewals
 
     bool operator==(const CallFaults &) const = default;
 };
 
+enum class OrderKind { Start, Stop };
+
 /// @brief Simulates workers in virtual time as specified by the platform documentation on running
 /// tasks, and records violations of the scheduler's guarantees.
 class FakeWorkers : public WorkerOrders
@@ -87,6 +91,14 @@
     std::function<void(const WorkerEntry &)> onRestart;
     /// Called for each run that starts; it is late if its order was executed seconds after sending.
     std::function<void(const std::string &worker, const TaskId &task, bool isLate)> onStarted;
+    /// Called for each run that ends; it is late if a stop that was executed seconds after sending
+    /// ended it.
+    std::function<void(const std::string &worker, const EndedTask &end, Millis startedAt,
+                       bool isLate)>
+            onEnded;
+    /// Returns after which time an order is executed, without a reply; empty: the faults decide.
+    std::function<std::optional<Millis>(OrderKind kind, const TaskId &task, std::int64_t run)>
+            lateness;
     Millis workMs = 500;
     Millis maxLeaseMs = 60'000; ///< longer leases are shortened to this
     Millis replyDelayMs = 0;    ///< replies to renewals wait unread for this time
@@ -148,14 +160,17 @@
     Worker *findReachable(const WorkerAddress &address);
     Millis clockOf(const Worker &worker) const { return loop_.now() - worker.clockOrigin; }
     bool hasRoom(const Worker &worker, const Resources &used) const;
+    void executeRenewal(const WorkerAddress &address, const RenewOrder &order,
+                        const std::function<void(const RenewReply &)> &done);
+    Millis randomDelay();
     void extendLease(Worker &worker, Millis leaseUntil);
     OrderReply executeStart(Worker &worker, const StartOrder &order);
     OrderReply executeStop(Worker &worker, const StopOrder &order);
     void crashSoon(const std::string &id, const TaskId &cause);
-    void end(Worker &worker, const TaskId &task, EndKind kind);
+    void end(Worker &worker, const TaskId &task, EndKind kind, bool isLate = false);
     void expire(Worker &worker);
     template <typename Order>
-    void deliver(const WorkerAddress &address, const Order &order,
+    void deliver(const WorkerAddress &address, OrderKind kind, const Order &order,
                  OrderReply (FakeWorkers::*execute)(Worker &, const Order &),
                  const std::function<void(const OrderReply &)> &done);
 
--- a/packages/scheduler/src/fake_workers_test.cpp
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -144,7 +144,7 @@
     worker.lastEndAtLapse = worker.nextEnd - 1;
 }
 
-void FakeWorkers::end(Worker &worker, const TaskId &task, EndKind kind)
+void FakeWorkers::end(Worker &worker, const TaskId &task, EndKind kind, bool isLate)
 {
     const auto found = worker.running.find(task);
     if (found == worker.running.end())
@@ -155,7 +155,10 @@
                             .kind = kind,
                             .checkpoint = found->second.checkpoint});
     worker.tombstones[task] = std::max(worker.tombstones[task], found->second.run);
+    const Millis startedAt = found->second.startedAt;
     worker.running.erase(found);
+    if (onEnded)
+        onEnded(worker.entry.id, worker.ended.back(), startedAt, isLate);
     for (const auto &wake : std::exchange(worker.waiting, {}))
         wake();
 }
@@ -231,26 +234,32 @@
         return {.status = OrderStatus::Fenced, .workerClock = clockOf(worker)};
     worker.fence = order.fence;
     worker.tombstones[order.task] = std::max(worker.tombstones[order.task], order.run);
-    loop_.after(kStopMs, [this, id = worker.entry.id, generation = worker.generation, order] {
+    loop_.after(kStopMs, [this, id = worker.entry.id, generation = worker.generation, order,
+                          isLate = isExecutingLate_] {
         const auto found = workers_.find(id);
         if (found != workers_.end() && found->second.generation == generation) {
             const auto run = found->second.running.find(order.task);
             if (run != found->second.running.end() && run->second.run <= order.run)
-                end(found->second, order.task, EndKind::Stopped);
+                end(found->second, order.task, EndKind::Stopped, isLate);
         }
     });
     return {.status = OrderStatus::Accepted, .workerClock = clockOf(worker)};
 }
 
 template <typename Order>
-void FakeWorkers::deliver(const WorkerAddress &address, const Order &order,
+void FakeWorkers::deliver(const WorkerAddress &address, OrderKind kind, const Order &order,
                           OrderReply (FakeWorkers::*execute)(Worker &, const Order &),
                           const std::function<void(const OrderReply &)> &done)
 {
-    const bool isLate = rng_.chance(faults_.lateOrder);
+    const std::optional<Millis> chosenDelay =
+            lateness ? lateness(kind, order.task, order.run) : std::nullopt;
+    const bool isLate = chosenDelay || rng_.chance(faults_.lateOrder);
     const bool isLost = isLate || rng_.chance(faults_.lostReply);
-    const Millis delay =
-            isLate ? 2'000 + static_cast<Millis>(rng_.below(kMaxExtraDelayMs)) : kNetworkDelayMs;
+    Millis delay = kNetworkDelayMs;
+    if (chosenDelay)
+        delay = *chosenDelay;
+    else if (isLate)
+        delay = randomDelay();
     ++ordersSent_;
     const auto addressed = workers_.find(address.id);
     // The host of a dead process refuses connections immediately.
@@ -281,13 +290,13 @@
 void FakeWorkers::start(const WorkerAddress &worker, const StartOrder &order,
                         std::function<void(const OrderReply &)> done)
 {
-    deliver(worker, order, &FakeWorkers::executeStart, done);
+    deliver(worker, OrderKind::Start, order, &FakeWorkers::executeStart, done);
 }
 
 void FakeWorkers::stop(const WorkerAddress &worker, const StopOrder &order,
                        std::function<void(const OrderReply &)> done)
 {
-    deliver(worker, order, &FakeWorkers::executeStop, done);
+    deliver(worker, OrderKind::Stop, order, &FakeWorkers::executeStop, done);
 }
 
 void FakeWorkers::pace(const WorkerAddress & /*worker*/, const PaceOrder & /*order*/,
@@ -300,53 +309,75 @@
 void FakeWorkers::renew(const WorkerAddress &address, const RenewOrder &order,
                         std::function<void(const RenewReply &)> done)
 {
-    loop_.after(kNetworkDelayMs, [this, address, order, done] {
-        Worker *const worker = findReachable(address);
-        if (worker == nullptr) {
-            loop_.after(order.waitMs + kCallTimeoutMs,
-                        [done] { done({.status = OrderStatus::Unknown}); });
-            return;
-        }
-        if (order.fence < worker->fence) {
-            loop_.after(kNetworkDelayMs, [done] { done({.status = OrderStatus::Fenced}); });
-            return;
-        }
-        worker->fence = order.fence;
-        extendLease(*worker, order.leaseUntil);
-        std::erase_if(worker->ended, [this, worker, &order](const EndedTask &end) {
-            const bool isAcked = end.number <= order.lastAckedEnd;
-            acknowledged_ += isAcked ? 1 : 0;
-            // The leader may restart a task whose end was not acknowledged before the lease lapsed.
-            if (isAcked && end.kind == EndKind::Done && end.number > worker->lastEndAtLapse)
-                doneAndAcknowledged_.insert(end.task);
-            return isAcked;
-        });
-        auto isAnswered = std::make_shared<bool>(false);
-        const auto answer = [this, address, done, isAnswered, generation = worker->generation] {
-            Worker *const now = findReachable(address);
-            if (*isAnswered || now == nullptr || now->generation != generation)
-                return;
-            *isAnswered = true;
-            RenewReply reply{.status = OrderStatus::Accepted,
-                             .workerClock = clockOf(*now),
-                             .incarnation = now->entry.incarnation,
-                             .ended = now->ended};
-            for (const auto &[task, run] : now->running)
-                reply.running.push_back(
-                        {.task = task, .run = run.run, .percent = 100, .load = load});
-            loop_.after(kNetworkDelayMs + replyDelayMs, [done, reply] { done(reply); });
-        };
-        if (order.waitMs == 0 || !worker->ended.empty())
-            return answer();
-        const auto fail = [done, isAnswered] {
-            if (!std::exchange(*isAnswered, true))
-                done({.status = OrderStatus::Unknown});
-        };
-        worker->waiting.emplace_back(answer);
-        worker->resets.emplace_back(fail);
-        loop_.after(order.waitMs, answer);
-        loop_.after(order.waitMs + kCallTimeoutMs, fail);
+    const auto addressed = workers_.find(address.id);
+    const bool isLate = faults_.lateRenewal > 0 && rng_.chance(faults_.lateRenewal);
+    if (isLate && addressed != workers_.end()) {
+        loop_.after(randomDelay(),
+                    [this, address, order, generation = addressed->second.generation] {
+                        const auto found = workers_.find(address.id);
+                        if (found != workers_.end() && found->second.generation == generation)
+                            executeRenewal(address, order, [](const RenewReply &) {});
+                    });
+        loop_.after(order.waitMs + kCallTimeoutMs,
+                    [done] { done({.status = OrderStatus::Unknown}); });
+        return;
+    }
+    loop_.after(kNetworkDelayMs,
+                [this, address, order, done] { executeRenewal(address, order, done); });
+}
+
+Millis FakeWorkers::randomDelay()
+{
+    return 2'000 + static_cast<Millis>(rng_.below(kMaxExtraDelayMs));
+}
+
+void FakeWorkers::executeRenewal(const WorkerAddress &address, const RenewOrder &order,
+                                 const std::function<void(const RenewReply &)> &done)
+{
+    Worker *const worker = findReachable(address);
+    if (worker == nullptr) {
+        loop_.after(order.waitMs + kCallTimeoutMs,
+                    [done] { done({.status = OrderStatus::Unknown}); });
+        return;
+    }
+    if (order.fence < worker->fence) {
+        loop_.after(kNetworkDelayMs, [done] { done({.status = OrderStatus::Fenced}); });
+        return;
+    }
+    worker->fence = order.fence;
+    extendLease(*worker, order.leaseUntil);
+    std::erase_if(worker->ended, [this, worker, &order](const EndedTask &end) {
+        const bool isAcked = end.number <= order.lastAckedEnd;
+        acknowledged_ += isAcked ? 1 : 0;
+        // The leader may restart a task whose end was not acknowledged before the lease lapsed.
+        if (isAcked && end.kind == EndKind::Done && end.number > worker->lastEndAtLapse)
+            doneAndAcknowledged_.insert(end.task);
+        return isAcked;
     });
+    auto isAnswered = std::make_shared<bool>(false);
+    const auto answer = [this, address, done, isAnswered, generation = worker->generation] {
+        Worker *const now = findReachable(address);
+        if (*isAnswered || now == nullptr || now->generation != generation)
+            return;
+        *isAnswered = true;
+        RenewReply reply{.status = OrderStatus::Accepted,
+                         .workerClock = clockOf(*now),
+                         .incarnation = now->entry.incarnation,
+                         .ended = now->ended};
+        for (const auto &[task, run] : now->running)
+            reply.running.push_back({.task = task, .run = run.run, .percent = 100, .load = load});
+        loop_.after(kNetworkDelayMs + replyDelayMs, [done, reply] { done(reply); });
+    };
+    if (order.waitMs == 0 || !worker->ended.empty())
+        return answer();
+    const auto fail = [done, isAnswered] {
+        if (!std::exchange(*isAnswered, true))
+            done({.status = OrderStatus::Unknown});
+    };
+    worker->waiting.emplace_back(answer);
+    worker->resets.emplace_back(fail);
+    loop_.after(order.waitMs, answer);
+    loop_.after(order.waitMs + kCallTimeoutMs, fail);
 }
 
 int FakeWorkers::startsOf(const TaskId &task) const
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -186,6 +186,7 @@
     task.hasBegun = false;
     task.isListed = false;
     task.isSettled = false;
+    task.stopExpectedUntil = 0;
     worker.startingTasks.insert(id);
     if (task.crashes.isSuspected())
         worker.trialTasks.insert(id);
--- a/packages/scheduler/src/scheduler_disruption.cpp
+++ b/packages/scheduler/src/scheduler_disruption.cpp
@@ -10,9 +10,25 @@
 constexpr int kFullPacePercent = 100;
 // Older reports of an unresponsive worker do not show that its tasks still run.
 constexpr Millis kMaxReportAgeMs = 1'500;
+// Well below the start-up time of a perpetual task.
+constexpr Millis kMaxListAgeMs = 300;
 
 } // namespace
 
+// True if no run can have begun and come to work since the worker's newest task list.
+bool Scheduler::hasFreshList(const Worker &worker) const
+{
+    return hooks_.clock().steady - worker.listedAt < kMaxListAgeMs;
+}
+
+// True for the tasks whose stops ask the disruption budget.
+bool Scheduler::isUnderBudget(const TaskId &id) const
+{
+    const JobEntry *const entry = entryOf(id.job);
+    return entry != nullptr && entry->job.task(id) != nullptr && stepOf(entry->job, id).isPerpetual
+           && !isTerminal(entry->job.state());
+}
+
 // Number of other tasks of the step that are available now.
 int Scheduler::availableOthers(const JobEntry &entry, const TaskId &id) const
 {
@@ -29,6 +45,7 @@
         const bool isAvailable = worker != nullptr && siblings[index].phase == TaskPhase::Running
                                  && siblings[index].percent >= kFullPacePercent
                                  && now - siblings[index].phaseSince >= startUp
+                                 && now >= siblings[index].stopExpectedUntil
                                  && now - worker->reportAt < kMaxReportAgeMs;
         available += isAvailable && static_cast<int>(index) != id.index ? 1 : 0;
     }
--- /dev/null
+++ b/packages/scheduler/src/scheduler_late_orders_test.cpp
@@ -0,0 +1,84 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+constexpr Millis kLateMs = 3'000;
+constexpr Millis kNeverMs = 600'000;
+
+StepSpec perpetualStep(int tasks)
+{
+    StepSpec perpetual = step(tasks);
+    perpetual.isPerpetual = true;
+    perpetual.maxPerWorker = 1;
+    perpetual.maxUnavailable = 1;
+    return perpetual;
+}
+
+} // namespace
+
+// Guards against ending a run that its worker took late, in favour of one that is not at work yet.
+TEST_CASE("a perpetual run that starts late is kept although its stop is due")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.run(500);
+    int stopsExecuted = 0;
+    fixture.workers.onEnded = [&](const std::string &, const EndedTask &, Millis, bool) {
+        ++stopsExecuted;
+    };
+    fixture.workers.lateness = [](OrderKind kind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> {
+        return kind == OrderKind::Start ? kLateMs : kNeverMs;
+    };
+    fixture.submit("a", {perpetualStep(1)});
+    fixture.run(kLateMs + 200);
+    const TaskId task{.job = "a"};
+    REQUIRE(fixture.workers.workersRunning(task).size() == 1);
+    fixture.workers.lateness = nullptr;
+    fixture.run(10'000);
+    CHECK(fixture.workers.workersRunning(task).size() == 1);
+    CHECK(fixture.workers.startsOf(task) == 1);
+    CHECK(stopsExecuted == 0);
+}
+
+// Guards against a stop that is sent again after others of the step have become unavailable.
+TEST_CASE("a stop for maintenance without an answer is not repeated over the disruption budget")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(4);
+    fixture.submit("a", {perpetualStep(3)});
+    fixture.run(4'000);
+    const TaskId drained{.job = "a", .index = 0};
+    const TaskId other{.job = "a", .index = 1};
+    const auto drainedOn = fixture.workers.workersRunning(drained);
+    const auto otherOn = fixture.workers.workersRunning(other);
+    REQUIRE(drainedOn.size() == 1);
+    REQUIRE(otherOn.size() == 1);
+    fixture.workers.lateness = [](OrderKind kind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> {
+        return kind == OrderKind::Stop ? std::optional(kNeverMs) : std::nullopt;
+    };
+    fixture.scheduler->setCordoned(drainedOn[0], CordonReason::Maintenance, true);
+    fixture.run(200);
+    fixture.workers.setReachable(otherOn[0], false);
+    fixture.run(2'500);
+    REQUIRE(fixture.workers.workersRunning(drained) == drainedOn);
+    fixture.workers.lateness = nullptr;
+    fixture.run(1'000);
+    CHECK(fixture.workers.workersRunning(drained) == drainedOn);
+    fixture.workers.setReachable(otherOn[0], true);
+    fixture.run(15'000);
+    CHECK(fixture.workers.startsOf(drained) == 2);
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kLeaseSlackMs = 150;
 // A lease with less than this remaining is renewed even while ends are not stored yet.
 constexpr Millis kUrgentLeaseMs = 3'000;
+// The platform may execute an order without an answer up to this much later.
+constexpr Millis kMaxOrderDelayMs = 12'000;
 
 } // namespace
 
@@ -203,6 +205,8 @@
     // ignored, because a task that it lacks may have started since.
     const bool isOlder = reply.workerClock < worker.listClock;
     worker.listClock = std::max(worker.listClock, reply.workerClock);
+    if (!isOlder)
+        worker.listedAt = worker.reportAt;
     if (!isOlder) {
         for (const RunningTask &running : reply.running)
             reconcileRunning(worker, running);
@@ -243,7 +247,10 @@
         task->checkpoint = running.checkpoint.empty() ? task->checkpoint : running.checkpoint;
         task->percent = running.percent;
         task->load = running.load;
-        if (task->phase == TaskPhase::Starting) {
+        const bool isWithdrawn = isWithdrawnStart(*entry, running.task, *task);
+        if (isWithdrawn)
+            task->stopExpectedUntil = hooks_.clock().steady + kMaxOrderDelayMs;
+        if (task->phase == TaskPhase::Starting || isWithdrawn) {
             task->phase = TaskPhase::Running;
             task->phaseSince = hooks_.clock().steady;
             task->lastReplyNumber = ++replyCount_;
@@ -281,6 +288,14 @@
     entry->job.markStarted();
 }
 
+// A run that has begun is worth more than the next one, which has yet to be started.
+bool Scheduler::isWithdrawnStart(const JobEntry &entry, const TaskId &id, const Task &task) const
+{
+    return task.phase == TaskPhase::Stopping && task.stopReason == StopReason::NotStarted
+           && !task.isStopConfirmed && !isTerminal(entry.job.state())
+           && !stepOf(entry.job, id).isGang;
+}
+
 // A perpetual task was started again because its worker was silent, and its former run turns out to
 // be at work. That run stays: ending it would leave nothing at work until the new one has started.
 bool Scheduler::shouldReturnTo(const JobEntry &entry, const Task &task,
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -191,6 +191,15 @@
     sendStop(id, task.run, task.worker, reason);
 }
 
+// Others of the step can have become unavailable since a stop without an answer was sent, and a run
+// whose start had none can have come to work.
+bool Scheduler::mayRepeatStop(const Worker &worker, const TaskId &id, const Task &task) const
+{
+    if (worker.entry.isDraining || !isUnderBudget(id))
+        return true;
+    return task.isListed ? mayEvict(*entryOf(id.job), id) : hasFreshList(worker);
+}
+
 // The budget is logged only where it has a meaning: for tasks of unfinished perpetual jobs.
 void Scheduler::logStop(const TaskId &id, std::int64_t run, const std::string &workerId,
                         StopReason reason) const
@@ -238,6 +247,8 @@
                      task->lastReplyNumber = ++replyCount_;
                      task->isStopConfirmed = reply.status == OrderStatus::Accepted
                                              || reply.status == OrderStatus::StaleRun;
+                     if (task->isStopConfirmed && task->phase == TaskPhase::Running)
+                         task->phase = TaskPhase::Stopping;
                      // A task that never ran there produces no end, so the long poll does not
                      // return early.
                      Worker *const stopped = workerOf(workerId);
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -64,6 +64,7 @@
     Millis clockOffset = 0; ///< smallest recent difference of local time and its clock at a reply
     Millis addedAt = 0;
     Millis listClock = 0; ///< the worker's clock at the newest task list received
+    Millis listedAt = 0;  ///< when the worker wrote that list, as far as its clock shows
     Millis leaseSent = 0; ///< latest lease end sent, on the worker's clock
     bool isRenewing = false;
     bool isProbing = false;
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -252,21 +252,36 @@
         if (!worker->tasks.empty() && now - worker->replyAt > settings_.unresponsiveAfterMs
             && isLeaseExpired(*worker))
             handleLostTasks(*worker, LossReason::LeaseExpired);
-        std::vector<TaskId> unstopped;
-        for (const TaskId &task : worker->tasks) {
-            const Task *const state = taskOf(task);
-            if (state != nullptr && state->phase == TaskPhase::Stopping && !state->isStopConfirmed
-                && !state->isStopPending)
-                unstopped.push_back(task);
-        }
-        for (const TaskId &task : unstopped)
-            stop(task, *taskOf(task), taskOf(task)->stopReason);
+        retryStops(*worker);
         checkTrials(*worker);
         retryUnassignedStops(*worker);
         renew(*worker);
     }
 }
 
+// Repeats stops without an answer. Those that must not be repeated on old information ask for a
+// task list first.
+void Scheduler::retryStops(Worker &worker)
+{
+    bool needsList = false;
+    std::vector<TaskId> due;
+    for (const TaskId &id : worker.tasks) {
+        const Task *const task = taskOf(id);
+        const bool isUnanswered = task != nullptr && task->phase == TaskPhase::Stopping
+                                  && !task->isStopConfirmed && !task->isStopPending;
+        if (!isUnanswered)
+            continue;
+        if (mayRepeatStop(worker, id, *task))
+            due.push_back(id);
+        else
+            needsList = needsList || !task->isListed;
+    }
+    for (const TaskId &id : due)
+        stop(id, *taskOf(id), taskOf(id)->stopReason);
+    if (needsList)
+        probe(worker);
+}
+
 void Scheduler::pruneWorkers()
 {
     for (auto item = workers_.begin(); item != workers_.end();) {
