Keep the run of a lasting task that is at work

Callers could see a task of a lasting job ended while the run that should replace it had not started (AVAIL, and LOST if it never does).

Cause: a run that a worker lists and that is not assigned was stopped unless the assigned run was Starting or Running, had a higher number and was younger than its start-up time. No such stop asked the disruption budget.

Change: a listed run of a lasting task is stopped only once the reports show the assigned run at work, and within the budget. Otherwise the task returns to the listed run, whatever the numbers, unless a stop of it was sent, which may still be executed; then both stay. A worker that only has such runs renews its lease.

Evidence: "a perpetual run at work is kept while the run that replaced it has not started" failed on the former code for both lengths of the silence (2 starts). "a perpetual run that is kept beside the assigned one keeps its lease" fails without the renewal (3 starts).

--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -55,6 +55,7 @@
     Millis stopExpectedUntil = 0; ///< an unanswered stop of the current run may still be executed
     bool hasBegun = false;        ///< the worker has accepted or listed the current run
     bool isListed = false;        ///< the worker has listed the current run
+    bool isAdopted = false;       ///< a worker listed the current run before it was assigned here
     bool isSettled = false;       ///< a task list has shown the current run at work for a while
     bool wasMissing = false; ///< start order without a reply, and the worker did not list the task
     int percent = 0;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -153,6 +153,7 @@
 
 private:
     struct Worker;
+    struct UnassignedRun;
     struct ReadyKey
     {
         int band = 0;
@@ -260,11 +261,13 @@
                        std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void reconcileRunning(Worker &worker, const RunningTask &running);
     bool isWithdrawnStart(const JobEntry &entry, const TaskId &id, const Task &task) const;
-    bool shouldReturnTo(const JobEntry &entry, const Task &task, const RunningTask &running) const;
+    bool shouldReturnTo(const Worker &worker, const RunningTask &running) const;
+    void adopt(Worker &worker, const RunningTask &running);
     void reconcileAbsent(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
 
     // Runs that are not assigned to their worker (scheduler_unassigned.cpp)
     void stopUnassigned(Worker &worker, const RunningTask &running);
+    bool hasKeptRuns(const Worker &worker) const;
     void detachRun(const TaskId &id, Task &task, StopReason reason);
     void stopAndRelease(const TaskId &id, Task &task, StopReason reason);
     void handleUnassignedStop(const std::string &workerId, const TaskId &id, std::int64_t run,
@@ -272,6 +275,7 @@
     void reconcileUnassigned(Worker &worker, std::uint64_t repliesBeforeSend,
                              const RenewReply &reply);
     void retryUnassignedStops(Worker &worker);
+    bool mayStopUnassigned(const Worker &worker, const TaskId &id, const UnassignedRun &run) const;
 
     void recordClock(Worker &worker, Millis workerClock);
     Millis leaseUntil(const Worker &worker) const;
@@ -346,6 +350,7 @@
                  StopReason reason) const;
 
     // Disruption budgets (scheduler_disruption.cpp)
+    bool isAtWork(const TaskId &id) const;
     bool isUnderBudget(const TaskId &id) const;
     bool hasFreshList(const Worker &worker) const;
     int availableOthers(const JobEntry &entry, const TaskId &id) const;
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -185,6 +185,7 @@
     task.startedAt = hooks_.clock().steady;
     task.hasBegun = false;
     task.isListed = false;
+    task.isAdopted = false;
     task.isSettled = false;
     task.stopExpectedUntil = 0;
     worker.startingTasks.insert(id);
--- a/packages/scheduler/src/scheduler_disruption.cpp
+++ b/packages/scheduler/src/scheduler_disruption.cpp
@@ -15,6 +15,20 @@
 
 } // namespace
 
+// True if the reports show that the assigned run of a perpetual task is at work. One that this
+// leader has started needs its start-up time first; one that it found running may be long past it.
+bool Scheduler::isAtWork(const TaskId &id) const
+{
+    const Task *const task = taskOf(id);
+    const Worker *const worker = task != nullptr ? workerOf(task->worker) : nullptr;
+    if (worker == nullptr || task->phase != TaskPhase::Running || !task->isListed)
+        return false;
+    const Millis now = hooks_.clock().steady;
+    const Millis startUp = startUpTime(stepOf(entryOf(id.job)->job, id));
+    return now - worker->reportAt < kMaxReportAgeMs && now >= task->stopExpectedUntil
+           && (task->isAdopted || now - task->phaseSince >= startUp);
+}
+
 // True if no run can have begun and come to work since the worker's newest task list.
 bool Scheduler::hasFreshList(const Worker &worker) const
 {
--- a/packages/scheduler/src/scheduler_late_orders_test.cpp
+++ b/packages/scheduler/src/scheduler_late_orders_test.cpp
@@ -50,6 +50,37 @@
     CHECK(stopsExecuted == 0);
 }
 
+// Guards against ending the run at work for one whose start order has no answer.
+TEST_CASE("a perpetual run at work is kept while the run that replaced it has not started")
+{
+    for (const Millis silentMs : {Millis{6'000}, Millis{9'000}}) {
+        CAPTURE(silentMs);
+        SchedulerFixture fixture;
+        fixture.workers.workMs = 0;
+        fixture.addWorkers(2);
+        fixture.submit("a", {perpetualStep(1)});
+        fixture.run(2'000);
+        const TaskId task{.job = "a"};
+        const auto workerIds = fixture.workers.workersRunning(task);
+        REQUIRE(workerIds.size() == 1);
+        // A renewal that was executed late keeps the run at work beyond the end of its lease.
+        fixture.workers.renew({.id = workerIds[0], .address = "10.0.0.1:80"},
+                              {.leaseUntil = fixture.loop.now() + 60'000, .fence = fixture.term},
+                              [](const RenewReply &) {});
+        fixture.run(100);
+        fixture.workers.lateness = [](OrderKind, const TaskId &,
+                                      std::int64_t) -> std::optional<Millis> { return kNeverMs; };
+        fixture.workers.setReachable(workerIds[0], false);
+        fixture.run(silentMs);
+        fixture.workers.setReachable(workerIds[0], true);
+        fixture.run(2'500);
+        fixture.workers.lateness = nullptr;
+        fixture.run(5'000);
+        CHECK(fixture.workers.workersRunning(task) == workerIds);
+        CHECK(fixture.workers.startsOf(task) == 1);
+    }
+}
+
 // Guards against a stop that is sent again after others of the step have become unavailable.
 TEST_CASE("a stop for maintenance without an answer is not repeated over the disruption budget")
 {
@@ -81,4 +112,36 @@
     CHECK(fixture.workers.startsOf(drained) == 2);
 }
 
+// Guards against a lapse of the only run at work: its stop had no answer, and the run that replaced
+// it is lost.
+TEST_CASE("a perpetual run that is kept beside the assigned one keeps its lease")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    fixture.submit("a", {perpetualStep(1)});
+    fixture.run(2'000);
+    const TaskId task{.job = "a"};
+    const auto first = fixture.workers.workersRunning(task);
+    REQUIRE(first.size() == 1);
+    fixture.workers.renew({.id = first[0], .address = "10.0.0.1:80"},
+                          {.leaseUntil = fixture.loop.now() + 11'000, .fence = fixture.term},
+                          [](const RenewReply &) {});
+    fixture.run(100);
+    fixture.workers.setReachable(first[0], false);
+    fixture.run(8'000);
+    REQUIRE(fixture.workers.startsOf(task) == 2);
+    const std::string second = first[0] == "w0" ? "w1" : "w0";
+    fixture.workers.lateness = [](OrderKind kind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> {
+        return kind == OrderKind::Stop ? std::optional(kNeverMs) : std::nullopt;
+    };
+    fixture.workers.setReachable(first[0], true);
+    fixture.run(2'000);
+    fixture.workers.setReachable(second, false);
+    fixture.run(8'000);
+    CHECK(fixture.workers.tasksOn(first[0]) == std::vector{task});
+    CHECK(fixture.workers.startsOf(task) == 2);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -61,7 +61,8 @@
         order.lastAckedEnd = worker.lastAckedEnd;
     // After a failed renewal the lease end stays the same. Otherwise the lease of an unresponsive
     // worker would never expire here and its tasks could not start elsewhere.
-    if (worker.clockAtReply != 0 && !worker.tasks.empty())
+    const bool needsLease = !worker.tasks.empty() || hasKeptRuns(worker);
+    if (worker.clockAtReply != 0 && needsLease)
         order.leaseUntil = worker.hasRenewalFailed ? worker.leaseSent : leaseUntil(worker);
     return order;
 }
@@ -263,29 +264,11 @@
     const bool isFree = task->worker.empty() && task->phase != TaskPhase::Done
                         && !isTerminal(entry->job.state());
     task->highestRun = std::max(task->highestRun, running.run);
-    if (!isFree && shouldReturnTo(*entry, *task, running)) {
-        // Its end shows up as the end of another run and does not affect the task.
-        stopAndRelease(running.task, *task, StopReason::Superseded);
-    } else if (!isFree) {
-        stopUnassigned(worker, running);
-        return;
-    }
-    dequeue(*entry, running.task);
-    task->phase = TaskPhase::Running;
-    task->phaseSince = hooks_.clock().steady;
-    task->worker = worker.entry.id;
-    task->run = running.run;
-    task->checkpoint = running.checkpoint;
-    task->percent = running.percent;
-    worker.unassigned.erase({running.task, running.run});
-    worker.tasks.insert(running.task);
-    // The run has survived its start, so it needs no trial.
-    task->startedAt = task->phaseSince;
-    task->hasBegun = true;
-    task->isListed = true;
-    task->isSettled = true;
-    worker.addUse(stepOf(entry->job, running.task));
-    entry->job.markStarted();
+    if (!isFree && !shouldReturnTo(worker, running))
+        return stopUnassigned(worker, running);
+    if (!isFree)
+        detachRun(running.task, *task, StopReason::Superseded);
+    adopt(worker, running);
 }
 
 // A run that has begun is worth more than the next one, which has yet to be started.
@@ -296,16 +279,43 @@
            && !stepOf(entry.job, id).isGang;
 }
 
-// A perpetual task was started again because its worker was silent, and its former run turns out to
-// be at work. That run stays: ending it would leave nothing at work until the new one has started.
-bool Scheduler::shouldReturnTo(const JobEntry &entry, const Task &task,
-                               const RunningTask &running) const
+// Assigns a task to the run that a worker lists.
+void Scheduler::adopt(Worker &worker, const RunningTask &running)
+{
+    JobEntry &entry = *entryOf(running.task.job);
+    Task &task = *entry.job.task(running.task);
+    dequeue(entry, running.task);
+    task.phase = TaskPhase::Running;
+    task.phaseSince = hooks_.clock().steady;
+    task.worker = worker.entry.id;
+    task.run = running.run;
+    task.checkpoint = running.checkpoint;
+    task.percent = running.percent;
+    const auto stray = worker.unassigned.find({running.task, running.run});
+    const bool isStopSent = stray != worker.unassigned.end() && stray->second.isStopSent;
+    task.stopExpectedUntil = isStopSent ? task.phaseSince + kMaxOrderDelayMs : 0;
+    if (stray != worker.unassigned.end())
+        worker.unassigned.erase(stray);
+    worker.tasks.insert(running.task);
+    // The run has survived its start, so it needs no trial.
+    task.startedAt = task.phaseSince;
+    task.hasBegun = true;
+    task.isListed = true;
+    task.isAdopted = true;
+    task.isSettled = true;
+    worker.addUse(stepOf(entry.job, running.task));
+    entry.job.markStarted();
+}
+
+// A perpetual task was started again because its worker was silent or its start had no answer, and
+// the former run turns out to be there. That run stays unless the new one is at work or a stop may
+// still end it: ending it would leave nothing at work until the new one has started.
+bool Scheduler::shouldReturnTo(const Worker &worker, const RunningTask &running) const
 {
-    const StepSpec &step = stepOf(entry.job, running.task);
-    const bool isAssigned = task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running;
-    return step.isPerpetual && !isTerminal(entry.job.state()) && isAssigned
-           && running.run > task.endedRun && running.run < task.run
-           && hooks_.clock().steady - task.phaseSince < startUpTime(step);
+    const auto stray = worker.unassigned.find({running.task, running.run});
+    const bool isStopSent = stray != worker.unassigned.end() && stray->second.isStopSent;
+    return isUnderBudget(running.task) && !worker.entry.isDraining && !isStopSent
+           && !isAtWork(running.task);
 }
 
 // Handles tasks that are assigned to the worker but not running there. A task is absent if a reply
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -231,7 +231,7 @@
     logStop(id, run, workerId, reason);
     const auto unassigned = worker->unassigned.find({id, run});
     if (unassigned != worker->unassigned.end())
-        unassigned->second.isStopPending = true;
+        unassigned->second.isStopSent = unassigned->second.isStopPending = true;
     orders_.stop(worker->address(),
                  {.task = id, .run = run, .fence = settings_.fence, .validity = validity()},
                  [this, alive = alive_, id, run, workerId](const OrderReply &reply) {
--- a/packages/scheduler/src/scheduler_unassigned.cpp
+++ b/packages/scheduler/src/scheduler_unassigned.cpp
@@ -15,7 +15,29 @@
                              && running.task.step < std::ssize(entry->job.spec().steps);
     if (isStepKnown)
         run.demand = reservedFor(stepOf(entry->job, running.task));
-    sendStop(running.task, running.run, worker.entry.id, StopReason::Unassigned);
+    if (mayStopUnassigned(worker, running.task, run))
+        sendStop(running.task, running.run, worker.entry.id, StopReason::Unassigned);
+}
+
+// A run of a perpetual task that its worker lists may be the only one at work. It is stopped only
+// once the assigned run is at work, and within the disruption budget of the step.
+bool Scheduler::mayStopUnassigned(const Worker &worker, const TaskId &id,
+                                  const UnassignedRun &run) const
+{
+    if (worker.entry.isDraining || !isUnderBudget(id))
+        return true;
+    if (run.listedAt == 0)
+        return !run.isStopSent || hasFreshList(worker);
+    return isAtWork(id) && mayEvict(*entryOf(id.job), id);
+}
+
+// True if the worker lists a run that may be the only one of its perpetual task at work.
+bool Scheduler::hasKeptRuns(const Worker &worker) const
+{
+    return std::any_of(worker.unassigned.begin(), worker.unassigned.end(),
+                       [this](const auto &item) {
+                           return item.second.listedAt != 0 && isUnderBudget(item.first.first);
+                       });
 }
 
 // Frees a task from its current run. The next tick stops the run unless its end is listed before.
@@ -27,6 +49,9 @@
         UnassignedRun &run = worker->unassigned[{id, task.run}];
         run.demand = reservedFor(stepOf(entry->job, id));
         run.stopReason = reason;
+        run.listedAt = task.isListed ? worker->listClock : 0;
+        run.isStopSent =
+                task.phase == TaskPhase::Stopping || hooks_.clock().steady < task.stopExpectedUntil;
     }
     release(id, task);
 }
@@ -85,9 +110,17 @@
 {
     if (worker.isReplaced)
         return;
-    for (const auto &[key, run] : std::map(worker.unassigned))
-        if (!run.isStopConfirmed && !run.isStopPending)
+    bool needsList = false;
+    for (const auto &[key, run] : std::map(worker.unassigned)) {
+        if (run.isStopConfirmed || run.isStopPending)
+            continue;
+        if (mayStopUnassigned(worker, key.first, run))
             sendStop(key.first, key.second, worker.entry.id, run.stopReason);
+        else
+            needsList = needsList || run.listedAt == 0;
+    }
+    if (needsList)
+        probe(worker);
 }
 
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -22,11 +22,12 @@
 
 /// @brief A run that may be on a worker and is not assigned to it; it is being stopped and reserves
 /// its capacity until then.
-struct UnassignedRun
+struct Scheduler::UnassignedRun
 {
     std::optional<Resources> demand; ///< empty: the job is unknown
     Millis listedAt = 0; ///< the worker's clock at the newest list with the run; 0: not listed
     StopReason stopReason = StopReason::Unassigned;
+    bool isStopSent = false; ///< a stop was sent, and may still be executed
     bool isStopPending = false;
     bool isStopConfirmed = false;
     std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a stop order
