Do not take a worker for empty while a run is being stopped there

Cause: the planners of pools and of maintenance ask the scheduler how many tasks a worker has. Runs that the worker lists and that are not assigned to it did not count, so a machine with such a run looked idle and could be moved or maintained, which ends the run. Such a run can be the only one of its task at work.

Change: WorkerView::tasks includes these runs.

Evidence: "a worker whose run is not stopped yet does not count as empty" failed before (0 tasks).

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -51,7 +51,7 @@
 struct WorkerView
 {
     WorkerEntry entry;
-    int tasks = 0;
+    int tasks = 0; ///< including runs that are being stopped and not assigned
     int perpetualTasks = 0;
     bool isUsable = false;
     bool isCordoned = false;
--- a/packages/scheduler/src/scheduler_late_orders_test.cpp
+++ b/packages/scheduler/src/scheduler_late_orders_test.cpp
@@ -144,4 +144,32 @@
     CHECK(fixture.workers.startsOf(task) == 2);
 }
 
+// Guards against a move or maintenance of a machine that is taken for idle while a run that was
+// given up is still there.
+TEST_CASE("a worker whose run is not stopped yet does not count as empty")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    fixture.submit("a", {perpetualStep(1)});
+    fixture.run(2'000);
+    const TaskId task{.job = "a"};
+    const auto first = fixture.workers.workersRunning(task);
+    REQUIRE(first.size() == 1);
+    fixture.workers.renew({.id = first[0], .address = "10.0.0.1:80"},
+                          {.leaseUntil = fixture.loop.now() + 30'000, .fence = fixture.term},
+                          [](const RenewReply &) {});
+    fixture.run(100);
+    fixture.workers.setReachable(first[0], false);
+    fixture.run(8'000);
+    REQUIRE(fixture.workers.startsOf(task) == 2);
+    fixture.workers.lateness = [](OrderKind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> { return kNeverMs; };
+    fixture.workers.setReachable(first[0], true);
+    fixture.run(3'000);
+    REQUIRE(fixture.workers.tasksOn(first[0]).size() == 1);
+    for (const WorkerView &view : fixture.scheduler->workers())
+        CHECK(view.tasks == 1);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -383,7 +383,7 @@
     std::vector<WorkerView> views;
     for (const auto &[id, worker] : workers_) {
         WorkerView view{.entry = worker->entry,
-                        .tasks = static_cast<int>(worker->tasks.size()),
+                        .tasks = static_cast<int>(worker->tasks.size() + worker->unassigned.size()),
                         .isUsable = worker->isListed && worker->hasResponded && !worker->isReplaced,
                         .isCordoned = !worker->cordons.empty(),
                         .mayRunUnknownTasks = !worker->hasResponded && !worker->isReplaced
