Merge the fixes for lasting tasks that late orders end

Three faults of one class, each with its test in its own commit: stops repeated on old information, the run at work stopped for one that had not started, and machines with such a run taken for idle.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -51,7 +51,7 @@
 struct WorkerView
 {
     WorkerEntry entry;
-    int tasks = 0;
+    int tasks = 0; ///< including runs that are being stopped and not assigned
     int perpetualTasks = 0;
     bool isUsable = false;
     bool isCordoned = false;
@@ -153,6 +153,7 @@
 
 private:
     struct Worker;
+    struct UnassignedRun;
     struct ReadyKey
     {
         int band = 0;
@@ -259,11 +260,14 @@
     void handleRenewal(const std::string &id, std::uint64_t generation,
                        std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void reconcileRunning(Worker &worker, const RunningTask &running);
-    bool shouldReturnTo(const JobEntry &entry, const Task &task, const RunningTask &running) const;
+    bool isWithdrawnStart(const JobEntry &entry, const TaskId &id, const Task &task) const;
+    bool shouldReturnTo(const Worker &worker, const RunningTask &running) const;
+    void adopt(Worker &worker, const RunningTask &running);
     void reconcileAbsent(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
 
     // Runs that are not assigned to their worker (scheduler_unassigned.cpp)
     void stopUnassigned(Worker &worker, const RunningTask &running);
+    bool hasKeptRuns(const Worker &worker) const;
     void detachRun(const TaskId &id, Task &task, StopReason reason);
     void stopAndRelease(const TaskId &id, Task &task, StopReason reason);
     void handleUnassignedStop(const std::string &workerId, const TaskId &id, std::int64_t run,
@@ -271,6 +275,7 @@
     void reconcileUnassigned(Worker &worker, std::uint64_t repliesBeforeSend,
                              const RenewReply &reply);
     void retryUnassignedStops(Worker &worker);
+    bool mayStopUnassigned(const Worker &worker, const TaskId &id, const UnassignedRun &run) const;
 
     void recordClock(Worker &worker, Millis workerClock);
     Millis leaseUntil(const Worker &worker) const;
@@ -281,6 +286,7 @@
     static void logJoined(const WorkerEntry &entry);
     void logLostWorker(const Worker &worker, const char *reason) const;
     void retryWorkers();
+    void retryStops(Worker &worker);
     void pruneWorkers();
     void drainPerpetual(Worker &worker);
     void pace(Worker &worker);
@@ -339,10 +345,14 @@
     void stop(const TaskId &id, Task &task, StopReason reason);
     void sendStop(const TaskId &id, std::int64_t run, const std::string &workerId,
                   StopReason reason);
+    bool mayRepeatStop(const Worker &worker, const TaskId &id, const Task &task) const;
     void logStop(const TaskId &id, std::int64_t run, const std::string &workerId,
                  StopReason reason) const;
 
     // Disruption budgets (scheduler_disruption.cpp)
+    bool isAtWork(const TaskId &id) const;
+    bool isUnderBudget(const TaskId &id) const;
+    bool hasFreshList(const Worker &worker) const;
     int availableOthers(const JobEntry &entry, const TaskId &id) const;
     int unavailableOthers(const JobEntry &entry, const TaskId &id) const;
     bool mayEvict(const JobEntry &entry, const TaskId &id) const;
--- /dev/null
+++ b/packages/scheduler/src/scheduler_late_orders_test.cpp
@@ -0,0 +1,175 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicorywick::scheduler {
+
+namespace {
+
+constexpr Millis kLateMs = 3'000;
+constexpr Millis kNeverMs = 600'000;
+
+StepSpec perpetualStep(int tasks)
+{
+    StepSpec perpetual = step(tasks);
+    perpetual.isPerpetual = true;
+    perpetual.maxPerWorker = 1;
+    perpetual.maxUnavailable = 1;
+    return perpetual;
+}
+
+} // namespace
+
+// Guards against ending a run that its worker took late, in favour of one that is not at work yet.
+TEST_CASE("a perpetual run that starts late is kept although its stop is due")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.run(500);
+    int stopsExecuted = 0;
+    fixture.workers.onEnded = [&](const std::string &, const EndedTask &, Millis, bool) {
+        ++stopsExecuted;
+    };
+    fixture.workers.lateness = [](OrderKind kind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> {
+        return kind == OrderKind::Start ? kLateMs : kNeverMs;
+    };
+    fixture.submit("a", {perpetualStep(1)});
+    fixture.run(kLateMs + 200);
+    const TaskId task{.job = "a"};
+    REQUIRE(fixture.workers.workersRunning(task).size() == 1);
+    fixture.workers.lateness = nullptr;
+    fixture.run(10'000);
+    CHECK(fixture.workers.workersRunning(task).size() == 1);
+    CHECK(fixture.workers.startsOf(task) == 1);
+    CHECK(stopsExecuted == 0);
+}
+
+// Guards against ending the run at work for one whose start order has no answer.
+TEST_CASE("a perpetual run at work is kept while the run that replaced it has not started")
+{
+    for (const Millis silentMs : {Millis{6'000}, Millis{9'000}}) {
+        CAPTURE(silentMs);
+        SchedulerFixture fixture;
+        fixture.workers.workMs = 0;
+        fixture.addWorkers(2);
+        fixture.submit("a", {perpetualStep(1)});
+        fixture.run(2'000);
+        const TaskId task{.job = "a"};
+        const auto workerIds = fixture.workers.workersRunning(task);
+        REQUIRE(workerIds.size() == 1);
+        // A renewal that was executed late keeps the run at work beyond the end of its lease.
+        fixture.workers.renew({.id = workerIds[0], .address = "10.0.0.1:80"},
+                              {.leaseUntil = fixture.loop.now() + 60'000, .fence = fixture.term},
+                              [](const RenewReply &) {});
+        fixture.run(100);
+        fixture.workers.lateness = [](OrderKind, const TaskId &,
+                                      std::int64_t) -> std::optional<Millis> { return kNeverMs; };
+        fixture.workers.setReachable(workerIds[0], false);
+        fixture.run(silentMs);
+        fixture.workers.setReachable(workerIds[0], true);
+        fixture.run(2'500);
+        fixture.workers.lateness = nullptr;
+        fixture.run(5'000);
+        CHECK(fixture.workers.workersRunning(task) == workerIds);
+        CHECK(fixture.workers.startsOf(task) == 1);
+    }
+}
+
+// Guards against a stop that is sent again after others of the step have become unavailable.
+TEST_CASE("a stop for maintenance without an answer is not repeated over the disruption budget")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(4);
+    fixture.submit("a", {perpetualStep(3)});
+    fixture.run(4'000);
+    const TaskId drained{.job = "a", .index = 0};
+    const TaskId other{.job = "a", .index = 1};
+    const auto drainedOn = fixture.workers.workersRunning(drained);
+    const auto otherOn = fixture.workers.workersRunning(other);
+    REQUIRE(drainedOn.size() == 1);
+    REQUIRE(otherOn.size() == 1);
+    fixture.workers.lateness = [](OrderKind kind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> {
+        return kind == OrderKind::Stop ? std::optional(kNeverMs) : std::nullopt;
+    };
+    fixture.scheduler->setCordoned(drainedOn[0], CordonReason::Maintenance, true);
+    fixture.run(200);
+    fixture.workers.setReachable(otherOn[0], false);
+    fixture.run(2'500);
+    REQUIRE(fixture.workers.workersRunning(drained) == drainedOn);
+    fixture.workers.lateness = nullptr;
+    fixture.run(1'000);
+    CHECK(fixture.workers.workersRunning(drained) == drainedOn);
+    fixture.workers.setReachable(otherOn[0], true);
+    fixture.run(15'000);
+    CHECK(fixture.workers.startsOf(drained) == 2);
+}
+
+// Guards against a lapse of the only run at work: its stop had no answer, and the run that replaced
+// it is lost.
+TEST_CASE("a perpetual run that is kept beside the assigned one keeps its lease")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    fixture.submit("a", {perpetualStep(1)});
+    fixture.run(2'000);
+    const TaskId task{.job = "a"};
+    const auto first = fixture.workers.workersRunning(task);
+    REQUIRE(first.size() == 1);
+    fixture.workers.renew({.id = first[0], .address = "10.0.0.1:80"},
+                          {.leaseUntil = fixture.loop.now() + 11'000, .fence = fixture.term},
+                          [](const RenewReply &) {});
+    fixture.run(100);
+    fixture.workers.setReachable(first[0], false);
+    fixture.run(8'000);
+    REQUIRE(fixture.workers.startsOf(task) == 2);
+    const std::string second = first[0] == "w0" ? "w1" : "w0";
+    fixture.workers.lateness = [](OrderKind kind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> {
+        return kind == OrderKind::Stop ? std::optional(kNeverMs) : std::nullopt;
+    };
+    fixture.workers.setReachable(first[0], true);
+    fixture.run(2'000);
+    fixture.workers.setReachable(second, false);
+    fixture.run(8'000);
+    CHECK(fixture.workers.tasksOn(first[0]) == std::vector{task});
+    CHECK(fixture.workers.startsOf(task) == 2);
+}
+
+// Guards against a move or maintenance of a machine that is taken for idle while a run that was
+// given up is still there.
+TEST_CASE("a worker whose run is not stopped yet does not count as empty")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(2);
+    fixture.submit("a", {perpetualStep(1)});
+    fixture.run(2'000);
+    const TaskId task{.job = "a"};
+    const auto first = fixture.workers.workersRunning(task);
+    REQUIRE(first.size() == 1);
+    fixture.workers.renew({.id = first[0], .address = "10.0.0.1:80"},
+                          {.leaseUntil = fixture.loop.now() + 30'000, .fence = fixture.term},
+                          [](const RenewReply &) {});
+    fixture.run(100);
+    fixture.workers.setReachable(first[0], false);
+    fixture.run(8'000);
+    REQUIRE(fixture.workers.startsOf(task) == 2);
+    fixture.workers.lateness = [](OrderKind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> { return kNeverMs; };
+    fixture.workers.setReachable(first[0], true);
+    fixture.run(3'000);
+    REQUIRE(fixture.workers.tasksOn(first[0]).size() == 1);
+    for (const WorkerView &view : fixture.scheduler->workers())
+        CHECK(view.tasks == 1);
+}
+
+} // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -22,11 +22,12 @@
 
 /// @brief A run that may be on a worker and is not assigned to it; it is being stopped and reserves
 /// its capacity until then.
-struct UnassignedRun
+struct Scheduler::UnassignedRun
 {
     std::optional<Resources> demand; ///< empty: the job is unknown
     Millis listedAt = 0; ///< the worker's clock at the newest list with the run; 0: not listed
     StopReason stopReason = StopReason::Unassigned;
+    bool isStopSent = false; ///< a stop was sent, and may still be executed
     bool isStopPending = false;
     bool isStopConfirmed = false;
     std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a stop order
@@ -64,6 +65,7 @@
     Millis clockOffset = 0; ///< smallest recent difference of local time and its clock at a reply
     Millis addedAt = 0;
     Millis listClock = 0; ///< the worker's clock at the newest task list received
+    Millis listedAt = 0;  ///< when the worker wrote that list, as far as its clock shows
     Millis leaseSent = 0; ///< latest lease end sent, on the worker's clock
     bool isRenewing = false;
     bool isProbing = false;
