Hold a machine while a move without an answer may be carried out

Callers could see tasks ended by a move of their machine that nobody had ordered any more: tasks on the former worker, or those of the pool that had got the machine meanwhile.

Cause: a move without an answer was forgotten after 6 s. Its worker was uncordoned and the machine could be given to another pool, while the platform may carry out the order up to 12 s after it was sent.

Change: while the outcome is unknown, all workers of the machine outside the new pool stay cordoned, and the order is repeated each second, unless tasks run there. An accepted answer settles the move; a rejection settles it only if no earlier order may still be carried out. Until 12 s after the last order without an answer, the machine is in no other move. A machine counts toward its new pool for 6 s only, as before, so that the pool gets another one. A move is complete only when the new worker is one of the new pool; a worker that had joined the former pool after a crash was taken for it.

Evidence: entry_tests, on the former code: - "a worker stays cordoned while an unanswered move of its machine may be carried out" fails: uncordoned after 7 s, and so is a worker that joins the former pool after a crash; - "a machine is in no other move while an unanswered one may be carried out" fails: the machine is ordered to the second pool within 12 s; - "an accepted repetition settles an unanswered move, and only other moves wait" fails: there is no repetition. "a move is not repeated while a worker of its machine has tasks" guards the repetition itself; it was not run on the former code, which repeats nothing.

Why it works: a move to the pool in which the machine is does nothing, so a late one can only end tasks on a machine that is elsewhere. It is elsewhere either before the outcome is known, when nothing starts there, or after another move, which waits until no late order is left.

--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -1,5 +1,7 @@
 #include "pool_balancer.h"
 
+#include "machine_orders.h"
+
 #include <chicorywick/base/log_event.h>
 
 #include <algorithm>
@@ -48,36 +50,77 @@
     updateMoves();
     // The whole pass uses one copy of the views; orders change nothing in them that it reads.
     const std::vector<scheduler::WorkerView> views = scheduler_.workers();
+    repeatUnanswered(views);
     const auto movableMachines = movable(views);
     for (const scheduler::PoolMove &move :
          scheduler::planPoolMoves(demands(views), movableMachines, sparePool_, {}))
-        order(move, views);
+        begin(move, views);
 }
 
-// A move is complete when a new worker of the machine has joined or, for a move to the spare pool,
-// when the machine is listed there.
+// A move is complete when a new worker of the machine has joined the pool or, for a move to the
+// spare pool, when the machine is listed there.
 void PoolBalancer::updateMoves()
 {
-    std::map<std::string, std::string> workerOf;
-    for (const scheduler::WorkerView &view : scheduler_.workers())
-        if (view.isUsable)
-            workerOf[view.entry.machine] = view.entry.id;
     const scheduler::Millis now = hooks_.clock().steady;
+    std::erase_if(unansweredAt_,
+                  [now](const auto &item) { return now - item.second > kLateOrderMs; });
+    std::set<std::string> joined;
+    for (const scheduler::WorkerView &view : scheduler_.workers()) {
+        const auto move = moving_.find(view.entry.machine);
+        if (view.isUsable && move != moving_.end() && view.entry.service == move->second.pool
+            && view.entry.id != move->second.worker)
+            joined.insert(view.entry.machine);
+    }
     for (auto item = moving_.begin(); item != moving_.end();) {
-        const Move &move = item->second;
-        const auto worker = workerOf.find(item->first);
-        const bool hasJoined = worker != workerOf.end() && worker->second != move.worker;
-        const auto listed = inventory_.machines().find(item->first);
+        const auto &[machine, move] = *item;
+        const bool hasJoined = joined.contains(machine);
+        const auto listed = inventory_.machines().find(machine);
         const bool isParked = move.pool == sparePool_ && inventory_.snapshotTime() > move.orderedAt
                               && listed != inventory_.machines().end()
                               && listed->second.pool == sparePool_;
-        const bool hasTimedOut = now - move.orderedAt > kMoveTimeoutMs;
-        if (hasTimedOut)
-            scheduler_.setCordoned(move.worker, scheduler::CordonReason::Move, false);
-        item = hasJoined || isParked || hasTimedOut ? moving_.erase(item) : std::next(item);
+        const bool hasTimedOut = move.isAccepted ? now - move.orderedAt > kMoveTimeoutMs
+                                                 : !unansweredAt_.contains(machine);
+        if (move.isAwaitingAnswer || !(hasJoined || isParked || hasTimedOut)) {
+            ++item;
+            continue;
+        }
+        if (!hasJoined && !isParked)
+            uncordon(machine);
+        item = moving_.erase(item);
     }
 }
 
+// Until the outcome of a move is known, no task may start on its machine, also on a worker that has
+// joined the former pool after a crash. While such a worker has tasks, a repeated order could end
+// them, so it waits.
+void PoolBalancer::repeatUnanswered(const std::vector<scheduler::WorkerView> &views)
+{
+    std::set<std::string> occupied;
+    for (const scheduler::WorkerView &view : views) {
+        const auto move = moving_.find(view.entry.machine);
+        if (move == moving_.end() || view.entry.service == move->second.pool)
+            continue;
+        scheduler_.setCordoned(view.entry.id, scheduler::CordonReason::Move, true);
+        if (view.tasks > 0 || view.mayRunUnknownTasks)
+            occupied.insert(view.entry.machine);
+    }
+    const scheduler::Millis now = hooks_.clock().steady;
+    std::vector<std::string> due;
+    for (const auto &[machine, move] : moving_)
+        if (!move.isAwaitingAnswer && !move.isAccepted && now - move.sentAt >= kOrderRepeatMs
+            && !occupied.contains(machine))
+            due.push_back(machine);
+    for (const std::string &machine : due)
+        send(machine);
+}
+
+void PoolBalancer::uncordon(const std::string &machine)
+{
+    for (const scheduler::WorkerView &view : scheduler_.workers())
+        if (view.entry.machine == machine)
+            scheduler_.setCordoned(view.entry.id, scheduler::CordonReason::Move, false);
+}
+
 std::vector<scheduler::PoolDemand>
 PoolBalancer::demands(const std::vector<scheduler::WorkerView> &views) const
 {
@@ -93,9 +136,11 @@
     for (const auto &[service, load] : loads)
         fallbackSize = std::max(fallbackSize, load.machineCpuMillis);
     const std::map<std::string, int> usable = machines;
+    // A machine whose move stays without an answer does not hold back others for longer.
+    const scheduler::Millis now = hooks_.clock().steady;
     std::map<std::string, int> joining;
     for (const auto &[name, move] : moving_)
-        if (move.pool != sparePool_)
+        if (move.pool != sparePool_ && now - move.orderedAt <= kMoveTimeoutMs)
             ++joining[move.pool];
     for (const auto &[service, count] : joining)
         machines[service] += count;
@@ -126,15 +171,17 @@
 {
     std::vector<scheduler::MovableMachine> movableMachines;
     const scheduler::Millis now = hooks_.clock().steady;
+    // A late order would take the machine out of the pool of a newer move.
+    const auto mayMove = [this](const std::string &machine) {
+        return !moving_.contains(machine) && !unansweredAt_.contains(machine);
+    };
     for (const auto &[name, machine] : inventory_.machines())
-        if (machine.pool == sparePool_ && machine.state == MachineState::Up
-            && !moving_.contains(name))
+        if (machine.pool == sparePool_ && machine.state == MachineState::Up && mayMove(name))
             movableMachines.push_back({.machine = name, .pool = sparePool_, .isInSparePool = true});
     for (const scheduler::WorkerView &view : views) {
         const bool isFree = view.isUsable && !view.entry.isDraining && view.tasks == 0
                             && !view.isCordoned && !view.entry.machine.empty()
-                            && view.entry.service != sparePool_
-                            && !moving_.contains(view.entry.machine);
+                            && view.entry.service != sparePool_ && mayMove(view.entry.machine);
         if (isFree)
             movableMachines.push_back({.machine = view.entry.machine,
                                        .pool = view.entry.service,
@@ -143,7 +190,7 @@
     return movableMachines;
 }
 
-void PoolBalancer::order(const scheduler::PoolMove &move,
+void PoolBalancer::begin(const scheduler::PoolMove &move,
                          const std::vector<scheduler::WorkerView> &views)
 {
     // The scheduler's view is used because the inventory may be older than the current worker.
@@ -154,20 +201,41 @@
     moving_[move.machine] = {
             .pool = move.pool, .worker = worker, .orderedAt = hooks_.clock().steady};
     scheduler_.setCordoned(worker, scheduler::CordonReason::Move, true);
-    machines_.move(move.machine, move.pool, fence_, hooks_.machineOrderValidity(),
-                   [self = shared_from_this(), move, worker](MachineOrderStatus status) {
-                       if (self->isStopped_)
-                           return;
-                       base::logEvent(base::Event::MachineOrdered,
-                                      {{"machine", move.machine},
-                                       {"pool", move.pool},
-                                       {"status", std::to_string(static_cast<int>(status))}});
-                       if (status == MachineOrderStatus::Accepted
-                           || status == MachineOrderStatus::Unknown)
-                           return;
-                       self->moving_.erase(move.machine);
-                       self->scheduler_.setCordoned(worker, scheduler::CordonReason::Move, false);
+    send(move.machine);
+}
+
+void PoolBalancer::send(const std::string &machine)
+{
+    Move &move = moving_.at(machine);
+    move.sentAt = hooks_.clock().steady;
+    move.isAwaitingAnswer = true;
+    machines_.move(machine, move.pool, fence_, hooks_.machineOrderValidity(),
+                   [self = shared_from_this(), machine](MachineOrderStatus status) {
+                       if (!self->isStopped_)
+                           self->handleAnswer(machine, status);
                    });
 }
 
+// A rejection settles only its own order; an earlier one without an answer may still be carried
+// out.
+void PoolBalancer::handleAnswer(const std::string &machine, MachineOrderStatus status)
+{
+    Move &move = moving_.at(machine);
+    base::logEvent(base::Event::MachineOrdered,
+                   {{"machine", machine},
+                    {"pool", move.pool},
+                    {"status", std::to_string(static_cast<int>(status))}});
+    const scheduler::Millis now = hooks_.clock().steady;
+    move.isAwaitingAnswer = false;
+    if (status == MachineOrderStatus::Unknown) {
+        unansweredAt_[machine] = now;
+    } else if (status == MachineOrderStatus::Accepted) {
+        move.isAccepted = true;
+        move.orderedAt = now;
+    } else if (!unansweredAt_.contains(machine)) {
+        moving_.erase(machine);
+        uncordon(machine);
+    }
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/pool_balancer.h
+++ b/packages/entry/src/pool_balancer.h
@@ -29,15 +29,22 @@
     {
         std::string pool;
         std::string worker; ///< the worker before the move; empty if the machine was off
-        scheduler::Millis orderedAt = 0;
+        scheduler::Millis orderedAt = 0; ///< the first order, or the answer that accepted it
+        scheduler::Millis sentAt = 0;    ///< the latest order
+        bool isAwaitingAnswer = false;
+        bool isAccepted = false;
     };
 
     void updateMoves();
+    void repeatUnanswered(const std::vector<scheduler::WorkerView> &views);
+    void uncordon(const std::string &machine);
     std::vector<scheduler::PoolDemand>
     demands(const std::vector<scheduler::WorkerView> &views) const;
     std::vector<scheduler::MovableMachine>
     movable(const std::vector<scheduler::WorkerView> &views) const;
-    void order(const scheduler::PoolMove &move, const std::vector<scheduler::WorkerView> &views);
+    void begin(const scheduler::PoolMove &move, const std::vector<scheduler::WorkerView> &views);
+    void send(const std::string &machine);
+    void handleAnswer(const std::string &machine, MachineOrderStatus status);
 
     MachinePort &machines_;
     ControllerHooks hooks_;
@@ -47,6 +54,9 @@
     std::set<std::string> services_; ///< services with queues or unfinished jobs
     std::string sparePool_;
     std::map<std::string, Move> moving_; ///< by machine
+    /// When the last order without an answer became known, by machine; until it cannot be carried
+    /// out any more.
+    std::map<std::string, scheduler::Millis> unansweredAt_;
     bool isStopped_ = false;
 };
 
--- a/packages/entry/src/pool_balancer_test.cpp
+++ b/packages/entry/src/pool_balancer_test.cpp
@@ -1,8 +1,12 @@
+#include "controller_fixture.h"
 #include "pool_balancer.h"
 #include "silent_workers.h"
 
+#include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace chicorywick::entry {
 
 namespace {
@@ -39,6 +43,135 @@
     int moves = 0;
 };
 
+struct MoveOrder
+{
+    scheduler::Millis at = 0;
+    std::string machine;
+    std::string pool;
+};
+
+// Answers the first move order as unknown and later ones with a given status.
+class LateMachines : public MachinePort
+{
+public:
+    explicit LateMachines(const scheduler::Millis &now)
+        : now_(now)
+    {}
+
+    void list(Callback<std::vector<Machine>> done) override { done(machines); }
+    void move(const std::string &machine, const std::string &pool, std::int64_t /*fence*/,
+              scheduler::OrderValidity /*validity*/,
+              std::function<void(MachineOrderStatus)> done) override
+    {
+        orders.push_back({.at = now_, .machine = machine, .pool = pool});
+        done(orders.size() == 1 ? MachineOrderStatus::Unknown : laterAnswer);
+    }
+    void maintain(const std::string & /*machine*/, std::int64_t /*wave*/, std::int64_t /*fence*/,
+                  scheduler::OrderValidity /*validity*/,
+                  std::function<void(MachineOrderStatus)> /*done*/) override
+    {}
+
+    std::vector<Machine> machines;
+    std::vector<MoveOrder> orders;
+    MachineOrderStatus laterAnswer = MachineOrderStatus::Unavailable;
+
+private:
+    const scheduler::Millis &now_;
+};
+
+// The platform may carry out an order without an answer up to this long after it was sent.
+constexpr scheduler::Millis kLatestMs = 12'000;
+
+// A balancer of the services s and t, whose first move order gets no answer.
+struct LateMoveFixture
+{
+    LateMoveFixture()
+    {
+        scheduler.setQueues({policyOf("s"), policyOf("t")});
+        balancer->configure({.routes = {{.policy = policyOf("s")}, {.policy = policyOf("t")}},
+                             .services = {{"off", {.isSpare = true}}}});
+    }
+
+    static scheduler::QueuePolicy policyOf(const std::string &service)
+    {
+        return {.name = "q-" + service, .service = service};
+    }
+    void addWorker(const std::string &id, const std::string &machine, const std::string &service)
+    {
+        scheduler.upsertWorker({.id = id,
+                                .service = service,
+                                .address = "10.0.0.1:80",
+                                .machine = machine,
+                                .capacity = kMachineSize,
+                                .incarnation = now});
+        loop.restart();
+        loop.poll();
+    }
+    void addJob(const std::string &id, const std::string &service, int tasks)
+    {
+        scheduler.addJob(
+                {.id = id,
+                 .queue = "q-" + service,
+                 .steps = {{.taskCount = tasks, .demand = kMachineSize, .estimatedMs = 500}},
+                 .submittedWall = now},
+                std::nullopt);
+    }
+    void listMachine(const std::string &name, const std::string &pool)
+    {
+        std::erase_if(machines.machines,
+                      [&name](const Machine &machine) { return machine.name == name; });
+        machines.machines.push_back(
+                {.name = name, .pool = pool, .state = MachineState::Up, .rack = "r"});
+    }
+    void playUntil(scheduler::Millis end)
+    {
+        constexpr scheduler::Millis kTickMs = 100;
+        for (; now < end; now += kTickMs)
+            balancer->tick();
+    }
+    void playToFirstOrder()
+    {
+        constexpr scheduler::Millis kLimitMs = 5'000;
+        const scheduler::Millis end = now + kLimitMs;
+        while (machines.orders.empty() && now < end)
+            playUntil(now + 1);
+        REQUIRE(machines.orders.size() == 1);
+    }
+    scheduler::WorkerView view(const std::string &id) const
+    {
+        const auto views = scheduler.workers();
+        const auto found = std::find_if(views.begin(), views.end(),
+                                        [&id](const auto &view) { return view.entry.id == id; });
+        REQUIRE(found != views.end());
+        return *found;
+    }
+    bool isCordoned(const std::string &id) const { return view(id).isCordoned; }
+    int tasksOn(const std::string &id) const { return view(id).tasks; }
+    bool hasMoved(const std::string &machine, const std::string &pool) const
+    {
+        return std::any_of(machines.orders.begin(), machines.orders.end(), [&](const auto &order) {
+            return order.machine == machine && order.pool == pool;
+        });
+    }
+
+    scheduler::Millis now = 10'000;
+    std::function<scheduler::Now()> clock = [this] {
+        return scheduler::Now{.steady = now, .wall = now};
+    };
+    boost::asio::io_context loop;
+    RecordingWorkers workers{loop};
+    scheduler::Scheduler scheduler{
+            workers, {.clock = clock, .maySendOrders = [] { return true; }}, {.fence = 1}};
+    LateMachines machines{now};
+    MachineInventory inventory{machines, clock, {}};
+    std::shared_ptr<PoolBalancer> balancer = std::make_shared<PoolBalancer>(
+            machines,
+            ControllerHooks{.clock = clock,
+                            .maySendMachineOrders = [] { return true; },
+                            .machineOrderValidity = [] { return scheduler::OrderValidity(); }},
+            scheduler, inventory, 1);
+};
+
 } // namespace
 
 // Guards against a pool plan that takes a shrunk worker, or one that is known only from a stored
@@ -81,4 +214,96 @@
     CHECK(machines.moves == 5);
 }
 
+// Guards against tasks on a machine whose unanswered move is carried out seconds later.
+TEST_CASE("a worker stays cordoned while an unanswered move of its machine may be carried out")
+{
+    LateMoveFixture fixture;
+    for (const char *const number : {"0", "1", "2"}) {
+        fixture.addWorker(std::string("w") + number, std::string("m") + number, "s");
+        fixture.listMachine(std::string("m") + number, "s");
+    }
+    fixture.playToFirstOrder();
+    const MoveOrder first = fixture.machines.orders.front();
+    const std::string number = first.machine.substr(1);
+    fixture.playUntil(first.at + 7'000);
+    CHECK(fixture.isCordoned("w" + number));
+    // The worker crashes, and another one joins the former pool.
+    fixture.addWorker("next", first.machine, "s");
+    fixture.playUntil(first.at + kLatestMs);
+    CHECK(fixture.isCordoned("next"));
+    fixture.playUntil(first.at + kLatestMs + 300);
+    CHECK(!fixture.isCordoned("next"));
+}
+
+// Guards against a repeated order that ends tasks which have started since the first one.
+TEST_CASE("a move is not repeated while a worker of its machine has tasks")
+{
+    LateMoveFixture fixture;
+    for (const char *const number : {"0", "1", "2"}) {
+        fixture.addWorker(std::string("w") + number, std::string("m") + number, "s");
+        fixture.listMachine(std::string("m") + number, "s");
+    }
+    fixture.playToFirstOrder();
+    fixture.playUntil(fixture.now + 2'000);
+    const std::size_t before = fixture.machines.orders.size();
+    CHECK(before >= 2);
+    fixture.addWorker("next", fixture.machines.orders.front().machine, "s");
+    fixture.scheduler.rosterStored(fixture.scheduler.roster());
+    fixture.addJob("a", "s", 3);
+    REQUIRE(fixture.tasksOn("next") == 1);
+    fixture.playUntil(fixture.now + 3'000);
+    CHECK(fixture.machines.orders.size() == before);
+}
+
+// Guards against a late move that ends the tasks of the pool that has got the machine meanwhile.
+TEST_CASE("a machine is in no other move while an unanswered one may be carried out")
+{
+    LateMoveFixture fixture;
+    fixture.addWorker("w0", "m0", "s");
+    fixture.addWorker("w1", "m1", "t");
+    fixture.listMachine("spare", "off");
+    fixture.addJob("a", "s", 2);
+    fixture.playToFirstOrder();
+    const scheduler::Millis first = fixture.machines.orders.front().at;
+    REQUIRE(fixture.hasMoved("spare", "s"));
+    fixture.scheduler.cancelJob("a");
+    fixture.addJob("b", "t", 2);
+    fixture.playUntil(first + kLatestMs);
+    CHECK(!fixture.hasMoved("spare", "t"));
+    fixture.playUntil(first + kLatestMs + 300);
+    CHECK(fixture.hasMoved("spare", "t"));
+}
+
+// Guards against a pool that waits for a machine although a repeated order has settled its move.
+TEST_CASE("an accepted repetition settles an unanswered move, and only other moves wait")
+{
+    LateMoveFixture fixture;
+    fixture.addWorker("w0", "m0", "s");
+    fixture.addWorker("w1", "m1", "t");
+    fixture.listMachine("spare", "off");
+    fixture.addJob("a", "s", 2);
+    fixture.machines.laterAnswer = MachineOrderStatus::Accepted;
+    fixture.playToFirstOrder();
+    const scheduler::Millis first = fixture.machines.orders.front().at;
+    fixture.playUntil(first + 2'000);
+    REQUIRE(fixture.machines.orders.size() == 2);
+    CHECK(fixture.machines.orders.back().machine == "spare");
+    CHECK(fixture.machines.orders.back().pool == "s");
+    fixture.listMachine("spare", "s");
+    fixture.addWorker("new", "spare", "s");
+    fixture.addWorker("w2", "m2", "s");
+    fixture.addWorker("w3", "m3", "s");
+    fixture.scheduler.cancelJob("a");
+    fixture.addJob("b", "t", 8);
+    fixture.playUntil(first + kLatestMs);
+    CHECK(!fixture.isCordoned("new"));
+    CHECK(!fixture.hasMoved("spare", "t"));
+    CHECK(fixture.hasMoved("m0", "t"));
+    CHECK(fixture.hasMoved("m2", "t"));
+    fixture.addWorker("w4", "m4", "s");
+    fixture.addWorker("w5", "m5", "s");
+    fixture.playUntil(first + kLatestMs + 2'000);
+    CHECK(fixture.hasMoved("spare", "t"));
+}
+
 } // namespace chicorywick::entry
