Hold a machine while an upkeep without an answer may begin

Callers could see tasks ended by an upkeep that began seconds after its order, which for lasting tasks can break AVAIL.

Cause: an upkeep without an answer was taken as not done after 3 s, or as done as soon as another worker was listed on the machine, for instance after a crash. The worker could then be uncordoned and get tasks, while the platform may carry out the order up to 12 s after it was sent. Only the former worker was cordoned, and a rejection of a later order counted for the earlier one too.

Change: until the answer is known or 12 s have passed since the last order without one, the machine counts as down for the wave, its former and its latest worker stay cordoned, and the order is repeated each second, unless tasks run there. A machine has returned only after an accepted order. A repeated order keeps the worker of the first one, so a new worker shows that the upkeep was done before.

Why it works: an upkeep that is done for the wave answers 200 and does nothing, so after an accepted order a late one ends no tasks. Before, no task starts on the machine. A new worker may get tasks between joining and the next tick (0.1 s); they end if the upkeep begins later than that.

--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -1,5 +1,7 @@
 #include "wave_runner.h"
 
+#include "machine_orders.h"
+
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
@@ -21,9 +23,6 @@
 constexpr scheduler::Millis kCellReadPeriodMs = 300;
 // The cell whose leader reports the state of the whole wave.
 constexpr int kReportingCell = 0;
-// An order with an unknown outcome counts as carried out for this time, then it is repeated. Orders
-// are idempotent.
-constexpr scheduler::Millis kUnknownOrderTimeoutMs = 3'000;
 
 } // namespace
 
@@ -76,22 +75,25 @@
             scheduler_.setCordoned(worker, scheduler::CordonReason::Maintenance, false);
 }
 
-// A machine has returned when it is no longer listed, or when a list requested after its order
-// shows it up with a different worker.
+// A machine has returned when it is no longer listed, or when a list requested after the answer to
+// its order shows it up with a different worker. Before the answer, such a worker may have joined
+// after a crash, and the upkeep may still begin.
 void WaveRunner::updateReturned()
 {
+    const scheduler::Millis now = hooks_.clock().steady;
     const auto &machines = inventory_.machines();
     for (auto &[number, wave] : waves_)
         for (auto item = wave.down.begin(); item != wave.down.end();) {
-            const auto listed = machines.find(item->first);
+            const auto &[machine, upkeep] = *item;
+            const bool isAnswered = wave.startedMachines.contains(machine);
+            const auto listed = machines.find(machine);
             const bool hasReturned =
                     listed == machines.end()
-                    || (listed->second.state == MachineState::Up
-                        && (item->second.empty() || listed->second.workerId != item->second)
-                        && wave.orderedAt[item->first] < inventory_.snapshotTime());
-            const bool isStale =
-                    !wave.startedMachines.contains(item->first)
-                    && hooks_.clock().steady - wave.orderedAt[item->first] > kUnknownOrderTimeoutMs;
+                    || (isAnswered && listed->second.state == MachineState::Up
+                        && (upkeep.worker.empty() || listed->second.workerId != upkeep.worker)
+                        && upkeep.orderedAt < inventory_.snapshotTime());
+            const bool isStale = !isAnswered && !upkeep.isAwaitingAnswer
+                                 && now - upkeep.unansweredAt > kLateOrderMs;
             item = hasReturned || isStale ? wave.down.erase(item) : std::next(item);
         }
 }
@@ -99,6 +101,7 @@
 void WaveRunner::plan(Wave &wave)
 {
     const WorkersByMachine workers = latestWorkers(scheduler_.workers());
+    holdUnanswered(wave, workers);
     const auto &machines = inventory_.machines();
     std::vector<scheduler::MaintenanceCandidate> candidates;
     int down = static_cast<int>(wave.down.size());
@@ -112,13 +115,7 @@
         if (listed == machines.end())
             continue;
         hasRemaining = hasRemaining || !wave.startedMachines.contains(name);
-        if (isOrdered) {
-            // Its worker stays listed for a while; no task may start on it.
-            if (const std::string &worker = wave.down[name]; !worker.empty())
-                cordoned_.insert(worker);
-            continue;
-        }
-        if (wave.startedMachines.contains(name))
+        if (isOrdered || wave.startedMachines.contains(name))
             continue;
         auto candidate = maintenanceCandidate(listed->second, workers,
                                               unusedPools_.contains(listed->second.pool));
@@ -139,43 +136,89 @@
         return;
     const auto next =
             scheduler::planMaintenance(candidates, {.maxAtOnce = maxAtOnce, .downNow = down});
-    for (const std::string &worker : next.cordoned) {
-        cordoned_.insert(worker);
-        scheduler_.setCordoned(worker, scheduler::CordonReason::Maintenance, true);
+    for (const std::string &worker : next.cordoned)
+        cordon(worker);
+    for (const std::string &machine : next.begin) {
+        const auto worker = workers.find(machine);
+        wave.down[machine].worker =
+                worker != workers.end() ? worker->second.entry.id : inventory_.workerOn(machine);
+        order(wave, machine);
     }
-    for (const std::string &machine : next.begin)
-        order(wave, machine, workers);
 }
 
-void WaveRunner::order(Wave &wave, const std::string &machine, const WorkersByMachine &workers)
+// Keeps tasks off the machines with an ordered upkeep, and repeats orders without an answer. The
+// worker before the upkeep stays listed for a while. Until the answer is known, the upkeep may
+// also end a worker that has joined since; a repeated order never ends tasks that it has got.
+void WaveRunner::holdUnanswered(Wave &wave, const WorkersByMachine &workers)
+{
+    const scheduler::Millis now = hooks_.clock().steady;
+    const auto &machines = inventory_.machines();
+    std::vector<std::string> due;
+    for (const auto &[machine, upkeep] : wave.down) {
+        cordon(upkeep.worker);
+        const auto listed = machines.find(machine);
+        if (listed == machines.end() || wave.startedMachines.contains(machine))
+            continue;
+        if (const auto worker = workers.find(machine); worker != workers.end())
+            cordon(worker->second.entry.id);
+        const auto candidate = maintenanceCandidate(listed->second, workers,
+                                                    unusedPools_.contains(listed->second.pool));
+        if (!upkeep.isAwaitingAnswer && now - upkeep.orderedAt >= kOrderRepeatMs && candidate
+            && candidate->tasks == 0)
+            due.push_back(machine);
+    }
+    for (const std::string &machine : due)
+        order(wave, machine);
+}
+
+void WaveRunner::cordon(const std::string &worker)
+{
+    if (worker.empty())
+        return;
+    cordoned_.insert(worker);
+    scheduler_.setCordoned(worker, scheduler::CordonReason::Maintenance, true);
+}
+
+void WaveRunner::order(Wave &wave, const std::string &machine)
 {
     const std::int64_t number = wave.request.number;
-    const auto worker = workers.find(machine);
-    wave.down[machine] =
-            worker != workers.end() ? worker->second.entry.id : inventory_.workerOn(machine);
-    wave.orderedAt[machine] = hooks_.clock().steady;
+    Upkeep &upkeep = wave.down.at(machine);
+    upkeep.orderedAt = hooks_.clock().steady;
+    upkeep.isAwaitingAnswer = true;
     ports_.machines->maintain(
             machine, number, fence_, hooks_.machineOrderValidity(),
             [self = shared_from_this(), number, machine](MachineOrderStatus status) {
-                if (self->isStopped_)
-                    return;
-                Wave &ordered = self->waves_[number];
-                base::logEvent(base::Event::MachineOrdered,
-                               {{"machine", machine},
-                                {"wave", std::to_string(number)},
-                                {"status", std::to_string(static_cast<int>(status))}});
-                if (status == MachineOrderStatus::Unknown)
-                    return; // counts as down until a list or the timeout shows otherwise
-                ordered.orderedAt[machine] = self->hooks_.clock().steady;
-                if (status == MachineOrderStatus::Accepted
-                    || status == MachineOrderStatus::NoSuchMachine
-                    || status == MachineOrderStatus::NotInWave)
-                    self->recordStarted(ordered, machine);
-                if (status != MachineOrderStatus::Accepted)
-                    ordered.down.erase(machine);
+                if (!self->isStopped_)
+                    self->handleAnswer(self->waves_[number], machine, status);
             });
 }
 
+// A rejection that may pass settles only its own order; an earlier one without an answer may still
+// be carried out.
+void WaveRunner::handleAnswer(Wave &wave, const std::string &machine, MachineOrderStatus status)
+{
+    base::logEvent(base::Event::MachineOrdered,
+                   {{"machine", machine},
+                    {"wave", std::to_string(wave.request.number)},
+                    {"status", std::to_string(static_cast<int>(status))}});
+    const bool isSettled = status == MachineOrderStatus::Accepted
+                           || status == MachineOrderStatus::NoSuchMachine
+                           || status == MachineOrderStatus::NotInWave;
+    if (isSettled)
+        recordStarted(wave, machine);
+    const auto item = wave.down.find(machine);
+    if (item == wave.down.end())
+        return; // it is no longer listed
+    Upkeep &upkeep = item->second;
+    upkeep.isAwaitingAnswer = false;
+    if (status == MachineOrderStatus::Accepted)
+        upkeep.orderedAt = hooks_.clock().steady;
+    else if (status == MachineOrderStatus::Unknown)
+        upkeep.unansweredAt = hooks_.clock().steady;
+    else if (isSettled || upkeep.unansweredAt == 0)
+        wave.down.erase(item);
+}
+
 // The number of this cell's machines that may be down; 0 while a cell that had the place before may
 // still use it.
 int WaveRunner::allowedDown(Wave &wave)
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -41,15 +41,23 @@
     void tick();
 
 private:
+    /// An upkeep that was ordered; the machine counts as down.
+    struct Upkeep
+    {
+        std::string worker;              ///< the worker before the upkeep; empty if there was none
+        scheduler::Millis orderedAt = 0; ///< the latest order, or the answer that accepted it
+        /// When the last order without an answer became known; 0: none.
+        scheduler::Millis unansweredAt = 0;
+        bool isAwaitingAnswer = false;
+    };
     struct Wave
     {
         WaveRequest request;
         std::set<std::string> startedMachines;
-        std::map<std::string, std::string> down; ///< ordered machines and their previous workers
-        std::map<std::string, scheduler::Millis> orderedAt;
-        bool isDoneHere = false;   ///< no machine of this cell is left, and none is down
-        bool isDoneStored = false; ///< the other cells can read that
-        Version storedVersion = 0; ///< of this cell's row
+        std::map<std::string, Upkeep> down; ///< by machine
+        bool isDoneHere = false;            ///< no machine of this cell is left, and none is down
+        bool isDoneStored = false;          ///< the other cells can read that
+        Version storedVersion = 0;          ///< of this cell's row
         bool isStoring = false;
         bool hasUnstoredStarts = false;
         std::set<int> cellsDone; ///< other cells that have stored the end of their part
@@ -63,7 +71,10 @@
     void finishCell(Wave &wave);
     void readCellDone(std::int64_t number, int cell);
     void plan(Wave &wave);
-    void order(Wave &wave, const std::string &machine, const WorkersByMachine &workers);
+    void holdUnanswered(Wave &wave, const WorkersByMachine &workers);
+    void cordon(const std::string &worker);
+    void order(Wave &wave, const std::string &machine);
+    void handleAnswer(Wave &wave, const std::string &machine, MachineOrderStatus status);
     void recordStarted(Wave &wave, const std::string &machine);
     void store(Wave &wave);
     void report(Wave &wave, bool isCompleted);
