Repeat a renewal without an answer at once, without a long poll

Cause: a renewal without an answer took 1,150 ms to fail, paused for 250 ms and was repeated as a long poll that extends nothing, so two of them in a row let a lease of 4 s lapse.

Change: after a time-out the next renewal is sent at once and asks for an answer at once. What a renewal extends is unchanged.

Evidence: "two renewals without an answer do not let the lease of a worker lapse" failed before (2 starts).

--- a/packages/scheduler/src/scheduler_late_orders_test.cpp
+++ b/packages/scheduler/src/scheduler_late_orders_test.cpp
@@ -172,4 +172,20 @@
         CHECK(view.tasks == 1);
 }
 
+// Guards against the end of every task of a healthy worker after two renewals without an answer.
+TEST_CASE("two renewals without an answer do not let the lease of a worker lapse")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.submit("a", {step(2)});
+    fixture.run(3'000);
+    fixture.workers.setFaults({.lateRenewal = 1});
+    fixture.run(2'500);
+    fixture.workers.setFaults({});
+    fixture.run(5'000);
+    CHECK(fixture.workers.tasksOn("w0").size() == 2);
+    CHECK(fixture.workers.startsOf({.job = "a", .index = 0}) == 1);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -107,7 +107,8 @@
         return;
     }
     RenewOrder order = renewalFor(worker);
-    if (worker.hasResponded && !isWaitingForStore)
+    // A worker whose lease runs down is not left waiting for the end of a long poll.
+    if (worker.hasResponded && !isWaitingForStore && !worker.hasRenewalFailed)
         order.waitMs = worker.tasks.empty() ? settings_.idleRenewWaitMs : settings_.renewWaitMs;
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     worker.isRenewing = true;
@@ -159,7 +160,10 @@
     worker->hasRenewalFailed = reply.status != OrderStatus::Accepted;
     if (worker->hasRenewalFailed) {
         suspectRestart(*worker);
-        worker->retryAt = now + settings_.retryMs;
+        const bool hasTimedOut = reply.status == OrderStatus::Unknown;
+        worker->retryAt = now + (hasTimedOut ? 0 : settings_.retryMs);
+        if (hasTimedOut)
+            renew(*worker);
         return;
     }
     worker->retryAt = 0;
