--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -258,7 +258,7 @@
     void acceptRenewal(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void applyRenewal(Worker &worker, std::uint64_t repliesBeforeSend, const RenewReply &reply);
     void handleRenewal(const std::string &id, std::uint64_t generation,
-                       std::uint64_t repliesBeforeSend, const RenewReply &reply);
+                       std::uint64_t repliesBeforeSend, Millis leaseUntil, const RenewReply &reply);
     void reconcileRunning(Worker &worker, const RunningTask &running);
     bool isWithdrawnStart(const JobEntry &entry, const TaskId &id, const Task &task) const;
     bool shouldReturnTo(const Worker &worker, const RunningTask &running) const;
@@ -345,11 +345,13 @@
     void stop(const TaskId &id, Task &task, StopReason reason);
     void sendStop(const TaskId &id, std::int64_t run, const std::string &workerId,
                   StopReason reason);
-    bool mayRepeatStop(const Worker &worker, const TaskId &id, const Task &task) const;
+    bool maySendStop(const Worker &worker, const TaskId &id, const Task &task) const;
+    void withdrawStart(const Worker &worker, const TaskId &id, Task &task);
     void logStop(const TaskId &id, std::int64_t run, const std::string &workerId,
                  StopReason reason) const;
 
     // Disruption budgets (scheduler_disruption.cpp)
+    bool showsTasksAtWork(const Worker &worker) const;
     bool isAtWork(const TaskId &id) const;
     bool isUnderBudget(const TaskId &id) const;
     bool hasFreshList(const Worker &worker) const;
--- a/packages/scheduler/src/scheduler_disruption.cpp
+++ b/packages/scheduler/src/scheduler_disruption.cpp
@@ -11,10 +11,19 @@
 // Older reports of an unresponsive worker do not show that its tasks still run.
 constexpr Millis kMaxReportAgeMs = 1'500;
 // Well below the start-up time of a perpetual task.
-constexpr Millis kMaxListAgeMs = 300;
+constexpr Millis kMaxListAgeMs = 600;
 
 } // namespace
 
+// True if the latest report is recent and the lease cannot have lapsed since.
+bool Scheduler::showsTasksAtWork(const Worker &worker) const
+{
+    const Millis age = hooks_.clock().steady - worker.reportAt;
+    const bool mayHaveLapsed =
+            worker.leaseGranted != 0 && worker.clockAtReply + age >= worker.leaseGranted;
+    return age < kMaxReportAgeMs && !mayHaveLapsed;
+}
+
 // True if the reports show that the assigned run of a perpetual task is at work. One that this
 // leader has started needs its start-up time first; one that it found running may be long past it.
 bool Scheduler::isAtWork(const TaskId &id) const
@@ -25,21 +34,22 @@
         return false;
     const Millis now = hooks_.clock().steady;
     const Millis startUp = startUpTime(stepOf(entryOf(id.job)->job, id));
-    return now - worker->reportAt < kMaxReportAgeMs && now >= task->stopExpectedUntil
+    return showsTasksAtWork(*worker) && now >= task->stopExpectedUntil
            && (task->isAdopted || now - task->phaseSince >= startUp);
 }
 
 // True if no run can have begun and come to work since the worker's newest task list.
 bool Scheduler::hasFreshList(const Worker &worker) const
 {
-    return hooks_.clock().steady - worker.listedAt < kMaxListAgeMs;
+    return hooks_.clock().steady - worker.listWrittenAt < kMaxListAgeMs;
 }
 
 // True for the tasks whose stops ask the disruption budget.
 bool Scheduler::isUnderBudget(const TaskId &id) const
 {
     const JobEntry *const entry = entryOf(id.job);
-    return entry != nullptr && entry->job.task(id) != nullptr && stepOf(entry->job, id).isPerpetual
+    const Task *const task = taskOf(id);
+    return task != nullptr && task->phase != TaskPhase::Done && stepOf(entry->job, id).isPerpetual
            && !isTerminal(entry->job.state());
 }
 
@@ -60,7 +70,7 @@
                                  && siblings[index].percent >= kFullPacePercent
                                  && now - siblings[index].phaseSince >= startUp
                                  && now >= siblings[index].stopExpectedUntil
-                                 && now - worker->reportAt < kMaxReportAgeMs;
+                                 && showsTasksAtWork(*worker);
         available += isAvailable && static_cast<int>(index) != id.index ? 1 : 0;
     }
     return available;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -15,8 +15,6 @@
 constexpr Millis kFirstQuarantineMs = 3'000;
 constexpr Millis kLongestQuarantineMs = 24'000;
 
-// Tasks that are done once the given one is. The members of a gang end together, so the end of one
-// represents all: the others may never list theirs, and cannot run again without it.
 const char *endKindName(EndKind kind)
 {
     switch (kind) {
@@ -36,6 +34,8 @@
     return "";
 }
 
+// Tasks that are done once the given one is. The members of a gang end together, so the end of one
+// represents all: the others may never list theirs, and cannot run again without it.
 std::vector<TaskId> tasksFinishedBy(const Job &job, const TaskId &id)
 {
     if (!stepOf(job, id).isGang)
--- a/packages/scheduler/src/scheduler_late_orders_test.cpp
+++ b/packages/scheduler/src/scheduler_late_orders_test.cpp
@@ -172,6 +172,86 @@
         CHECK(view.tasks == 1);
 }
 
+// Guards against a stop that is decided on a list which was read long after it had been written.
+TEST_CASE("a perpetual run that started after an old list was written is not stopped")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    fixture.run(500);
+    int stops = 0;
+    fixture.workers.onEnded = [&](const std::string &, const EndedTask &, Millis, bool) {
+        ++stops;
+    };
+    fixture.workers.lateness = [](OrderKind kind, const TaskId &,
+                                  std::int64_t) -> std::optional<Millis> {
+        return kind == OrderKind::Start ? std::optional<Millis>(800) : std::nullopt;
+    };
+    fixture.workers.replyDelayMs = 2'000;
+    fixture.submit("a", {perpetualStep(1)});
+    fixture.run(4'500);
+    const TaskId task{.job = "a"};
+    REQUIRE(fixture.workers.startsOf(task) == 1);
+    fixture.workers.replyDelayMs = 0;
+    fixture.run(3'000);
+    CHECK(fixture.workers.startsOf(task) == 1);
+    CHECK(stops == 0);
+}
+
+// Guards against a second run that stays for ever in the room that another task of the step needs.
+TEST_CASE("a second run of a perpetual task is stopped although others of its step wait")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(3);
+    fixture.submit("a", {perpetualStep(3)});
+    fixture.run(4'000);
+    const TaskId first{.job = "a", .index = 0};
+    const TaskId second{.job = "a", .index = 1};
+    const auto secondOn = fixture.workers.workersRunning(second);
+    REQUIRE(secondOn.size() == 1);
+    const WorkerEntry restarted = fixture.workers.add(secondOn[0], "s", kWorkerSize);
+    fixture.workers.start({.id = secondOn[0], .address = "10.0.0.1:80"},
+                          {.task = first,
+                           .run = 9,
+                           .leaseUntil = fixture.loop.now() + 30'000,
+                           .fence = fixture.term},
+                          [](const OrderReply &) {});
+    fixture.run(10);
+    REQUIRE(fixture.workers.workersRunning(first).size() == 2);
+    fixture.scheduler->upsertWorker(restarted);
+    fixture.run(10'000);
+    CHECK(fixture.workers.workersRunning(first).size() == 1);
+    CHECK(fixture.workers.workersRunning(second) == secondOn);
+}
+
+// Guards against a task that is done and is started again because a former run is listed.
+TEST_CASE("a run of a perpetual task that is done is stopped")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 1'000;
+    fixture.addWorkers(2);
+    fixture.submit("a", {perpetualStep(1), step(1, {0})});
+    const TaskId task{.job = "a"};
+    fixture.run(500);
+    REQUIRE(fixture.workers.workersRunning(task).size() == 1);
+    const std::string other = fixture.workers.workersRunning(task)[0] == "w0" ? "w1" : "w0";
+    fixture.workers.workMs = 0;
+    fixture.run(1'500);
+    REQUIRE(fixture.workers.workersRunning(task).empty());
+    fixture.workers.start({.id = other, .address = "10.0.0.1:80"},
+                          {.task = task,
+                           .run = 1,
+                           .leaseUntil = fixture.loop.now() + 30'000,
+                           .fence = fixture.term},
+                          [](const OrderReply &) {});
+    fixture.run(10);
+    REQUIRE(fixture.workers.workersRunning(task).size() == 1);
+    fixture.run(3'000);
+    CHECK(fixture.workers.workersRunning(task).empty());
+    CHECK(fixture.scheduler->stateOf("a") == JobState::Running);
+}
+
 // Guards against the end of every task of a healthy worker after two renewals without an answer.
 TEST_CASE("two renewals without an answer do not let the lease of a worker lapse")
 {
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -79,12 +79,15 @@
     worker.isProbing = true;
     orders_.renew(worker.address(), order,
                   [this, alive = alive_, id = worker.entry.id, generation = worker.generation,
-                   repliesBeforeSend = replyCount_](const RenewReply &reply) {
+                   repliesBeforeSend = replyCount_,
+                   leaseUntil = order.leaseUntil](const RenewReply &reply) {
                       Worker *const probed = *alive ? workerOf(id) : nullptr;
                       if (probed == nullptr || probed->generation != generation)
                           return;
                       probed->isProbing = false;
                       // Other failures are handled by the pending renewal.
+                      if (reply.status == OrderStatus::Accepted)
+                          probed->leaseGranted = std::max(probed->leaseGranted, leaseUntil);
                       if (reply.status == OrderStatus::Accepted)
                           acceptRenewal(*probed, repliesBeforeSend, reply);
                       else if (reply.status == OrderStatus::Fenced)
@@ -115,9 +118,10 @@
     worker.renewedAt = now;
     orders_.renew(worker.address(), order,
                   [this, alive = alive_, id = worker.entry.id, generation = worker.generation,
-                   repliesBeforeSend = replyCount_](const RenewReply &reply) {
+                   repliesBeforeSend = replyCount_,
+                   leaseUntil = order.leaseUntil](const RenewReply &reply) {
                       if (*alive)
-                          handleRenewal(id, generation, repliesBeforeSend, reply);
+                          handleRenewal(id, generation, repliesBeforeSend, leaseUntil, reply);
                   });
 }
 
@@ -140,7 +144,8 @@
 }
 
 void Scheduler::handleRenewal(const std::string &id, std::uint64_t generation,
-                              std::uint64_t repliesBeforeSend, const RenewReply &reply)
+                              std::uint64_t repliesBeforeSend, Millis leaseUntil,
+                              const RenewReply &reply)
 {
     Worker *const worker = workerOf(id);
     if (worker == nullptr || worker->generation != generation)
@@ -167,6 +172,7 @@
         return;
     }
     worker->retryAt = 0;
+    worker->leaseGranted = std::max(worker->leaseGranted, leaseUntil);
     acceptRenewal(*worker, repliesBeforeSend, reply);
 }
 
@@ -211,7 +217,7 @@
     const bool isOlder = reply.workerClock < worker.listClock;
     worker.listClock = std::max(worker.listClock, reply.workerClock);
     if (!isOlder)
-        worker.listedAt = worker.reportAt;
+        worker.listWrittenAt = worker.reportAt;
     if (!isOlder) {
         for (const RunningTask &running : reply.running)
             reconcileRunning(worker, running);
@@ -233,6 +239,7 @@
         decideInheritedTasks(worker, repliesBeforeSend, reply);
         reconcileAbsent(worker, repliesBeforeSend, reply);
         reconcileUnassigned(worker, repliesBeforeSend, reply);
+        retryStops(worker);
     }
     pace(worker);
     if (worker.entry.isDraining || worker.cordons.contains(CordonReason::Maintenance))
@@ -349,7 +356,7 @@
         if (task->phase == TaskPhase::Starting) {
             // The start may still arrive; a stop makes the worker reject it permanently.
             task->wasMissing = true;
-            stop(id, *task, StopReason::NotStarted);
+            withdrawStart(worker, id, *task);
             continue;
         }
         if (task->phase == TaskPhase::Stopping && !task->isStopConfirmed)
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -191,9 +191,20 @@
     sendStop(id, task.run, task.worker, reason);
 }
 
+// Stops a run that the worker's list lacks. If the list is old, retryStops() sends the stop.
+void Scheduler::withdrawStart(const Worker &worker, const TaskId &id, Task &task)
+{
+    if (maySendStop(worker, id, task))
+        return stop(id, task, StopReason::NotStarted);
+    task.phase = TaskPhase::Stopping;
+    task.stopReason = StopReason::NotStarted;
+    task.isStopPending = false;
+    task.isStopConfirmed = false;
+}
+
 // Others of the step can have become unavailable since a stop without an answer was sent, and a run
 // whose start had none can have come to work.
-bool Scheduler::mayRepeatStop(const Worker &worker, const TaskId &id, const Task &task) const
+bool Scheduler::maySendStop(const Worker &worker, const TaskId &id, const Task &task) const
 {
     if (worker.entry.isDraining || !isUnderBudget(id))
         return true;
@@ -245,7 +256,8 @@
                          return;
                      task->isStopPending = false;
                      task->lastReplyNumber = ++replyCount_;
-                     task->isStopConfirmed = reply.status == OrderStatus::Accepted
+                     task->isStopConfirmed = task->isStopConfirmed
+                                             || reply.status == OrderStatus::Accepted
                                              || reply.status == OrderStatus::StaleRun;
                      if (task->isStopConfirmed && task->phase == TaskPhase::Running)
                          task->phase = TaskPhase::Stopping;
--- a/packages/scheduler/src/scheduler_unassigned.cpp
+++ b/packages/scheduler/src/scheduler_unassigned.cpp
@@ -20,7 +20,8 @@
 }
 
 // A run of a perpetual task that its worker lists may be the only one at work. It is stopped only
-// once the assigned run is at work, and within the disruption budget of the step.
+// once the assigned run is at work. The budget is not asked then: the task stays available, and the
+// run may hold the room that another one of the step waits for.
 bool Scheduler::mayStopUnassigned(const Worker &worker, const TaskId &id,
                                   const UnassignedRun &run) const
 {
@@ -28,7 +29,7 @@
         return true;
     if (run.listedAt == 0)
         return !run.isStopSent || hasFreshList(worker);
-    return isAtWork(id) && mayEvict(*entryOf(id.job), id);
+    return isAtWork(id);
 }
 
 // True if the worker lists a run that may be the only one of its perpetual task at work.
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -64,9 +64,10 @@
     Millis reportAt = 0;    ///< when the worker wrote its latest reply, as far as its clock shows
     Millis clockOffset = 0; ///< smallest recent difference of local time and its clock at a reply
     Millis addedAt = 0;
-    Millis listClock = 0; ///< the worker's clock at the newest task list received
-    Millis listedAt = 0;  ///< when the worker wrote that list, as far as its clock shows
-    Millis leaseSent = 0; ///< latest lease end sent, on the worker's clock
+    Millis listClock = 0;     ///< the worker's clock at the newest task list received
+    Millis listWrittenAt = 0; ///< when the worker wrote that list, as far as its clock shows
+    Millis leaseSent = 0;     ///< latest lease end sent, on the worker's clock
+    Millis leaseGranted = 0;  ///< latest lease end that a reply has confirmed; 0: none
     bool isRenewing = false;
     bool isProbing = false;
     bool hasRenewalFailed = false; ///< the last renewal was not accepted
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -271,7 +271,7 @@
                                   && !task->isStopConfirmed && !task->isStopPending;
         if (!isUnanswered)
             continue;
-        if (mayRepeatStop(worker, id, *task))
+        if (maySendStop(worker, id, *task))
             due.push_back(id);
         else
             needsList = needsList || !task->isListed;
