--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -79,12 +79,15 @@
     worker.isProbing = true;
     orders_.renew(worker.address(), order,
                   [this, alive = alive_, id = worker.entry.id, generation = worker.generation,
-                   repliesBeforeSend = replyCount_](const RenewReply &reply) {
+                   repliesBeforeSend = replyCount_,
+                   leaseUntil = order.leaseUntil](const RenewReply &reply) {
                       Worker *const probed = *alive ? workerOf(id) : nullptr;
                       if (probed == nullptr || probed->generation != generation)
                           return;
                       probed->isProbing = false;
                       // Other failures are handled by the pending renewal.
+                      if (reply.status == OrderStatus::Accepted)
+                          probed->leaseGranted = std::max(probed->leaseGranted, leaseUntil);
                       if (reply.status == OrderStatus::Accepted)
                           acceptRenewal(*probed, repliesBeforeSend, reply);
                       else if (reply.status == OrderStatus::Fenced)
@@ -107,16 +110,18 @@
         return;
     }
     RenewOrder order = renewalFor(worker);
-    if (worker.hasResponded && !isWaitingForStore)
+    // A worker whose lease runs down is not left waiting for the end of a long poll.
+    if (worker.hasResponded && !isWaitingForStore && !worker.hasRenewalFailed)
         order.waitMs = worker.tasks.empty() ? settings_.idleRenewWaitMs : settings_.renewWaitMs;
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     worker.isRenewing = true;
     worker.renewedAt = now;
     orders_.renew(worker.address(), order,
                   [this, alive = alive_, id = worker.entry.id, generation = worker.generation,
-                   repliesBeforeSend = replyCount_](const RenewReply &reply) {
+                   repliesBeforeSend = replyCount_,
+                   leaseUntil = order.leaseUntil](const RenewReply &reply) {
                       if (*alive)
-                          handleRenewal(id, generation, repliesBeforeSend, reply);
+                          handleRenewal(id, generation, repliesBeforeSend, leaseUntil, reply);
                   });
 }
 
@@ -139,7 +144,8 @@
 }
 
 void Scheduler::handleRenewal(const std::string &id, std::uint64_t generation,
-                              std::uint64_t repliesBeforeSend, const RenewReply &reply)
+                              std::uint64_t repliesBeforeSend, Millis leaseUntil,
+                              const RenewReply &reply)
 {
     Worker *const worker = workerOf(id);
     if (worker == nullptr || worker->generation != generation)
@@ -159,10 +165,14 @@
     worker->hasRenewalFailed = reply.status != OrderStatus::Accepted;
     if (worker->hasRenewalFailed) {
         suspectRestart(*worker);
-        worker->retryAt = now + settings_.retryMs;
+        const bool hasTimedOut = reply.status == OrderStatus::Unknown;
+        worker->retryAt = now + (hasTimedOut ? 0 : settings_.retryMs);
+        if (hasTimedOut)
+            renew(*worker);
         return;
     }
     worker->retryAt = 0;
+    worker->leaseGranted = std::max(worker->leaseGranted, leaseUntil);
     acceptRenewal(*worker, repliesBeforeSend, reply);
 }
 
@@ -207,7 +217,7 @@
     const bool isOlder = reply.workerClock < worker.listClock;
     worker.listClock = std::max(worker.listClock, reply.workerClock);
     if (!isOlder)
-        worker.listedAt = worker.reportAt;
+        worker.listWrittenAt = worker.reportAt;
     if (!isOlder) {
         for (const RunningTask &running : reply.running)
             reconcileRunning(worker, running);
@@ -229,6 +239,7 @@
         decideInheritedTasks(worker, repliesBeforeSend, reply);
         reconcileAbsent(worker, repliesBeforeSend, reply);
         reconcileUnassigned(worker, repliesBeforeSend, reply);
+        retryStops(worker);
     }
     pace(worker);
     if (worker.entry.isDraining || worker.cordons.contains(CordonReason::Maintenance))
@@ -345,7 +356,7 @@
         if (task->phase == TaskPhase::Starting) {
             // The start may still arrive; a stop makes the worker reject it permanently.
             task->wasMissing = true;
-            stop(id, *task, StopReason::NotStarted);
+            withdrawStart(worker, id, *task);
             continue;
         }
         if (task->phase == TaskPhase::Stopping && !task->isStopConfirmed)
