Keep the port of a stand-in's proxy while it is closed

A worker stand-in that crashes closes its proxy and takes the port again at once.

Change: the proxy holds a second socket that is bound and does not listen for as long as it lives. A closed proxy still refuses connections.

"a closed proxy refuses connections" guards what held before. Only test code is changed.

--- a/tests/hosted/loopback_proxy.cpp
+++ b/tests/hosted/loopback_proxy.cpp
@@ -85,33 +85,28 @@
 LoopbackProxy::LoopbackProxy(boost::asio::io_context &loop, std::uint16_t targetPort)
     : loop_(loop)
     , target_(boost::asio::ip::make_address("127.0.0.1"), targetPort)
+    , reservation_(loop)
     , acceptor_(loop)
 {
-    bind();
+    bindTo(reservation_, 0);
+    port_ = reservation_.local_endpoint().port();
     listen();
 }
 
 LoopbackProxy::~LoopbackProxy()
 {
-    closeSockets();
+    close();
 }
 
-// A bound socket that does not listen refuses connections and keeps its port.
-void LoopbackProxy::bind()
+// Two sockets can share a port if at most one of them listens.
+void LoopbackProxy::bindTo(tcp::acceptor &acceptor, std::uint16_t port) const
 {
-    acceptor_.open(tcp::v4());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(tcp::endpoint(target_.address(), port_));
-    port_ = acceptor_.local_endpoint().port();
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(tcp::endpoint(target_.address(), port));
 }
 
 void LoopbackProxy::close()
-{
-    closeSockets();
-    bind();
-}
-
-void LoopbackProxy::closeSockets()
 {
     ++generation_;
     boost::system::error_code ignored;
@@ -123,6 +118,9 @@
 
 void LoopbackProxy::listen()
 {
+    if (acceptor_.is_open())
+        return;
+    bindTo(acceptor_, port_);
     acceptor_.listen();
     accept(++generation_);
 }
--- a/tests/hosted/loopback_proxy.h
+++ b/tests/hosted/loopback_proxy.h
@@ -32,12 +32,13 @@
 private:
     class Connection;
 
-    void bind();
+    void bindTo(boost::asio::ip::tcp::acceptor &acceptor, std::uint16_t port) const;
     void accept(int generation);
-    void closeSockets();
 
     boost::asio::io_context &loop_;
     boost::asio::ip::tcp::endpoint target_;
+    /// Bound without listening, so that no other process gets the port while the proxy is closed.
+    boost::asio::ip::tcp::acceptor reservation_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::uint16_t port_ = 0;
     int generation_ = 0; ///< number of listen() calls and closings
