Share the set-up of the tests with a silent worker that runs on

Three cases on late orders repeated the same set-up: a worker falls silent while a late renewal keeps its run at work. One fixture holds it now. What callers get and all assertions are unchanged.

--- a/packages/scheduler/src/scheduler_late_orders_test.cpp
+++ b/packages/scheduler/src/scheduler_late_orders_test.cpp
@@ -22,6 +22,32 @@
     return perpetual;
 }
 
+// Two workers; the one that runs the only task of a job falls silent. A renewal that it has
+// executed late keeps the run at work beyond the lease that the scheduler knows.
+struct SilentWorkerFixture : SchedulerFixture
+{
+    explicit SilentWorkerFixture(Millis leaseMs)
+    {
+        workers.workMs = 0;
+        addWorkers(2);
+        submit("a", {perpetualStep(1)});
+        run(2'000);
+        const auto workerIds = workers.workersRunning(task);
+        REQUIRE(workerIds.size() == 1);
+        silent = workerIds[0];
+        other = silent == "w0" ? "w1" : "w0";
+        workers.renew({.id = silent, .address = "10.0.0.1:80"},
+                      {.leaseUntil = loop.now() + leaseMs, .fence = term},
+                      [](const RenewReply &) {});
+        run(100);
+        workers.setReachable(silent, false);
+    }
+
+    TaskId task{.job = "a"};
+    std::string silent;
+    std::string other;
+};
+
 } // namespace
 
 // Guards against ending a run that its worker took late, in favour of one that is not at work yet.
@@ -55,29 +81,16 @@
 {
     for (const Millis silentMs : {Millis{6'000}, Millis{9'000}}) {
         CAPTURE(silentMs);
-        SchedulerFixture fixture;
-        fixture.workers.workMs = 0;
-        fixture.addWorkers(2);
-        fixture.submit("a", {perpetualStep(1)});
-        fixture.run(2'000);
-        const TaskId task{.job = "a"};
-        const auto workerIds = fixture.workers.workersRunning(task);
-        REQUIRE(workerIds.size() == 1);
-        // A renewal that was executed late keeps the run at work beyond the end of its lease.
-        fixture.workers.renew({.id = workerIds[0], .address = "10.0.0.1:80"},
-                              {.leaseUntil = fixture.loop.now() + 60'000, .fence = fixture.term},
-                              [](const RenewReply &) {});
-        fixture.run(100);
+        SilentWorkerFixture fixture(60'000);
         fixture.workers.lateness = [](OrderKind, const TaskId &,
                                       std::int64_t) -> std::optional<Millis> { return kNeverMs; };
-        fixture.workers.setReachable(workerIds[0], false);
         fixture.run(silentMs);
-        fixture.workers.setReachable(workerIds[0], true);
+        fixture.workers.setReachable(fixture.silent, true);
         fixture.run(2'500);
         fixture.workers.lateness = nullptr;
         fixture.run(5'000);
-        CHECK(fixture.workers.workersRunning(task) == workerIds);
-        CHECK(fixture.workers.startsOf(task) == 1);
+        CHECK(fixture.workers.workersRunning(fixture.task) == std::vector{fixture.silent});
+        CHECK(fixture.workers.startsOf(fixture.task) == 1);
     }
 }
 
@@ -116,58 +129,33 @@
 // it is lost.
 TEST_CASE("a perpetual run that is kept beside the assigned one keeps its lease")
 {
-    SchedulerFixture fixture;
-    fixture.workers.workMs = 0;
-    fixture.addWorkers(2);
-    fixture.submit("a", {perpetualStep(1)});
-    fixture.run(2'000);
-    const TaskId task{.job = "a"};
-    const auto first = fixture.workers.workersRunning(task);
-    REQUIRE(first.size() == 1);
-    fixture.workers.renew({.id = first[0], .address = "10.0.0.1:80"},
-                          {.leaseUntil = fixture.loop.now() + 11'000, .fence = fixture.term},
-                          [](const RenewReply &) {});
-    fixture.run(100);
-    fixture.workers.setReachable(first[0], false);
+    SilentWorkerFixture fixture(11'000);
     fixture.run(8'000);
-    REQUIRE(fixture.workers.startsOf(task) == 2);
-    const std::string second = first[0] == "w0" ? "w1" : "w0";
+    REQUIRE(fixture.workers.startsOf(fixture.task) == 2);
     fixture.workers.lateness = [](OrderKind kind, const TaskId &,
                                   std::int64_t) -> std::optional<Millis> {
         return kind == OrderKind::Stop ? std::optional(kNeverMs) : std::nullopt;
     };
-    fixture.workers.setReachable(first[0], true);
+    fixture.workers.setReachable(fixture.silent, true);
     fixture.run(2'000);
-    fixture.workers.setReachable(second, false);
+    fixture.workers.setReachable(fixture.other, false);
     fixture.run(8'000);
-    CHECK(fixture.workers.tasksOn(first[0]) == std::vector{task});
-    CHECK(fixture.workers.startsOf(task) == 2);
+    CHECK(fixture.workers.tasksOn(fixture.silent) == std::vector{fixture.task});
+    CHECK(fixture.workers.startsOf(fixture.task) == 2);
 }
 
 // Guards against a move or maintenance of a machine that is taken for idle while a run that was
 // given up is still there.
 TEST_CASE("a worker whose run is not stopped yet does not count as empty")
 {
-    SchedulerFixture fixture;
-    fixture.workers.workMs = 0;
-    fixture.addWorkers(2);
-    fixture.submit("a", {perpetualStep(1)});
-    fixture.run(2'000);
-    const TaskId task{.job = "a"};
-    const auto first = fixture.workers.workersRunning(task);
-    REQUIRE(first.size() == 1);
-    fixture.workers.renew({.id = first[0], .address = "10.0.0.1:80"},
-                          {.leaseUntil = fixture.loop.now() + 30'000, .fence = fixture.term},
-                          [](const RenewReply &) {});
-    fixture.run(100);
-    fixture.workers.setReachable(first[0], false);
+    SilentWorkerFixture fixture(30'000);
     fixture.run(8'000);
-    REQUIRE(fixture.workers.startsOf(task) == 2);
+    REQUIRE(fixture.workers.startsOf(fixture.task) == 2);
     fixture.workers.lateness = [](OrderKind, const TaskId &,
                                   std::int64_t) -> std::optional<Millis> { return kNeverMs; };
-    fixture.workers.setReachable(first[0], true);
+    fixture.workers.setReachable(fixture.silent, true);
     fixture.run(3'000);
-    REQUIRE(fixture.workers.tasksOn(first[0]).size() == 1);
+    REQUIRE(fixture.workers.tasksOn(fixture.silent).size() == 1);
     for (const WorkerView &view : fixture.scheduler->workers())
         CHECK(view.tasks == 1);
 }
