Show how old the leader's view of stored jobs is

Cause: callers saw a task start seconds after its job's cancellation was acknowledged. Neither the log nor the metrics told how old the view was on which a task was started, nor whether the event loop or one answer was late.

Change: job.started names the age of the view (jobs_age_ms), and the metric chicorywick_start_jobs_age_seconds counts it. view.outdated and view.current (CW7012, CW7013) stand for a view older than 2 s and the answer that ended it, with its duration and rows; loop.delayed (CW1008) for a timer that is handled more than 250 ms late. No decision is changed.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -18,6 +18,7 @@
     SettingsRefused = 1005,
     SettingsReloaded = 1006,
     LogLinesDropped = 1007,
+    LoopDelayed = 1008,
 
     // 2xxx: operator calls
     OperatorCallAccepted = 2001,
@@ -81,6 +82,8 @@
     LeadershipLost = 7009,
     LeadershipReady = 7010,
     CellsPlanned = 7011,
+    ViewOutdated = 7012,
+    ViewCurrent = 7013,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -21,6 +21,8 @@
          "the settings file was read again"},
         {Event::LogLinesDropped, Severity::Warning, "log.dropped",
          "log lines were left out because of their number or a full pipe"},
+        {Event::LoopDelayed, Severity::Warning, "loop.delayed",
+         "a timer was handled late: the events before it took too long"},
         {Event::OperatorCallAccepted, Severity::Info, "operator.accepted",
          "an operator call was carried out"},
         {Event::OperatorCallRefused, Severity::Warning, "operator.refused",
@@ -111,6 +113,10 @@
          "the stored jobs are loaded and scheduled"},
         {Event::CellsPlanned, Severity::Info, "cells.planned",
          "this daemon divided the fleet into cells"},
+        {Event::ViewOutdated, Severity::Warning, "view.outdated",
+         "the stored jobs were last known in full too long ago"},
+        {Event::ViewCurrent, Severity::Info, "view.current",
+         "the stored jobs are known again; the fields describe the answer that ended the delay"},
 });
 
 EventWriter &eventWriter()
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -11,7 +11,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kTickPeriod = 100ms;
+constexpr std::chrono::milliseconds kTickPeriod = 100ms;
+// A tick that is later than this is logged.
+constexpr scheduler::Millis kLateTickMs = 250;
+// A view that is older than this is logged. Cancellations must be known within three seconds.
+constexpr scheduler::Millis kOutdatedViewMs = 2'000;
 // A cancellation must reach the scheduler within three seconds, even if the connection of a watch
 // has stalled.
 constexpr auto kWatchTimeout = 800ms;
@@ -85,7 +89,8 @@
                   .maySendOrders = hooks_.maySendOrders,
                   .onFenced = hooks_.onFenced,
                   .onProgress = [this] { journal_->request(); },
-                  .orderValidity = hooks_.orderValidity},
+                  .orderValidity = hooks_.orderValidity,
+                  .jobsKnownUntil = [this] { return jobsView_.knownUntil(); }},
                  settings)
     , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, rows_, scheduler_,
                                                  hooks_.maySendOrders))
@@ -240,18 +245,53 @@
 void Controller::Impl::watchJobs()
 {
     ports_.table->watch(rows_.jobsTable(), jobsVersion_, kWatchTimeout,
-                        [self = shared_from_this()](const base::Result<RowPage> &page) {
+                        [self = shared_from_this(),
+                         requestedAt = hooks_.clock().steady](const base::Result<RowPage> &page) {
                             if (self->isStopped_)
                                 return;
+                            if (!page)
+                                self->jobsView_.recordFailure();
                             if (!page && page.error().code == base::Code::HistoryUnavailable)
                                 return self->reloadJobs();
                             if (!page)
                                 return self->retryAfterPause([self] { self->watchJobs(); });
                             self->applyWatchedRows(page.value());
+                            self->recordJobsAnswer(requestedAt, page.value().rows.size());
                             self->runAfter(kWatchPause, [self] { self->watchJobs(); });
                         });
 }
 
+void Controller::Impl::recordJobsAnswer(scheduler::Millis requestedAt, std::size_t rows)
+{
+    if (isJobsViewOutdated_) {
+        const scheduler::Millis now = hooks_.clock().steady;
+        base::logEvent(base::Event::ViewCurrent,
+                       {{"cell", std::to_string(cell_.number)},
+                        {"age_ms", std::to_string(now - jobsView_.knownUntil())},
+                        {"answer_ms", std::to_string(now - requestedAt)},
+                        {"rows", std::to_string(rows)},
+                        {"failures", std::to_string(jobsView_.failures())}});
+    }
+    isJobsViewOutdated_ = false;
+    jobsView_.recordAnswer(requestedAt);
+}
+
+void Controller::Impl::reportDelays()
+{
+    const scheduler::Millis now = hooks_.clock().steady;
+    const scheduler::Millis lateMs = now - tickedAt_ - kTickPeriod.count();
+    if (tickedAt_ != 0 && lateMs > kLateTickMs)
+        base::logEvent(base::Event::LoopDelayed, {{"late_ms", std::to_string(lateMs)}});
+    tickedAt_ = now;
+    const scheduler::Millis age = now - jobsView_.knownUntil();
+    if (isJobsViewOutdated_ || age <= kOutdatedViewMs)
+        return;
+    isJobsViewOutdated_ = true;
+    base::logEvent(base::Event::ViewOutdated, {{"cell", std::to_string(cell_.number)},
+                                               {"age_ms", std::to_string(age)},
+                                               {"failures", std::to_string(jobsView_.failures())}});
+}
+
 // The store no longer has the history that the watch needs, so all rows are read again.
 void Controller::Impl::reloadJobs()
 {
@@ -312,6 +352,7 @@
 
 void Controller::Impl::tick()
 {
+    reportDelays();
     scheduler_.tick();
     roster_->update();
     waves_->tick();
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -5,6 +5,7 @@
 #include "pool_balancer.h"
 #include "progress_journal.h"
 #include "roster_journal.h"
+#include "view_age.h"
 #include "wave_runner.h"
 
 #include <chicorywick/entry/controller.h>
@@ -48,6 +49,8 @@
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
     void applyWatchedRows(const RowPage &page);
+    void recordJobsAnswer(scheduler::Millis requestedAt, std::size_t rows);
+    void reportDelays();
     void watchJobs();
     void reloadJobs();
     void watchWorkers();
@@ -77,6 +80,11 @@
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
     CancellationIndex cancelled_;
     Version jobsVersion_ = 0;
+    ViewAge jobsView_;
+    bool isJobsViewOutdated_ = false;
+    scheduler::Millis jobsLoadBegunAt_ = 0;
+    std::size_t loadedJobRows_ = 0;
+    scheduler::Millis tickedAt_ = 0;
     Version workersVersion_ = 0;
     scheduler::Millis compactedAt_ = 0;
 };
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -67,7 +67,12 @@
 
 void Controller::Impl::loadJobs(int part)
 {
+    if (part == 0) {
+        jobsLoadBegunAt_ = hooks_.clock().steady;
+        loadedJobRows_ = 0;
+    }
     if (part == rows_.jobParts()) {
+        recordJobsAnswer(jobsLoadBegunAt_, loadedJobRows_);
         if (isLoaded_)
             return watchJobs();
         return loadNewRows();
@@ -82,6 +87,7 @@
                 const Version version = page.value().version;
                 self->jobsVersion_ = part == 0 ? version : std::min(self->jobsVersion_, version);
                 self->applyJobRows(page.value().rows);
+                self->loadedJobRows_ += page.value().rows.size();
                 self->loadJobs(part + 1);
             });
 }
@@ -91,12 +97,15 @@
 void Controller::Impl::loadNewRows()
 {
     ports_.table->watch(rows_.jobsTable(), jobsVersion_, kNoWait,
-                        [self = shared_from_this()](const base::Result<RowPage> &page) {
+                        [self = shared_from_this(),
+                         requestedAt = hooks_.clock().steady](const base::Result<RowPage> &page) {
                             if (self->isStopped_)
                                 return;
                             // After a failure, the watch that follows the load reads the rows.
-                            if (page)
+                            if (page) {
                                 self->applyWatchedRows(page.value());
+                                self->recordJobsAnswer(requestedAt, page.value().rows.size());
+                            }
                             self->loadWorkers();
                         });
 }
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -70,6 +70,11 @@
                     .Name("chicorywick_task_wait_seconds")
                     .Help("Time from a task's readiness to its start order")
                     .Register(registry);
+    prometheus::Family<prometheus::Histogram> &jobsAges =
+            prometheus::BuildHistogram()
+                    .Name("chicorywick_start_jobs_age_seconds")
+                    .Help("Age of the view of stored jobs and cancellations at a start order")
+                    .Register(registry);
     prometheus::Family<prometheus::Histogram> &submissions =
             prometheus::BuildHistogram()
                     .Name("chicorywick_submission_seconds")
@@ -82,6 +87,7 @@
                     .Register(registry);
     std::map<base::Event, prometheus::Counter *> counters;
     prometheus::Histogram &wait = waits.Add({}, kSeconds);
+    prometheus::Histogram &jobsAge = jobsAges.Add({}, kSeconds);
     prometheus::Histogram &accepted = submissions.Add({{"outcome", "accepted"}}, kSeconds);
     prometheus::Histogram &refused = submissions.Add({{"outcome", "refused"}}, kSeconds);
 };
@@ -102,6 +108,7 @@
     switch (event) {
     case base::Event::JobStarted:
         families_->wait.Observe(secondsOf(fields, "waited_ms"));
+        families_->jobsAge.Observe(secondsOf(fields, "jobs_age_ms"));
         break;
     case base::Event::JobFinished:
         families_->jobs.Add({{"state", valueOf(fields, "state")}}, kSeconds)
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -42,6 +42,8 @@
     std::function<void()> onFenced;      ///< a worker has seen a newer leader's fencing token
     std::function<void()> onProgress;    ///< a job was marked dirty
     std::function<OrderValidity()> orderValidity = {}; ///< empty: orders have no limit
+    /// Local time up to which all stored jobs and cancellations are known; empty: up to now.
+    std::function<Millis()> jobsKnownUntil = {};
 };
 
 /// @brief Why a worker gets no new tasks.
@@ -245,6 +247,7 @@
 
     // Workers (scheduler_workers.cpp) and lease renewals (scheduler_renewals.cpp)
     OrderValidity validity() const;
+    Millis jobsAge() const;
     Worker *workerOf(const std::string &id);
     const Worker *workerOf(const std::string &id) const;
     Worker &addWorker(const WorkerEntry &entry);
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -38,6 +38,11 @@
     return hooks_.orderValidity ? hooks_.orderValidity() : OrderValidity();
 }
 
+Millis Scheduler::jobsAge() const
+{
+    return hooks_.jobsKnownUntil ? hooks_.clock().steady - hooks_.jobsKnownUntil() : 0;
+}
+
 void Scheduler::assign(JobEntry &entry, const TaskId &id, Worker &worker)
 {
     dequeue(entry, id);
@@ -71,7 +76,8 @@
                     {"worker", worker.entry.id},
                     {"waited_ms", std::to_string(now - task.readySince)},
                     {"free_cpu", std::to_string(worker.free().cpuMillis)},
-                    {"worker_age_ms", std::to_string(now - worker.replyAt)}},
+                    {"worker_age_ms", std::to_string(now - worker.replyAt)},
+                    {"jobs_age_ms", std::to_string(jobsAge())}},
                    logPriority(stepOf(entry.job, id)));
     orders_.start(worker.address(), order,
                   [this, alive = alive_, id, run = task.run,
