Start no task on an old view of the stored jobs

Cause: callers saw tasks start seconds after their job's cancellation was acknowledged. The permission to order asked for the lease only: whatever hid a stored cancellation from a leader (a slow or lost answer of the watch, a silent connection, the reload after lost history, a failed read of the rows stored during a load), the leader went on placing tasks on its old view.

Change: TableWatch follows the jobs table and tells up to when all its rows are known: the time at which an answered request was sent, however long its answer waited. The scheduler starts nothing while that is more than 2 s ago, and a start that waits for a connection loses its permission then; stops, renewals and ends go on.

Ruled out: tying the permission to the age of the last answer's arrival; an answer that waited in the loop for 5 s would have counted as current.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -14,16 +14,13 @@
 constexpr std::chrono::milliseconds kTickPeriod = 100ms;
 // A tick that is later than this is logged.
 constexpr scheduler::Millis kLateTickMs = 250;
-// A view that is older than this is logged. Cancellations must be known within three seconds.
-constexpr scheduler::Millis kOutdatedViewMs = 2'000;
-// A cancellation must reach the scheduler within three seconds, even if the connection of a watch
-// has stalled.
+// A stalled connection to the list of workers is detected within this time plus the slack of the
+// watch.
 constexpr auto kWatchTimeout = 800ms;
 constexpr auto kWriteTimeout = 1000ms;
 constexpr auto kRetryPause = 200ms;
-// Pause between two watches of a table. While machines move, the rows of workers change hundreds of
-// times a second, and every change would cost each leader a call. Stored jobs are announced, so
-// their watch is not urgent.
+// Pause between two watches of the workers. While machines move, their rows change hundreds of
+// times a second, and every change would cost each leader a call.
 constexpr auto kWatchPause = 50ms;
 // Replaces the specification in the row of an ended job.
 constexpr const char *kEndedJobValue = "{}";
@@ -90,8 +87,13 @@
                   .onFenced = hooks_.onFenced,
                   .onProgress = [this] { journal_->request(); },
                   .orderValidity = hooks_.orderValidity,
-                  .jobsKnownUntil = [this] { return jobsView_.knownUntil(); }},
+                  .jobsKnownUntil = [this] { return jobsWatch_->view().knownUntil(); }},
                  settings)
+    , jobsWatch_(std::make_shared<TableWatch>(
+              *ports.loop, *ports.table, rows_.jobsTable(),
+              TableWatchHooks{.clock = [clock = hooks_.clock] { return clock().steady; },
+                              .onRows = [this](const RowPage &page) { applyJobRows(page.rows); },
+                              .onHistoryLost = [this] { loadJobs(0); }}))
     , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, rows_, scheduler_,
                                                  hooks_.maySendOrders))
     , roster_(std::make_shared<RosterJournal>(*ports.table, rows_, scheduler_,
@@ -106,6 +108,7 @@
     , tickTimer_(*ports.loop)
     , fence_(settings.fence)
     , retentionMs_(settings.retentionMs)
+    , maxJobsAgeMs_(settings.maxJobsAgeMs)
 {}
 
 void Controller::Impl::start()
@@ -117,6 +120,7 @@
 {
     isStopped_ = true;
     tickTimer_.cancel();
+    jobsWatch_->stop();
     journal_->stop();
     roster_->stop();
     waves_->stop();
@@ -236,46 +240,6 @@
     applyCancellation(row);
 }
 
-void Controller::Impl::applyWatchedRows(const RowPage &page)
-{
-    applyJobRows(page.rows);
-    jobsVersion_ = std::max(jobsVersion_, page.version);
-}
-
-void Controller::Impl::watchJobs()
-{
-    ports_.table->watch(rows_.jobsTable(), jobsVersion_, kWatchTimeout,
-                        [self = shared_from_this(),
-                         requestedAt = hooks_.clock().steady](const base::Result<RowPage> &page) {
-                            if (self->isStopped_)
-                                return;
-                            if (!page)
-                                self->jobsView_.recordFailure();
-                            if (!page && page.error().code == base::Code::HistoryUnavailable)
-                                return self->reloadJobs();
-                            if (!page)
-                                return self->retryAfterPause([self] { self->watchJobs(); });
-                            self->applyWatchedRows(page.value());
-                            self->recordJobsAnswer(requestedAt, page.value().rows.size());
-                            self->runAfter(kWatchPause, [self] { self->watchJobs(); });
-                        });
-}
-
-void Controller::Impl::recordJobsAnswer(scheduler::Millis requestedAt, std::size_t rows)
-{
-    if (isJobsViewOutdated_) {
-        const scheduler::Millis now = hooks_.clock().steady;
-        base::logEvent(base::Event::ViewCurrent,
-                       {{"cell", std::to_string(cell_.number)},
-                        {"age_ms", std::to_string(now - jobsView_.knownUntil())},
-                        {"answer_ms", std::to_string(now - requestedAt)},
-                        {"rows", std::to_string(rows)},
-                        {"failures", std::to_string(jobsView_.failures())}});
-    }
-    isJobsViewOutdated_ = false;
-    jobsView_.recordAnswer(requestedAt);
-}
-
 void Controller::Impl::reportDelays()
 {
     const scheduler::Millis now = hooks_.clock().steady;
@@ -283,19 +247,19 @@
     if (tickedAt_ != 0 && lateMs > kLateTickMs)
         base::logEvent(base::Event::LoopDelayed, {{"late_ms", std::to_string(lateMs)}});
     tickedAt_ = now;
-    const scheduler::Millis age = now - jobsView_.knownUntil();
-    if (isJobsViewOutdated_ || age <= kOutdatedViewMs)
+    const ViewAge &view = jobsWatch_->view();
+    const bool isOutdated = now - view.knownUntil() > maxJobsAgeMs_;
+    if (isOutdated == isJobsViewOutdated_)
         return;
-    isJobsViewOutdated_ = true;
-    base::logEvent(base::Event::ViewOutdated, {{"cell", std::to_string(cell_.number)},
-                                               {"age_ms", std::to_string(age)},
-                                               {"failures", std::to_string(jobsView_.failures())}});
-}
-
-// The store no longer has the history that the watch needs, so all rows are read again.
-void Controller::Impl::reloadJobs()
-{
-    loadJobs(0);
+    isJobsViewOutdated_ = isOutdated;
+    if (isOutdated)
+        outdatedSince_ = now;
+    base::logEvent(isOutdated ? base::Event::ViewOutdated : base::Event::ViewCurrent,
+                   {{"cell", std::to_string(cell_.number)},
+                    {"age_ms", std::to_string(now - view.knownUntil())},
+                    {"outdated_ms", std::to_string(now - outdatedSince_)},
+                    {"answer_ms", std::to_string(view.answerMs())},
+                    {"failures", std::to_string(view.failures())}});
 }
 
 void Controller::Impl::watchWorkers()
--- a/packages/entry/src/controller_cancellation_test.cpp
+++ b/packages/entry/src/controller_cancellation_test.cpp
@@ -64,6 +64,41 @@
     CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
 }
 
+// Guards against starts after an acknowledged cancellation when its announcement is lost and the
+// watch is not answered, while the lease holds.
+TEST_CASE("no task starts while the stored cancellations are not known")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    fixture.answerWatch(RowPage{});
+    fixture.table.isSilent = true;
+    fixture.now += ControllerFixture::kMaxJobsAgeMs + 1;
+    fixture.controller->applyStored(fixture.jobRow("a"));
+    fixture.store(fixture.cancelRow("a"));
+    fixture.run();
+    CHECK(!fixture.workers.hasStarted("a"));
+    fixture.answerWatch(RowPage{.rows = {fixture.cancelRow("a")}});
+    CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
+    CHECK(!fixture.workers.hasStarted("a"));
+}
+
+// Guards against waiting tasks that never start again once the watch is answered.
+TEST_CASE("tasks start again once the stored cancellations are known")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    fixture.table.isSilent = true;
+    fixture.now += ControllerFixture::kMaxJobsAgeMs + 1;
+    fixture.controller->applyStored(fixture.jobRow("a"));
+    fixture.run();
+    REQUIRE(!fixture.workers.hasStarted("a"));
+    fixture.answerWatch(RowPage{});
+    fixture.table.isSilent = false;
+    fixture.loop.restart();
+    fixture.loop.run_for(std::chrono::milliseconds(1'000));
+    CHECK(fixture.workers.hasStarted("a"));
+}
+
 // Guards against rows of unknown jobs that accumulate, and against their early removal: a
 // submission can be carried out seconds after its cancellation.
 TEST_CASE("the cancellation of a job that is never stored is removed after the retention time")
--- a/packages/entry/src/controller_fixture.h
+++ b/packages/entry/src/controller_fixture.h
@@ -140,6 +140,8 @@
 struct ControllerFixture
 {
     static constexpr scheduler::Millis kRetentionMs = 60'000;
+    /// Below the time after which a worker that does not reply gets no tasks.
+    static constexpr scheduler::Millis kMaxJobsAgeMs = 1'000;
     static constexpr Version kFence = 1'000; ///< above the versions of rows of earlier leaders
 
     boost::asio::io_context loop;
@@ -171,7 +173,9 @@
                         .machineOrderValidity = [] { return scheduler::OrderValidity(); },
                         .onFenced = [] {}},
                 Cell{.layout = CellLayout(), .number = 0},
-                scheduler::SchedulerSettings{.fence = kFence, .retentionMs = kRetentionMs});
+                scheduler::SchedulerSettings{.fence = kFence,
+                                             .retentionMs = kRetentionMs,
+                                             .maxJobsAgeMs = kMaxJobsAgeMs});
         controller->configure({.version = 1,
                                .routes = {{.host = "h",
                                            .pathPrefix = "/q/",
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -5,7 +5,7 @@
 #include "pool_balancer.h"
 #include "progress_journal.h"
 #include "roster_journal.h"
-#include "view_age.h"
+#include "table_watch.h"
 #include "wave_runner.h"
 
 #include <chicorywick/entry/controller.h>
@@ -48,11 +48,7 @@
     void applyJobRows(const std::vector<Row> &rows);
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
-    void applyWatchedRows(const RowPage &page);
-    void recordJobsAnswer(scheduler::Millis requestedAt, std::size_t rows);
     void reportDelays();
-    void watchJobs();
-    void reloadJobs();
     void watchWorkers();
     void applyWorkers(const WorkerList &list, bool isComplete);
     void scheduleTick();
@@ -65,6 +61,7 @@
     Cell cell_;
     CellRows rows_;
     scheduler::Scheduler scheduler_;
+    std::shared_ptr<TableWatch> jobsWatch_;
     std::shared_ptr<ProgressJournal> journal_;
     std::shared_ptr<RosterJournal> roster_;
     MachineInventory inventory_;
@@ -75,15 +72,15 @@
     Configuration configuration_;
     Version fence_;
     scheduler::Millis retentionMs_;
+    scheduler::Millis maxJobsAgeMs_;
     bool isStopped_ = false;
     bool isLoaded_ = false;
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
     CancellationIndex cancelled_;
     Version jobsVersion_ = 0;
-    ViewAge jobsView_;
     bool isJobsViewOutdated_ = false;
+    scheduler::Millis outdatedSince_ = 0;
     scheduler::Millis jobsLoadBegunAt_ = 0;
-    std::size_t loadedJobRows_ = 0;
     scheduler::Millis tickedAt_ = 0;
     Version workersVersion_ = 0;
     scheduler::Millis compactedAt_ = 0;
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -67,14 +67,12 @@
 
 void Controller::Impl::loadJobs(int part)
 {
-    if (part == 0) {
+    if (part == 0)
         jobsLoadBegunAt_ = hooks_.clock().steady;
-        loadedJobRows_ = 0;
-    }
     if (part == rows_.jobParts()) {
-        recordJobsAnswer(jobsLoadBegunAt_, loadedJobRows_);
+        jobsWatch_->recordRead(jobsLoadBegunAt_);
         if (isLoaded_)
-            return watchJobs();
+            return jobsWatch_->resume(jobsVersion_);
         return loadNewRows();
     }
     readAll(*ports_.table, {.table = rows_.jobsTable(), .part = rows_.jobPart(part)}, kReadTimeout,
@@ -87,7 +85,6 @@
                 const Version version = page.value().version;
                 self->jobsVersion_ = part == 0 ? version : std::min(self->jobsVersion_, version);
                 self->applyJobRows(page.value().rows);
-                self->loadedJobRows_ += page.value().rows.size();
                 self->loadJobs(part + 1);
             });
 }
@@ -101,10 +98,13 @@
                          requestedAt = hooks_.clock().steady](const base::Result<RowPage> &page) {
                             if (self->isStopped_)
                                 return;
-                            // After a failure, the watch that follows the load reads the rows.
+                            // After a failure, the watch that follows the load reads the rows; no
+                            // task starts until then if the rows that were read are too old.
                             if (page) {
-                                self->applyWatchedRows(page.value());
-                                self->recordJobsAnswer(requestedAt, page.value().rows.size());
+                                self->applyJobRows(page.value().rows);
+                                self->jobsVersion_ =
+                                        std::max(self->jobsVersion_, page.value().version);
+                                self->jobsWatch_->recordRead(requestedAt);
                             }
                             self->loadWorkers();
                         });
@@ -136,7 +136,7 @@
                    {{"cell", std::to_string(cell_.number)},
                     {"workers", std::to_string(scheduler_.roster().size())}});
     roster_->update();
-    watchJobs();
+    jobsWatch_->resume(jobsVersion_);
     watchWorkers();
     scheduleTick();
 }
--- a/packages/entry/src/fake_table.h
+++ b/packages/entry/src/fake_table.h
@@ -21,6 +21,8 @@
     /// The pending watch of each table; the test answers it. A watch that does not wait is answered
     /// at once.
     std::map<std::string, Callback<RowPage>> watches;
+    int watchCalls = 0;
+    bool isSilent = false; ///< watches are not answered, also those that do not wait
     std::function<void(const RowRange &)> onRead; ///< called before the rows are read
 
     void transact(const Transaction &transaction, std::chrono::milliseconds /*timeout*/,
@@ -59,14 +61,16 @@
     void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
                Callback<RowPage> done) override
     {
-        if (wait.count() == 0) {
+        ++watchCalls;
+        if (wait.count() == 0 && !isSilent) {
             RowPage page{.version = version_};
             for (const auto &[key, row] : rows)
                 if (key.table == table && row.version > after)
                     page.rows.push_back(row);
             return done(std::move(page));
         }
-        watches.insert_or_assign(table, std::move(done));
+        if (wait.count() > 0)
+            watches.insert_or_assign(table, std::move(done));
     }
 
     Version version() const { return version_; }
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -30,6 +30,10 @@
     Millis unresponsiveAfterMs = 1700; ///< a worker without a reply for this long gets no new tasks
     Millis previousLeaseMs = 6000;     ///< longest lease that an earlier leader may have granted
     Millis retentionMs = 130'000;      ///< time for which ended jobs are kept
+    /// No task starts while the stored jobs and cancellations are known only up to a time that is
+    /// longer ago. Cancellations must take effect within three seconds, and an order takes up to
+    /// half a second.
+    Millis maxJobsAgeMs = 2'000;
 
     bool operator==(const SchedulerSettings &) const = default;
 };
@@ -248,6 +252,8 @@
     // Workers (scheduler_workers.cpp) and lease renewals (scheduler_renewals.cpp)
     OrderValidity validity() const;
     Millis jobsAge() const;
+    bool mayStartTasks() const;
+    OrderValidity startValidity() const;
     Worker *workerOf(const std::string &id);
     const Worker *workerOf(const std::string &id) const;
     Worker &addWorker(const WorkerEntry &entry);
--- a/packages/scheduler/src/scheduler_fixture.h
+++ b/packages/scheduler/src/scheduler_fixture.h
@@ -24,6 +24,7 @@
     std::unique_ptr<Scheduler> scheduler;
     bool isStoreUp = true;
     bool maySendOrders = true;
+    Millis jobsAgeMs = 0; ///< of the view of stored jobs and cancellations
     bool isStoring = false;
     std::map<std::string, JobProgress> stored;
     std::int64_t term = 0;
@@ -45,7 +46,8 @@
                         .clock = [this] { return Now{.steady = loop.now(), .wall = loop.now()}; },
                         .maySendOrders = [this] { return maySendOrders; },
                         .onFenced = [] {},
-                        .onProgress = [this] { store(); }},
+                        .onProgress = [this] { store(); },
+                        .jobsKnownUntil = [this] { return loop.now() - jobsAgeMs; }},
                 SchedulerSettings{.fence = term});
         scheduler->setQueues({{.name = "q",
                                .service = "s",
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -33,7 +33,7 @@
 
 void Scheduler::place()
 {
-    if (isPlacing_ || !hooks_.maySendOrders())
+    if (isPlacing_ || !mayStartTasks())
         return;
     isPlacing_ = true;
     // Services that change during the pass are handled at the next event.
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -43,6 +43,22 @@
     return hooks_.jobsKnownUntil ? hooks_.clock().steady - hooks_.jobsKnownUntil() : 0;
 }
 
+bool Scheduler::mayStartTasks() const
+{
+    return hooks_.maySendOrders() && jobsAge() <= settings_.maxJobsAgeMs;
+}
+
+// A start may wait for a connection, and then be sent on a view that has become too old.
+OrderValidity Scheduler::startValidity() const
+{
+    OrderValidity limited = validity();
+    if (!hooks_.jobsKnownUntil)
+        return limited;
+    const Millis until = hooks_.jobsKnownUntil() + settings_.maxJobsAgeMs + 1;
+    limited.until = limited.until == 0 ? until : std::min(limited.until, until);
+    return limited;
+}
+
 void Scheduler::assign(JobEntry &entry, const TaskId &id, Worker &worker)
 {
     dequeue(entry, id);
@@ -66,7 +82,7 @@
                      .checkpoint = task.checkpoint,
                      .leaseUntil = leaseUntil(worker),
                      .fence = settings_.fence,
-                     .validity = validity()};
+                     .validity = startValidity()};
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     ++task.unansweredStarts;
     const Millis now = hooks_.clock().steady;
