Take the time limit of cancellations from the deployment

Cause: the age up to which the leader starts tasks was a constant that fits a limit of 3 s from an acknowledged cancellation to the last start; a deployment may state another limit.

Change: the optional setting cancel_ms, filled in from the platform's bounds; two thirds of it bound the age of the view.

--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -19,10 +19,12 @@
     http::Endpoint readiness;
     http::Endpoint peers;
     http::Endpoint metrics;
-    std::int64_t memoryMib = 0;            ///< of the machine; larger ones lead first
-    int machinesPerCell = 280;             ///< at most; used when the fleet is first divided
-    scheduler::Millis maxLeaseMs = 6'000;  ///< longest lease that a worker grants
-    scheduler::Millis stopGraceMs = 6'000; ///< from the stop signal to the forced kill
+    std::int64_t memoryMib = 0;           ///< of the machine; larger ones lead first
+    int machinesPerCell = 280;            ///< at most; used when the fleet is first divided
+    scheduler::Millis maxLeaseMs = 6'000; ///< longest lease that a worker grants
+    /// From an acknowledged cancellation to the last start of a task of its job.
+    scheduler::Millis cancelMs = 3'000;
+    scheduler::Millis stopGraceMs = 6'000;         ///< from the stop signal to the forced kill
     scheduler::Millis statusRetentionMs = 120'000; ///< how long ended jobs stay visible
 
     bool operator==(const NodeSettings &) const = default;
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -315,6 +315,8 @@
     const scheduler::Millis previousLease = election.previousWorkerLease();
     scheduling.previousLeaseMs = previousLease != 0 ? previousLease : settings_.maxLeaseMs;
     scheduling.retentionMs = settings_.statusRetentionMs;
+    // The rest is for an order that waits for a connection and for its way to the worker.
+    scheduling.maxJobsAgeMs = settings_.cancelMs * 2 / 3;
     seat.controller = std::make_unique<Controller>(
             ports_,
             ControllerHooks{
--- a/packages/scheduler/src/scheduler_fixture.h
+++ b/packages/scheduler/src/scheduler_fixture.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,7 +25,8 @@
     std::unique_ptr<Scheduler> scheduler;
     bool isStoreUp = true;
     bool maySendOrders = true;
-    Millis jobsAgeMs = 0; ///< of the view of stored jobs and cancellations
+    /// Up to when stored jobs and cancellations are known; empty: up to now.
+    std::optional<Millis> jobsKnownUntil;
     bool isStoring = false;
     std::map<std::string, JobProgress> stored;
     std::int64_t term = 0;
@@ -47,7 +49,7 @@
                         .maySendOrders = [this] { return maySendOrders; },
                         .onFenced = [] {},
                         .onProgress = [this] { store(); },
-                        .jobsKnownUntil = [this] { return loop.now() - jobsAgeMs; }},
+                        .jobsKnownUntil = [this] { return jobsKnownUntil.value_or(loop.now()); }},
                 SchedulerSettings{.fence = term});
         scheduler->setQueues({{.name = "q",
                                .service = "s",
