Accept all connections that have arrived at once

Daemons that connect to a loaded leader, or callers after an outage, waited one turn for each connection before theirs; an announcement is given up after 300 ms.

Change: the acceptor does not block, and each turn accepts until no connection is left.

--- a/packages/http/src/busy_loop_test.cpp
+++ b/packages/http/src/busy_loop_test.cpp
@@ -91,4 +91,24 @@
     CHECK(fixture.loop.turns <= kMaxTurns);
 }
 
+// Guards against announcements that are given up because each new connection waits for a turn of
+// its own.
+TEST_CASE("connections that arrive together are accepted in a few turns of a busy loop")
+{
+    constexpr int kConnections = 200;
+    BusyLoop loop;
+    Server server(loop.context, [](const Request &, const Responder &respond) { respond({}); });
+    REQUIRE(server.listen({.host = "127.0.0.1"}));
+    Client client(loop.context, Endpoint{.host = "127.0.0.1", .port = server.port()},
+                  {.maxConnections = kConnections});
+    int answers = 0;
+    bool isDone = false;
+    for (int i = 0; i < kConnections; ++i)
+        client.send({.method = "GET", .target = "/"}, 20s,
+                    [&](const base::Result<Response> &) { isDone = ++answers == kConnections; });
+    loop.runUntil(isDone);
+    CHECK(answers == kConnections);
+    CHECK(loop.turns <= kMaxTurns);
+}
+
 } // namespace chicorywick::http
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -169,6 +169,8 @@
         shared_->acceptor.bind(local, error);
     if (!error)
         shared_->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (!error)
+        shared_->acceptor.non_blocking(true, error);
     if (error)
         return base::makeError(base::Code::ListenerUnavailable,
                                endpoint.host + ":" + std::to_string(endpoint.port) + ": "
@@ -192,19 +194,21 @@
     return shared_->inFlight;
 }
 
+// All connections that have arrived are accepted now: with one accept a turn, they would wait for
+// the other events of a busy loop.
 void Server::accept()
 {
     shared_->acceptor.async_accept(
             [this, shared = shared_](beast::error_code error, Tcp::socket socket) {
-                if (error == asio::error::operation_aborted)
-                    return;
-                if (!error) {
+                while (!error) {
                     beast::error_code ignored;
                     socket.set_option(Tcp::no_delay(true), ignored);
                     socket.non_blocking(true, ignored);
                     std::make_shared<Session>(shared, std::move(socket))->read();
+                    socket = shared->acceptor.accept(error);
                 }
-                accept();
+                if (error != asio::error::operation_aborted && shared->acceptor.is_open())
+                    accept();
             });
 }
 
