Repeat the announcement of a cancellation until its leader confirms it

Cause: callers saw tasks start after their job's cancellation was acknowledged. The daemon that stored a cancellation told the leader once, within 300 ms, and ignored the outcome: without a known leader nothing was sent, a daemon that led the cell no more answered 200 like the leader, and neither was logged. Only the leader's watch was left, whose delay nobody had bounded.

Change: Announcer repeats a cancellation, to the leader known at each attempt, after 100 ms and then after twice the pause before, at most five times within 2 s. A job's row is sent once, as before. A daemon whose lease has ended, or that has no controller of the cell, answers 421, and 400 to a malformed row; it still passes the row on. At most 64 messages are without an answer and 512 cancellations wait for their next attempt, so that a leader that is behind gets no more messages than that. A row that was never confirmed is logged and counted (CW7014 announcement.lost).

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -84,6 +84,7 @@
     CellsPlanned = 7011,
     ViewOutdated = 7012,
     ViewCurrent = 7013,
+    AnnouncementLost = 7014,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -117,6 +117,8 @@
          "the stored jobs were last known in full too long ago"},
         {Event::ViewCurrent, Severity::Info, "view.current",
          "the stored jobs are known again; the fields describe the answer that ended the delay"},
+        {Event::AnnouncementLost, Severity::Warning, "announcement.lost",
+         "the leader of a cell did not confirm a stored row; its watch shows the row"},
 });
 
 EventWriter &eventWriter()
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -104,6 +104,17 @@
     return cell >= 0 && index < seats_.size() ? seats_[index].controller.get() : nullptr;
 }
 
+// A controller outlives its lease until the next election, and a new leader may have read the
+// stored rows meanwhile.
+bool CellLeadership::applyStored(int cell, const Row &row)
+{
+    Controller *const controller = controllerOf(cell);
+    if (controller == nullptr)
+        return false;
+    controller->applyStored(row);
+    return seatOf(cell).election->isLeading(systemNow().steady);
+}
+
 std::optional<int> CellLeadership::waitingJobs(const std::string &queue) const
 {
     if (seats_.empty())
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -43,6 +43,10 @@
     /// @brief The local controller of a cell; null if this daemon does not lead the cell.
     Controller *controllerOf(int cell) const;
 
+    /// @brief Passes a stored row of a jobs table to the local controller of its cell. Returns true
+    /// if this daemon leads the cell, so that no later leader could miss the row.
+    bool applyStored(int cell, const Row &row);
+
     /// @brief Waiting jobs of a queue in all cells; none if a cell has not been led yet.
     std::optional<int> waitingJobs(const std::string &queue) const;
 
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -1,3 +1,4 @@
+#include "announcer.h"
 #include "cell_leadership.h"
 #include "intake.h"
 #include "peer_client.h"
@@ -57,6 +58,14 @@
         , peers_(std::make_shared<PeerClient>(
                   loop_, settings_.peers.host + ":" + std::to_string(settings_.peers.port)))
         , cells_(std::make_shared<CellLeadership>(settings_, ports_, peers_, incarnation_))
+        , announcer_(std::make_shared<Announcer>(
+                  loop_,
+                  [cells = cells_, peers = peers_](int cell, const Row &row,
+                                                   std::function<void(bool)> done) {
+                      if (cells->applyStored(cell, row))
+                          return done(true);
+                      peers->announce(cell, row, std::move(done));
+                  }))
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, controllerQuery(), systemNow))
         , metrics_(metrics)
@@ -84,9 +93,9 @@
                         return respond({});
                     }
                     if (const auto announced = parseAnnouncedRow(request)) {
-                        if (Controller *const leader = self->cells_->controllerOf(announced->cell))
-                            leader->applyStored(announced->row);
-                        return respond({});
+                        return respond(answerAnnouncement(*announced, [&](const AnnouncedRow &row) {
+                            return self->cells_->applyStored(row.cell, row.row);
+                        }));
                     }
                     if (!relayTransaction(request, *self->ports_.table, respond))
                         respond(handlePeerQuery(request, [&](int cell) {
@@ -143,12 +152,7 @@
                             peers_->queryState(cell, id, std::move(done));
                         },
                 .waiting = [this](const std::string &queue) { return cells_->waitingJobs(queue); },
-                .announce =
-                        [this](int cell, const Row &row) {
-                            if (Controller *const leader = cells_->controllerOf(cell))
-                                return leader->applyStored(row);
-                            peers_->announce(cell, row);
-                        }};
+                .announce = [this](int cell, const Row &row) { announcer_->announce(cell, row); }};
     }
 
     void retryAfterPause(std::function<void()> action)
@@ -263,6 +267,7 @@
     std::string incarnation_;
     std::shared_ptr<PeerClient> peers_;
     std::shared_ptr<CellLeadership> cells_;
+    std::shared_ptr<Announcer> announcer_;
     RelayedTable relayed_;
     std::shared_ptr<Intake> intake_;
     std::unique_ptr<http::Server> callers_;
--- a/packages/entry/src/peer_client.cpp
+++ b/packages/entry/src/peer_client.cpp
@@ -26,6 +26,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
+constexpr int kMisdirected = 421; // this daemon does not lead the cell
 constexpr int kUnavailable = 503;
 constexpr int kOutcomeUnknown = 504;
 // The requesting daemon's own timeout ends its wait; this one only frees the connection.
@@ -217,15 +218,15 @@
     return true;
 }
 
-void PeerClient::announce(int cell, const Row &row)
+void PeerClient::announce(int cell, const Row &row, std::function<void(bool isConfirmed)> done)
 {
     const ClientPointer leader = leaderOf(cell);
     if (!leader)
-        return;
+        return done(false);
     const nlohmann::json body{encodeKey(row.key), row.value, row.version};
     leader->send({.method = "POST", .target = cellPath(cell) + kRowsPath, .body = body.dump()},
-                 kTimeout, [](const base::Result<http::Response> & /*response*/) {
-                     // Errors are ignored: the leader also reads the row from the store.
+                 kTimeout, [done = std::move(done)](const base::Result<http::Response> &response) {
+                     done(response && response.value().status == kOk);
                  });
 }
 
@@ -246,6 +247,14 @@
     }
 }
 
+http::Response answerAnnouncement(const AnnouncedRow &announced,
+                                  const std::function<bool(const AnnouncedRow &)> &apply)
+{
+    if (announced.cell == kNoCell)
+        return {.status = kBadRequest};
+    return {.status = apply(announced) ? kOk : kMisdirected};
+}
+
 void PeerClient::requestYield(const YieldRequest &request)
 {
     const ClientPointer leader = leaderOf(request.cell);
--- a/packages/entry/src/peer_client.h
+++ b/packages/entry/src/peer_client.h
@@ -8,6 +8,7 @@
 #include <chicorywick/http/server.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,9 +55,9 @@
                   Callback<TransactionResult> done);
     bool hasRelay() const;
 
-    /// @brief Sends a stored row of a jobs table to the leader of its cell. A lost message does no
-    /// harm: the leader also reads the row from the store.
-    void announce(int cell, const Row &row);
+    /// @brief Sends a stored row of a jobs table once to the leader of its cell, and reports
+    /// whether the leader has confirmed it.
+    void announce(int cell, const Row &row, std::function<void(bool isConfirmed)> done);
 
     /// @brief Asks the leader of a cell to hand over to this daemon.
     void requestYield(const YieldRequest &request);
@@ -88,6 +89,11 @@
 std::optional<YieldRequest> parseYieldRequest(const http::Request &request);
 std::optional<AnnouncedRow> parseAnnouncedRow(const http::Request &request);
 
+/// @brief Serves PeerClient::announce(). Passes the row on, and confirms it if the function reports
+/// that this daemon leads the cell.
+http::Response answerAnnouncement(const AnnouncedRow &announced,
+                                  const std::function<bool(const AnnouncedRow &)> &apply);
+
 /// @brief Serves PeerClient::transact(); returns false for other requests.
 bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond);
 
