Fail requests that wait when their client is destroyed

Cause: a client that was destroyed dropped the requests in its queue without a call of their callbacks. A peer's address that changes, a worker whose address changes or that leaves, and a removed leader destroy clients: announcements, state queries and orders that waited for a connection got no outcome at all.

Change: the callbacks are called with UpstreamUnreachable (nothing was sent), from the loop and not inside the destructor, like those of requests whose deadline passes in the queue. Requests on a connection are unchanged.

Evidence: http_test.cpp "a request that waits when its client is destroyed fails as not sent" failed before (no call).

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -259,9 +259,13 @@
 {
     pool_->isClosed = true;
     const auto idle = std::move(pool_->idle);
-    const auto waiting = std::move(pool_->waiting);
     for (const auto &connection : idle)
         connection->close();
+    for (PendingRequest &request : pool_->waiting)
+        asio::post(pool_->loop, [done = std::move(request.done)] {
+            done(base::makeError(base::Code::UpstreamUnreachable, "the client was closed"));
+        });
+    pool_->waiting.clear();
 }
 
 void Client::send(Request request, std::chrono::milliseconds timeout, ResponseCallback done,
--- a/packages/http/src/http_test.cpp
+++ b/packages/http/src/http_test.cpp
@@ -112,6 +112,28 @@
     CHECK(codes[1] == base::Code::UpstreamOutcomeUnknown);
 }
 
+// Guards against orders and announcements that get no outcome because the connections to their
+// destination are closed while they wait for one.
+TEST_CASE("a request that waits when its client is destroyed fails as not sent")
+{
+    Fixture fixture;
+    auto client = std::make_unique<Client>(
+            fixture.loop, Endpoint{.host = "127.0.0.1", .port = fixture.server->port()},
+            ClientLimits{.maxConnections = 1});
+    client->send({.method = "GET", .target = "/later"}, 1s, [](const base::Result<Response> &) {});
+    std::vector<base::Code> failures;
+    client->send({.method = "GET", .target = "/echo"}, 1s,
+                 [&failures](const base::Result<Response> &response) {
+                     REQUIRE(!response);
+                     failures.push_back(response.error().code);
+                 });
+    fixture.loop.run_for(100ms);
+    client.reset();
+    CHECK(failures.empty()); // not called inside the destructor
+    fixture.loop.run_for(100ms);
+    CHECK(failures == std::vector<base::Code>{base::Code::UpstreamUnreachable});
+}
+
 // Guards against closing the connection without a response when a request exceeds a limit.
 TEST_CASE("a request that exceeds the body limit receives status 413")
 {
