Follow workers, leader rows and operators' state like the jobs

Cause: three watches had time limits of their own. On a silent connection, a draining or removed worker stayed unknown for 1.45 s and a pause, a change of the leader row or of the configuration for 1.6 s and a pause; 2 s are allowed for both. Announcements went to the former leader meanwhile. The rule of TableWatch, to repeat a late request on another connection, served the jobs only.

Change: ViewWatch has the rule for any page of changes; TableWatch is the one of a table. Workers, leader rows and operators' state use it with the wait times and pauses that they had, so that the number of calls stays the same while answers arrive. A late request is repeated 150 ms after its wait time. After lost history all rows are read again, as before. For the elections, a watch is unhealthy after a failure that no answer has followed: a silent connection alone no longer restarts the delay of claims, as its repeat is answered.

Repeated requests can overtake each other, and for workers an older row must not replace a newer one. Rows of a version that the view has passed since their request are left out.

--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -15,7 +15,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kLeaderWatchTimeout = 1000ms;
+constexpr auto kWatchWait = 1000ms;
 constexpr auto kRetryPause = 150ms;
 constexpr auto kElectionPeriod = 100ms;
 constexpr auto kElectionTimeout = 1200ms;
@@ -25,8 +25,8 @@
 constexpr scheduler::Millis kYieldPeriodMs = 1'000;
 // Pause between two watches of the leader rows for each cell after the first. With many cells a row
 // changes every few milliseconds, and each change would cost every daemon a call.
-constexpr auto kWatchPausePerCell = 40ms;
-constexpr auto kMaxWatchPause = 250ms;
+constexpr std::chrono::milliseconds kWatchPausePerCell = 40ms;
+constexpr std::chrono::milliseconds kMaxWatchPause = 250ms;
 
 } // namespace
 
@@ -69,6 +69,23 @@
             seat.election->release();
         seats_.push_back(std::move(seat));
     }
+    leadersWatch_ = std::make_shared<TableWatch>(
+            loop_, *ports_.table, layout::kLeader,
+            TableWatchHooks{.clock = [] { return systemNow().steady; },
+                            .onRows =
+                                    [self = shared_from_this()](const RowPage &page) {
+                                        self->setWatchHealthy(true);
+                                        self->observeRows(page.rows);
+                                    },
+                            .onHistoryLost = [self = shared_from_this()] { self->loadLeaders(0); },
+                            .onFailure =
+                                    [self = shared_from_this()](const base::Error &error) {
+                                        if (error.code != base::Code::HistoryUnavailable)
+                                            self->setWatchHealthy(false);
+                                    }},
+            WatchTiming{
+                    .wait = kWatchWait,
+                    .pause = std::min(kMaxWatchPause, kWatchPausePerCell * (layout.count() - 1))});
     loadLeaders(0);
     runElections();
 }
@@ -145,10 +162,13 @@
 // all reads, so that it misses no row.
 void CellLeadership::loadLeaders(int part)
 {
+    if (part == 0)
+        leadersLoadBegunAt_ = systemNow().steady;
     if (part == std::min(layout_->count(), layout::kLeaderParts)) {
         for (const Seat &seat : seats_)
             seat.election->observe(0, {}, systemNow().steady); // no effect on rows that were read
-        return watchLeaders();
+        leadersWatch_->recordRead(leadersLoadBegunAt_);
+        return leadersWatch_->resume(leaderVersion_);
     }
     readAll(*ports_.table, {.table = layout::kLeader, .part = layout::leaderPart(part)},
             kElectionTimeout, [self = shared_from_this(), part](const base::Result<RowPage> &page) {
@@ -162,30 +182,10 @@
             });
 }
 
-void CellLeadership::watchLeaders()
+void CellLeadership::setWatchHealthy(bool isHealthy)
 {
-    ports_.table->watch(
-            layout::kLeader, leaderVersion_, kLeaderWatchTimeout,
-            [self = shared_from_this()](const base::Result<RowPage> &page) {
-                if (!page && page.error().code == base::Code::HistoryUnavailable)
-                    return self->loadLeaders(0);
-                for (const Seat &seat : self->seats_)
-                    seat.election->setWatchHealthy(page.has_value(), systemNow().steady);
-                if (!page)
-                    return self->retryAfterPause([self] { self->watchLeaders(); });
-                self->leaderVersion_ = std::max(self->leaderVersion_, page.value().version);
-                self->observeRows(page.value().rows);
-                if (self->layout_->count() == 1)
-                    return self->watchLeaders();
-                auto timer = std::make_shared<boost::asio::steady_timer>(
-                        self->loop_,
-                        std::min<std::chrono::milliseconds>(
-                                kWatchPausePerCell * (self->layout_->count() - 1), kMaxWatchPause));
-                timer->async_wait([self, timer](const boost::system::error_code &error) {
-                    if (!error)
-                        self->watchLeaders();
-                });
-            });
+    for (const Seat &seat : seats_)
+        seat.election->setWatchHealthy(isHealthy, systemNow().steady);
 }
 
 void CellLeadership::observeRows(const std::vector<Row> &rows)
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -2,6 +2,7 @@
 
 #include "cell_layout_source.h"
 #include "peer_client.h"
+#include "table_watch.h"
 
 #include <chicorywick/base/rng.h>
 #include <chicorywick/entry/controller.h>
@@ -64,7 +65,7 @@
 
     void join(const CellLayout &layout);
     void loadLeaders(int part);
-    void watchLeaders();
+    void setWatchHealthy(bool isHealthy);
     void observeRows(const std::vector<Row> &rows);
     void runElections();
     void write(int cell, LeaderWrite write);
@@ -88,7 +89,9 @@
     boost::asio::steady_timer electionTimer_;
     std::optional<Configuration> configuration_;
     std::vector<WaveRequest> waves_;
-    Version leaderVersion_ = 0;
+    std::shared_ptr<TableWatch> leadersWatch_; ///< null without a layout
+    Version leaderVersion_ = 0;                ///< of the rows read
+    scheduler::Millis leadersLoadBegunAt_ = 0;
     scheduler::Millis yieldRequestedAt_ = 0;
     bool isReady_ = false;
     bool isStopping_ = false;
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -14,14 +14,11 @@
 constexpr std::chrono::milliseconds kTickPeriod = 100ms;
 // A tick that is later than this is logged.
 constexpr scheduler::Millis kLateTickMs = 250;
-// A stalled connection to the list of workers is detected within this time plus the slack of the
-// watch.
-constexpr auto kWatchTimeout = 800ms;
 constexpr auto kWriteTimeout = 1000ms;
 constexpr auto kRetryPause = 200ms;
-// Pause between two watches of the workers. While machines move, their rows change hundreds of
-// times a second, and every change would cost each leader a call.
-constexpr auto kWatchPause = 50ms;
+// While machines move, the rows of workers change hundreds of times a second, and every change
+// would cost each leader a call without a pause.
+constexpr WatchTiming kWorkersTiming{.wait = 800ms, .pause = 50ms};
 // Replaces the specification in the row of an ended job.
 constexpr const char *kEndedJobValue = "{}";
 constexpr scheduler::Millis kCompactionPeriodMs = 1'000;
@@ -94,6 +91,17 @@
               TableWatchHooks{.clock = [clock = hooks_.clock] { return clock().steady; },
                               .onRows = [this](const RowPage &page) { applyJobRows(page.rows); },
                               .onHistoryLost = [this] { loadJobs(0); }}))
+    , workersWatch_(std::make_shared<ViewWatch<WorkerList>>(
+              *ports.loop,
+              [discovery = ports.discovery](Version after, std::chrono::milliseconds wait,
+                                            Callback<WorkerList> done) {
+                  discovery->watch(after, wait, std::move(done));
+              },
+              WatchHooks<WorkerList>{
+                      .clock = [clock = hooks_.clock] { return clock().steady; },
+                      .onRows = [this](const WorkerList &list) { applyWorkers(list, false); },
+                      .onHistoryLost = [this] { retryAfterPause([this] { loadWorkers(); }); }},
+              kWorkersTiming))
     , journal_(std::make_shared<ProgressJournal>(*ports.loop, *ports.table, rows_, scheduler_,
                                                  hooks_.maySendOrders))
     , roster_(std::make_shared<RosterJournal>(*ports.table, rows_, scheduler_,
@@ -121,6 +129,7 @@
     isStopped_ = true;
     tickTimer_.cancel();
     jobsWatch_->stop();
+    workersWatch_->stop();
     journal_->stop();
     roster_->stop();
     waves_->stop();
@@ -262,31 +271,8 @@
                     {"failures", std::to_string(view.failures())}});
 }
 
-void Controller::Impl::watchWorkers()
-{
-    ports_.discovery->watch(workersVersion_, kWatchTimeout,
-                            [self = shared_from_this()](const base::Result<WorkerList> &list) {
-                                if (self->isStopped_)
-                                    return;
-                                if (!list) {
-                                    const bool isHistoryLost =
-                                            list.error().code == base::Code::HistoryUnavailable;
-                                    self->retryAfterPause([self, isHistoryLost] {
-                                        if (isHistoryLost)
-                                            self->loadWorkers();
-                                        else
-                                            self->watchWorkers();
-                                    });
-                                    return;
-                                }
-                                self->applyWorkers(list.value(), false);
-                                self->runAfter(kWatchPause, [self] { self->watchWorkers(); });
-                            });
-}
-
 void Controller::Impl::applyWorkers(const WorkerList &list, bool isComplete)
 {
-    workersVersion_ = std::max(workersVersion_, list.version);
     std::set<std::string> present;
     for (const scheduler::WorkerEntry &entry : list.present) {
         if (cell_.layout.cellOfWorker(entry) != cell_.number)
--- a/packages/entry/src/controller_fixture.h
+++ b/packages/entry/src/controller_fixture.h
@@ -81,11 +81,12 @@
     boost::asio::io_context &loop_;
 };
 
-/// @brief One worker that never changes. The answer to load() can be held back.
+/// @brief One worker. The answer to load() can be held back. A watch that waits gets no answer.
 class FakeDiscovery : public DiscoveryPort
 {
 public:
     bool isHeld = false;
+    WorkerList change; ///< the answer to watches that do not wait
 
     void load(Callback<WorkerList> done) override
     {
@@ -96,16 +97,24 @@
     void release()
     {
         WorkerList list;
-        list.present.push_back({.id = "w",
-                                .service = "s",
-                                .address = "10.0.0.1:1",
-                                .machine = "m",
-                                .capacity = {.cpuMillis = 16'000, .memoryMib = 16'000}});
+        list.present.push_back(worker());
         std::exchange(held_, {})(std::move(list));
     }
-    void watch(Version /*after*/, std::chrono::milliseconds /*wait*/,
-               Callback<WorkerList> /*done*/) override
-    {}
+    void watch(Version /*after*/, std::chrono::milliseconds wait,
+               Callback<WorkerList> done) override
+    {
+        if (wait.count() == 0)
+            done(change);
+    }
+
+    static scheduler::WorkerEntry worker()
+    {
+        return {.id = "w",
+                .service = "s",
+                .address = "10.0.0.1:1",
+                .machine = "m",
+                .capacity = {.cpuMillis = 16'000, .memoryMib = 16'000}};
+    }
 
 private:
     Callback<WorkerList> held_;
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -49,7 +49,6 @@
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
     void reportDelays();
-    void watchWorkers();
     void applyWorkers(const WorkerList &list, bool isComplete);
     void scheduleTick();
     void tick();
@@ -62,6 +61,7 @@
     CellRows rows_;
     scheduler::Scheduler scheduler_;
     std::shared_ptr<TableWatch> jobsWatch_;
+    std::shared_ptr<ViewWatch<WorkerList>> workersWatch_;
     std::shared_ptr<ProgressJournal> journal_;
     std::shared_ptr<RosterJournal> roster_;
     MachineInventory inventory_;
@@ -82,7 +82,6 @@
     scheduler::Millis outdatedSince_ = 0;
     scheduler::Millis jobsLoadBegunAt_ = 0;
     scheduler::Millis tickedAt_ = 0;
-    Version workersVersion_ = 0;
     scheduler::Millis compactedAt_ = 0;
 };
 
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -112,7 +112,8 @@
 
 void Controller::Impl::loadWorkers()
 {
-    ports_.discovery->load([self = shared_from_this()](const base::Result<WorkerList> &list) {
+    ports_.discovery->load([self = shared_from_this(), requestedAt = hooks_.clock().steady](
+                                   const base::Result<WorkerList> &list) {
         if (self->isStopped_)
             return;
         if (!list)
@@ -120,10 +121,10 @@
         if (!self->isLoaded_)
             self->scheduler_.addInheritedWorkers(self->roster_->loaded());
         self->applyWorkers(list.value(), true);
+        self->workersWatch_->recordRead(requestedAt);
         if (!self->isLoaded_)
             self->finishLoading();
-        else
-            self->watchWorkers();
+        self->workersWatch_->resume(list.value().version);
     });
 }
 
@@ -137,7 +138,6 @@
                     {"workers", std::to_string(scheduler_.roster().size())}});
     roster_->update();
     jobsWatch_->resume(jobsVersion_);
-    watchWorkers();
     scheduleTick();
 }
 
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -3,6 +3,7 @@
 #include "intake.h"
 #include "peer_client.h"
 #include "relayed_table.h"
+#include "view_watch.h"
 
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/base/unique_id.h>
@@ -18,9 +19,8 @@
 
 using namespace std::chrono_literals;
 
-// A configuration must be in effect two seconds after it was stored. A stalled connection is
-// detected within this time plus the slack of the watch.
-constexpr auto kOperatorWatchTimeout = 1000ms;
+// A configuration must be in effect two seconds after it was stored.
+constexpr WatchTiming kOperatorTiming{.wait = 1000ms, .pause = 0ms};
 constexpr auto kRetryPause = 150ms;
 // Without an answer from the store for this time, this instance is not ready: it cannot store jobs.
 constexpr scheduler::Millis kStoreUnreachableMs = 2'500;
@@ -116,7 +116,7 @@
             if (const auto bound = server->listen(endpoint); !bound)
                 return bound;
         }
-        loadOperatorState();
+        watchOperatorState();
         cells_->start([self = shared_from_this()](const CellLayout &layout) {
             self->intake_->setLayout(layout);
         });
@@ -187,43 +187,48 @@
 
     void loadOperatorState()
     {
-        ports_.operators->load(
-                [self = shared_from_this()](const base::Result<OperatorState> &state) {
-                    if (!state) {
-                        self->recordStoreFailure("load-configuration", state.error());
-                        return self->retryAfterPause([self] { self->loadOperatorState(); });
-                    }
-                    self->recordStoreResponse();
-                    self->apply(state.value());
-                    self->watchOperatorState();
-                });
+        ports_.operators->load([self = shared_from_this(), requestedAt = systemNow().steady](
+                                       const base::Result<OperatorState> &state) {
+            if (!state) {
+                self->recordStoreFailure("load-configuration", state.error());
+                return self->retryAfterPause([self] { self->loadOperatorState(); });
+            }
+            self->recordStoreResponse();
+            self->apply(state.value());
+            self->operatorWatch_->recordRead(requestedAt);
+            self->operatorWatch_->resume(state.value().version);
+        });
     }
 
     void watchOperatorState()
     {
-        ports_.operators->watch(
-                operatorVersion_, kOperatorWatchTimeout,
-                [self = shared_from_this()](const base::Result<OperatorState> &state) {
-                    if (!state) {
-                        self->recordStoreFailure("watch-configuration", state.error());
-                        const bool isHistoryLost =
-                                state.error().code == base::Code::HistoryUnavailable;
-                        return self->retryAfterPause([self, isHistoryLost] {
-                            if (isHistoryLost)
-                                self->loadOperatorState();
-                            else
-                                self->watchOperatorState();
-                        });
-                    }
-                    self->recordStoreResponse();
-                    self->apply(state.value());
-                    self->watchOperatorState();
-                });
+        operatorWatch_ = std::make_shared<ViewWatch<OperatorState>>(
+                loop_,
+                [operators = ports_.operators](Version after, std::chrono::milliseconds wait,
+                                               Callback<OperatorState> done) {
+                    operators->watch(after, wait, std::move(done));
+                },
+                WatchHooks<OperatorState>{
+                        .clock = [] { return systemNow().steady; },
+                        .onRows =
+                                [self = shared_from_this()](const OperatorState &state) {
+                                    self->recordStoreResponse();
+                                    self->apply(state);
+                                },
+                        .onHistoryLost =
+                                [self = shared_from_this()] {
+                                    self->retryAfterPause([self] { self->loadOperatorState(); });
+                                },
+                        .onFailure =
+                                [self = shared_from_this()](const base::Error &error) {
+                                    self->recordStoreFailure("watch-configuration", error);
+                                }},
+                kOperatorTiming);
+        loadOperatorState();
     }
 
     void apply(const OperatorState &state)
     {
-        operatorVersion_ = std::max(operatorVersion_, state.version);
         for (const WaveRequest &wave : state.waves)
             waves_[wave.number] = wave;
         if (!state.waves.empty())
@@ -277,7 +282,7 @@
     const Metrics &metrics_;
     std::optional<Configuration> configuration_;
     std::map<std::int64_t, WaveRequest> waves_;
-    Version operatorVersion_ = 0;
+    std::shared_ptr<ViewWatch<OperatorState>> operatorWatch_;
     scheduler::Millis storeAnsweredAt_ = 0;
     bool isStoreUnreachable_ = false;
     bool isStopping_ = false;
--- /dev/null
+++ b/packages/entry/src/view_watch.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "view_age.h"
+
+#include <chicorywick/base/result.h>
+#include <chicorywick/entry/ports.h>
+#include <chicorywick/entry/table.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace chicorywick::entry {
+
+struct WatchTiming
+{
+    std::chrono::milliseconds wait{500}; ///< of a request, for a change
+    /// Between an answer and the next request. Every change would cost a call otherwise.
+    std::chrono::milliseconds pause{50};
+
+    bool operator==(const WatchTiming &) const = default;
+};
+
+template <typename Page>
+struct WatchHooks
+{
+    std::function<scheduler::Millis()> clock; ///< steady, includes time in suspend
+    std::function<void(const Page &)> onRows; ///< called for each answer, also an empty one
+    std::function<void()> onHistoryLost;      ///< all rows must be read again, then resume() called
+    /// Called for each failure that no answer has followed; may be empty.
+    std::function<void(const base::Error &)> onFailure;
+};
+
+/// @brief Follows the changes of stored rows, and tells up to when all of them are known. A request
+/// whose answer is late is repeated on another connection.
+template <typename Page>
+class ViewWatch : public std::enable_shared_from_this<ViewWatch<Page>>
+{
+public:
+    /// @brief Requests the changes after a version, and waits for one if there is none.
+    using Request =
+            std::function<void(Version after, std::chrono::milliseconds wait, Callback<Page> done)>;
+
+    ViewWatch(boost::asio::io_context &loop, Request request, WatchHooks<Page> hooks,
+              WatchTiming timing = {});
+
+    /// @brief Starts to watch, or continues after all rows have been read again.
+    void resume(Version after);
+    void stop();
+
+    /// @brief Reports rows that were read without this watch.
+    void recordRead(scheduler::Millis requestedAt)
+    {
+        view_.recordAnswer(requestedAt, hooks_.clock());
+    }
+
+    const ViewAge &view() const { return view_; }
+
+private:
+    void beginRound();
+    void send(std::chrono::milliseconds wait);
+    void handle(std::uint64_t round, Version after, scheduler::Millis requestedAt,
+                const base::Result<Page> &page);
+    void handleFailure(const base::Error &error);
+    void runAfter(std::chrono::milliseconds delay, void (ViewWatch::*action)());
+    void repeat();
+
+    Request request_;
+    WatchHooks<Page> hooks_;
+    WatchTiming timing_;
+    boost::asio::steady_timer timer_;
+    ViewAge view_;
+    Version version_ = 0;
+    std::uint64_t round_ = 0; ///< increases with each answer
+    int outstanding_ = 0;     ///< requests without an answer, of all rounds
+    std::uint64_t actions_ = 0;
+    bool isStopped_ = false;
+};
+
+extern template class ViewWatch<RowPage>;
+extern template class ViewWatch<WorkerList>;
+extern template class ViewWatch<OperatorState>;
+
+} // namespace chicorywick::entry
--- /dev/null
+++ b/packages/entry/src/view_watch_test.cpp
@@ -0,0 +1,52 @@
+#include "fake_table.h"
+#include "table_watch.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+namespace chicorywick::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+scheduler::Millis now()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::steady_clock::now().time_since_epoch())
+            .count();
+}
+
+} // namespace
+
+// Guards against a worker that counts as ready again because an answer was late.
+TEST_CASE("a late answer does not replace newer rows")
+{
+    const std::string kTable = "t";
+    const RowKey key{.table = kTable, .key = "w"};
+    boost::asio::io_context loop;
+    FakeTable table;
+    std::string known;
+    const auto watch = std::make_shared<TableWatch>(
+            loop, table, kTable,
+            TableWatchHooks{.clock = now,
+                            .onRows =
+                                    [&known](const RowPage &page) {
+                                        for (const Row &row : page.rows)
+                                            known = row.value;
+                                    },
+                            .onHistoryLost = [] {}});
+    watch->resume(0);
+    const Callback<RowPage> late = table.watches.at(kTable);
+    for (const char *value : {"ready", "draining"})
+        table.transact({.writes = {{.key = key, .value = value}}}, 1ms, [](const auto &) {});
+    loop.run_for(700ms); // the repeated request is answered
+    REQUIRE(known == "draining");
+    late(RowPage{.rows = {{.key = key, .value = "ready", .version = 1}}, .version = 1});
+    CHECK(known == "draining");
+    watch->stop();
+}
+
+} // namespace chicorywick::entry
