Report an old view of workers, leader rows and operators' state

Cause: the age of a view was logged for the stored jobs only. A daemon that knew workers, leaders or the configuration late left no line that told so.

Change: ViewReport logs view.outdated and view.current for each of the four views, with a field that names it, and chicorywick_outdated_views_total counts them by view. Jobs are reported above the age at which no task starts (2 s), the others above 2.5 s: an idle view with one silent connection reaches 2.4 s, as its age counts from the request before.

Evidence: view_report_test.cpp, metrics_test.cpp.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -114,9 +114,9 @@
         {Event::CellsPlanned, Severity::Info, "cells.planned",
          "this daemon divided the fleet into cells"},
         {Event::ViewOutdated, Severity::Warning, "view.outdated",
-         "the stored jobs were last known in full too long ago"},
+         "stored rows of a kind were last known in full too long ago"},
         {Event::ViewCurrent, Severity::Info, "view.current",
-         "the stored jobs are known again; the fields describe the answer that ended the delay"},
+         "the rows are known again; the fields describe the answer that ended the delay"},
         {Event::AnnouncementLost, Severity::Warning, "announcement.lost",
          "the leader of a cell did not confirm a stored row; its watch shows the row"},
 });
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -220,6 +220,7 @@
 // Visits the cells in random order, so that daemons which start together claim different cells.
 void CellLeadership::runElections()
 {
+    leadersReport_.update(leadersWatch_->view(), systemNow().steady);
     std::vector<int> order(seats_.size());
     std::iota(order.begin(), order.end(), 0);
     for (std::size_t left = order.size(); left > 1; --left)
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -3,6 +3,7 @@
 #include "cell_layout_source.h"
 #include "peer_client.h"
 #include "table_watch.h"
+#include "view_report.h"
 
 #include <chicorywick/base/rng.h>
 #include <chicorywick/entry/controller.h>
@@ -90,7 +91,8 @@
     std::optional<Configuration> configuration_;
     std::vector<WaveRequest> waves_;
     std::shared_ptr<TableWatch> leadersWatch_; ///< null without a layout
-    Version leaderVersion_ = 0;                ///< of the rows read
+    ViewReport leadersReport_{"leaders"};
+    Version leaderVersion_ = 0; ///< of the rows read
     scheduler::Millis leadersLoadBegunAt_ = 0;
     scheduler::Millis yieldRequestedAt_ = 0;
     bool isReady_ = false;
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -116,7 +116,8 @@
     , tickTimer_(*ports.loop)
     , fence_(settings.fence)
     , retentionMs_(settings.retentionMs)
-    , maxJobsAgeMs_(settings.maxJobsAgeMs)
+    , jobsReport_("jobs", cell_.number, settings.maxJobsAgeMs)
+    , workersReport_("workers", cell_.number)
 {}
 
 void Controller::Impl::start()
@@ -256,19 +257,8 @@
     if (tickedAt_ != 0 && lateMs > kLateTickMs)
         base::logEvent(base::Event::LoopDelayed, {{"late_ms", std::to_string(lateMs)}});
     tickedAt_ = now;
-    const ViewAge &view = jobsWatch_->view();
-    const bool isOutdated = now - view.knownUntil() > maxJobsAgeMs_;
-    if (isOutdated == isJobsViewOutdated_)
-        return;
-    isJobsViewOutdated_ = isOutdated;
-    if (isOutdated)
-        outdatedSince_ = now;
-    base::logEvent(isOutdated ? base::Event::ViewOutdated : base::Event::ViewCurrent,
-                   {{"cell", std::to_string(cell_.number)},
-                    {"age_ms", std::to_string(now - view.knownUntil())},
-                    {"outdated_ms", std::to_string(now - outdatedSince_)},
-                    {"answer_ms", std::to_string(view.answerMs())},
-                    {"failures", std::to_string(view.failures())}});
+    jobsReport_.update(jobsWatch_->view(), now);
+    workersReport_.update(workersWatch_->view(), now);
 }
 
 void Controller::Impl::applyWorkers(const WorkerList &list, bool isComplete)
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -6,6 +6,7 @@
 #include "progress_journal.h"
 #include "roster_journal.h"
 #include "table_watch.h"
+#include "view_report.h"
 #include "wave_runner.h"
 
 #include <chicorywick/entry/controller.h>
@@ -72,14 +73,13 @@
     Configuration configuration_;
     Version fence_;
     scheduler::Millis retentionMs_;
-    scheduler::Millis maxJobsAgeMs_;
     bool isStopped_ = false;
     bool isLoaded_ = false;
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
     CancellationIndex cancelled_;
     Version jobsVersion_ = 0;
-    bool isJobsViewOutdated_ = false;
-    scheduler::Millis outdatedSince_ = 0;
+    ViewReport jobsReport_;
+    ViewReport workersReport_;
     scheduler::Millis jobsLoadBegunAt_ = 0;
     scheduler::Millis tickedAt_ = 0;
     scheduler::Millis compactedAt_ = 0;
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -85,6 +85,11 @@
                     .Name("chicorywick_store_call_seconds")
                     .Help("Duration of calls of the platform's store, by call and result")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &outdatedViews =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_outdated_views_total")
+                    .Help("Times that a view of stored rows became too old, by view")
+                    .Register(registry);
     std::map<base::Event, prometheus::Counter *> counters;
     prometheus::Histogram &wait = waits.Add({}, kSeconds);
     prometheus::Histogram &jobsAge = jobsAges.Add({}, kSeconds);
@@ -120,6 +125,9 @@
     case base::Event::JobRefused:
         families_->refused.Observe(secondsOf(fields, "took_ms"));
         break;
+    case base::Event::ViewOutdated:
+        families_->outdatedViews.Add({{"view", valueOf(fields, "view")}}).Increment();
+        break;
     default:
         break;
     }
--- a/packages/entry/src/metrics_test.cpp
+++ b/packages/entry/src/metrics_test.cpp
@@ -11,12 +11,14 @@
     Metrics metrics;
     metrics.observe(base::Event::JobFinished, {{"state", "completed"}, {"age_ms", "1500"}});
     metrics.observe(base::Event::JobStarted, {{"waited_ms", "20"}, {"jobs_age_ms", "1200"}});
+    metrics.observe(base::Event::ViewOutdated, {{"view", "workers"}, {"age_ms", "2501"}});
     metrics.observeStoreCall("transact", "ok", 0.004);
     const std::string text = metrics.text();
     for (const char *line :
          {"chicorywick_events_total{event=\"job.finished\"} 1",
           "chicorywick_job_seconds_sum{state=\"completed\"} 1.5",
           "chicorywick_task_wait_seconds_count 1", "chicorywick_start_jobs_age_seconds_sum 1.2",
+          "chicorywick_outdated_views_total{view=\"workers\"} 1",
           "chicorywick_store_call_seconds_count{call=\"transact\",result=\"ok\"} 1"})
         CHECK(text.find(line) != std::string::npos);
 }
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -3,6 +3,7 @@
 #include "intake.h"
 #include "peer_client.h"
 #include "relayed_table.h"
+#include "view_report.h"
 #include "view_watch.h"
 
 #include <chicorywick/base/log_event.h>
@@ -22,6 +23,7 @@
 // A configuration must be in effect two seconds after it was stored.
 constexpr WatchTiming kOperatorTiming{.wait = 1000ms, .pause = 0ms};
 constexpr auto kRetryPause = 150ms;
+constexpr auto kReportPeriod = 250ms;
 // Without an answer from the store for this time, this instance is not ready: it cannot store jobs.
 constexpr scheduler::Millis kStoreUnreachableMs = 2'500;
 // The load balancer removes a daemon after two failed probes, one second apart. Requests arrive
@@ -69,6 +71,7 @@
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, controllerQuery(), systemNow))
         , metrics_(metrics)
+        , reportTimer_(loop_)
     {}
 
     base::Result<void> start()
@@ -117,6 +120,7 @@
                 return bound;
         }
         watchOperatorState();
+        reportViewAge();
         cells_->start([self = shared_from_this()](const CellLayout &layout) {
             self->intake_->setLayout(layout);
         });
@@ -227,6 +231,17 @@
         loadOperatorState();
     }
 
+    void reportViewAge()
+    {
+        operatorReport_.update(operatorWatch_->view(), systemNow().steady);
+        reportTimer_.expires_after(kReportPeriod);
+        reportTimer_.async_wait(
+                [self = shared_from_this()](const boost::system::error_code &error) {
+                    if (!error)
+                        self->reportViewAge();
+                });
+    }
+
     void apply(const OperatorState &state)
     {
         for (const WaveRequest &wave : state.waves)
@@ -283,6 +298,8 @@
     std::optional<Configuration> configuration_;
     std::map<std::int64_t, WaveRequest> waves_;
     std::shared_ptr<ViewWatch<OperatorState>> operatorWatch_;
+    ViewReport operatorReport_{"operators"};
+    boost::asio::steady_timer reportTimer_;
     scheduler::Millis storeAnsweredAt_ = 0;
     bool isStoreUnreachable_ = false;
     bool isStopping_ = false;
