--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -2,6 +2,8 @@
 
 #include "cell_layout_source.h"
 #include "peer_client.h"
+#include "table_watch.h"
+#include "view_report.h"
 
 #include <chicorywick/base/rng.h>
 #include <chicorywick/entry/controller.h>
@@ -43,6 +45,10 @@
     /// @brief The local controller of a cell; null if this daemon does not lead the cell.
     Controller *controllerOf(int cell) const;
 
+    /// @brief Passes a stored row of a jobs table to the local controller of its cell. Returns true
+    /// if this daemon leads the cell, so that no later leader could miss the row.
+    bool applyStored(int cell, const Row &row);
+
     /// @brief Waiting jobs of a queue in all cells; none if a cell has not been led yet.
     std::optional<int> waitingJobs(const std::string &queue) const;
 
@@ -60,7 +66,7 @@
 
     void join(const CellLayout &layout);
     void loadLeaders(int part);
-    void watchLeaders();
+    void setWatchHealthy(bool isHealthy);
     void observeRows(const std::vector<Row> &rows);
     void runElections();
     void write(int cell, LeaderWrite write);
@@ -84,7 +90,10 @@
     boost::asio::steady_timer electionTimer_;
     std::optional<Configuration> configuration_;
     std::vector<WaveRequest> waves_;
-    Version leaderVersion_ = 0;
+    std::shared_ptr<TableWatch> leadersWatch_; ///< null without a layout
+    ViewReport leadersReport_{"leaders"};
+    Version leaderVersion_ = 0; ///< of the rows read
+    scheduler::Millis leadersLoadBegunAt_ = 0;
     scheduler::Millis yieldRequestedAt_ = 0;
     bool isReady_ = false;
     bool isStopping_ = false;
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -6,6 +6,7 @@
 #include "progress_journal.h"
 #include "roster_journal.h"
 #include "table_watch.h"
+#include "view_report.h"
 #include "wave_runner.h"
 
 #include <chicorywick/entry/controller.h>
@@ -49,7 +50,6 @@
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
     void reportDelays();
-    void watchWorkers();
     void applyWorkers(const WorkerList &list, bool isComplete);
     void scheduleTick();
     void tick();
@@ -62,6 +62,7 @@
     CellRows rows_;
     scheduler::Scheduler scheduler_;
     std::shared_ptr<TableWatch> jobsWatch_;
+    std::shared_ptr<ViewWatch<WorkerList>> workersWatch_;
     std::shared_ptr<ProgressJournal> journal_;
     std::shared_ptr<RosterJournal> roster_;
     MachineInventory inventory_;
@@ -72,17 +73,15 @@
     Configuration configuration_;
     Version fence_;
     scheduler::Millis retentionMs_;
-    scheduler::Millis maxJobsAgeMs_;
     bool isStopped_ = false;
     bool isLoaded_ = false;
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
     CancellationIndex cancelled_;
     Version jobsVersion_ = 0;
-    bool isJobsViewOutdated_ = false;
-    scheduler::Millis outdatedSince_ = 0;
+    ViewReport jobsReport_;
+    ViewReport workersReport_;
     scheduler::Millis jobsLoadBegunAt_ = 0;
     scheduler::Millis tickedAt_ = 0;
-    Version workersVersion_ = 0;
     scheduler::Millis compactedAt_ = 0;
 };
 
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -1,7 +1,10 @@
+#include "announcer.h"
 #include "cell_leadership.h"
 #include "intake.h"
 #include "peer_client.h"
 #include "relayed_table.h"
+#include "view_report.h"
+#include "view_watch.h"
 
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/base/unique_id.h>
@@ -17,10 +20,10 @@
 
 using namespace std::chrono_literals;
 
-// A configuration must be in effect two seconds after it was stored. A stalled connection is
-// detected within this time plus the slack of the watch.
-constexpr auto kOperatorWatchTimeout = 1000ms;
+// A configuration must be in effect two seconds after it was stored.
+constexpr WatchTiming kOperatorTiming{.wait = 1000ms, .pause = 0ms};
 constexpr auto kRetryPause = 150ms;
+constexpr auto kReportPeriod = 250ms;
 // Without an answer from the store for this time, this instance is not ready: it cannot store jobs.
 constexpr scheduler::Millis kStoreUnreachableMs = 2'500;
 // The load balancer removes a daemon after two failed probes, one second apart. Requests arrive
@@ -57,9 +60,18 @@
         , peers_(std::make_shared<PeerClient>(
                   loop_, settings_.peers.host + ":" + std::to_string(settings_.peers.port)))
         , cells_(std::make_shared<CellLeadership>(settings_, ports_, peers_, incarnation_))
+        , announcer_(std::make_shared<Announcer>(
+                  loop_,
+                  [cells = cells_, peers = peers_](int cell, const Row &row,
+                                                   std::function<void(bool)> done) {
+                      if (cells->applyStored(cell, row))
+                          return done(true);
+                      peers->announce(cell, row, std::move(done));
+                  }))
         , relayed_(*ports.table, peers_, systemNow)
         , intake_(std::make_shared<Intake>(loop_, relayed_, codec, controllerQuery(), systemNow))
         , metrics_(metrics)
+        , reportTimer_(loop_)
     {}
 
     base::Result<void> start()
@@ -84,9 +96,9 @@
                         return respond({});
                     }
                     if (const auto announced = parseAnnouncedRow(request)) {
-                        if (Controller *const leader = self->cells_->controllerOf(announced->cell))
-                            leader->applyStored(announced->row);
-                        return respond({});
+                        return respond(answerAnnouncement(*announced, [&](const AnnouncedRow &row) {
+                            return self->cells_->applyStored(row.cell, row.row);
+                        }));
                     }
                     if (!relayTransaction(request, *self->ports_.table, respond))
                         respond(handlePeerQuery(request, [&](int cell) {
@@ -107,7 +119,8 @@
             if (const auto bound = server->listen(endpoint); !bound)
                 return bound;
         }
-        loadOperatorState();
+        watchOperatorState();
+        reportViewAge();
         cells_->start([self = shared_from_this()](const CellLayout &layout) {
             self->intake_->setLayout(layout);
         });
@@ -143,12 +156,7 @@
                             peers_->queryState(cell, id, std::move(done));
                         },
                 .waiting = [this](const std::string &queue) { return cells_->waitingJobs(queue); },
-                .announce =
-                        [this](int cell, const Row &row) {
-                            if (Controller *const leader = cells_->controllerOf(cell))
-                                return leader->applyStored(row);
-                            peers_->announce(cell, row);
-                        }};
+                .announce = [this](int cell, const Row &row) { announcer_->announce(cell, row); }};
     }
 
     void retryAfterPause(std::function<void()> action)
@@ -183,43 +191,59 @@
 
     void loadOperatorState()
     {
-        ports_.operators->load(
-                [self = shared_from_this()](const base::Result<OperatorState> &state) {
-                    if (!state) {
-                        self->recordStoreFailure("load-configuration", state.error());
-                        return self->retryAfterPause([self] { self->loadOperatorState(); });
-                    }
-                    self->recordStoreResponse();
-                    self->apply(state.value());
-                    self->watchOperatorState();
-                });
+        ports_.operators->load([self = shared_from_this(), requestedAt = systemNow().steady](
+                                       const base::Result<OperatorState> &state) {
+            if (!state) {
+                self->recordStoreFailure("load-configuration", state.error());
+                return self->retryAfterPause([self] { self->loadOperatorState(); });
+            }
+            self->recordStoreResponse();
+            self->apply(state.value());
+            self->operatorWatch_->recordRead(requestedAt);
+            self->operatorWatch_->resume(state.value().version);
+        });
     }
 
     void watchOperatorState()
     {
-        ports_.operators->watch(
-                operatorVersion_, kOperatorWatchTimeout,
-                [self = shared_from_this()](const base::Result<OperatorState> &state) {
-                    if (!state) {
-                        self->recordStoreFailure("watch-configuration", state.error());
-                        const bool isHistoryLost =
-                                state.error().code == base::Code::HistoryUnavailable;
-                        return self->retryAfterPause([self, isHistoryLost] {
-                            if (isHistoryLost)
-                                self->loadOperatorState();
-                            else
-                                self->watchOperatorState();
-                        });
-                    }
-                    self->recordStoreResponse();
-                    self->apply(state.value());
-                    self->watchOperatorState();
+        operatorWatch_ = std::make_shared<ViewWatch<OperatorState>>(
+                loop_,
+                [operators = ports_.operators](Version after, std::chrono::milliseconds wait,
+                                               Callback<OperatorState> done) {
+                    operators->watch(after, wait, std::move(done));
+                },
+                WatchHooks<OperatorState>{
+                        .clock = [] { return systemNow().steady; },
+                        .onRows =
+                                [self = shared_from_this()](const OperatorState &state) {
+                                    self->recordStoreResponse();
+                                    self->apply(state);
+                                },
+                        .onHistoryLost =
+                                [self = shared_from_this()] {
+                                    self->retryAfterPause([self] { self->loadOperatorState(); });
+                                },
+                        .onFailure =
+                                [self = shared_from_this()](const base::Error &error) {
+                                    self->recordStoreFailure("watch-configuration", error);
+                                }},
+                kOperatorTiming);
+        loadOperatorState();
+    }
+
+    void reportViewAge()
+    {
+        operatorReport_.update(operatorWatch_->view(), systemNow().steady);
+        reportTimer_.expires_after(kReportPeriod);
+        reportTimer_.async_wait(
+                [self = shared_from_this()](const boost::system::error_code &error) {
+                    if (!error)
+                        self->reportViewAge();
                 });
     }
 
     void apply(const OperatorState &state)
     {
-        operatorVersion_ = std::max(operatorVersion_, state.version);
         for (const WaveRequest &wave : state.waves)
             waves_[wave.number] = wave;
         if (!state.waves.empty())
@@ -263,6 +287,7 @@
     std::string incarnation_;
     std::shared_ptr<PeerClient> peers_;
     std::shared_ptr<CellLeadership> cells_;
+    std::shared_ptr<Announcer> announcer_;
     RelayedTable relayed_;
     std::shared_ptr<Intake> intake_;
     std::unique_ptr<http::Server> callers_;
@@ -272,7 +297,9 @@
     const Metrics &metrics_;
     std::optional<Configuration> configuration_;
     std::map<std::int64_t, WaveRequest> waves_;
-    Version operatorVersion_ = 0;
+    std::shared_ptr<ViewWatch<OperatorState>> operatorWatch_;
+    ViewReport operatorReport_{"operators"};
+    boost::asio::steady_timer reportTimer_;
     scheduler::Millis storeAnsweredAt_ = 0;
     bool isStoreUnreachable_ = false;
     bool isStopping_ = false;
