Take a watch's answer that was cut short for incomplete

Cause: the store bounds an answer to a watch to some 500 rows. Such an answer counted as if it held every row that was stored when it was requested, so tasks could start although cancellations of the following answers were not known; a loading leader read one answer only. Found by the review; not seen to break a rule.

It does not make the view current, the next request is sent without a pause, and a loading leader reads on.

--- a/packages/entry/include/chicorywick/entry/ports.h
+++ b/packages/entry/include/chicorywick/entry/ports.h
@@ -55,6 +55,7 @@
 {
     std::optional<Configuration> configuration;
     std::vector<WaveRequest> waves;
+    bool hasMore = false; ///< later changes can be missing
     Version version = 0;
 
     bool operator==(const OperatorState &) const = default;
@@ -76,6 +77,7 @@
 {
     std::vector<scheduler::WorkerEntry> present;
     std::vector<std::string> removed;
+    bool hasMore = false; ///< later changes can be missing
     Version version = 0;
 
     bool operator==(const WorkerList &) const = default;
--- a/packages/entry/include/chicorywick/entry/table.h
+++ b/packages/entry/include/chicorywick/entry/table.h
@@ -82,8 +82,8 @@
 struct RowPage
 {
     std::vector<Row> rows;
-    bool hasMore = false;
-    Version version = 0; ///< of the table service when it answered
+    bool hasMore = false; ///< rows of the range, or changes up to now, can be missing
+    Version version = 0;  ///< up to which the page is complete
 
     bool operator==(const RowPage &) const = default;
 };
--- a/packages/entry/src/controller_cancellation_test.cpp
+++ b/packages/entry/src/controller_cancellation_test.cpp
@@ -64,6 +64,28 @@
     CHECK(fixture.controller->reportedState("a") == scheduler::JobState::Cancelled);
 }
 
+// Guards against the same starts if more rows are stored meanwhile than one answer holds.
+TEST_CASE("a cancellation after many rows that are stored while the leader loads takes effect")
+{
+    ControllerFixture fixture;
+    fixture.table.maxWatchRows = 2;
+    std::string id = "a";
+    while (fixture.rows.jobRow(id).part != fixture.rows.jobPart(0))
+        id += 'a';
+    fixture.store(fixture.jobRow(id));
+    fixture.table.onRead = [&](const RowRange &range) {
+        if (range.part != fixture.rows.jobPart(1))
+            return;
+        for (const char *other : {"b", "c", "d"})
+            fixture.store(fixture.jobRow(other));
+        fixture.store(fixture.cancelRow(id));
+    };
+    fixture.startTerm();
+    REQUIRE(fixture.controller->isLoaded());
+    CHECK(!fixture.workers.hasStarted(id));
+    CHECK(fixture.controller->reportedState(id) == scheduler::JobState::Cancelled);
+}
+
 // Guards against starts after an acknowledged cancellation when its announcement is lost and the
 // watch is not answered, while the lease holds.
 TEST_CASE("no task starts while the stored cancellations are not known")
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -104,8 +104,11 @@
                                 self->applyJobRows(page.value().rows);
                                 self->jobsVersion_ =
                                         std::max(self->jobsVersion_, page.value().version);
-                                self->jobsWatch_->recordRead(requestedAt);
                             }
+                            if (page && page.value().hasMore)
+                                return self->loadNewRows();
+                            if (page)
+                                self->jobsWatch_->recordRead(requestedAt);
                             self->loadWorkers();
                         });
 }
--- a/packages/entry/src/fake_table.h
+++ b/packages/entry/src/fake_table.h
@@ -2,6 +2,7 @@
 
 #include <chicorywick/entry/table.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <utility>
@@ -22,7 +23,8 @@
     /// at once.
     std::map<std::string, Callback<RowPage>> watches;
     int watchCalls = 0;
-    bool isSilent = false; ///< watches are not answered, also those that do not wait
+    std::size_t maxWatchRows = 500; ///< in an answer to a watch that does not wait
+    bool isSilent = false;          ///< watches are not answered, also those that do not wait
     std::function<void(const RowRange &)> onRead; ///< called before the rows are read
 
     void transact(const Transaction &transaction, std::chrono::milliseconds /*timeout*/,
@@ -67,6 +69,14 @@
             for (const auto &[key, row] : rows)
                 if (key.table == table && row.version > after)
                     page.rows.push_back(row);
+            std::sort(page.rows.begin(), page.rows.end(), [](const Row &left, const Row &right) {
+                return left.version < right.version;
+            });
+            page.hasMore = page.rows.size() > maxWatchRows;
+            if (page.hasMore) {
+                page.rows.resize(maxWatchRows);
+                page.version = page.rows.back().version;
+            }
             return done(std::move(page));
         }
         if (wait.count() > 0)
--- a/packages/entry/src/table_watch_test.cpp
+++ b/packages/entry/src/table_watch_test.cpp
@@ -109,4 +109,16 @@
     CHECK(fixture.table.watchCalls == 2);
 }
 
+// Guards against starts on a view that lacks the rows after the first part of a long answer.
+TEST_CASE("an answer that has more rows to follow does not make the view current")
+{
+    Fixture fixture;
+    fixture.watch->resume(0);
+    fixture.answer(RowPage{.hasMore = true, .version = 1});
+    CHECK(fixture.watch->view().knownUntil() == 0);
+    fixture.run(10ms); // the rest is requested without a pause
+    fixture.answer(RowPage{.version = 2});
+    CHECK(fixture.age() < 800);
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/view_watch.cpp
+++ b/packages/entry/src/view_watch.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kNoWait = 0ms;
+constexpr std::chrono::milliseconds kNoWait = 0ms;
 // An answer takes a few milliseconds beyond the wait. A later one is lost, or its connection is
 // silent, which shows only after the time limit of the request.
 constexpr std::chrono::milliseconds kRepeatDelay = 150ms;
@@ -77,11 +77,12 @@
     const bool isPassed = version_ != after && page.value().version <= version_;
     version_ = std::max(version_, page.value().version);
     hooks_.onRows(isPassed ? Page() : page.value());
-    view_.recordAnswer(requestedAt, hooks_.clock());
+    if (!page.value().hasMore)
+        view_.recordAnswer(requestedAt, hooks_.clock());
     if (!isCurrent)
         return;
     ++round_;
-    runAfter(timing_.pause, &ViewWatch::beginRound);
+    runAfter(page.value().hasMore ? kNoWait : timing_.pause, &ViewWatch::beginRound);
 }
 
 template <typename Page>
