Keep a view current while answers are lost or the store is slow

Cause: found by the review of the watch, which withholds starts while the view is old. On a busy leader a late timer requested answers that were already waiting to be read. A start that lost its permission because of the view's age made its worker suspect.

The bound of table_watch_test on open requests follows from four instead of three: it equals the constant, as before.

--- a/packages/entry/src/controller_cancellation_test.cpp
+++ b/packages/entry/src/controller_cancellation_test.cpp
@@ -104,6 +104,20 @@
     CHECK(!fixture.workers.hasStarted("a"));
 }
 
+// Guards against a start that waits for a connection until the view has become too old.
+TEST_CASE("the permission of a start ends with the age of the view")
+{
+    ControllerFixture fixture;
+    fixture.startTerm();
+    const scheduler::Millis knownUntil = fixture.now;
+    fixture.table.isSilent = true;
+    fixture.now += ControllerFixture::kMaxJobsAgeMs / 2;
+    fixture.controller->applyStored(fixture.jobRow("a"));
+    fixture.run();
+    REQUIRE(fixture.workers.hasStarted("a"));
+    CHECK(fixture.workers.startValidity.until == knownUntil + ControllerFixture::kMaxJobsAgeMs + 1);
+}
+
 // Guards against waiting tasks that never start again once the watch is answered.
 TEST_CASE("tasks start again once the stored cancellations are known")
 {
--- a/packages/entry/src/controller_fixture.h
+++ b/packages/entry/src/controller_fixture.h
@@ -26,6 +26,7 @@
     {}
 
     std::vector<scheduler::TaskId> started;
+    scheduler::OrderValidity startValidity; ///< of the latest start
     std::vector<scheduler::TaskId> stopped;
     std::vector<scheduler::RunningTask> running; ///< listed in replies to renewals
 
@@ -33,6 +34,7 @@
                std::function<void(const scheduler::OrderReply &)> done) override
     {
         started.push_back(order.task);
+        startValidity = order.validity;
         accept(std::move(done));
     }
     void stop(const scheduler::WorkerAddress & /*worker*/, const scheduler::StopOrder &order,
--- a/packages/entry/src/view_watch.cpp
+++ b/packages/entry/src/view_watch.cpp
@@ -13,8 +13,11 @@
 // An answer takes a few milliseconds beyond the wait. A later one is lost, or its connection is
 // silent, which shows only after the time limit of the request.
 constexpr std::chrono::milliseconds kRepeatDelay = 150ms;
-// Bounds the calls while the store does not answer.
-constexpr int kMaxOutstanding = 3;
+// A timer that is later than this shows a busy loop, in which the answer may wait to be read.
+constexpr std::chrono::milliseconds kLateTimer = 50ms;
+// Bound the calls while the store does not answer.
+constexpr int kMaxOutstanding = 4;
+constexpr int kMaxDoublings = 2;
 
 } // namespace
 
@@ -45,6 +48,8 @@
 void ViewWatch<Page>::beginRound()
 {
     ++round_;
+    repeats_ = 0;
+    hasWaitedForLoop_ = false;
     runAfter(timing_.wait + kRepeatDelay, &ViewWatch::repeat);
     send(timing_.wait);
 }
@@ -91,8 +96,12 @@
     view_.recordFailure();
     if (hooks_.onFailure)
         hooks_.onFailure(error);
-    if (error.code != base::Code::HistoryUnavailable)
-        return runAfter(kRepeatDelay, &ViewWatch::repeat);
+    if (error.code != base::Code::HistoryUnavailable) {
+        // A repeat that is due earlier stays.
+        if (timer_.expiry() > std::chrono::steady_clock::now() + kRepeatDelay)
+            runAfter(kRepeatDelay, &ViewWatch::repeat);
+        return;
+    }
     ++round_;
     timer_.cancel();
     hooks_.onHistoryLost();
@@ -101,7 +110,10 @@
 template <typename Page>
 void ViewWatch<Page>::repeat()
 {
-    runAfter(kRepeatDelay, &ViewWatch::repeat);
+    const bool isLoopBusy = std::chrono::steady_clock::now() - timer_.expiry() > kLateTimer;
+    if (isLoopBusy && !std::exchange(hasWaitedForLoop_, true))
+        return runAfter(kRepeatDelay, &ViewWatch::repeat);
+    runAfter(kRepeatDelay * (1 << std::min(repeats_++, kMaxDoublings)), &ViewWatch::repeat);
     if (outstanding_ < kMaxOutstanding)
         send(kNoWait);
 }
--- a/packages/entry/src/view_watch.h
+++ b/packages/entry/src/view_watch.h
@@ -76,7 +76,9 @@
     ViewAge view_;
     Version version_ = 0;
     std::uint64_t round_ = 0; ///< increases with each answer
-    int outstanding_ = 0;     ///< requests without an answer, of all rounds
+    int repeats_ = 0;         ///< in this round
+    bool hasWaitedForLoop_ = false;
+    int outstanding_ = 0; ///< requests without an answer, of all rounds
     std::uint64_t actions_ = 0;
     bool isStopped_ = false;
 };
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -187,6 +187,10 @@
         place();
         return;
     case OrderStatus::NotSent:
+        // The permission can have ended, which says nothing about the worker.
+        if (!mayStartTasks())
+            break;
+        [[fallthrough]];
     case OrderStatus::Unhealthy:
     case OrderStatus::Invalid:
     case OrderStatus::Fenced:
