Place tasks once for events that arrive together

Callers saw jobs wait, or run out of time, once a leader had more to do than its processor can. Each answered renewal and each job of a page of rows made a placement pass of its own, and a pass over a long queue examines many more tasks and workers than one event changes.

The scheduler now asks its owner to run the pass after the events that have already arrived. The more events wait, the more of them share a pass; an idle leader runs it in the same turn. The scheduler tests run with the deferred pass.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -5,6 +5,10 @@
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
 namespace chicorywick::entry {
 
 namespace {
@@ -87,7 +91,11 @@
                   .onFenced = hooks_.onFenced,
                   .onProgress = [this] { journal_->request(); },
                   .orderValidity = hooks_.orderValidity,
-                  .jobsKnownUntil = [this] { return jobsWatch_->view().knownUntil(); }},
+                  .jobsKnownUntil = [this] { return jobsWatch_->view().knownUntil(); },
+                  .defer =
+                          [loop = ports.loop](std::function<void()> action) {
+                              boost::asio::post(*loop, std::move(action));
+                          }},
                  settings)
     , jobsWatch_(std::make_shared<TableWatch>(
               *ports.loop, *ports.table, rows_.jobsTable(),
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -48,6 +48,8 @@
     std::function<OrderValidity()> orderValidity = {}; ///< empty: orders have no limit
     /// Local time up to which all stored jobs and cancellations are known; empty: up to now.
     std::function<Millis()> jobsKnownUntil = {};
+    /// Runs an action after the events that have already arrived; empty: immediately.
+    std::function<void(std::function<void()>)> defer = {};
 };
 
 /// @brief Why a worker gets no new tasks.
@@ -330,6 +332,7 @@
     void reserveForTrial(const JobEntry &entry, const TaskId &id);
 
     // Placement (scheduler_placing.cpp)
+    void requestPlacement();
     void place();
     void placeService(const std::string &service);
     void markAllServicesForPlacement();
@@ -417,6 +420,7 @@
     Millis waitingReportedAt_ = 0;
     std::set<std::string> reserved_; ///< ids of workers kept free during one placement pass
     bool isPlacing_ = false;
+    bool isPlacementRequested_ = false;
 };
 
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_fixture.h
+++ b/packages/scheduler/src/scheduler_fixture.h
@@ -4,6 +4,7 @@
 
 #include <chicorywick/scheduler/scheduler.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,7 +48,11 @@
                         .maySendOrders = [this] { return maySendOrders; },
                         .onFenced = [] {},
                         .onProgress = [this] { store(); },
-                        .jobsKnownUntil = [this] { return loop.now() - jobsAgeMs; }},
+                        .jobsKnownUntil = [this] { return loop.now() - jobsAgeMs; },
+                        .defer =
+                                [this](std::function<void()> action) {
+                                    loop.after(0, std::move(action));
+                                }},
                 SchedulerSettings{.fence = term});
         scheduler->setQueues({{.name = "q",
                                .service = "s",
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -150,7 +150,7 @@
         recordArrival(entry.job);
     finishPartlyDoneGangs(entry);
     enqueueReady(entry);
-    place();
+    requestPlacement();
 }
 
 void Scheduler::mergeStoredProgress(const std::string &id, const JobProgress &progress)
@@ -233,6 +233,22 @@
     return entry.job.beginDueOccurrences(hooks_.clock().wall, entry.unstoredOccurrences.size());
 }
 
+// Events that arrive together share one pass: a pass examines many more tasks and workers than one
+// event changes, and a busy leader has dozens of events waiting.
+void Scheduler::requestPlacement()
+{
+    if (!hooks_.defer)
+        return place();
+    if (std::exchange(isPlacementRequested_, true))
+        return;
+    hooks_.defer([this, alive = alive_] {
+        if (!*alive)
+            return;
+        isPlacementRequested_ = false;
+        place();
+    });
+}
+
 void Scheduler::tick()
 {
     expireEndedJobs();
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -244,7 +244,7 @@
     pace(worker);
     if (worker.entry.isDraining || worker.cordons.contains(CordonReason::Maintenance))
         drainPerpetual(worker);
-    place();
+    requestPlacement();
 }
 
 void Scheduler::reconcileRunning(Worker &worker, const RunningTask &running)
