Limit the time that placement passes take of the event loop

Callers saw jobs wait while their leader was busy with placement passes. A pass over a long queue costs far more than the event that asks for it, so events that arrive one by one keep a leader in its passes, and ends, cancellations and renewals wait for their turn.

After a pass the loop now serves other events for three times as long as the pass took, up to 50 ms, before the next one. A leader whose queue is short places as soon as before: its passes take microseconds.

Evidence: action_pacer_test.cpp; without the rest, ten actions of 5 ms leave 0.08 ms to other events (135 ms are required).

Ruled out: a least time between two renewals of a worker.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -5,8 +5,6 @@
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
-#include <boost/asio/post.hpp>
-
 #include <utility>
 
 namespace chicorywick::entry {
@@ -85,18 +83,17 @@
     , hooks_(std::move(hooks))
     , cell_(std::move(cell))
     , rows_(cell_.rows())
-    , scheduler_(*ports.orders,
-                 {.clock = hooks_.clock,
-                  .maySendOrders = hooks_.maySendOrders,
-                  .onFenced = hooks_.onFenced,
-                  .onProgress = [this] { journal_->request(); },
-                  .orderValidity = hooks_.orderValidity,
-                  .jobsKnownUntil = [this] { return jobsWatch_->view().knownUntil(); },
-                  .defer =
-                          [loop = ports.loop](std::function<void()> action) {
-                              boost::asio::post(*loop, std::move(action));
-                          }},
-                 settings)
+    , pacer_(std::make_shared<ActionPacer>(*ports.loop))
+    , scheduler_(
+              *ports.orders,
+              {.clock = hooks_.clock,
+               .maySendOrders = hooks_.maySendOrders,
+               .onFenced = hooks_.onFenced,
+               .onProgress = [this] { journal_->request(); },
+               .orderValidity = hooks_.orderValidity,
+               .jobsKnownUntil = [this] { return jobsWatch_->view().knownUntil(); },
+               .defer = [this](std::function<void()> action) { pacer_->run(std::move(action)); }},
+              settings)
     , jobsWatch_(std::make_shared<TableWatch>(
               *ports.loop, *ports.table, rows_.jobsTable(),
               TableWatchHooks{.clock = [clock = hooks_.clock] { return clock().steady; },
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "action_pacer.h"
 #include "cancellation_index.h"
 #include "machine_inventory.h"
 #include "pool_balancer.h"
@@ -60,6 +61,7 @@
     ControllerHooks hooks_;
     Cell cell_;
     CellRows rows_;
+    std::shared_ptr<ActionPacer> pacer_; ///< of placement passes
     scheduler::Scheduler scheduler_;
     std::shared_ptr<TableWatch> jobsWatch_;
     std::shared_ptr<ProgressJournal> journal_;
