--- a/packages/scheduler/src/scheduler_fixture.h
+++ b/packages/scheduler/src/scheduler_fixture.h
@@ -4,6 +4,7 @@
 
 #include <chicorywick/scheduler/scheduler.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,7 +50,11 @@
                         .maySendOrders = [this] { return maySendOrders; },
                         .onFenced = [] {},
                         .onProgress = [this] { store(); },
-                        .jobsKnownUntil = [this] { return jobsKnownUntil.value_or(loop.now()); }},
+                        .jobsKnownUntil = [this] { return jobsKnownUntil.value_or(loop.now()); },
+                        .defer =
+                                [this](std::function<void()> action) {
+                                    loop.after(0, std::move(action));
+                                }},
                 SchedulerSettings{.fence = term});
         scheduler->setQueues({{.name = "q",
                                .service = "s",
