Look only at workers with room when tasks are placed

The ready queue is now indexed by step and keeps the smallest demand for each resource. A pass lists the workers that cover it once, ends when there is none left, and compares the demand of each waiting step with those workers only. Perpetual tasks and trials still reserve workers in a full service. Demands that no worker has room for no longer count towards the limit of a pass, so a task that fits is reached behind more than 24 of them. A gang that does not fit is tried once a pass instead of once for each member. Bands are refreshed for steps whose latest start has passed, not by computing the key of each task.

--- a/evidence/measure/scheduler_measure.cpp
+++ b/evidence/measure/scheduler_measure.cpp
@@ -62,7 +62,7 @@
         later_(kOrderMs, [this, done = std::move(done)] {
             done({.status = scheduler::OrderStatus::Accepted, .workerClock = now_()});
         });
-        later_(kWorkMs, [this, &worker, task = order.task, run = order.run] {
+        later_(kWorkMs, [&worker, task = order.task, run = order.run] {
             worker.running.erase(task);
             worker.ended.push_back({.number = ++worker.lastEnd,
                                     .task = task,
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -2,6 +2,7 @@
 
 #include <chicorywick/scheduler/job.h>
 #include <chicorywick/scheduler/model.h>
+#include <chicorywick/scheduler/ready_queue.h>
 #include <chicorywick/scheduler/worker_orders.h>
 
 #include <deque>
@@ -154,21 +155,16 @@
     /// @brief Number of workers examined for placement so far, a measure of scheduling cost.
     std::uint64_t examinedWorkers() const { return examinedWorkers_; }
 
+    /// @brief Number of waiting steps examined for placement so far.
+    std::uint64_t examinedSteps() const { return examinedSteps_; }
+
     /// @brief True if stopping any one task of the worker now stays within its disruption budget.
     bool mayDisrupt(const std::string &workerId) const;
 
 private:
     struct Worker;
     struct UnassignedRun;
-    struct ReadyKey
-    {
-        int band = 0;
-        Millis latestStart = 0;
-        std::uint64_t sequence = 0;
-        TaskId id;
-
-        auto operator<=>(const ReadyKey &) const = default;
-    };
+    using WorkerList = std::vector<Worker *>;
     struct JobEntry
     {
         Job job;
@@ -227,6 +223,8 @@
     void finishJob(JobEntry &entry);
     void refreshBands();
     ExtraWorkers extraWorkersFor(const std::string &service) const;
+    const Worker *workerThatLacksRoom(const std::string &service, const StepSpec &step,
+                                      const TaskId &id) const;
 
     // Log of perpetual tasks that wait (scheduler_waiting.cpp)
     void reportWaiting();
@@ -325,23 +323,29 @@
     void endTrial(Worker &worker, const TaskId &id);
     void checkTrials(Worker &worker);
     bool mayStartBeside(const Worker &worker, const TaskId &id, const Task &task) const;
-    void placeTrials(const std::string &service);
+    void placeTrials(const std::string &service, const WorkerList &open);
     static bool isOnTrial(const std::vector<Worker *> &workers, const std::string &job);
     void reserveForTrial(const JobEntry &entry, const TaskId &id);
 
     // Placement (scheduler_placing.cpp)
     void place();
+    /// How the placement of a step's tasks has ended.
+    enum class StepOutcome { Placed, Unplaceable, LabelUnmet };
     void placeService(const std::string &service);
+    StepOutcome placeStep(const ReadyQueue &queue, const ReadyKey &key, bool isKnownUnplaceable,
+                          WorkerList &open);
+    WorkerList openWorkers(const std::string &service, const Resources &demand);
+    void closeFullWorkers(WorkerList &open, const Resources &demand) const;
     void markAllServicesForPlacement();
     bool hasSilentInheritedWorker(const std::string &service) const;
     bool isStartUncertain(const JobEntry &entry, const std::string &service) const;
-    bool tryPlace(JobEntry &entry, const TaskId &id);
+    bool tryPlace(JobEntry &entry, const TaskId &id, const WorkerList &workers);
     bool isLabelUnmet(const StepSpec &step, const std::string &service) const;
     bool isAllowedOn(const Worker &worker, const StepSpec &step, const TaskId &id) const;
     bool canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const;
     bool reserve(const JobEntry &entry, const TaskId &id);
-    bool tryPlaceGang(JobEntry &entry, const TaskId &id);
-    Worker *chooseWorker(JobEntry &entry, const TaskId &id,
+    bool tryPlaceGang(JobEntry &entry, const TaskId &id, const WorkerList &workers);
+    Worker *chooseWorker(JobEntry &entry, const TaskId &id, const WorkerList &workers,
                          const std::map<std::string, int> &plannedMembers);
 
     // Start and stop orders (scheduler_starts.cpp)
@@ -390,16 +394,11 @@
     std::map<std::string, Silence> silences_; ///< by machine
     std::map<std::string, std::vector<Worker *>> workersByService_;
     std::unordered_map<std::string, std::vector<Worker *>> workersByMachine_;
-    struct ReadyQueue
-    {
-        std::set<ReadyKey> keys;
-        std::set<ReadyKey> trials; ///< those of single tasks under which a worker has crashed
-        std::int64_t waitingCpuMillis = 0;
-    };
     std::map<std::string, ReadyQueue> ready_; ///< by service
     std::set<std::string> servicesToPlace_;   ///< queue or free capacity has changed
     std::uint64_t rosterRevision_ = 1;
     std::uint64_t examinedWorkers_ = 0;
+    std::uint64_t examinedSteps_ = 0;
     struct ArrivalRate
     {
         double cpuMillis = 0;
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -252,10 +252,10 @@
 // Tasks on trial are placed before the others. If no worker can take one, a worker is kept free of
 // other starts until it can. The bounds keep ordinary crashes from closing the service to other
 // tasks.
-void Scheduler::placeTrials(const std::string &service)
+void Scheduler::placeTrials(const std::string &service, const WorkerList &open)
 {
     const ReadyQueue &queue = ready_[service];
-    if (queue.trials.empty())
+    if (queue.trials().empty())
         return;
     const std::vector<Worker *> &workers = workersFor(service);
     const std::size_t maxClosed = std::max(kMinClosedWorkers, workers.size() / kClosedWorkersShare);
@@ -267,24 +267,24 @@
                        && isUsable(*worker, now);
             }));
     int unplaceable = 0;
-    for (const ReadyKey &key : std::set(queue.trials)) {
+    for (const auto &[key, id] : std::set(queue.trials())) {
         if (unplaceable >= kMaxUnplaceableTrials)
             return;
-        JobEntry *const entry = entryOf(key.id.job);
+        JobEntry *const entry = entryOf(id.job);
         if (entry == nullptr || isStartUncertain(*entry, service))
             continue;
-        const Task &task = *entry->job.task(key.id);
+        const Task &task = *entry->job.task(id);
         const bool mustWait = closed >= maxClosed && !task.crashes.needsOwnWorker()
-                              && !isOnTrial(workers, key.id.job);
+                              && !isOnTrial(workers, id.job);
         if (task.heldUntil > now || mustWait)
             continue;
-        if (tryPlace(*entry, key.id)) {
+        if (tryPlace(*entry, id, open)) {
             ++closed;
             continue;
         }
         ++unplaceable;
         if (reserved_.size() < maxClosed)
-            reserveForTrial(*entry, key.id);
+            reserveForTrial(*entry, id);
     }
 }
 
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-// Limits of one pass: distinct demands that fit on no worker, and tasks examined. Both bound the
-// work per event when a queue is much longer than its pool can run.
+// Limits of one pass: steps that fit on no worker although one has the resources, and steps
+// examined. Both bound the work per event when a queue is much longer than its pool can run.
 constexpr int kMaxUnplaceable = 24;
-constexpr int kMaxExaminedTasks = 400;
+constexpr int kMaxExaminedSteps = 400;
 
 // True if a worker that cannot run a task of the other step cannot run one of this step either.
 bool requiresAtLeast(const StepSpec &step, const StepSpec &other)
@@ -44,57 +44,120 @@
 
 void Scheduler::placeService(const std::string &service)
 {
-    const auto queue = ready_.find(service);
-    if (queue == ready_.end() || queue->second.keys.empty())
+    const auto found = ready_.find(service);
+    if (found == ready_.end() || found->second.empty())
         return;
-    std::set<ReadyKey> &keys = queue->second.keys;
+    const ReadyQueue &queue = found->second;
     reserved_.clear();
-    placeTrials(service);
+    WorkerList open = openWorkers(service, queue.smallestDemand());
+    placeTrials(service, open);
+    closeFullWorkers(open, queue.smallestDemand());
     const bool hasSilentWorker = hasSilentInheritedWorker(service);
     const Millis now = hooks_.clock().steady;
     std::vector<const StepSpec *> unplaceableSteps;
     int unplaceableCount = 0;
-    int examinedTasks = 0;
-    for (auto item = keys.begin(); item != keys.end() && unplaceableCount < kMaxUnplaceable
-                                   && examinedTasks < kMaxExaminedTasks;
-         ++examinedTasks) {
-        const ReadyKey key = *item;
-        const TaskId &id = key.id;
-        ++item; // placement removes the key, and for a gang those of all members
-        JobEntry *const entry = entryOf(id.job);
-        if (entry == nullptr || (hasSilentWorker && entry->uncertainUntil > now))
-            continue;
-        if (queue->second.trials.contains(entry->ready.at(id)))
-            continue; // placeTrials() has tried
-        const StepSpec &step = stepOf(entry->job, id);
-        if (step.isGang) {
-            const bool isPlaced = tryPlaceGang(*entry, id);
-            unplaceableCount += isPlaced ? 0 : 1;
-            if (isPlaced)
-                item = keys.begin();
+    int examined = 0;
+    for (auto item = queue.steps().begin();
+         item != queue.steps().end() && unplaceableCount < kMaxUnplaceable
+         && examined < kMaxExaminedSteps;
+         ++examined) {
+        const auto &[key, ready] = *item;
+        const StepSpec &step = ready.spec(key);
+        // Perpetual tasks come first; they reserve workers also in a full service.
+        if (open.empty() && !step.isPerpetual)
+            break;
+        ++examinedSteps_;
+        const bool hasRoom = std::any_of(open.begin(), open.end(),
+                                         [&demand = ready.demand](const Worker *worker) {
+                                             return worker->free().covers(demand);
+                                         });
+        const bool isKnownUnplaceable =
+                !hasRoom
+                || std::any_of(unplaceableSteps.begin(), unplaceableSteps.end(),
+                               [&step](const StepSpec *unplaceable) {
+                                   return requiresAtLeast(step, *unplaceable);
+                               });
+        const bool isUncertain =
+                hasSilentWorker && entryOf(ready.job->spec().id)->uncertainUntil > now;
+        if (isUncertain || (isKnownUnplaceable && !step.isPerpetual)) {
+            ++item;
             continue;
         }
-        const bool isKnownUnplaceable =
-                std::any_of(unplaceableSteps.begin(), unplaceableSteps.end(),
-                            [&step](const StepSpec *unplaceable) {
-                                return requiresAtLeast(step, *unplaceable);
-                            });
-        if (!isKnownUnplaceable && tryPlace(*entry, id))
+        const ReadyKey current = key;
+        const StepOutcome outcome = placeStep(queue, current, isKnownUnplaceable, open);
+        item = queue.steps().upper_bound(current); // placement may have removed the step
+        if (outcome == StepOutcome::Placed)
             continue;
-        if (!isKnownUnplaceable) {
-            // A label that no worker has costs one look, however many tasks require it.
-            unplaceableCount += isLabelUnmet(step, service) ? 0 : 1;
+        // A label that no worker has costs one look, however many tasks require it.
+        unplaceableCount += outcome == StepOutcome::LabelUnmet ? 0 : 1;
+        if (!isKnownUnplaceable && !step.isGang)
             unplaceableSteps.push_back(&step);
+    }
+}
+
+// Places the waiting tasks of a step until one fits nowhere; the others do not fit either, and
+// those of a perpetual step reserve workers.
+Scheduler::StepOutcome Scheduler::placeStep(const ReadyQueue &queue, const ReadyKey &key,
+                                            bool isKnownUnplaceable, WorkerList &open)
+{
+    const ReadyStep &ready = queue.steps().at(key);
+    const StepSpec &step = ready.spec(key);
+    JobEntry &entry = *entryOf(ready.job->spec().id);
+    TaskId id = ready.id(key, *ready.tasks.begin());
+    if (step.isGang) {
+        const bool isPlaced = tryPlaceGang(entry, id, open);
+        if (isPlaced)
+            closeFullWorkers(open, queue.smallestDemand());
+        return isPlaced ? StepOutcome::Placed : StepOutcome::Unplaceable;
+    }
+    // Placement removes the task, and with the last one the step.
+    const auto hasNext = [&queue, &key, &id](int after) {
+        const auto item = queue.steps().find(key);
+        if (item == queue.steps().end())
+            return false;
+        const auto next = item->second.tasks.upper_bound(after);
+        if (next == item->second.tasks.end())
+            return false;
+        id.index = *next;
+        return true;
+    };
+    bool isPlaced = true;
+    for (int last = -1; isPlaced && hasNext(last); last = id.index) {
+        if (!queue.trials().empty() && queue.trials().contains({key, id}))
+            continue; // placeTrials() has tried
+        isPlaced = !isKnownUnplaceable && tryPlace(entry, id, open);
+        if (isPlaced)
+            closeFullWorkers(open, queue.smallestDemand());
+    }
+    if (isPlaced)
+        return StepOutcome::Placed;
+    if (step.isPerpetual) {
+        while (reserve(entry, id) && hasNext(id.index)) {
         }
-        // The other waiting tasks of the step fit nowhere either.
-        ReadyKey last = key;
-        last.id.index = std::numeric_limits<int>::max();
-        const auto next = keys.upper_bound(last);
-        if (step.isPerpetual && reserve(*entry, id))
-            while (item != next && reserve(*entry, item->id))
-                ++item;
-        item = next;
+        closeFullWorkers(open, queue.smallestDemand());
+    }
+    return isLabelUnmet(step, policyOf(entry.job)->service) ? StepOutcome::LabelUnmet
+                                                            : StepOutcome::Unplaceable;
+}
+
+// Returns the usable workers of a service that have room for a demand.
+Scheduler::WorkerList Scheduler::openWorkers(const std::string &service, const Resources &demand)
+{
+    const Millis now = hooks_.clock().steady;
+    WorkerList open;
+    for (Worker *const worker : workersFor(service)) {
+        ++examinedWorkers_;
+        if (worker->free().covers(demand) && isUsable(*worker, now))
+            open.push_back(worker);
     }
+    return open;
+}
+
+void Scheduler::closeFullWorkers(WorkerList &open, const Resources &demand) const
+{
+    std::erase_if(open, [&](const Worker *worker) {
+        return !worker->free().covers(demand) || reserved_.contains(worker->entry.id);
+    });
 }
 
 bool Scheduler::isLabelUnmet(const StepSpec &step, const std::string &service) const
@@ -122,6 +185,7 @@
 
 // Members of the same gang that are about to start count like those that have started.
 Scheduler::Worker *Scheduler::chooseWorker(JobEntry &entry, const TaskId &id,
+                                           const WorkerList &workers,
                                            const std::map<std::string, int> &plannedMembers)
 {
     const StepSpec &step = stepOf(entry.job, id);
@@ -129,35 +193,40 @@
     std::vector<Worker *> usable;
     std::vector<PlacementCandidate> candidates;
     std::map<std::string, int> ofStepByWorker;
-    const auto &siblings =
-            entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
-    for (const Task &sibling : siblings)
-        if (!sibling.worker.empty())
-            ++ofStepByWorker[sibling.worker];
-    for (const auto &[workerId, count] : plannedMembers)
-        ofStepByWorker[workerId] += count;
+    const bool dependsOnSiblings = step.maxPerWorker > 0 || step.needsOneRack;
+    if (dependsOnSiblings) {
+        const auto &siblings =
+                entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
+        for (const Task &sibling : siblings)
+            if (!sibling.worker.empty())
+                ++ofStepByWorker[sibling.worker];
+        for (const auto &[workerId, count] : plannedMembers)
+            ofStepByWorker[workerId] += count;
+    }
     const Resources demand = reservedFor(step);
     const Millis now = hooks_.clock().steady;
-    for (Worker *const worker : workersFor(entry.job)) {
+    for (Worker *const worker : workers) {
         ++examinedWorkers_;
         const std::string &workerId = worker->entry.id;
-        const bool isCandidate = worker->free().covers(demand) && isUsable(*worker, now)
+        const Resources free = worker->free();
+        const bool isCandidate = free.covers(demand) && isUsable(*worker, now)
                                  && !reserved_.contains(workerId)
                                  && mayStartBeside(*worker, id, task);
         if (!isCandidate)
             continue;
         PlacementCandidate candidate{.index = usable.size(),
-                                     .free = worker->free(),
+                                     .free = free,
                                      .labels = &worker->entry.labels,
                                      .isAvoided = task.avoidedWorker == workerId};
         if (const auto count = ofStepByWorker.find(workerId); count != ofStepByWorker.end())
             candidate.tasksOfStep = count->second;
-        candidate.tasksOfStep += static_cast<int>(std::count_if(
-                worker->unassigned.begin(), worker->unassigned.end(), [&id](const auto &stray) {
-                    const TaskId &other = stray.first.first;
-                    return other.job == id.job && other.occurrence == id.occurrence
-                           && other.step == id.step;
-                }));
+        if (step.maxPerWorker > 0)
+            candidate.tasksOfStep += static_cast<int>(std::count_if(
+                    worker->unassigned.begin(), worker->unassigned.end(), [&id](const auto &stray) {
+                        const TaskId &other = stray.first.first;
+                        return other.job == id.job && other.occurrence == id.occurrence
+                               && other.step == id.step;
+                    }));
         if (task.crashes.isSuspected())
             candidate.neighbours = static_cast<int>(worker->tasks.size());
         const auto planned = plannedMembers.find(workerId);
@@ -233,9 +302,9 @@
     return true;
 }
 
-bool Scheduler::tryPlace(JobEntry &entry, const TaskId &id)
+bool Scheduler::tryPlace(JobEntry &entry, const TaskId &id, const WorkerList &workers)
 {
-    Worker *const worker = chooseWorker(entry, id, {});
+    Worker *const worker = chooseWorker(entry, id, workers, {});
     if (worker == nullptr)
         return false;
     Task &task = *entry.job.task(id);
@@ -246,7 +315,7 @@
 }
 
 // Starts all members together with the same run number, or none.
-bool Scheduler::tryPlaceGang(JobEntry &entry, const TaskId &id)
+bool Scheduler::tryPlaceGang(JobEntry &entry, const TaskId &id, const WorkerList &workers)
 {
     auto &members = entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
     std::int64_t run = 0;
@@ -263,7 +332,7 @@
     for (std::size_t index = 0; index < members.size(); ++index) {
         TaskId member = id;
         member.index = static_cast<int>(index);
-        Worker *const worker = chooseWorker(entry, member, plannedMembers);
+        Worker *const worker = chooseWorker(entry, member, workers, plannedMembers);
         if (worker == nullptr)
             return false;
         ++plannedMembers[worker->entry.id];
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <tuple>
 
 namespace chicorywick::scheduler {
@@ -19,6 +20,7 @@
 constexpr int kOnTimeBand = 1;
 constexpr int kLateBand = 2;
 constexpr int kOverdueBand = 3;
+constexpr int kBandsPerPriority = 4;
 // Time constant of the moving average of submitted work; short enough to follow a sudden load.
 constexpr double kArrivalWindowMs = 700;
 // Ends free room every few milliseconds, so only tasks that wait longer count as lacking room.
@@ -81,7 +83,7 @@
     rate.at = now;
 }
 
-Scheduler::ReadyKey Scheduler::keyOf(const JobEntry &entry, const TaskId &id) const
+ReadyKey Scheduler::keyOf(const JobEntry &entry, const TaskId &id) const
 {
     const QueuePolicy *const policy = policyOf(entry.job);
     const Millis now = hooks_.clock().steady;
@@ -101,11 +103,11 @@
         band = due - path < now ? kOverdueBand : kLateBand;
     }
     const int priority = policy != nullptr ? policy->priority : 0;
-    constexpr int kBandsPerPriority = 4;
     return {.band = step.isPerpetual ? kPerpetualBand : priority * kBandsPerPriority + band,
             .latestStart = due - path,
             .sequence = entry.sequence,
-            .id = id};
+            .occurrence = id.occurrence,
+            .step = id.step};
 }
 
 void Scheduler::enqueue(JobEntry &entry, const TaskId &id)
@@ -115,11 +117,7 @@
         return;
     const ReadyKey key = keyOf(entry, id);
     entry.ready.emplace(id, key);
-    ReadyQueue &queue = ready_[policy->service];
-    queue.keys.insert(key);
-    if (!stepOf(entry.job, id).isGang && entry.job.task(id)->crashes.isSuspected())
-        queue.trials.insert(key);
-    queue.waitingCpuMillis += reservedFor(stepOf(entry.job, id)).cpuMillis;
+    ready_[policy->service].insert(key, entry.job, id);
     servicesToPlace_.insert(policy->service);
 }
 
@@ -128,12 +126,8 @@
     const auto found = entry.ready.find(id);
     if (found == entry.ready.end())
         return;
-    if (const QueuePolicy *const policy = policyOf(entry.job)) {
-        ReadyQueue &queue = ready_[policy->service];
-        queue.keys.erase(found->second);
-        queue.trials.erase(found->second);
-        queue.waitingCpuMillis -= reservedFor(stepOf(entry.job, id)).cpuMillis;
-    }
+    if (const QueuePolicy *const policy = policyOf(entry.job))
+        ready_[policy->service].erase(found->second, id);
     entry.ready.erase(found);
 }
 
@@ -162,16 +156,20 @@
     if (now - bandsRefreshedAt_ < kBandRefreshMs)
         return;
     bandsRefreshedAt_ = now;
-    std::vector<TaskId> changed;
-    for (const auto &[id, entry] : openJobs_) {
-        changed.clear();
-        for (const auto &[task, key] : entry->ready)
-            if (keyOf(*entry, task).band != key.band)
-                changed.push_back(task);
-        for (const TaskId &task : changed) {
-            dequeue(*entry, task);
-            enqueue(*entry, task);
+    std::vector<std::pair<JobEntry *, TaskId>> changed;
+    for (const auto &[service, queue] : ready_)
+        for (const auto &[key, ready] : queue.steps()) {
+            const bool isLast =
+                    key.band == kPerpetualBand || key.band % kBandsPerPriority == kOverdueBand;
+            if (isLast || key.latestStart >= now)
+                continue;
+            JobEntry *const entry = entryOf(ready.job->spec().id);
+            for (const int index : ready.tasks)
+                changed.emplace_back(entry, ready.id(key, index));
         }
+    for (const auto &[entry, task] : changed) {
+        dequeue(*entry, task);
+        enqueue(*entry, task);
     }
 }
 
@@ -184,6 +182,29 @@
     return waiting;
 }
 
+// Returns a worker that would be large enough for tasks of the step; none if there is no such
+// worker, or a usable one has room now.
+const Scheduler::Worker *Scheduler::workerThatLacksRoom(const std::string &service,
+                                                        const StepSpec &step,
+                                                        const TaskId &id) const
+{
+    const auto &workers = workersFor(service);
+    const Resources demand = reservedFor(step);
+    const Millis now = hooks_.clock().steady;
+    const bool fitsSomewhere =
+            std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
+                return worker->free().covers(demand) && isUsable(*worker, now)
+                       && isAllowedOn(*worker, step, id);
+            });
+    if (fitsSomewhere)
+        return nullptr;
+    // A worker that has shrunk still shows the size of the machines that can join.
+    const auto large = std::find_if(workers.begin(), workers.end(), [&](const Worker *worker) {
+        return worker->fullCapacity.covers(demand) && hasRequiredLabel(step, worker->entry.labels);
+    });
+    return large != workers.end() ? *large : nullptr;
+}
+
 // Counts the workers that waiting tasks need because no usable worker can take one of them now. The
 // service can have free CPU in total, for example when every worker runs a perpetual task and the
 // waiting ones need almost a whole worker.
@@ -197,35 +218,31 @@
     ExtraWorkerCount all;
     ExtraWorkerCount perpetual;
     int examined = 0;
-    for (const ReadyKey &key : queue->second.keys) {
-        if (++examined > kMaxExaminedForRoom)
-            break;
-        const JobEntry *const entry = entryOf(key.id.job);
-        const Occurrence *const occurrence =
-                entry != nullptr ? entry->job.occurrence(key.id.occurrence) : nullptr;
+    for (const auto &[key, ready] : queue->second.steps()) {
+        const StepSpec &step = ready.spec(key);
+        const Occurrence *const occurrence = ready.job->occurrence(key.occurrence);
         if (occurrence == nullptr)
             continue;
-        const Task &task = occurrence->steps[static_cast<std::size_t>(key.id.step)]
-                                            [static_cast<std::size_t>(key.id.index)];
-        if (now - std::max(task.phaseSince, entry->job.acceptedSteady()) < kWaitForRoomMs)
-            continue;
-        const StepSpec &step = stepOf(entry->job, key.id);
-        const Resources demand = reservedFor(step);
-        const bool fitsSomewhere =
-                std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
-                    return worker->free().covers(demand) && isUsable(*worker, now)
-                           && isAllowedOn(*worker, step, key.id);
-                });
-        // A worker that has shrunk still shows the size of the machines that can join.
-        const auto large = std::find_if(workers.begin(), workers.end(), [&](const Worker *worker) {
-            return worker->fullCapacity.covers(demand)
-                   && hasRequiredLabel(step, worker->entry.labels);
-        });
-        if (fitsSomewhere || large == workers.end())
-            continue;
-        all.add(key.id, step, (*large)->fullCapacity);
-        if (step.isPerpetual)
-            perpetual.add(key.id, step, (*large)->fullCapacity);
+        const Worker *large = nullptr;
+        std::optional<bool> lacksRoom; // the same for all tasks of a step
+        for (const int index : ready.tasks) {
+            if (++examined > kMaxExaminedForRoom)
+                return {.all = all.workers(), .forPerpetual = perpetual.workers()};
+            const Task &task = occurrence->steps[static_cast<std::size_t>(key.step)]
+                                                [static_cast<std::size_t>(index)];
+            if (now - std::max(task.phaseSince, ready.job->acceptedSteady()) < kWaitForRoomMs)
+                continue;
+            const TaskId id = ready.id(key, index);
+            if (!lacksRoom) {
+                large = workerThatLacksRoom(service, step, id);
+                lacksRoom = large != nullptr;
+            }
+            if (!*lacksRoom)
+                break;
+            all.add(id, step, large->fullCapacity);
+            if (step.isPerpetual)
+                perpetual.add(id, step, large->fullCapacity);
+        }
     }
     return {.all = all.workers(), .forPerpetual = perpetual.workers()};
 }
@@ -244,7 +261,7 @@
         }
     }
     for (const auto &[service, queue] : ready_) {
-        loads[service].waitingCpuMillis = queue.waitingCpuMillis;
+        loads[service].waitingCpuMillis = queue.waitingCpuMillis();
         const ExtraWorkers extra = extraWorkersFor(service);
         loads[service].extraWorkers = extra.all;
         loads[service].extraWorkersForPerpetual = extra.forPerpetual;
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -312,8 +312,10 @@
             continue;
         const StepSpec &step = stepOf(entry->job, id);
         // If no other worker can run the task, it keeps serving users on this one.
-        const bool mayStop = worker.entry.isDraining
-                             || (mayEvict(*entry, id) && chooseWorker(*entry, id, {}) != nullptr);
+        const bool mayStop =
+                worker.entry.isDraining
+                || (mayEvict(*entry, id)
+                    && chooseWorker(*entry, id, workersFor(entry->job), {}) != nullptr);
         if (!step.isPerpetual || !mayStop)
             continue;
         stop(id, *task, worker.entry.isDraining ? StopReason::Draining : StopReason::Maintenance);
