Move the waiting tasks of a step to their next band together

With 5,000 waiting tasks, a refresh of the bands blocked the leader for 4.7 ms: each task that became late was taken from the queue and inserted again. The step now moves as a whole; the order of placement stays the same.

--- a/packages/scheduler/include/chicorywick/scheduler/ready_queue.h
+++ b/packages/scheduler/include/chicorywick/scheduler/ready_queue.h
@@ -45,6 +45,9 @@
     void insert(const ReadyKey &key, Job &job, const TaskId &id);
     void erase(const ReadyKey &key, const TaskId &id);
 
+    /// @brief Moves all waiting tasks of a step; those that wait at the new place already stay.
+    void move(const ReadyKey &from, const ReadyKey &to);
+
     const std::map<ReadyKey, ReadyStep> &steps() const { return steps_; }
     bool empty() const { return steps_.empty(); }
 
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -222,6 +222,7 @@
     void stopAllTasks(JobEntry &entry);
     void finishJob(JobEntry &entry);
     void refreshBands();
+    void moveStep(ReadyQueue &queue, const ReadyKey &from);
     ExtraWorkers extraWorkersFor(const std::string &service) const;
     const Worker *workerThatLacksRoom(const std::string &service, const StepSpec &step,
                                       const TaskId &id) const;
--- a/packages/scheduler/src/ready_queue.cpp
+++ b/packages/scheduler/src/ready_queue.cpp
@@ -35,6 +35,26 @@
     steps_.erase(item);
 }
 
+void ReadyQueue::move(const ReadyKey &from, const ReadyKey &to)
+{
+    if (from == to)
+        return;
+    auto step = steps_.extract(from);
+    if (step.empty())
+        return;
+    for (auto trial = trials_.lower_bound({from, {}});
+         trial != trials_.end() && trial->first == from;) {
+        trials_.emplace(to, trial->second);
+        trial = trials_.erase(trial);
+    }
+    step.key() = to;
+    const auto placed = steps_.insert(std::move(step));
+    if (placed.inserted)
+        return;
+    placed.position->second.tasks.merge(placed.node.mapped().tasks);
+    count(placed.position->second.demand, -1);
+}
+
 Resources ReadyQueue::smallestDemand() const
 {
     if (steps_.empty())
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -156,23 +156,34 @@
     if (now - bandsRefreshedAt_ < kBandRefreshMs)
         return;
     bandsRefreshedAt_ = now;
-    std::vector<std::pair<JobEntry *, TaskId>> changed;
-    for (const auto &[service, queue] : ready_)
+    for (auto &[service, queue] : ready_) {
+        std::vector<ReadyKey> passed;
         for (const auto &[key, ready] : queue.steps()) {
             const bool isLast =
                     key.band == kPerpetualBand || key.band % kBandsPerPriority == kOverdueBand;
-            if (isLast || key.latestStart >= now)
-                continue;
-            JobEntry *const entry = entryOf(ready.job->spec().id);
-            for (const int index : ready.tasks)
-                changed.emplace_back(entry, ready.id(key, index));
+            if (!isLast && key.latestStart < now)
+                passed.push_back(key);
         }
-    for (const auto &[entry, task] : changed) {
-        dequeue(*entry, task);
-        enqueue(*entry, task);
+        for (const ReadyKey &key : passed)
+            moveStep(queue, key);
     }
 }
 
+void Scheduler::moveStep(ReadyQueue &queue, const ReadyKey &from)
+{
+    const ReadyStep &ready = queue.steps().at(from);
+    JobEntry &entry = *entryOf(ready.job->spec().id);
+    const TaskId first = ready.id(from, *ready.tasks.begin());
+    const ReadyKey to = keyOf(entry, first);
+    queue.move(from, to);
+    for (auto item = entry.ready.find(first);
+         item != entry.ready.end() && item->first.occurrence == first.occurrence
+         && item->first.step == first.step;
+         ++item)
+        if (item->second == from)
+            item->second = to;
+}
+
 std::map<std::string, int> Scheduler::waitingJobs() const
 {
     std::map<std::string, int> waiting;
