Answer no watch twice in the store stand-in of the hosted tests

Cause: hosted_tests ended with a jump to an invalid address, in one of its own threads, in two of two runs outside a debugger. The handler of a watch's timer held an iterator into the list of watches. A timer that has expired cannot be cancelled, so a change that was stored before its handler ran erased the entry, and the handler used it. A watch that does not wait, as repeated requests are, expires at once, so that this became frequent.

Change: the handler owns its entry and knows whether it was answered. No check of a test has changed.

--- a/tests/hosted/hosted_store.cpp
+++ b/tests/hosted/hosted_store.cpp
@@ -159,15 +159,16 @@
         return respond(jsonResponse(200, {{"rows", rows}, {"row_version", version_}}));
     auto timer = std::make_shared<boost::asio::steady_timer>(
             loop_, std::chrono::milliseconds(std::stoll(query.at("wait_ms"))));
-    const auto entry = watches_.insert(
-            watches_.end(), {.table = table, .after = after, .respond = respond, .timer = timer});
+    const auto entry = std::make_shared<Watch>(
+            Watch{.table = table, .after = after, .respond = respond, .timer = timer});
+    watches_.push_back(entry);
     timer->async_wait([this, entry](const boost::system::error_code &error) {
-        if (error)
+        // A timer that has expired is not cancelled, so its handler can follow the answer.
+        if (error || entry->isAnswered)
             return;
-        const http::Responder pending = entry->respond;
         const std::int64_t seen = faults_.areWatchesStalled ? entry->after : version_;
-        watches_.erase(entry);
-        pending(jsonResponse(200, {{"rows", json::array()}, {"row_version", seen}}));
+        watches_.remove(entry);
+        entry->respond(jsonResponse(200, {{"rows", json::array()}, {"row_version", seen}}));
     });
 }
 
@@ -189,15 +190,16 @@
     if (faults_.areWatchesStalled)
         return;
     for (auto item = watches_.begin(); item != watches_.end();) {
-        const json rows = changes(item->table, item->after);
+        const std::shared_ptr<Watch> entry = *item;
+        const json rows = changes(entry->table, entry->after);
         if (rows.empty()) {
             ++item;
             continue;
         }
-        const http::Responder respond = item->respond;
-        item->timer->cancel();
+        entry->isAnswered = true;
+        entry->timer->cancel();
         item = watches_.erase(item);
-        respond(jsonResponse(200, {{"rows", rows}, {"row_version", version_}}));
+        entry->respond(jsonResponse(200, {{"rows", rows}, {"row_version", version_}}));
     }
 }
 
--- a/tests/hosted/hosted_store.h
+++ b/tests/hosted/hosted_store.h
@@ -56,6 +56,7 @@
         std::int64_t after = 0;
         http::Responder respond;
         std::shared_ptr<boost::asio::steady_timer> timer;
+        bool isAnswered = false;
     };
 
     void handle(const http::Request &request, const http::Responder &respond);
@@ -69,7 +70,7 @@
     boost::asio::io_context &loop_;
     http::Server server_;
     std::map<Key, Row> rows_;
-    std::list<Watch> watches_;
+    std::list<std::shared_ptr<Watch>> watches_;
     std::int64_t version_ = 0;
     StoreFaults faults_;
     std::uint64_t faultSeed_;
