Do not answer a watch of the test store after it has been removed

hosted_tests ended with a bus error once (exit code 135). The kernel log of the crash points to the copy of a callback in HostedStore::watch(): a change had answered and removed the watch while the handler of its timer was already queued; cancelling the timer has no effect then, and the handler used the removed list entry. The handler now looks its watch up.

No test triggers the race deterministically.

--- a/tests/hosted/hosted_store.cpp
+++ b/tests/hosted/hosted_store.cpp
@@ -4,6 +4,7 @@
 
 #include <platform/base64.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace chicorywick::hosted {
@@ -159,10 +160,13 @@
         return respond(jsonResponse(200, {{"rows", rows}, {"row_version", version_}}));
     auto timer = std::make_shared<boost::asio::steady_timer>(
             loop_, std::chrono::milliseconds(std::stoll(query.at("wait_ms"))));
-    const auto entry = watches_.insert(
-            watches_.end(), {.table = table, .after = after, .respond = respond, .timer = timer});
-    timer->async_wait([this, entry](const boost::system::error_code &error) {
-        if (error)
+    watches_.push_back({.table = table, .after = after, .respond = respond, .timer = timer});
+    timer->async_wait([this, timer](const boost::system::error_code &error) {
+        // A cancellation has no effect on a timer whose handler is already queued.
+        const auto entry =
+                std::find_if(watches_.begin(), watches_.end(),
+                             [&timer](const Watch &watch) { return watch.timer == timer; });
+        if (error || entry == watches_.end())
             return;
         const http::Responder pending = entry->respond;
         const std::int64_t seen = faults_.areWatchesStalled ? entry->after : version_;
