Measure the age of the leader's view under load

Cause: callers saw tasks start seconds after their job's cancellation was acknowledged. tools/load had no limit of processor time, no cancellations and small payloads, so it could not show how old the leader's view becomes.

Change: tools/load takes a share of a core for each daemon (a daemon that has used its processor time of a period stands until the next), a share of jobs that are cancelled soon after their acknowledgement, payloads, the duration of tasks and the longest wait for the end. It reports the age of the view at starts, starts after an acknowledged cancellation, late timers and processor time. The store stand-in keeps changes by version and answers watches in pages, as the platform does; a watch looked at all rows before. Submissions are not sent after the end of the load.

Ruled out: a late event loop of the stand-ins; its longest delay was 13 ms.

--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -140,19 +140,33 @@
     return true;
 }
 
-int HostedDeployment::submit(int daemon, const std::string &id) const
+int HostedDeployment::submit(int daemon, const std::string &id, const HostedJob &job) const
 {
-    const json body{{"spec", "work"},
+    const std::int64_t estimate = job.estimate.count();
+    const json body{{"spec", job.spec},
                     {"steps",
-                     {{{"count", 3}, {"cpu", 1'000}, {"mem_mb", 500}, {"estimated_ms", 300}},
+                     {{{"count", 3}, {"cpu", 1'000}, {"mem_mb", 500}, {"estimated_ms", estimate}},
                       {{"count", 2},
                        {"cpu", 1'000},
                        {"mem_mb", 500},
-                       {"estimated_ms", 300},
+                       {"estimated_ms", estimate},
                        {"after", {0}}}}}};
     return post(daemon, id, body);
 }
 
+int HostedDeployment::cancel(int daemon, const std::string &id) const
+{
+    const auto response =
+            makeClient(ports_[static_cast<std::size_t>(daemon)][0]).Delete("/q/" + id);
+    return response ? response->status : 0;
+}
+
+std::string HostedDeployment::metrics(int daemon) const
+{
+    const auto response = makeClient(ports_[static_cast<std::size_t>(daemon)][3]).Get("/metrics");
+    return response ? response->body : std::string();
+}
+
 int HostedDeployment::submitCrashing(int daemon, const std::string &id) const
 {
     const json body{
@@ -186,6 +200,14 @@
     done.get_future().wait();
 }
 
+void HostedDeployment::setTaskDuration(std::chrono::milliseconds duration)
+{
+    onLoop([&] {
+        for (const auto &runner : runners_)
+            runner->setTaskDuration(duration);
+    });
+}
+
 void HostedDeployment::setStoreFaults(const StoreFaults &faults)
 {
     onLoop([&] { store_.setFaults(faults); });
@@ -208,6 +230,21 @@
     return -1;
 }
 
+std::vector<JobStart> HostedDeployment::jobStarts()
+{
+    std::vector<JobStart> starts;
+    onLoop([&] { starts = record_.jobStarts; });
+    return starts;
+}
+
+std::chrono::milliseconds HostedDeployment::standInDelay()
+{
+    const auto start = std::chrono::steady_clock::now();
+    onLoop([] {});
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
+                                                                 - start);
+}
+
 int HostedDeployment::crashes()
 {
     int count = 0;
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -15,6 +15,15 @@
 
 namespace chicorywick::hosted {
 
+/// @brief A job of two steps with three and two tasks.
+struct HostedJob
+{
+    std::string spec = "work";
+    std::chrono::milliseconds estimate{300}; ///< of each task
+
+    bool operator==(const HostedJob &) const = default;
+};
+
 /// @brief Runs entry instances as separate processes; the platform stand-ins share one event loop.
 class HostedDeployment
 {
@@ -35,7 +44,10 @@
     bool waitUntilReady();
 
     /// @brief Submits a job to a daemon; returns the HTTP status, or 0 without a response.
-    int submit(int daemon, const std::string &id) const;
+    int submit(int daemon, const std::string &id, const HostedJob &job = {}) const;
+
+    /// @brief Cancels a job; returns the HTTP status, or 0 without a response.
+    int cancel(int daemon, const std::string &id) const;
 
     /// @brief Like submit(), for a job of one task that crashes each runner that starts it.
     int submitCrashing(int daemon, const std::string &id) const;
@@ -43,6 +55,10 @@
     /// @brief Returns the job state that a daemon reports; empty unless the status is 200.
     std::optional<std::string> stateOf(int daemon, const std::string &id) const;
 
+    /// @brief Returns the metrics page of a daemon; empty without a response.
+    std::string metrics(int daemon) const;
+
+    void setTaskDuration(std::chrono::milliseconds duration);
     void setStoreFaults(const StoreFaults &faults);
     void setRunnerUnresponsive(int number, bool isUnresponsive);
     std::vector<std::string> violations();
@@ -50,6 +66,12 @@
     /// @brief The daemon that leads the first cell, or -1.
     int leader();
 
+    /// @brief All starts of tasks so far, in order of time.
+    std::vector<JobStart> jobStarts();
+
+    /// @brief Time that an event waits for the event loop of the stand-ins.
+    std::chrono::milliseconds standInDelay();
+
     /// @brief Number of runner crashes.
     int crashes();
 
--- a/tests/hosted/hosted_runner.cpp
+++ b/tests/hosted/hosted_runner.cpp
@@ -11,7 +11,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kTaskDuration = 300ms;
 constexpr std::int64_t kMaxLeaseMs = 6'000;
 constexpr std::int64_t kClockAtStartMs = 1'000;
 // Rule BUDGET: a task may be started twice more after three runners have crashed under it.
@@ -112,9 +111,10 @@
         return respond(jsonResponse(200, {{"clock_ms", steadyNowMs()}}));
     if (activeRun != running_.end() || (tombstones_.contains(task) && tombstones_[task] >= run))
         return respond(jsonResponse(409, {{"clock_ms", steadyNowMs()}, {"reason", "old"}}));
-    const bool isCrashing = body.at("spec") == kCrashSpec;
-    recordStart(task, isCrashing);
-    const std::chrono::milliseconds duration = isCrashing ? behaviour_.crashDelay : kTaskDuration;
+    const std::string spec = body.at("spec");
+    const bool isCrashing = spec == kCrashSpec;
+    recordStart(task, spec);
+    const std::chrono::milliseconds duration = isCrashing ? behaviour_.crashDelay : taskDuration_;
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_, duration);
     timer->async_wait([this, task, run, isCrashing](const boost::system::error_code &error) {
         // A timer that has expired runs its handler also if the run has ended meanwhile.
@@ -130,7 +130,7 @@
     respond(jsonResponse(200, {{"clock_ms", steadyNowMs()}}));
 }
 
-void HostedRunner::recordStart(const std::string &task, bool isCrashing)
+void HostedRunner::recordStart(const std::string &task, const std::string &spec)
 {
     auto &runnerIds = record_.runningOn[task];
     if (!runnerIds.empty())
@@ -138,8 +138,9 @@
     if (record_.doneAndAcknowledged.contains(task))
         record_.violations.push_back(task + " started after its end was acknowledged");
     runnerIds.insert(id_);
-    ++record_.starts;
-    if (!isCrashing)
+    record_.jobStarts.push_back(
+            {.job = spec.substr(0, spec.find(' ')), .time = std::chrono::steady_clock::now()});
+    if (spec != kCrashSpec)
         return;
     ++record_.crashingTaskStarts;
     if (record_.crashes[task] >= kCrashesBeforeLimit
--- a/tests/hosted/hosted_runner.h
+++ b/tests/hosted/hosted_runner.h
@@ -21,13 +21,22 @@
 /// @brief A task with this spec crashes the runner that starts it.
 inline constexpr const char *kCrashSpec = "crash";
 
+/// @brief A start order that a runner has carried out.
+struct JobStart
+{
+    std::string job; ///< first word of the task's spec
+    std::chrono::steady_clock::time_point time;
+
+    bool operator==(const JobStart &) const = default;
+};
+
 /// @brief Shared by all runner stand-ins; records task runs and violated guarantees.
 struct RunRecord
 {
     std::map<std::string, std::set<std::string>> runningOn; ///< ids of the runners of each task
     std::set<std::string> doneAndAcknowledged;
     std::vector<std::string> violations;
-    int starts = 0;
+    std::vector<JobStart> jobStarts;
     std::map<std::string, int> crashes; ///< of runners, by the task that caused them
     std::map<std::string, int> startsAfterThirdCrash;
     int crashingTaskStarts = 0;
@@ -68,6 +77,9 @@
         restartHandler_ = std::move(handler);
     }
 
+    /// @brief Sets the duration of the tasks that are started from now on.
+    void setTaskDuration(std::chrono::milliseconds duration) { taskDuration_ = duration; }
+
     /// @brief While set, requests get no response.
     void setUnresponsive(bool isUnresponsive) { isUnresponsive_ = isUnresponsive; }
 
@@ -89,7 +101,7 @@
     void longPoll(const json &body, const http::Responder &respond);
     void crash(const std::string &task);
     void restart();
-    void recordStart(const std::string &task, bool isCrashing);
+    void recordStart(const std::string &task, const std::string &spec);
     void end(const std::string &task, const char *outcome);
     void scheduleExpiry();
     json statusJson() const;
@@ -101,6 +113,7 @@
     std::string id_;
     RunRecord &record_;
     CrashBehaviour behaviour_;
+    std::chrono::milliseconds taskDuration_{300};
     http::Server server_;
     LoopbackProxy proxy_;
     std::function<void(const std::string &)> restartHandler_;
--- a/tests/hosted/hosted_store.cpp
+++ b/tests/hosted/hosted_store.cpp
@@ -61,16 +61,27 @@
 
 void HostedStore::put(const std::string &table, const std::string &key, const std::string &value)
 {
-    rows_[{table, "", key}] = {.value = adapter::toBase64(value), .version = ++version_};
+    write({table, "", key}, {.value = adapter::toBase64(value), .version = ++version_});
     notifyWatches();
 }
 
 void HostedStore::remove(const std::string &table, const std::string &key)
 {
-    rows_[{table, "", key}] = {.version = ++version_, .isRemoved = true};
+    write({table, "", key}, {.version = ++version_, .isRemoved = true});
     notifyWatches();
 }
 
+void HostedStore::write(const Key &key, Row row)
+{
+    auto &keys = keysByVersion_[std::get<0>(key)];
+    Row &stored = rows_[key];
+    const auto former = keys.find(stored.version);
+    if (former != keys.end() && former->second.erase(key) > 0 && former->second.empty())
+        keys.erase(former);
+    keys[row.version].insert(key);
+    stored = std::move(row);
+}
+
 std::string HostedStore::value(const std::string &table, const std::string &part,
                                const std::string &key) const
 {
@@ -113,9 +124,9 @@
         return respond(jsonResponse(412, {{"rows", current}, {"row_version", version_}}));
     ++version_;
     for (const json &row : body.at("puts"))
-        rows_[keyOf(row)] = {.value = row.at("value"), .version = version_};
+        write(keyOf(row), {.value = row.at("value"), .version = version_});
     for (const json &row : body.at("remove"))
-        rows_[keyOf(row)] = {.version = version_, .isRemoved = true};
+        write(keyOf(row), {.version = version_, .isRemoved = true});
     const std::int64_t written = version_;
     notifyWatches();
     base::Rng rng(++faultSeed_);
@@ -154,9 +165,9 @@
 {
     const std::string table = query.at("table");
     const std::int64_t after = std::stoll(query.at("after"));
-    const json rows = changes(table, after);
-    if (!rows.empty() && !faults_.areWatchesStalled)
-        return respond(jsonResponse(200, {{"rows", rows}, {"row_version", version_}}));
+    const json page = changes(table, after);
+    if (!page.at("rows").empty() && !faults_.areWatchesStalled)
+        return respond(jsonResponse(200, page));
     auto timer = std::make_shared<boost::asio::steady_timer>(
             loop_, std::chrono::milliseconds(std::stoll(query.at("wait_ms"))));
     const auto entry = watches_.insert(
@@ -173,15 +184,19 @@
 
 json HostedStore::changes(const std::string &table, std::int64_t after) const
 {
-    std::map<std::int64_t, std::vector<json>> ordered;
-    for (const auto &[key, row] : rows_)
-        if (std::get<0>(key) == table && row.version > after)
-            ordered[row.version].push_back(rowJson(key, row));
     json rows = json::array();
-    for (const auto &[version, rowsOfVersion] : ordered)
-        for (const json &row : rowsOfVersion)
-            rows.push_back(row);
-    return rows;
+    std::int64_t resumeFrom = version_;
+    const auto keys = keysByVersion_.find(table);
+    if (keys != keysByVersion_.end()) {
+        for (auto item = keys->second.upper_bound(after); item != keys->second.end(); ++item) {
+            if (rows.size() >= kPageSize)
+                break;
+            for (const Key &key : item->second)
+                rows.push_back(rowJson(key, rows_.at(key)));
+            resumeFrom = rows.size() >= kPageSize ? item->first : version_;
+        }
+    }
+    return {{"rows", rows}, {"row_version", resumeFrom}};
 }
 
 void HostedStore::notifyWatches()
@@ -189,15 +204,15 @@
     if (faults_.areWatchesStalled)
         return;
     for (auto item = watches_.begin(); item != watches_.end();) {
-        const json rows = changes(item->table, item->after);
-        if (rows.empty()) {
+        const json page = changes(item->table, item->after);
+        if (page.at("rows").empty()) {
             ++item;
             continue;
         }
         const http::Responder respond = item->respond;
         item->timer->cancel();
         item = watches_.erase(item);
-        respond(jsonResponse(200, {{"rows", rows}, {"row_version", version_}}));
+        respond(jsonResponse(200, page));
     }
 }
 
--- a/tests/hosted/hosted_store.h
+++ b/tests/hosted/hosted_store.h
@@ -7,6 +7,7 @@
 
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -62,6 +63,9 @@
     void transact(const json &body, const http::Responder &respond);
     void read(const std::map<std::string, std::string> &query, const http::Responder &respond);
     void watch(const std::map<std::string, std::string> &query, const http::Responder &respond);
+    void write(const Key &key, Row row);
+
+    /// @brief The rows of a table that changed after a version, and the version to resume from.
     json changes(const std::string &table, std::int64_t after) const;
     void notifyWatches();
     json rowJson(const Key &key, const Row &row) const;
@@ -69,6 +73,7 @@
     boost::asio::io_context &loop_;
     http::Server server_;
     std::map<Key, Row> rows_;
+    std::map<std::string, std::map<std::int64_t, std::set<Key>>> keysByVersion_; ///< by table
     std::list<Watch> watches_;
     std::int64_t version_ = 0;
     StoreFaults faults_;
--- a/tests/hosted/load_main.cpp
+++ b/tests/hosted/load_main.cpp
@@ -1,116 +1,40 @@
-#include "hosted_deployment.h"
+#include "load.h"
 
 #include <popt.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
-#include <algorithm>
-#include <atomic>
-#include <fstream>
 #include <iostream>
-#include <thread>
-
-namespace chicorywick::hosted {
 
 namespace {
 
-using namespace std::chrono_literals;
-using Clock = std::chrono::steady_clock;
-
-struct LoadPlan
-{
-    int daemons = 3;
-    int runners = 60;
-    int rate = 100;
-    int seconds = 10;
-};
-
-struct ProcessUsage
-{
-    double cpuSeconds = 0;
-    double peakMb = 0;
-};
-
-// Reads processor time and peak memory of a process from /proc.
-ProcessUsage usageOf(pid_t process)
+nlohmann::json toJson(const chicorywick::hosted::LoadReport &report)
 {
-    ProcessUsage usage;
-    const std::string directory = "/proc/" + std::to_string(process);
-    std::ifstream stat(directory + "/stat");
-    std::string field;
-    constexpr int kUserTime = 14;
-    constexpr int kSystemTime = 15;
-    for (int number = 1; number <= kSystemTime && stat >> field; ++number)
-        if (number == kUserTime || number == kSystemTime)
-            usage.cpuSeconds += std::stod(field) / static_cast<double>(sysconf(_SC_CLK_TCK));
-    std::ifstream status(directory + "/status");
-    for (std::string line; std::getline(status, line);)
-        if (line.starts_with("VmHWM:"))
-            usage.peakMb = std::stod(line.substr(6)) / 1'000;
-    return usage;
-}
-
-json runLoad(const LoadPlan &plan)
-{
-    constexpr int kSubmitters = 8;
-    constexpr int kTasksPerJob = 5;
-    HostedDeployment deployment(plan.daemons, plan.runners, 1);
-    if (!deployment.waitUntilReady())
+    if (!report.isReady)
         return {{"error", "the daemons did not become ready"}};
-    std::vector<ProcessUsage> before;
-    for (int i = 0; i < plan.daemons; ++i)
-        before.push_back(usageOf(deployment.daemon(i).pid()));
-    std::atomic<int> accepted = 0;
-    std::atomic<int> refused = 0;
-    std::vector<std::vector<double>> times(kSubmitters);
-    const auto start = Clock::now();
-    std::vector<std::thread> submitters;
-    for (int number = 0; number < kSubmitters; ++number)
-        submitters.emplace_back([&, number] {
-            const int total = plan.rate * plan.seconds;
-            for (int job = number; job < total; job += kSubmitters) {
-                std::this_thread::sleep_until(start + 1000ms * job / plan.rate);
-                const auto sent = Clock::now();
-                const bool isAccepted =
-                        deployment.submit(job % plan.daemons, "load" + std::to_string(job)) == 200;
-                ++(isAccepted ? accepted : refused);
-                times[static_cast<std::size_t>(number)].push_back(
-                        std::chrono::duration<double, std::milli>(Clock::now() - sent).count());
-            }
-        });
-    for (std::thread &submitter : submitters)
-        submitter.join();
-    const bool isDone = e2e::waitUntil(
-            30s, [&] { return deployment.acknowledgedTasks() >= accepted * kTasksPerJob; });
-    const double elapsed = std::chrono::duration<double>(Clock::now() - start).count();
-    std::vector<double> all;
-    for (const auto &submitterTimes : times)
-        all.insert(all.end(), submitterTimes.begin(), submitterTimes.end());
-    std::sort(all.begin(), all.end());
-    json result{{"accepted", accepted.load()},
-                {"refused", refused.load()},
-                {"tasks_done", deployment.acknowledgedTasks()},
-                {"all_done", isDone},
-                {"elapsed_s", elapsed},
-                {"submit_ms_p50", all[all.size() / 2]},
-                {"submit_ms_p99", all[all.size() * 99 / 100]},
-                {"violations", deployment.violations().size()}};
-    for (int i = 0; i < plan.daemons; ++i) {
-        const ProcessUsage usage = usageOf(deployment.daemon(i).pid());
-        result["daemons"].push_back(
-                {{"cpu_s", usage.cpuSeconds - before[static_cast<std::size_t>(i)].cpuSeconds},
-                 {"peak_mb", usage.peakMb}});
-    }
+    nlohmann::json result = report.measured;
+    result["accepted"] = report.accepted;
+    result["refused"] = report.refused;
+    result["unsent"] = report.unsent;
+    result["cancellations"] = report.cancellations;
+    result["starts"] = report.starts;
+    result["tasks_done"] = report.tasksDone;
+    if (report.cancellations == 0)
+        result["all_done"] = report.isDone;
+    result["starts_after_cancellation"] = {{"count", report.cancelledStarts.count},
+                                           {"late", report.cancelledStarts.late},
+                                           {"longest_ms", report.cancelledStarts.longest.count()}};
+    result["stand_in_delay_ms"] = report.standInDelay.count();
+    result["violations"] = report.violations.size();
     return result;
 }
 
 } // namespace
 
-} // namespace chicorywick::hosted
-
 int main(int argc, char **argv)
 {
     chicorywick::hosted::LoadPlan plan;
+    int taskMs = static_cast<int>(plan.taskDuration.count());
+    int drainSeconds = static_cast<int>(plan.drain.count());
+    int seed = static_cast<int>(plan.seed);
     const poptOption options[] = {
             {"daemons", 'd', POPT_ARG_INT, &plan.daemons, 0, "Number of entry instances", "N"},
             {"runners", 'r', POPT_ARG_INT, &plan.runners, 0, "Number of runners", "N"},
@@ -118,14 +42,33 @@
              "N"},
             {"seconds", 't', POPT_ARG_INT, &plan.seconds, 0, "Duration of the load in seconds",
              "S"},
+            {"drain", 0, POPT_ARG_INT, &drainSeconds, 0,
+             "Longest wait in seconds for the end of the jobs", "S"},
+            {"share", 's', POPT_ARG_DOUBLE, &plan.share, 0,
+             "Share of a core for each entry instance; 0: no limit", "X"},
+            {"cancelled", 'c', POPT_ARG_DOUBLE, &plan.cancelled, 0,
+             "Share of the jobs that are cancelled within a second", "X"},
+            {"task-ms", 0, POPT_ARG_INT, &taskMs, 0, "Duration of a task in milliseconds", "MS"},
+            {"payload", 'p', POPT_ARG_INT, &plan.payloadBytes, 0, "Largest payload of a job",
+             "BYTES"},
+            {"seed", 0, POPT_ARG_INT, &seed, 0, "Seed of payloads and cancellations", "N"},
             POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("load", argc, const_cast<const char **>(argv), options, 0);
     const int status = poptGetNextOpt(context);
     poptFreeContext(context);
-    if (status < -1 || plan.daemons < 1 || plan.runners < 1 || plan.rate < 1 || plan.seconds < 1) {
-        std::cerr << "usage: load [--daemons N] [--runners N] [--rate N] [--seconds S]\n";
+    const bool areCountsValid = plan.daemons >= 1 && plan.runners >= 1 && plan.rate >= 1
+                                && plan.seconds >= 1 && taskMs >= 1 && drainSeconds >= 0
+                                && plan.payloadBytes >= 0 && seed >= 0;
+    const bool areSharesValid =
+            plan.share >= 0 && plan.share <= 1 && plan.cancelled >= 0 && plan.cancelled <= 1;
+    if (status < -1 || !areCountsValid || !areSharesValid) {
+        std::cerr << "usage: load [--daemons N] [--runners N] [--rate N] [--seconds S] [--drain S]"
+                     " [--share X] [--cancelled X] [--task-ms MS] [--payload BYTES] [--seed N]\n";
         return 2;
     }
-    std::cout << chicorywick::hosted::runLoad(plan).dump(2) << '\n';
+    plan.taskDuration = std::chrono::milliseconds(taskMs);
+    plan.drain = std::chrono::seconds(drainSeconds);
+    plan.seed = static_cast<std::uint64_t>(seed);
+    std::cout << toJson(chicorywick::hosted::runLoad(plan)).dump(2) << '\n';
     return 0;
 }
