Serve any time limit of cancellations

Cause: a deployment with a limit below 2 s was refused, and the wait of the jobs watch did not follow the limit.

Change: the watch waits at most a quarter of the age up to which tasks start; that age is at least 0.6 s. The comments on the age name what the rest of the limit is for. The fixture of the controller tests has a longer time until its worker counts as silent, instead of a shorter age: with a quarter of 1 s the repeated watch delivered a row again that a test wants to expire.

Evidence: with the former rule of starts put back, the cases of controller_cancellation_test on an old view fail, as before.

--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -17,6 +17,7 @@
 
 constexpr auto kWatchWait = 1000ms;
 constexpr auto kRetryPause = 150ms;
+constexpr scheduler::Millis kMinJobsAgeMs = 600;
 constexpr auto kElectionPeriod = 100ms;
 constexpr auto kElectionTimeout = 1200ms;
 // Upper bound of the random delay that spreads the claims of daemons.
@@ -327,8 +328,9 @@
     const scheduler::Millis previousLease = election.previousWorkerLease();
     scheduling.previousLeaseMs = previousLease != 0 ? previousLease : settings_.maxLeaseMs;
     scheduling.retentionMs = settings_.statusRetentionMs;
-    // The rest is for an order that waits for a connection and for its way to the worker.
-    scheduling.maxJobsAgeMs = settings_.cancelMs * 2 / 3;
+    // The rest is for the way of an order that was written in time, which may take as long as its
+    // time limit. A shorter age would withhold starts between two answers of the watch.
+    scheduling.maxJobsAgeMs = std::max(kMinJobsAgeMs, settings_.cancelMs * 2 / 3);
     seat.controller = std::make_unique<Controller>(
             ports_,
             ControllerHooks{
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -5,6 +5,7 @@
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/records.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace chicorywick::entry {
@@ -21,6 +22,14 @@
 // While machines move, the rows of workers change hundreds of times a second, and every change
 // would cost each leader a call without a pause.
 constexpr WatchTiming kWorkersTiming{.wait = 800ms, .pause = 50ms};
+// Four answers must fit into the age up to which tasks start.
+WatchTiming jobsTiming(const scheduler::SchedulerSettings &settings)
+{
+    WatchTiming timing;
+    timing.wait = std::min(timing.wait, std::chrono::milliseconds(settings.maxJobsAgeMs / 4));
+    return timing;
+}
+
 // Replaces the specification in the row of an ended job.
 constexpr const char *kEndedJobValue = "{}";
 constexpr scheduler::Millis kCompactionPeriodMs = 1'000;
@@ -95,7 +104,8 @@
               *ports.loop, *ports.table, rows_.jobsTable(),
               TableWatchHooks{.clock = [clock = hooks_.clock] { return clock().steady; },
                               .onRows = [this](const RowPage &page) { applyJobRows(page.rows); },
-                              .onHistoryLost = [this] { loadJobs(0); }}))
+                              .onHistoryLost = [this] { loadJobs(0); }},
+              jobsTiming(settings)))
     , workersWatch_(std::make_shared<ViewWatch<WorkerList>>(
               *ports.loop,
               [discovery = ports.discovery](Version after, std::chrono::milliseconds wait,
--- a/packages/entry/src/controller_fixture.h
+++ b/packages/entry/src/controller_fixture.h
@@ -151,8 +151,9 @@
 struct ControllerFixture
 {
     static constexpr scheduler::Millis kRetentionMs = 60'000;
-    /// Below the time after which a worker that does not reply gets no tasks.
-    static constexpr scheduler::Millis kMaxJobsAgeMs = 1'000;
+    static constexpr scheduler::Millis kMaxJobsAgeMs = 2'000;
+    /// Above the age of the view, as the worker answers one renewal only.
+    static constexpr scheduler::Millis kUnresponsiveAfterMs = 2 * kMaxJobsAgeMs;
     static constexpr Version kFence = 1'000; ///< above the versions of rows of earlier leaders
 
     boost::asio::io_context loop;
@@ -185,6 +186,7 @@
                         .onFenced = [] {}},
                 Cell{.layout = CellLayout(), .number = 0},
                 scheduler::SchedulerSettings{.fence = kFence,
+                                             .unresponsiveAfterMs = kUnresponsiveAfterMs,
                                              .retentionMs = kRetentionMs,
                                              .maxJobsAgeMs = kMaxJobsAgeMs});
         controller->configure({.version = 1,
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -32,8 +32,8 @@
     Millis previousLeaseMs = 6000;     ///< longest lease that an earlier leader may have granted
     Millis retentionMs = 130'000;      ///< time for which ended jobs are kept
     /// No task starts while the stored jobs and cancellations are known only up to a time that is
-    /// longer ago. Cancellations must take effect within three seconds, and an order takes up to
-    /// half a second.
+    /// longer ago. Cancellations must take effect within three seconds, and an order that was
+    /// written in time takes up to half a second more.
     Millis maxJobsAgeMs = 2'000;
 
     bool operator==(const SchedulerSettings &) const = default;
