Log and export the machines and the demand of each pool of a cell

What callers saw: lasting tasks that do not run (LOST), while the log could not tell why. job.waiting counts the workers of its own service and cell only, and no line said what the pools of each cell have and want. Change: pool.state (CW5012) says every 2 s, for each pool of a cell, the machines, the demand, the part that lasting tasks wait for, the machines by use and the CPU that waits, runs or is free; two gauges export the same. Tests: metrics_test asks for the gauges.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -49,6 +49,7 @@
     WaveHalted = 5009,
     WaveWaiting = 5010,
     MachineOrdered = 5011,
+    PoolState = 5012,
 
     // 6xxx: jobs
     JobAccepted = 6001,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -63,6 +63,8 @@
         {Event::WaveWaiting, Severity::Info, "wave.waiting", "a maintenance wave waits"},
         {Event::MachineOrdered, Severity::Info, "machine.ordered",
          "maintenance or a pool move of a machine was requested"},
+        {Event::PoolState, Severity::Info, "pool.state",
+         "machines and CPU of a pool in a cell, and what its work asks for"},
         {Event::JobAccepted, Severity::Info, "job.accepted", "a job is recorded"},
         {Event::JobStarted, Severity::Info, "job.started", "an attempt of a job started"},
         {Event::JobFinished, Severity::Info, "job.finished", "a job ended"},
--- a/packages/entry/src/machine_inventory.h
+++ b/packages/entry/src/machine_inventory.h
@@ -19,6 +19,8 @@
     /// @brief Requests a new list if the last request is older than the period.
     void refresh(scheduler::Millis period);
 
+    int cell() const { return cell_.number; }
+
     /// @brief The request time of the cached list; 0: no list yet.
     scheduler::Millis snapshotTime() const { return state_->snapshotTime; }
     const std::map<std::string, Machine> &machines() const { return state_->machines; }
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr double kMillisPerSecond = 1'000;
+constexpr double kMillisPerCore = 1'000;
 
 const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
                                                           0.5,   1,    2.5,   5,    10,  30};
@@ -26,12 +28,17 @@
     return {};
 }
 
-double secondsOf(std::initializer_list<base::LogField> fields, std::string_view key)
+double numberOf(std::initializer_list<base::LogField> fields, std::string_view key)
 {
     const std::string text = valueOf(fields, key);
-    std::int64_t millis = 0;
-    std::from_chars(text.data(), text.data() + text.size(), millis);
-    return static_cast<double>(millis) / kMillisPerSecond;
+    std::int64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return static_cast<double>(number);
+}
+
+double secondsOf(std::initializer_list<base::LogField> fields, std::string_view key)
+{
+    return numberOf(fields, key) / kMillisPerSecond;
 }
 
 const char *resultOf(base::Code code)
@@ -90,6 +97,16 @@
                     .Name("chicorywick_outdated_views_total")
                     .Help("Times that a view of stored rows became too old, by view")
                     .Register(registry);
+    prometheus::Family<prometheus::Gauge> &poolMachines =
+            prometheus::BuildGauge()
+                    .Name("chicorywick_pool_machines")
+                    .Help("Machines of a pool in a cell that this instance leads, by use")
+                    .Register(registry);
+    prometheus::Family<prometheus::Gauge> &poolCpu =
+            prometheus::BuildGauge()
+                    .Name("chicorywick_pool_cpu_cores")
+                    .Help("CPU of a pool in a cell that this instance leads, by state")
+                    .Register(registry);
     std::map<base::Event, prometheus::Counter *> counters;
     prometheus::Histogram &wait = waits.Add({}, kSeconds);
     prometheus::Histogram &jobsAge = jobsAges.Add({}, kSeconds);
@@ -128,6 +145,17 @@
     case base::Event::ViewOutdated:
         families_->outdatedViews.Add({{"view", valueOf(fields, "view")}}).Increment();
         break;
+    case base::Event::PoolState: {
+        const std::string cell = valueOf(fields, "cell");
+        const std::string pool = valueOf(fields, "pool");
+        for (const char *const use : {"perpetual", "finite", "idle"})
+            families_->poolMachines.Add({{"cell", cell}, {"pool", pool}, {"use", use}})
+                    .Set(numberOf(fields, use));
+        for (const char *const state : {"waiting", "running", "free"})
+            families_->poolCpu.Add({{"cell", cell}, {"pool", pool}, {"state", state}})
+                    .Set(numberOf(fields, std::string(state) + "_cpu") / kMillisPerCore);
+        break;
+    }
     default:
         break;
     }
--- a/packages/entry/src/metrics_test.cpp
+++ b/packages/entry/src/metrics_test.cpp
@@ -12,6 +12,8 @@
     metrics.observe(base::Event::JobFinished, {{"state", "completed"}, {"age_ms", "1500"}});
     metrics.observe(base::Event::JobStarted, {{"waited_ms", "20"}, {"jobs_age_ms", "1200"}});
     metrics.observe(base::Event::ViewOutdated, {{"view", "workers"}, {"age_ms", "2501"}});
+    metrics.observe(base::Event::PoolState,
+                    {{"cell", "1"}, {"pool", "p"}, {"finite", "3"}, {"waiting_cpu", "1500"}});
     metrics.observeStoreCall("transact", "ok", 0.004);
     const std::string text = metrics.text();
     for (const char *line :
@@ -19,6 +21,8 @@
           "chicorywick_job_seconds_sum{state=\"completed\"} 1.5",
           "chicorywick_task_wait_seconds_count 1", "chicorywick_start_jobs_age_seconds_sum 1.2",
           "chicorywick_outdated_views_total{view=\"workers\"} 1",
+          "chicorywick_pool_machines{cell=\"1\",pool=\"p\",use=\"finite\"} 3",
+          "chicorywick_pool_cpu_cores{cell=\"1\",pool=\"p\",state=\"waiting\"} 1.5",
           "chicorywick_store_call_seconds_count{call=\"transact\",result=\"ok\"} 1"})
         CHECK(text.find(line) != std::string::npos);
 }
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -28,6 +28,7 @@
     , scheduler_(scheduler)
     , inventory_(inventory)
     , fence_(fence)
+    , report_(inventory.cell())
 {}
 
 void PoolBalancer::configure(const Configuration &configuration)
@@ -51,9 +52,15 @@
     // The whole pass uses one copy of the views; orders change nothing in them that it reads.
     const std::vector<scheduler::WorkerView> views = scheduler_.workers();
     repeatUnanswered(views);
+    const auto loads = scheduler_.loads();
+    const auto pools = demands(views, loads);
     const auto movableMachines = movable(views);
+    const auto spareMachines =
+            std::count_if(movableMachines.begin(), movableMachines.end(),
+                          [](const auto &machine) { return machine.isInSparePool; });
+    report_.update(hooks_.clock().steady, pools, views, loads, static_cast<int>(spareMachines));
     for (const scheduler::PoolMove &move :
-         scheduler::planPoolMoves(demands(views), movableMachines, sparePool_, {}))
+         scheduler::planPoolMoves(pools, movableMachines, sparePool_, {}))
         begin(move, views);
 }
 
@@ -122,7 +129,8 @@
 }
 
 std::vector<scheduler::PoolDemand>
-PoolBalancer::demands(const std::vector<scheduler::WorkerView> &views) const
+PoolBalancer::demands(const std::vector<scheduler::WorkerView> &views,
+                      const std::map<std::string, scheduler::ServiceLoad> &loads) const
 {
     std::map<std::string, int> machines;
     for (const scheduler::WorkerView &view : views) {
@@ -132,7 +140,6 @@
             ++machines[view.entry.service];
     }
     std::int64_t fallbackSize = 0;
-    auto loads = scheduler_.loads();
     for (const auto &[service, load] : loads)
         fallbackSize = std::max(fallbackSize, load.machineCpuMillis);
     const std::map<std::string, int> usable = machines;
@@ -146,7 +153,9 @@
         machines[service] += count;
     std::vector<scheduler::PoolDemand> demands;
     for (const std::string &service : services_) {
-        const scheduler::ServiceLoad &load = loads[service];
+        const auto known = loads.find(service);
+        const scheduler::ServiceLoad load =
+                known != loads.end() ? known->second : scheduler::ServiceLoad();
         const double wanted =
                 std::max(static_cast<double>(load.runningCpuMillis + load.waitingCpuMillis),
                          load.arrivingCpuMillis * kDemandHeadroom);
--- a/packages/entry/src/pool_balancer.h
+++ b/packages/entry/src/pool_balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "machine_inventory.h"
+#include "pool_report.h"
 
 #include <chicorywick/entry/controller.h>
 #include <chicorywick/scheduler/pool_plan.h>
@@ -39,7 +40,8 @@
     void repeatUnanswered(const std::vector<scheduler::WorkerView> &views);
     void uncordon(const std::string &machine);
     std::vector<scheduler::PoolDemand>
-    demands(const std::vector<scheduler::WorkerView> &views) const;
+    demands(const std::vector<scheduler::WorkerView> &views,
+            const std::map<std::string, scheduler::ServiceLoad> &loads) const;
     std::vector<scheduler::MovableMachine>
     movable(const std::vector<scheduler::WorkerView> &views) const;
     void begin(const scheduler::PoolMove &move, const std::vector<scheduler::WorkerView> &views);
@@ -57,6 +59,7 @@
     /// When the last order without an answer became known, by machine; until it cannot be carried
     /// out any more.
     std::map<std::string, scheduler::Millis> unansweredAt_;
+    PoolReport report_;
     bool isStopped_ = false;
 };
 
