--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -50,6 +50,7 @@
     WaveWaiting = 5010,
     MachineOrdered = 5011,
     PoolState = 5012,
+    MachineTransferred = 5013,
 
     // 6xxx: jobs
     JobAccepted = 6001,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -65,6 +65,8 @@
          "maintenance or a pool move of a machine was requested"},
         {Event::PoolState, Severity::Info, "pool.state",
          "machines and CPU of a pool in a cell, and what its work asks for"},
+        {Event::MachineTransferred, Severity::Info, "machine.transferred",
+         "a machine belongs to another cell from now on"},
         {Event::JobAccepted, Severity::Info, "job.accepted", "a job is recorded"},
         {Event::JobStarted, Severity::Info, "job.started", "an attempt of a job started"},
         {Event::JobFinished, Severity::Info, "job.finished", "a job ended"},
--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -2,6 +2,7 @@
 
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/ports.h>
+#include <chicorywick/entry/records.h>
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/scheduler.h>
 
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace chicorywick::entry {
 
@@ -36,6 +38,10 @@
     std::function<scheduler::OrderValidity()> orderValidity;
     std::function<scheduler::OrderValidity()> machineOrderValidity;
     std::function<void()> onFenced;
+    /// Machines that the other cells lack or can lend, of those with a leader; empty: none.
+    std::function<std::vector<CellNeeds>()> otherCells = {};
+    /// Time up to which all requested waves are known; empty: up to now.
+    std::function<scheduler::Millis()> wavesKnownUntil = {};
 };
 
 /// @brief Runs the scheduler of one cell during one leadership term. Loads the stored state first,
@@ -65,6 +71,9 @@
     /// @brief Jobs of the cell that have not started, by queue; queues without any are left out.
     std::map<std::string, int> waitingJobs() const;
 
+    /// @brief Machines that the cell lacks or can lend to others.
+    MachineNeeds machineNeeds() const;
+
 private:
     class Impl;
     std::shared_ptr<Impl> impl_;
--- a/packages/entry/include/chicorywick/entry/layout.h
+++ b/packages/entry/include/chicorywick/entry/layout.h
@@ -17,6 +17,8 @@
 inline constexpr const char *kProgress = "progress";
 inline constexpr const char *kRoster = "roster";
 inline constexpr const char *kWaves = "waves";
+/// Machines that have changed their cell. Only leaders watch this table.
+inline constexpr const char *kMachines = "machines";
 
 /// @brief Parts of the leader table. The store runs the transactions of a part one after another:
 /// at fifty times the usual latency, a part accepts five renewals per second.
@@ -32,6 +34,14 @@
 RowKey leaderRow(int cell);
 std::string leaderPart(int number);
 
+/// @brief The row that each change of the machines table writes. It comes first in the table.
+RowKey machineSequenceRow();
+RowKey machineRow(const std::string &machine);
+RowRange machineRange();
+
+/// @brief The machine in a row key of the machines table, if any.
+std::optional<std::string> machineOfRow(const std::string &key);
+
 /// @brief The cell in a row key of the leader table, if any.
 std::optional<int> cellOfLeaderRow(const std::string &key);
 
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -113,6 +113,9 @@
 
     const LeaderRecord &record() const { return record_; }
 
+    /// @brief When the row was last seen to change.
+    scheduler::Millis changedAt() const { return changedAt_; }
+
 private:
     std::string holder_;
     std::string peerAddress_;
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -4,6 +4,7 @@
 #include <chicorywick/entry/cell_layout.h>
 #include <chicorywick/scheduler/job.h>
 #include <chicorywick/scheduler/model.h>
+#include <chicorywick/scheduler/pool_plan.h>
 
 #include <map>
 #include <set>
@@ -12,6 +13,24 @@
 
 namespace chicorywick::entry {
 
+/// @brief The machines that a cell lacks, and how many it could lend.
+struct MachineNeeds
+{
+    std::map<std::string, scheduler::PoolShortage> shortages; ///< by pool
+    int lendable = 0;
+
+    bool operator==(const MachineNeeds &) const = default;
+};
+
+/// @brief The machines that another cell lacks or can lend, as its leader has published them.
+struct CellNeeds
+{
+    int cell = 0;
+    MachineNeeds machines;
+
+    bool operator==(const CellNeeds &) const = default;
+};
+
 /// @brief The current leader of a cell and the address at which other daemons reach it.
 struct LeaderRecord
 {
@@ -24,6 +43,7 @@
     std::int64_t maxMemoryMib = 0;          ///< of the largest machine that has held the row
     int heldCells = 0;                      ///< cells that the holder leads; 0: unknown
     std::map<std::string, int> waitingJobs; ///< by queue; jobs of the cell that have not started
+    MachineNeeds machines;
 
     bool operator==(const LeaderRecord &) const = default;
 };
@@ -43,6 +63,19 @@
 std::string encode(const CellLayout &layout);
 base::Result<CellLayout> decodeCellLayout(const std::string &text);
 
+/// @brief The latest change of a machine's cell.
+struct MachineTransfer
+{
+    int cell = 0;              ///< which owns the machine now
+    std::string pool;          ///< for which the machine was transferred
+    std::int64_t minFence = 0; ///< the lowest fencing token of the new owner's orders
+
+    bool operator==(const MachineTransfer &) const = default;
+};
+
+std::string encode(const MachineTransfer &transfer);
+base::Result<MachineTransfer> decodeMachineTransfer(const std::string &text);
+
 /// @brief Progress of a wave in one cell.
 struct WaveProgress
 {
--- a/packages/entry/src/cell_capacity_test.cpp
+++ b/packages/entry/src/cell_capacity_test.cpp
@@ -134,8 +134,7 @@
 
 // Guards against lasting tasks that wait in one cell while another cell has machines without work
 // (LOST on hhbma-wick-grown).
-TEST_CASE("a lasting task gets a machine of another cell that its own cell does not have"
-          * doctest::may_fail())
+TEST_CASE("a lasting task gets a machine of another cell that its own cell does not have")
 {
     Fixture fixture(CellLayout(2, {{"r0", 0}, {"r1", 1}}));
     std::string idlePool;
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -28,6 +28,8 @@
 // changes every few milliseconds, and each change would cost every daemon a call.
 constexpr std::chrono::milliseconds kWatchPausePerCell = 40ms;
 constexpr std::chrono::milliseconds kMaxWatchPause = 250ms;
+// A cell that has not renewed its row for this long may have no leader that uses lent machines.
+constexpr scheduler::Millis kMaxNeedsAgeMs = 1'500;
 
 } // namespace
 
@@ -150,6 +152,21 @@
     return waiting;
 }
 
+std::vector<CellNeeds> CellLeadership::needsOfOthers(int cell) const
+{
+    const scheduler::Millis now = systemNow().steady;
+    std::vector<CellNeeds> needs;
+    for (std::size_t other = 0; other < seats_.size(); ++other) {
+        const LeaderElection &election = *seats_[other].election;
+        const bool isLed =
+                !election.record().holder.empty() && now - election.changedAt() < kMaxNeedsAgeMs;
+        if (static_cast<int>(other) != cell && isLed)
+            needs.push_back(
+                    {.cell = static_cast<int>(other), .machines = election.record().machines});
+    }
+    return needs;
+}
+
 void CellLeadership::retryAfterPause(std::function<void()> action)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kRetryPause);
@@ -243,8 +260,10 @@
 void CellLeadership::write(int cell, LeaderWrite write)
 {
     const Controller *const controller = controllerOf(cell);
-    if (controller != nullptr && controller->isLoaded())
+    if (controller != nullptr && controller->isLoaded()) {
         write.record.waitingJobs = controller->waitingJobs();
+        write.record.machines = controller->machineNeeds();
+    }
     const RowKey key = layout::leaderRow(cell);
     ports_.table->transact({.conditions = {{.key = key, .version = write.expected}},
                             .writes = {{.key = key, .value = encode(write.record)}}},
@@ -362,6 +381,13 @@
                                 base::logEvent(
                                         base::Event::LeadershipLost,
                                         {{"reason", "fenced"}, {"cell", std::to_string(cell)}});
+                            },
+                    .otherCells = [self = shared_from_this(),
+                                   cell] { return self->needsOfOthers(cell); },
+                    .wavesKnownUntil =
+                            [self = shared_from_this()] {
+                                return self->wavesKnownUntil_ ? self->wavesKnownUntil_()
+                                                              : systemNow().steady;
                             }},
             Cell{.layout = *layout_, .number = cell}, scheduling);
     seat.controller->configure(*configuration_);
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicorywick::entry {
@@ -34,6 +35,12 @@
     void configure(const Configuration &configuration);
     void setWaves(const std::vector<WaveRequest> &waves);
 
+    /// @brief Sets how to ask up to when all requested waves are known.
+    void setWavesView(std::function<scheduler::Millis()> knownUntil)
+    {
+        wavesKnownUntil_ = std::move(knownUntil);
+    }
+
     /// @brief Releases all cells, for a stop of this daemon.
     void release();
 
@@ -64,6 +71,7 @@
         std::shared_ptr<bool> isRevoked; ///< true: the controller must not send orders any more
     };
 
+    std::vector<CellNeeds> needsOfOthers(int cell) const;
     void join(const CellLayout &layout);
     void loadLeaders(int part);
     void setWatchHealthy(bool isHealthy);
@@ -90,7 +98,8 @@
     boost::asio::steady_timer electionTimer_;
     std::optional<Configuration> configuration_;
     std::vector<WaveRequest> waves_;
-    std::shared_ptr<TableWatch> leadersWatch_; ///< null without a layout
+    std::function<scheduler::Millis()> wavesKnownUntil_; ///< empty: up to now
+    std::shared_ptr<TableWatch> leadersWatch_;           ///< null without a layout
     ViewReport leadersReport_{"leaders"};
     Version leaderVersion_ = 0; ///< of the rows read
     scheduler::Millis leadersLoadBegunAt_ = 0;
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -83,6 +83,11 @@
     return impl_->waitingJobs();
 }
 
+MachineNeeds Controller::machineNeeds() const
+{
+    return impl_->machineNeeds();
+}
+
 Controller::Impl::Impl(ControllerPorts ports, ControllerHooks hooks, Cell cell,
                        scheduler::SchedulerSettings settings)
     : ports_(ports)
@@ -90,16 +95,19 @@
     , cell_(std::move(cell))
     , rows_(cell_.rows())
     , pacer_(std::make_shared<ActionPacer>(*ports.loop))
-    , scheduler_(
-              *ports.orders,
-              {.clock = hooks_.clock,
-               .maySendOrders = hooks_.maySendOrders,
-               .onFenced = hooks_.onFenced,
-               .onProgress = [this] { journal_->request(); },
-               .orderValidity = hooks_.orderValidity,
-               .jobsKnownUntil = [this] { return jobsWatch_->view().knownUntil(); },
-               .defer = [this](std::function<void()> action) { pacer_->run(std::move(action)); }},
-              settings)
+    , scheduler_(*ports.orders,
+                 {.clock = hooks_.clock,
+                  .maySendOrders = hooks_.maySendOrders,
+                  .onFenced = hooks_.onFenced,
+                  .onProgress = [this] { journal_->request(); },
+                  .orderValidity = hooks_.orderValidity,
+                  .jobsKnownUntil = [this] { return jobsWatch_->view().knownUntil(); },
+                  .defer = [this](std::function<void()> action) { pacer_->run(std::move(action)); },
+                  .fenceFor =
+                          [this](const std::string &machine) {
+                              return ledger_ ? ledger_->fenceFor(machine) : fence_;
+                          }},
+                 settings)
     , jobsWatch_(std::make_shared<TableWatch>(
               *ports.loop, *ports.table, rows_.jobsTable(),
               TableWatchHooks{.clock = [clock = hooks_.clock] { return clock().steady; },
@@ -121,16 +129,28 @@
                                                  hooks_.maySendOrders))
     , roster_(std::make_shared<RosterJournal>(*ports.table, rows_, scheduler_,
                                               hooks_.maySendOrders))
-    , inventory_(*ports.machines, hooks_.clock, cell_)
+    , ledger_(cell_.layout.count() == 1
+                      ? nullptr
+                      : std::make_shared<MachineLedger>(
+                              *ports.loop, *ports.table, cell_, settings.fence,
+                              MachineLedgerHooks{
+                                      .clock = [clock = hooks_.clock] { return clock().steady; },
+                                      .mayWrite = hooks_.maySendOrders,
+                                      .onChange = [this](const auto &) { addReceivedWorkers(); }}))
+    , inventory_(*ports.machines, hooks_.clock, cell_, ledger_)
     , waves_(std::make_shared<WaveRunner>(WaveRunnerPorts{.machines = ports.machines,
                                                           .operators = ports.operators,
                                                           .table = ports.table},
-                                          hooks_, scheduler_, inventory_, cell_, settings.fence))
-    , poolBalancer_(std::make_shared<PoolBalancer>(*ports.machines, hooks_, scheduler_, inventory_,
-                                                   settings.fence,
-                                                   [waves = waves_](const std::string &machine) {
-                                                       return waves->isInOpenWave(machine);
-                                                   }))
+                                          hooks_, scheduler_, inventory_, cell_, settings.fence,
+                                          ledger_))
+    , poolBalancer_(std::make_shared<PoolBalancer>(
+              *ports.machines, hooks_, scheduler_, inventory_, settings.fence,
+              LendingPorts{.ledger = ledger_,
+                           .isInOpenWave =
+                                   [waves = waves_](const std::string &machine) {
+                                       return waves->isInOpenWave(machine);
+                                   },
+                           .onMachinesKept = [this] { addReceivedWorkers(); }}))
     , tickTimer_(*ports.loop)
     , fence_(settings.fence)
     , retentionMs_(settings.retentionMs)
@@ -140,7 +160,7 @@
 
 void Controller::Impl::start()
 {
-    loadWaves();
+    loadMachines();
 }
 
 void Controller::Impl::stop()
@@ -153,6 +173,8 @@
     roster_->stop();
     waves_->stop();
     poolBalancer_->stop();
+    if (ledger_)
+        ledger_->stop();
 }
 
 void Controller::Impl::configure(const Configuration &configuration)
@@ -279,11 +301,38 @@
     workersReport_.update(workersWatch_->view(), now);
 }
 
+bool Controller::Impl::isOwnWorker(const scheduler::WorkerEntry &entry) const
+{
+    return inventory_.owns(entry.machine, rackOf(entry.labels, entry.machine))
+           && !poolBalancer_->isLeaving(entry.machine, entry.service);
+}
+
+// The watch does not show workers again that joined before their machine belonged to this cell.
+// Those known already are left to the watch, whose rows may be newer.
+void Controller::Impl::addReceivedWorkers()
+{
+    if (!isLoaded_ || isStopped_)
+        return;
+    ports_.discovery->load([self = shared_from_this()](const base::Result<WorkerList> &list) {
+        if (self->isStopped_)
+            return;
+        if (!list)
+            return self->retryAfterPause([self] { self->addReceivedWorkers(); });
+        std::set<std::string> known;
+        for (const scheduler::WorkerEntry &entry : self->scheduler_.roster())
+            known.insert(entry.id);
+        for (const scheduler::WorkerEntry &entry : list.value().present)
+            if (self->isOwnWorker(entry) && !known.contains(entry.id))
+                self->scheduler_.upsertWorker(entry);
+        self->roster_->update();
+    });
+}
+
 void Controller::Impl::applyWorkers(const WorkerList &list, bool isComplete)
 {
     std::set<std::string> present;
     for (const scheduler::WorkerEntry &entry : list.present) {
-        if (cell_.layout.cellOfWorker(entry) != cell_.number)
+        if (!isOwnWorker(entry))
             continue;
         present.insert(entry.id);
         scheduler_.upsertWorker(entry);
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -3,6 +3,7 @@
 #include "action_pacer.h"
 #include "cancellation_index.h"
 #include "machine_inventory.h"
+#include "machine_ledger.h"
 #include "pool_balancer.h"
 #include "progress_journal.h"
 #include "roster_journal.h"
@@ -32,10 +33,12 @@
     bool isLoaded() const { return isLoaded_; }
     std::optional<scheduler::JobState> reportedState(const std::string &id) const;
     std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
+    MachineNeeds machineNeeds() const { return poolBalancer_->needs(); }
 
 private:
-    // Loads waves, roster, progress, jobs, rows stored since, and workers, in this order
-    // (controller_loading.cpp).
+    // Loads transferred machines, waves, roster, progress, jobs, rows stored since, and workers, in
+    // this order (controller_loading.cpp).
+    void loadMachines();
     void loadWaves();
     void loadRoster();
     void loadProgress();
@@ -51,7 +54,9 @@
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
     void reportDelays();
+    bool isOwnWorker(const scheduler::WorkerEntry &entry) const;
     void applyWorkers(const WorkerList &list, bool isComplete);
+    void addReceivedWorkers();
     void scheduleTick();
     void tick();
     void compactEndedJobs();
@@ -67,6 +72,7 @@
     std::shared_ptr<ViewWatch<WorkerList>> workersWatch_;
     std::shared_ptr<ProgressJournal> journal_;
     std::shared_ptr<RosterJournal> roster_;
+    std::shared_ptr<MachineLedger> ledger_; ///< null if there are no other cells
     MachineInventory inventory_;
     std::shared_ptr<WaveRunner> waves_;
     std::shared_ptr<PoolBalancer> poolBalancer_;
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -14,6 +14,16 @@
 
 } // namespace
 
+void Controller::Impl::loadMachines()
+{
+    if (!ledger_)
+        return loadWaves();
+    ledger_->load([self = shared_from_this()] {
+        if (!self->isStopped_)
+            self->loadWaves();
+    });
+}
+
 void Controller::Impl::loadWaves()
 {
     readAll(*ports_.table, rows_.waveRange(), kReadTimeout,
@@ -121,8 +131,14 @@
             return;
         if (!list)
             return self->retryAfterPause([self] { self->loadWorkers(); });
-        if (!self->isLoaded_)
-            self->scheduler_.addInheritedWorkers(self->roster_->loaded());
+        if (!self->isLoaded_) {
+            std::vector<scheduler::WorkerEntry> inherited = self->roster_->loaded();
+            // An order with this leader's fencing token would take the worker from its new cell.
+            std::erase_if(inherited, [&self](const scheduler::WorkerEntry &entry) {
+                return self->ledger_ && self->ledger_->hasLeft(entry.machine);
+            });
+            self->scheduler_.addInheritedWorkers(inherited);
+        }
         self->applyWorkers(list.value(), true);
         self->workersWatch_->recordRead(requestedAt);
         if (!self->isLoaded_)
--- a/packages/entry/src/layout.cpp
+++ b/packages/entry/src/layout.cpp
@@ -10,6 +10,7 @@
 constexpr const char *kCancelSuffix = ".cancel";
 const std::string kWavePrefix = "wave-";
 const std::string kCellPrefix = "cell-";
+const std::string kMachinePrefix = "machine-";
 
 template <typename Number>
 std::optional<Number> numberAfter(const std::string &prefix, const std::string &key)
@@ -43,6 +44,28 @@
             .key = kCellPrefix + std::to_string(cell)};
 }
 
+RowKey machineSequenceRow()
+{
+    return {.table = kMachines, .part = kMachines, .key = "0-sequence"};
+}
+
+RowKey machineRow(const std::string &machine)
+{
+    return {.table = kMachines, .part = kMachines, .key = kMachinePrefix + machine};
+}
+
+RowRange machineRange()
+{
+    return {.table = kMachines, .part = kMachines};
+}
+
+std::optional<std::string> machineOfRow(const std::string &key)
+{
+    if (!key.starts_with(kMachinePrefix))
+        return std::nullopt;
+    return key.substr(kMachinePrefix.size());
+}
+
 std::optional<int> cellOfLeaderRow(const std::string &key)
 {
     return numberAfter<int>(kCellPrefix, key);
--- a/packages/entry/src/machine_emptying.cpp
+++ b/packages/entry/src/machine_emptying.cpp
@@ -33,7 +33,10 @@
                                   && !isInOpenWave(machine);
         if (canBeEmptied && view->tasks == 0) {
             emptying_.erase(machine);
-            begin(emptying.move, views);
+            if (!emptying.move.cell || (mayLend() && isLendable(machine)))
+                begin(emptying.move, views);
+            else
+                uncordon(machine);
         } else if (!canBeEmptied || hasTimedOut) {
             emptying_.erase(machine);
             notEmptiedUntil_[machine] = now + kRetryAfterMs;
@@ -58,11 +61,11 @@
 {
     for (const auto &[machine, emptying] : std::map(emptying_)) {
         const auto isSamePool = [&emptying](const scheduler::PoolMove &move) {
-            return move.pool == emptying.move.pool;
+            return move.pool == emptying.move.pool && move.cell == emptying.move.cell;
         };
         int needed = 0;
         for (const scheduler::PoolDemand &pool : pools)
-            if (pool.service == emptying.move.pool)
+            if (pool.service == emptying.move.pool && pool.cell == emptying.move.cell)
                 needed += pool.blocked;
         const auto coming = std::count_if(planned.begin(), planned.end(), isSamePool);
         const auto emptied =
@@ -87,7 +90,10 @@
                             && !emptying_.contains(machine) && !notEmptiedUntil_.contains(machine)
                             && !isInOpenWave(machine);
         if (isBusy)
-            busy.push_back({.machine = machine, .pool = view.entry.service, .tasks = view.tasks});
+            busy.push_back({.machine = machine,
+                            .pool = view.entry.service,
+                            .tasks = view.tasks,
+                            .isLendable = isLendable(machine)});
     }
     return busy;
 }
--- a/packages/entry/src/machine_inventory.cpp
+++ b/packages/entry/src/machine_inventory.cpp
@@ -16,12 +16,41 @@
 } // namespace
 
 MachineInventory::MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock,
-                                   Cell cell)
+                                   Cell cell, std::shared_ptr<const MachineLedger> ledger)
     : port_(port)
     , clock_(std::move(clock))
     , cell_(std::move(cell))
+    , ledger_(std::move(ledger))
 {}
 
+const std::map<std::string, Machine> &MachineInventory::machines() const
+{
+    const std::pair asOf(state_->snapshots, ledger_ ? ledger_->revision() : 0);
+    if (machinesAsOf_ != asOf) {
+        machinesAsOf_ = asOf;
+        machines_.clear();
+        for (const Machine &machine : state_->fleet)
+            if (owns(machine.name, machine.rack))
+                machines_.emplace(machine.name, machine);
+    }
+    return machines_;
+}
+
+bool MachineInventory::owns(const std::string &machine, const std::string &rack) const
+{
+    return ledger_ ? ledger_->owns(machine, rack) : cell_.layout.cellOfRack(rack) == cell_.number;
+}
+
+std::int64_t MachineInventory::fenceFor(const std::string &machine, std::int64_t termFence) const
+{
+    return ledger_ ? ledger_->fenceFor(machine) : termFence;
+}
+
+bool MachineInventory::mayOrder(const std::string &machine) const
+{
+    return !ledger_ || ledger_->mayOrder(machine);
+}
+
 void MachineInventory::refresh(scheduler::Millis period)
 {
     const scheduler::Millis now = clock_().steady;
@@ -30,26 +59,23 @@
         return;
     state_->isListing = true;
     state_->requestedAt = now;
-    port_.list([state = state_, cell = cell_,
-                now](const base::Result<std::vector<Machine>> &machines) {
+    port_.list([state = state_, now](const base::Result<std::vector<Machine>> &machines) {
         state->isListing = false;
         if (!machines) {
             base::logEvent(base::Event::PlatformUnreachable,
                            {{"call", "list-machines"}, {"reason", machines.error().message}});
             return;
         }
-        state->machines.clear();
-        for (const Machine &machine : machines.value())
-            if (cell.layout.cellOfRack(machine.rack) == cell.number)
-                state->machines.emplace(machine.name, machine);
+        state->fleet = machines.value();
+        ++state->snapshots;
         state->snapshotTime = now;
     });
 }
 
 std::string MachineInventory::workerOn(const std::string &machine) const
 {
-    const auto found = state_->machines.find(machine);
-    return found != state_->machines.end() ? found->second.workerId : std::string();
+    const auto found = machines().find(machine);
+    return found != machines().end() ? found->second.workerId : std::string();
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/machine_inventory.h
+++ b/packages/entry/src/machine_inventory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "machine_ledger.h"
+
 #include <chicorywick/entry/controller.h>
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/ports.h>
@@ -7,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace chicorywick::entry {
 
@@ -14,7 +18,9 @@
 class MachineInventory
 {
 public:
-    MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock, Cell cell);
+    /// @param ledger null if there are no other cells
+    MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock, Cell cell,
+                     std::shared_ptr<const MachineLedger> ledger = nullptr);
 
     /// @brief Requests a new list if the last request is older than the period.
     void refresh(scheduler::Millis period);
@@ -23,7 +29,15 @@
 
     /// @brief The request time of the cached list; 0: no list yet.
     scheduler::Millis snapshotTime() const { return state_->snapshotTime; }
-    const std::map<std::string, Machine> &machines() const { return state_->machines; }
+    const std::map<std::string, Machine> &machines() const;
+
+    bool owns(const std::string &machine, const std::string &rack) const;
+
+    /// @brief The fencing token for orders to a machine; the given one is that of the term.
+    std::int64_t fenceFor(const std::string &machine, std::int64_t termFence) const;
+
+    /// @brief False while another cell may have sent an order to the machine recently.
+    bool mayOrder(const std::string &machine) const;
 
     /// @brief The worker that runs on a machine, or an empty string.
     std::string workerOn(const std::string &machine) const;
@@ -31,7 +45,8 @@
 private:
     struct State
     {
-        std::map<std::string, Machine> machines;
+        std::vector<Machine> fleet; ///< machines of all cells
+        std::uint64_t snapshots = 0;
         scheduler::Millis snapshotTime = 0;
         scheduler::Millis requestedAt = 0;
         bool isListing = false;
@@ -40,6 +55,10 @@
     MachinePort &port_;
     std::function<scheduler::Now()> clock_;
     Cell cell_;
+    std::shared_ptr<const MachineLedger> ledger_;
+    /// The machines of the cell, as of a snapshot and a revision of the ledger.
+    mutable std::map<std::string, Machine> machines_;
+    mutable std::pair<std::uint64_t, std::uint64_t> machinesAsOf_;
     std::shared_ptr<State> state_ = std::make_shared<State>();
 };
 
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -228,6 +228,7 @@
                                     self->recordStoreFailure("watch-configuration", error);
                                 }},
                 kOperatorTiming);
+        cells_->setWavesView([watch = operatorWatch_] { return watch->view().knownUntil(); });
         loadOperatorState();
     }
 
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -22,14 +22,13 @@
 
 PoolBalancer::PoolBalancer(MachinePort &machines, ControllerHooks hooks,
                            scheduler::Scheduler &scheduler, MachineInventory &inventory,
-                           std::int64_t fence,
-                           std::function<bool(const std::string &machine)> isInOpenWave)
+                           std::int64_t fence, LendingPorts lending)
     : machines_(machines)
     , hooks_(std::move(hooks))
     , scheduler_(scheduler)
     , inventory_(inventory)
     , fence_(fence)
-    , isInOpenWave_(std::move(isInOpenWave))
+    , lending_(std::move(lending))
     , report_(inventory.cell())
 {}
 
@@ -44,6 +43,7 @@
 
 void PoolBalancer::tick()
 {
+    needs_ = {};
     const bool mayMove = hooks_.maySendMachineOrders() && !sparePool_.empty();
     if (!mayMove)
         return;
@@ -53,15 +53,17 @@
     updateMoves();
     // The whole pass uses one copy of the views; orders change nothing in them that it reads.
     const Views views = scheduler_.workers();
+    transferMachines(views);
     repeatUnanswered(views);
     const auto loads = scheduler_.loads();
-    const auto pools = demands(views, loads);
     const auto movableMachines = movable(views);
-    const auto spareMachines =
-            std::count_if(movableMachines.begin(), movableMachines.end(),
-                          [](const auto &machine) { return machine.isInSparePool; });
-    report_.update(hooks_.clock().steady, pools, views, loads, static_cast<int>(spareMachines));
-    const auto moves = scheduler::planPoolMoves(pools, movableMachines, sparePool_, {});
+    auto pools = demands(views, loads);
+    auto moves = scheduler::planPoolMoves(pools, movableMachines, sparePool_, {});
+    needs_ = {.shortages = scheduler::remainingShortages(pools, moves),
+              .lendable = scheduler::lendableMachines(pools, movableMachines, moves)};
+    report_.update(hooks_.clock().steady, pools, views, loads, needs_);
+    if (addLendingDemands(pools))
+        moves = scheduler::planPoolMoves(pools, movableMachines, sparePool_, {});
     for (const scheduler::PoolMove &move : moves)
         begin(move, views);
     updateEmptying(views, pools, moves);
@@ -83,6 +85,10 @@
     }
     for (auto item = moving_.begin(); item != moving_.end();) {
         const auto &[machine, move] = *item;
+        if (move.cell && move.isAccepted) {
+            ++item; // transferMachines() ends it
+            continue;
+        }
         const bool hasJoined = joined.contains(machine);
         const auto listed = inventory_.machines().find(machine);
         const bool isParked = move.pool == sparePool_ && inventory_.snapshotTime() > move.orderedAt
@@ -96,7 +102,10 @@
         }
         if (!hasJoined && !isParked)
             uncordon(machine);
+        const bool isKept = move.cell.has_value();
         item = moving_.erase(item);
+        if (isKept)
+            lending_.onMachinesKept();
     }
 }
 
@@ -131,6 +140,34 @@
             scheduler_.setCordoned(view.entry.id, scheduler::CordonReason::Move, false);
 }
 
+bool PoolBalancer::isLeaving(const std::string &machine, const std::string &pool) const
+{
+    const auto move = moving_.find(machine);
+    return move != moving_.end() && move->second.cell && !move->second.staysInPool
+           && move->second.pool == pool;
+}
+
+// Machines that move to a pool of this cell, also those that another cell has moved there.
+std::map<std::string, int> PoolBalancer::joiningMachines(const Views &views) const
+{
+    const scheduler::Millis now = hooks_.clock().steady;
+    std::map<std::string, int> joining;
+    // A machine whose move stays without an answer does not hold back others for longer.
+    for (const auto &[name, move] : moving_)
+        if (!move.cell && move.pool != sparePool_ && now - move.orderedAt <= kMoveTimeoutMs)
+            ++joining[move.pool];
+    if (!lending_.ledger)
+        return joining;
+    for (const std::string &machine : lending_.ledger->incomingMachines()) {
+        const bool hasJoined = std::any_of(views.begin(), views.end(), [&](const auto &view) {
+            return view.entry.machine == machine && view.isUsable;
+        });
+        if (!hasJoined && !moving_.contains(machine))
+            ++joining[*lending_.ledger->incomingPool(machine)];
+    }
+    return joining;
+}
+
 std::vector<scheduler::PoolDemand>
 PoolBalancer::demands(const Views &views,
                       const std::map<std::string, scheduler::ServiceLoad> &loads) const
@@ -146,12 +183,7 @@
     for (const auto &[service, load] : loads)
         fallbackSize = std::max(fallbackSize, load.machineCpuMillis);
     const std::map<std::string, int> usable = machines;
-    // A machine whose move stays without an answer does not hold back others for longer.
-    const scheduler::Millis now = hooks_.clock().steady;
-    std::map<std::string, int> joining;
-    for (const auto &[name, move] : moving_)
-        if (move.pool != sparePool_ && now - move.orderedAt <= kMoveTimeoutMs)
-            ++joining[move.pool];
+    std::map<std::string, int> joining = joiningMachines(views);
     for (const auto &[service, count] : joining)
         machines[service] += count;
     std::vector<scheduler::PoolDemand> demands;
@@ -182,12 +214,13 @@
 // A late order would take the machine out of the pool of a newer move.
 bool PoolBalancer::mayMove(const std::string &machine) const
 {
-    return !moving_.contains(machine) && !unansweredAt_.contains(machine);
+    return !moving_.contains(machine) && !unansweredAt_.contains(machine)
+           && inventory_.mayOrder(machine);
 }
 
 bool PoolBalancer::isInOpenWave(const std::string &machine) const
 {
-    return isInOpenWave_ && isInOpenWave_(machine);
+    return lending_.isInOpenWave && lending_.isInOpenWave(machine);
 }
 
 std::vector<scheduler::MovableMachine> PoolBalancer::movable(const Views &views) const
@@ -196,7 +229,10 @@
     const scheduler::Millis now = hooks_.clock().steady;
     for (const auto &[name, machine] : inventory_.machines())
         if (machine.pool == sparePool_ && machine.state == MachineState::Up && mayMove(name))
-            movableMachines.push_back({.machine = name, .pool = sparePool_, .isInSparePool = true});
+            movableMachines.push_back({.machine = name,
+                                       .pool = sparePool_,
+                                       .isInSparePool = true,
+                                       .isLendable = isLendable(name)});
     for (const scheduler::WorkerView &view : views) {
         const bool isFree = view.isUsable && !view.entry.isDraining && view.tasks == 0
                             && !view.isCordoned && !view.entry.machine.empty()
@@ -204,7 +240,8 @@
         if (isFree)
             movableMachines.push_back({.machine = view.entry.machine,
                                        .pool = view.entry.service,
-                                       .idleMs = now - view.idleSince});
+                                       .idleMs = now - view.idleSince,
+                                       .isLendable = isLendable(view.entry.machine)});
     }
     return movableMachines;
 }
@@ -216,10 +253,15 @@
     for (const scheduler::WorkerView &view : views)
         if (view.entry.machine == move.machine && view.isUsable)
             worker = view.entry.id;
-    moving_[move.machine] = {
-            .pool = move.pool, .worker = worker, .orderedAt = hooks_.clock().steady};
+    moving_[move.machine] = {.pool = move.pool,
+                             .cell = move.cell,
+                             .staysInPool = move.staysInPool,
+                             .worker = worker,
+                             .orderedAt = hooks_.clock().steady,
+                             .isAccepted = move.staysInPool};
     scheduler_.setCordoned(worker, scheduler::CordonReason::Move, true);
-    send(move.machine);
+    if (!move.staysInPool)
+        send(move.machine);
 }
 
 void PoolBalancer::send(const std::string &machine)
@@ -227,7 +269,8 @@
     Move &move = moving_.at(machine);
     move.sentAt = hooks_.clock().steady;
     move.isAwaitingAnswer = true;
-    machines_.move(machine, move.pool, fence_, hooks_.machineOrderValidity(),
+    machines_.move(machine, move.pool, inventory_.fenceFor(machine, fence_),
+                   hooks_.machineOrderValidity(),
                    [self = shared_from_this(), machine](MachineOrderStatus status) {
                        if (!self->isStopped_)
                            self->handleAnswer(machine, status);
--- a/packages/entry/src/pool_report.cpp
+++ b/packages/entry/src/pool_report.cpp
@@ -36,7 +36,7 @@
 void PoolReport::update(scheduler::Millis now, std::span<const scheduler::PoolDemand> pools,
                         std::span<const scheduler::WorkerView> workers,
                         const std::map<std::string, scheduler::ServiceLoad> &loads,
-                        int spareMachines)
+                        const MachineNeeds &needs)
 {
     if (now - reportedAt_ < kReportPeriodMs)
         return;
@@ -46,6 +46,8 @@
         const auto found = loads.find(pool.service);
         const scheduler::ServiceLoad load =
                 found != loads.end() ? found->second : scheduler::ServiceLoad();
+        const auto shortage = needs.shortages.find(pool.service);
+        const int missing = shortage != needs.shortages.end() ? shortage->second.total : 0;
         const std::int64_t freeCpu =
                 std::max<std::int64_t>(load.capacityCpuMillis - load.runningCpuMillis, 0);
         base::logEvent(base::Event::PoolState,
@@ -58,7 +60,8 @@
                         {"perpetual", std::to_string(use.perpetual)},
                         {"finite", std::to_string(use.finite)},
                         {"idle", std::to_string(use.idle)},
-                        {"spare", std::to_string(spareMachines)},
+                        {"missing", std::to_string(missing)},
+                        {"lendable", std::to_string(needs.lendable)},
                         {"waiting_cpu", std::to_string(load.waitingCpuMillis)},
                         {"running_cpu", std::to_string(load.runningCpuMillis)},
                         {"free_cpu", std::to_string(freeCpu)}});
--- a/packages/entry/src/pool_report.h
+++ b/packages/entry/src/pool_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/entry/records.h>
 #include <chicorywick/scheduler/pool_plan.h>
 #include <chicorywick/scheduler/scheduler.h>
 
@@ -19,7 +20,8 @@
 
     void update(scheduler::Millis now, std::span<const scheduler::PoolDemand> pools,
                 std::span<const scheduler::WorkerView> workers,
-                const std::map<std::string, scheduler::ServiceLoad> &loads, int spareMachines);
+                const std::map<std::string, scheduler::ServiceLoad> &loads,
+                const MachineNeeds &needs);
 
 private:
     int cell_;
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -108,13 +108,16 @@
               {"lease", record.workerLeaseMs}, {"memory", record.memoryMib},
               {"most", record.maxMemoryMib},   {"cells", record.heldCells}};
     putUnlessDefault(json, "waiting", record.waitingJobs, Json::object());
+    for (const auto &[pool, shortage] : record.machines.shortages)
+        json["short"][pool] = {shortage.total, shortage.urgent, shortage.blocked};
+    putUnlessDefault(json, "lendable", record.machines.lendable, 0);
     return json.dump();
 }
 
 base::Result<LeaderRecord> decodeLeader(const std::string &text)
 {
     return decodeWith<LeaderRecord>(text, "leader row", [](const Json &json) {
-        return LeaderRecord{.holder = json.at("holder"),
+        LeaderRecord record{.holder = json.at("holder"),
                             .peerAddress = json.at("peer"),
                             .term = json.at("term"),
                             .heartbeat = json.at("beat"),
@@ -122,7 +125,13 @@
                             .memoryMib = json.value("memory", std::int64_t{0}),
                             .maxMemoryMib = json.value("most", std::int64_t{0}),
                             .heldCells = json.value("cells", 0),
-                            .waitingJobs = json.value("waiting", std::map<std::string, int>())};
+                            .waitingJobs = json.value("waiting", std::map<std::string, int>()),
+                            .machines = {.lendable = json.value("lendable", 0)}};
+        const Json shortages = json.value("short", Json::object());
+        for (const auto &[pool, shortage] : shortages.items())
+            record.machines.shortages[pool] = {
+                    .total = shortage.at(0), .urgent = shortage.at(1), .blocked = shortage.at(2)};
+        return record;
     });
 }
 
@@ -237,6 +246,20 @@
     });
 }
 
+std::string encode(const MachineTransfer &transfer)
+{
+    return Json{{"cell", transfer.cell}, {"pool", transfer.pool}, {"fence", transfer.minFence}}
+            .dump();
+}
+
+base::Result<MachineTransfer> decodeMachineTransfer(const std::string &text)
+{
+    return decodeWith<MachineTransfer>(text, "machine row", [](const Json &json) {
+        return MachineTransfer{
+                .cell = json.at("cell"), .pool = json.at("pool"), .minFence = json.at("fence")};
+    });
+}
+
 std::string encode(const WaveProgress &progress)
 {
     return Json{{"started", progress.startedMachines}, {"done", progress.isDone}}.dump();
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -28,13 +28,14 @@
 
 WaveRunner::WaveRunner(WaveRunnerPorts ports, ControllerHooks hooks,
                        scheduler::Scheduler &scheduler, MachineInventory &inventory, Cell cell,
-                       std::int64_t fence)
+                       std::int64_t fence, std::shared_ptr<MachineLedger> ledger)
     : ports_(ports)
     , hooks_(std::move(hooks))
     , scheduler_(scheduler)
     , inventory_(inventory)
     , cell_(std::move(cell))
     , fence_(fence)
+    , ledger_(std::move(ledger))
 {}
 
 void WaveRunner::setWaves(const std::vector<WaveRequest> &waves)
@@ -42,7 +43,8 @@
     for (const WaveRequest &request : waves) {
         Wave &wave = waves_[request.number];
         if (!(wave.request == request))
-            wave.isCompleted = wave.isDoneHere = wave.isDoneStored = false;
+            wave.isCompleted = wave.isDoneHere = wave.isDoneStored = wave.isOwnershipConfirmed =
+                    false;
         wave.request = request;
     }
 }
@@ -124,7 +126,7 @@
         if (listed == machines.end())
             continue;
         hasRemaining = hasRemaining || !wave.startedMachines.contains(name);
-        if (isOrdered || wave.startedMachines.contains(name))
+        if (isOrdered || wave.startedMachines.contains(name) || !inventory_.mayOrder(name))
             continue;
         auto candidate = maintenanceCandidate(listed->second, workers,
                                               unusedPools_.contains(listed->second.pool));
@@ -195,7 +197,7 @@
     upkeep.orderedAt = hooks_.clock().steady;
     upkeep.isAwaitingAnswer = true;
     ports_.machines->maintain(
-            machine, number, fence_, hooks_.machineOrderValidity(),
+            machine, number, inventory_.fenceFor(machine, fence_), hooks_.machineOrderValidity(),
             [self = shared_from_this(), number, machine](MachineOrderStatus status) {
                 if (!self->isStopped_)
                     self->handleAnswer(self->waves_[number], machine, status);
@@ -242,9 +244,24 @@
     return places.count;
 }
 
+// Another cell that does not know the wave yet may be transferring a machine of it to this cell.
+// After the confirmation such a transfer fails, and a later one needs a view of the waves that is
+// newer than the confirmation.
+void WaveRunner::confirmOwnership(std::int64_t number)
+{
+    ledger_->confirm([self = shared_from_this(), number,
+                      request = waves_[number].request](bool isConfirmed) {
+        Wave &wave = self->waves_[number];
+        if (isConfirmed && wave.request == request)
+            wave.isOwnershipConfirmed = true; // the next tick looks at the machines again
+    });
+}
+
 // Stores that this cell has finished its part. The reporting cell then waits for the other cells.
 void WaveRunner::finishCell(Wave &wave)
 {
+    if (ledger_ && !wave.isOwnershipConfirmed)
+        return confirmOwnership(wave.request.number);
     if (!wave.isDoneStored)
         return store(wave);
     if (cell_.number != kReportingCell) {
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -28,7 +28,8 @@
 {
 public:
     WaveRunner(WaveRunnerPorts ports, ControllerHooks hooks, scheduler::Scheduler &scheduler,
-               MachineInventory &inventory, Cell cell, std::int64_t fence);
+               MachineInventory &inventory, Cell cell, std::int64_t fence,
+               std::shared_ptr<MachineLedger> ledger = nullptr);
 
     void stop() { isStopped_ = true; }
 
@@ -67,11 +68,14 @@
         bool isReportedRunning = false;
         bool isCompleted = false;
         bool isReporting = false;
+        /// No machine of the wave can join this cell any more.
+        bool isOwnershipConfirmed = false;
     };
 
     void updateReturned();
     int allowedDown(Wave &wave);
     void finishCell(Wave &wave);
+    void confirmOwnership(std::int64_t number);
     void readCellDone(std::int64_t number, int cell);
     void plan(Wave &wave);
     void holdUnanswered(Wave &wave, const WorkersByMachine &workers);
@@ -88,6 +92,7 @@
     MachineInventory &inventory_;
     Cell cell_;
     std::int64_t fence_;
+    std::shared_ptr<MachineLedger> ledger_; ///< null if there are no other cells
     std::map<std::int64_t, Wave> waves_;
     bool isReadingCell_ = false;
     scheduler::Millis cellReadAt_ = 0;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -51,6 +51,8 @@
     std::function<Millis()> jobsKnownUntil = {};
     /// Runs an action after the events that have already arrived; empty: immediately.
     std::function<void(std::function<void()>)> defer = {};
+    /// Fencing token of orders to the worker on a machine; empty: that of the settings.
+    std::function<std::int64_t(const std::string &machine)> fenceFor = {};
 };
 
 /// @brief Why a worker gets no new tasks.
@@ -65,6 +67,8 @@
     bool isUsable = false;
     bool isCordoned = false;
     bool mayRunUnknownTasks = false; ///< it has not replied, and a lease that it got may be valid
+    /// It runs nothing, all its ends are stored, and no order to it has failed lately.
+    bool isTransferable = false;
     Millis idleSince = 0;
 
     bool operator==(const WorkerView &) const = default;
@@ -257,6 +261,7 @@
 
     // Workers (scheduler_workers.cpp) and lease renewals (scheduler_renewals.cpp)
     OrderValidity validity() const;
+    std::int64_t fenceFor(const Worker &worker) const;
     Millis jobsAge() const;
     bool mayStartTasks() const;
     OrderValidity startValidity() const;
--- a/packages/scheduler/src/plans_test.cpp
+++ b/packages/scheduler/src/plans_test.cpp
@@ -106,6 +106,39 @@
           == std::vector<PoolMove>{{"a", "lasting"}, {"b", "lasting"}, {"c", "peak"}});
 }
 
+// Guards against lasting tasks that wait for other cells' shortages, against a small shortage that
+// is served before a large one of another cell, and against machines of a wave that change their
+// cell.
+TEST_CASE("other cells get machines like the own cell, and only those that may leave it")
+{
+    const std::vector<PoolDemand> pools{
+            {.service = "own", .machines = 4, .desired = 6, .urgent = 1},
+            {.service = "lasting", .desired = 1, .urgent = 1, .cell = 1},
+            {.service = "own", .desired = 3, .cell = 1}};
+    std::vector<MovableMachine> movable;
+    for (const char *const machine : {"a", "b", "c", "d"})
+        movable.push_back({.machine = machine, .pool = "spare", .isInSparePool = true});
+    movable[0].isLendable = false;
+    CHECK(planPoolMoves(pools, movable, "spare", {})
+          == std::vector<PoolMove>{
+                  {"a", "own"}, {"b", "lasting", 1}, {"c", "own", 1}, {"d", "own", 1}});
+    CHECK(lendableMachines(pools, movable, std::vector<PoolMove>{{"a", "own"}}) == 3);
+}
+
+// Guards against a cell whose idle machines of a pool do not help the same pool of another cell.
+TEST_CASE("idle machines of a pool help the same pool of another cell first, without a move")
+{
+    const std::vector<PoolDemand> pools{{.service = "p", .machines = 4, .desired = 1, .minimum = 2},
+                                        {.service = "q", .machines = 4, .desired = 1, .minimum = 3},
+                                        {.service = "p", .desired = 9, .cell = 1}};
+    const std::vector<MovableMachine> movable{{.machine = "a", .pool = "p", .idleMs = 900},
+                                              {.machine = "b", .pool = "p", .idleMs = 800},
+                                              {.machine = "c", .pool = "p", .idleMs = 700},
+                                              {.machine = "d", .pool = "q", .idleMs = 600}};
+    CHECK(planPoolMoves(pools, movable, "spare", {})
+          == std::vector<PoolMove>{{"a", "p", 1, true}, {"b", "p", 1, true}, {"d", "p", 1}});
+}
+
 // Guards against lasting tasks that wait for an idle machine while all machines are busy, and
 // against pools that empty machines which they need for lasting tasks themselves.
 TEST_CASE("machines with few finite tasks are emptied for perpetual tasks that nothing else serves")
@@ -129,6 +162,18 @@
     CHECK(planEmptying(small, {}, {}, busy) == std::vector<PoolMove>{{"c", "lasting"}});
 }
 
+// Guards against a published shortage that counts machines which are on their way.
+TEST_CASE("the remaining shortage leaves out planned moves and other cells")
+{
+    const std::vector<PoolDemand> pools{
+            {.service = "p", .machines = 4, .desired = 9, .urgent = 3, .blocked = 2},
+            {.service = "q", .machines = 4, .desired = 4},
+            {.service = "p", .desired = 5, .cell = 1}};
+    const std::vector<PoolMove> planned{{"a", "p"}, {"b", "p", 1}};
+    CHECK(remainingShortages(pools, planned)
+          == std::map<std::string, PoolShortage>{{"p", {.total = 4, .urgent = 2, .blocked = 1}}});
+}
+
 // Guards against idle machines that stay on, and against a pool that shrinks below its minimum.
 TEST_CASE("idle machines above the minimum of a pool move to the spare pool")
 {
--- a/packages/scheduler/src/pool_plan.cpp
+++ b/packages/scheduler/src/pool_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace chicorywick::scheduler {
@@ -11,6 +12,32 @@
 // Fraction of a machine that tasks of different sizes can fill.
 constexpr double kPackingShare = 0.85;
 
+// A pool of a cell; the own cell is "none".
+using PoolOfCell = std::pair<std::string, std::optional<int>>;
+
+std::map<PoolOfCell, int> countByPool(std::span<const PoolMove> moves)
+{
+    std::map<PoolOfCell, int> counts;
+    for (const PoolMove &move : moves)
+        ++counts[{move.pool, move.cell}];
+    return counts;
+}
+
+int countOf(const std::map<PoolOfCell, int> &counts, const PoolDemand &pool)
+{
+    const auto found = counts.find({pool.service, pool.cell});
+    return found != counts.end() ? found->second : 0;
+}
+
+std::map<std::string, int> surpluses(std::span<const PoolDemand> pools)
+{
+    std::map<std::string, int> surplus;
+    for (const PoolDemand &pool : pools)
+        if (!pool.cell)
+            surplus[pool.service] = pool.machines - std::max(pool.desired, pool.minimum);
+    return surplus;
+}
+
 } // namespace
 
 int machinesFor(double cpuMillis, std::int64_t machineCpuMillis)
@@ -25,9 +52,7 @@
                                     std::span<const MovableMachine> movable,
                                     const std::string &sparePool, const PoolPolicy &policy)
 {
-    std::map<std::string, int> surplus;
-    for (const PoolDemand &pool : pools)
-        surplus[pool.service] = pool.machines - std::max(pool.desired, pool.minimum);
+    std::map<std::string, int> surplus = surpluses(pools);
     std::vector<const MovableMachine *> offers;
     for (const MovableMachine &machine : movable)
         offers.push_back(&machine);
@@ -45,13 +70,16 @@
                          return left->desired - left->machines > right->desired - right->machines;
                      });
     std::vector<PoolMove> moves;
-    std::map<std::string, int> given;
+    std::map<PoolOfCell, int> given;
     const auto isFull = [&] { return static_cast<int>(moves.size()) >= policy.maxMoves; };
-    const auto fill = [&](const PoolDemand &pool, int missing) {
+    const auto take = [&](const PoolDemand &pool, int missing, bool isFromSamePool) {
         for (const MovableMachine *&offer : offers) {
             if (missing <= 0 || isFull())
                 break;
-            if (offer == nullptr || offer->pool == pool.service)
+            const bool isOffered = offer != nullptr
+                                   && (offer->pool == pool.service) == isFromSamePool
+                                   && (!pool.cell || offer->isLendable);
+            if (!isOffered)
                 continue;
             const bool isLendable =
                     offer->isInSparePool
@@ -60,16 +88,27 @@
                 continue;
             if (!offer->isInSparePool)
                 --surplus[offer->pool];
-            moves.push_back({.machine = offer->machine, .pool = pool.service});
+            moves.push_back({.machine = offer->machine,
+                             .pool = pool.service,
+                             .cell = pool.cell,
+                             .staysInPool = isFromSamePool});
             offer = nullptr;
             --missing;
-            ++given[pool.service];
+            ++given[{pool.service, pool.cell}];
         }
+        return missing;
     };
+    const auto fill = [&](const PoolDemand &pool, int missing) {
+        if (pool.cell)
+            missing = take(pool, missing, true);
+        take(pool, missing, false);
+    };
+    for (const bool isOtherCell : {false, true})
+        for (const PoolDemand *pool : shortPools)
+            if (pool->cell.has_value() == isOtherCell)
+                fill(*pool, std::min(pool->urgent, pool->desired - pool->machines));
     for (const PoolDemand *pool : shortPools)
-        fill(*pool, std::min(pool->urgent, pool->desired - pool->machines));
-    for (const PoolDemand *pool : shortPools)
-        fill(*pool, pool->desired - pool->machines - given[pool->service]);
+        fill(*pool, pool->desired - pool->machines - countOf(given, *pool));
     for (const MovableMachine *offer : offers) {
         const bool isReturnable = offer != nullptr && !offer->isInSparePool && !sparePool.empty()
                                   && surplus[offer->pool] > 0
@@ -87,22 +126,24 @@
                                    std::span<const PoolMove> emptying,
                                    std::span<const BusyMachine> busy)
 {
-    std::map<std::string, int> coming;
-    for (const auto moves : {planned, emptying})
-        for (const PoolMove &move : moves)
-            ++coming[move.pool];
+    const auto plannedCounts = countByPool(planned);
+    const auto emptyingCounts = countByPool(emptying);
     std::vector<std::pair<const PoolDemand *, int>> lacking;
     std::map<std::string, int> available; // machines that a pool can give, by pool
     std::map<std::string, int> shortage;
     for (const PoolDemand &pool : pools) {
-        const int missing = pool.blocked - coming[pool.service];
+        const int missing =
+                pool.blocked - countOf(plannedCounts, pool) - countOf(emptyingCounts, pool);
         if (missing > 0)
             lacking.emplace_back(&pool, missing);
-        if (pool.urgent == 0) {
+        if (!pool.cell && pool.urgent == 0) {
             available[pool.service] = pool.machines - pool.minimum;
             shortage[pool.service] = pool.desired - pool.machines;
         }
     }
+    std::stable_sort(lacking.begin(), lacking.end(), [](const auto &left, const auto &right) {
+        return left.first->cell.has_value() < right.first->cell.has_value();
+    });
     std::vector<const BusyMachine *> candidates;
     for (const BusyMachine &machine : busy)
         if (available.contains(machine.pool))
@@ -118,15 +159,51 @@
             if (missing <= 0)
                 break;
             const bool isUsable = candidate != nullptr && candidate->pool != pool->service
-                                  && available[candidate->pool] > 0;
+                                  && available[candidate->pool] > 0
+                                  && (!pool->cell || candidate->isLendable);
             if (!isUsable)
                 continue;
             --available[candidate->pool];
             --missing;
-            chosen.push_back({.machine = candidate->machine, .pool = pool->service});
+            chosen.push_back(
+                    {.machine = candidate->machine, .pool = pool->service, .cell = pool->cell});
             candidate = nullptr;
         }
     return chosen;
 }
 
+std::map<std::string, PoolShortage> remainingShortages(std::span<const PoolDemand> pools,
+                                                       std::span<const PoolMove> planned)
+{
+    const auto counts = countByPool(planned);
+    std::map<std::string, PoolShortage> shortages;
+    for (const PoolDemand &pool : pools) {
+        const int coming = countOf(counts, pool);
+        const int total = pool.desired - pool.machines - coming;
+        if (!pool.cell && total > 0)
+            shortages[pool.service] = {.total = total,
+                                       .urgent = std::clamp(pool.urgent - coming, 0, total),
+                                       .blocked = std::clamp(pool.blocked - coming, 0, total)};
+    }
+    return shortages;
+}
+
+int lendableMachines(std::span<const PoolDemand> pools, std::span<const MovableMachine> movable,
+                     std::span<const PoolMove> planned)
+{
+    std::set<std::string> moving;
+    for (const PoolMove &move : planned)
+        moving.insert(move.machine);
+    auto surplus = surpluses(pools);
+    for (const MovableMachine &machine : movable)
+        if (moving.contains(machine.machine) && !machine.isInSparePool)
+            --surplus[machine.pool];
+    int lendable = 0;
+    for (const MovableMachine &machine : movable)
+        if (!moving.contains(machine.machine) && machine.isLendable
+            && (machine.isInSparePool || surplus[machine.pool]-- > 0))
+            ++lendable;
+    return lendable;
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -54,7 +54,7 @@
 
 RenewOrder Scheduler::renewalFor(const Worker &worker) const
 {
-    RenewOrder order{.fence = settings_.fence, .validity = validity()};
+    RenewOrder order{.fence = fenceFor(worker), .validity = validity()};
     // Ends are numbered anew in each incarnation: a restarted worker would forget ends that nobody
     // has read.
     if (worker.restartSuspectedAt == 0)
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -38,6 +38,11 @@
     return hooks_.orderValidity ? hooks_.orderValidity() : OrderValidity();
 }
 
+std::int64_t Scheduler::fenceFor(const Worker &worker) const
+{
+    return hooks_.fenceFor ? hooks_.fenceFor(worker.entry.machine) : settings_.fence;
+}
+
 Millis Scheduler::jobsAge() const
 {
     return hooks_.jobsKnownUntil ? hooks_.clock().steady - hooks_.jobsKnownUntil() : 0;
@@ -81,7 +86,7 @@
                      .payload = entry.job.spec().payload,
                      .checkpoint = task.checkpoint,
                      .leaseUntil = leaseUntil(worker),
-                     .fence = settings_.fence,
+                     .fence = fenceFor(worker),
                      .validity = startValidity()};
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     ++task.unansweredStarts;
@@ -270,7 +275,7 @@
     if (unassigned != worker->unassigned.end())
         unassigned->second.isStopSent = unassigned->second.isStopPending = true;
     orders_.stop(worker->address(),
-                 {.task = id, .run = run, .fence = settings_.fence, .validity = validity()},
+                 {.task = id, .run = run, .fence = fenceFor(*worker), .validity = validity()},
                  [this, alive = alive_, id, run, workerId](const OrderReply &reply) {
                      if (!*alive)
                          return;
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -356,7 +356,7 @@
                      {.task = id,
                       .run = task->run,
                       .percent = percent,
-                      .fence = settings_.fence,
+                      .fence = fenceFor(worker),
                       .validity = validity()},
                      [this, alive = alive_](const OrderReply &reply) {
                          if (*alive && reply.status == OrderStatus::Fenced)
@@ -383,6 +383,7 @@
 std::vector<WorkerView> Scheduler::workers() const
 {
     std::vector<WorkerView> views;
+    const Millis now = hooks_.clock().steady;
     for (const auto &[id, worker] : workers_) {
         WorkerView view{.entry = worker->entry,
                         .tasks = static_cast<int>(worker->tasks.size() + worker->unassigned.size()),
@@ -391,6 +392,9 @@
                         .mayRunUnknownTasks = !worker->hasResponded && !worker->isReplaced
                                               && !isLeaseExpired(*worker),
                         .idleSince = worker->idleSince};
+        view.isTransferable = view.isUsable && view.tasks == 0 && worker->unstoredEnds.empty()
+                              && !worker->isSuspect && worker->restartSuspectedAt == 0
+                              && worker->quarantinedUntil <= now;
         for (const TaskId &task : worker->tasks) {
             const JobEntry *const entry = entryOf(task.job);
             if (entry != nullptr && stepOf(entry->job, task).isPerpetual)
