Mend what the review of machine transfers found

One load at a time, for received machines only, without workers that were removed meanwhile. - Machines that wait for a move or a transfer stayed cordoned while none could be ordered. - Busy machines of the same pool were not emptied for another cell's lasting tasks.

--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -66,9 +66,11 @@
 /// @brief The latest change of a machine's cell.
 struct MachineTransfer
 {
-    int cell = 0;              ///< which owns the machine now
-    std::string pool;          ///< for which the machine was transferred
-    std::int64_t minFence = 0; ///< the lowest fencing token of the new owner's orders
+    int cell = 0;                         ///< which owns the machine now
+    std::string pool;                     ///< for which the machine was transferred
+    std::int64_t minFence = 0;            ///< the lowest fencing token of the new owner's orders
+    std::set<std::int64_t> maintainedFor; ///< waves whose maintenance of the machine has started
+    std::string writer;                   ///< unique to the write that has stored the transfer
 
     bool operator==(const MachineTransfer &) const = default;
 };
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -136,7 +136,7 @@
                               MachineLedgerHooks{
                                       .clock = [clock = hooks_.clock] { return clock().steady; },
                                       .mayWrite = hooks_.maySendOrders,
-                                      .onChange = [this](const auto &) { addReceivedWorkers(); }}))
+                                      .onReceived = [this] { addReceivedWorkers(); }}))
     , inventory_(*ports.machines, hooks_.clock, cell_, ledger_)
     , waves_(std::make_shared<WaveRunner>(WaveRunnerPorts{.machines = ports.machines,
                                                           .operators = ports.operators,
@@ -150,6 +150,10 @@
                                    [waves = waves_](const std::string &machine) {
                                        return waves->isInOpenWave(machine);
                                    },
+                           .maintainedFor =
+                                   [waves = waves_](const std::string &machine) {
+                                       return waves->maintainedFor(machine);
+                                   },
                            .onMachinesKept = [this] { addReceivedWorkers(); }}))
     , tickTimer_(*ports.loop)
     , fence_(settings.fence)
@@ -304,30 +308,49 @@
 bool Controller::Impl::isOwnWorker(const scheduler::WorkerEntry &entry) const
 {
     return inventory_.owns(entry.machine, rackOf(entry.labels, entry.machine))
-           && !poolBalancer_->isLeaving(entry.machine, entry.service);
+           && !poolBalancer_->isLeaving(entry);
 }
 
 // The watch does not show workers again that joined before their machine belonged to this cell.
-// Those known already are left to the watch, whose rows may be newer.
 void Controller::Impl::addReceivedWorkers()
 {
     if (!isLoaded_ || isStopped_)
         return;
+    if (isLoadingReceived_) {
+        isReceivedLoadDue_ = true;
+        return;
+    }
+    isLoadingReceived_ = true;
+    removedMeanwhile_.clear();
     ports_.discovery->load([self = shared_from_this()](const base::Result<WorkerList> &list) {
         if (self->isStopped_)
             return;
         if (!list)
-            return self->retryAfterPause([self] { self->addReceivedWorkers(); });
-        std::set<std::string> known;
-        for (const scheduler::WorkerEntry &entry : self->scheduler_.roster())
-            known.insert(entry.id);
-        for (const scheduler::WorkerEntry &entry : list.value().present)
-            if (self->isOwnWorker(entry) && !known.contains(entry.id))
-                self->scheduler_.upsertWorker(entry);
-        self->roster_->update();
+            return self->retryAfterPause([self] {
+                self->isLoadingReceived_ = false;
+                self->addReceivedWorkers();
+            });
+        self->isLoadingReceived_ = false;
+        self->addUnknownWorkers(list.value());
+        if (std::exchange(self->isReceivedLoadDue_, false))
+            self->addReceivedWorkers();
     });
 }
 
+// Incarnations that are known already, or were removed since the list was requested, are left to
+// the watch.
+void Controller::Impl::addUnknownWorkers(const WorkerList &list)
+{
+    std::set<std::pair<std::string, scheduler::Millis>> known;
+    for (const scheduler::WorkerEntry &entry : scheduler_.roster())
+        known.emplace(entry.id, entry.incarnation);
+    for (const scheduler::WorkerEntry &entry : list.present)
+        if (isOwnWorker(entry) && !known.contains({entry.id, entry.incarnation})
+            && !removedMeanwhile_.contains(entry.id))
+            scheduler_.upsertWorker(entry);
+    roster_->update();
+}
+
 void Controller::Impl::applyWorkers(const WorkerList &list, bool isComplete)
 {
     std::set<std::string> present;
@@ -337,8 +360,11 @@
         present.insert(entry.id);
         scheduler_.upsertWorker(entry);
     }
-    for (const std::string &id : list.removed)
+    for (const std::string &id : list.removed) {
         scheduler_.removeWorker(id);
+        if (isLoadingReceived_)
+            removedMeanwhile_.insert(id);
+    }
     if (isComplete)
         for (const scheduler::WorkerEntry &entry : scheduler_.roster())
             if (!present.contains(entry.id))
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -16,6 +16,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <set>
+#include <string>
 
 namespace chicorywick::entry {
 
@@ -57,6 +59,7 @@
     bool isOwnWorker(const scheduler::WorkerEntry &entry) const;
     void applyWorkers(const WorkerList &list, bool isComplete);
     void addReceivedWorkers();
+    void addUnknownWorkers(const WorkerList &list);
     void scheduleTick();
     void tick();
     void compactEndedJobs();
@@ -85,6 +88,9 @@
     bool isLoaded_ = false;
     std::map<std::string, scheduler::JobProgress> loadedProgress_;
     CancellationIndex cancelled_;
+    bool isLoadingReceived_ = false;
+    bool isReceivedLoadDue_ = false;         ///< machines were received during a load
+    std::set<std::string> removedMeanwhile_; ///< workers removed since that load was requested
     Version jobsVersion_ = 0;
     ViewReport jobsReport_;
     ViewReport workersReport_;
--- a/packages/entry/src/machine_emptying.cpp
+++ b/packages/entry/src/machine_emptying.cpp
@@ -1,6 +1,7 @@
 #include "pool_balancer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorywick::entry {
 
@@ -23,7 +24,9 @@
     std::erase_if(notEmptiedUntil_, [now](const auto &item) { return item.second <= now; });
     releaseUnneeded(pools, planned);
     std::vector<scheduler::PoolMove> current;
-    for (const auto &[machine, emptying] : std::map(emptying_)) {
+    for (const auto &item : std::map(emptying_)) {
+        const std::string &machine = item.first;
+        const Emptying &emptying = item.second;
         const auto view = std::find_if(views.begin(), views.end(), [&](const auto &other) {
             return other.entry.id == emptying.worker;
         });
@@ -59,7 +62,9 @@
 void PoolBalancer::releaseUnneeded(const std::vector<scheduler::PoolDemand> &pools,
                                    const std::vector<scheduler::PoolMove> &planned)
 {
-    for (const auto &[machine, emptying] : std::map(emptying_)) {
+    for (const auto &item : std::map(emptying_)) {
+        const std::string &machine = item.first;
+        const Emptying &emptying = item.second;
         const auto isSamePool = [&emptying](const scheduler::PoolMove &move) {
             return move.pool == emptying.move.pool && move.cell == emptying.move.cell;
         };
@@ -69,8 +74,8 @@
                 needed += pool.blocked;
         const auto coming = std::count_if(planned.begin(), planned.end(), isSamePool);
         const auto emptied =
-                std::count_if(emptying_.begin(), emptying_.end(), [&isSamePool](const auto &item) {
-                    return isSamePool(item.second.move);
+                std::count_if(emptying_.begin(), emptying_.end(), [&isSamePool](const auto &other) {
+                    return isSamePool(other.second.move);
                 });
         if (coming + emptied <= needed)
             continue;
@@ -79,6 +84,22 @@
     }
 }
 
+// While no machine can be ordered, machines that wait for a move or a transfer go on to work.
+void PoolBalancer::releaseCordons()
+{
+    for (const auto &[machine, emptying] : std::exchange(emptying_, {}))
+        uncordon(machine);
+    std::vector<std::string> waiting;
+    for (const auto &[machine, move] : moving_)
+        if (move.staysInPool && !inTransfer_.contains(machine))
+            waiting.push_back(machine);
+    for (const std::string &machine : waiting)
+        if (lending_.ledger->hasLeft(machine))
+            handOver(machine);
+        else
+            keep(machine);
+}
+
 std::vector<scheduler::BusyMachine> PoolBalancer::busyMachines(const Views &views) const
 {
     std::vector<scheduler::BusyMachine> busy;
--- a/packages/entry/src/machine_ledger.cpp
+++ b/packages/entry/src/machine_ledger.cpp
@@ -71,7 +71,16 @@
 std::int64_t MachineLedger::fenceFor(const std::string &machine) const
 {
     const auto found = entries_.find(machine);
-    return found != entries_.end() ? std::max(term_, found->second.transfer.minFence) : term_;
+    return found != entries_.end() && !hasLeft(machine)
+                   ? std::max(term_, found->second.transfer.minFence)
+                   : term_;
+}
+
+std::set<std::int64_t> MachineLedger::maintainedFor(const std::string &machine) const
+{
+    const auto found = entries_.find(machine);
+    return found != entries_.end() ? found->second.transfer.maintainedFor
+                                   : std::set<std::int64_t>();
 }
 
 bool MachineLedger::mayOrder(const std::string &machine) const
@@ -102,14 +111,22 @@
 {
     if (writing_ || loaded_ || !hooks_.mayWrite())
         return done(false);
+    const std::string mark = nextMark();
+    for (auto &[machine, change] : transfers)
+        change.writer = mark;
     writing_ = {.transfers = std::move(transfers),
-                .mark = std::to_string(cell_.number) + "/" + std::to_string(term_) + "/"
-                        + std::to_string(++writes_),
+                .mark = mark,
                 .expected = sequence_,
                 .done = std::move(done)};
     send();
 }
 
+std::string MachineLedger::nextMark()
+{
+    return std::to_string(cell_.number) + "/" + std::to_string(term_) + "/"
+           + std::to_string(++writes_);
+}
+
 // Each write changes the sequence row and asks for the version that this leader knows. So a write
 // of a former leader fails once its successor has written, and the successor has read what was
 // stored before. A leader writes only while no other one can have claimed its cell, so it never
@@ -166,14 +183,12 @@
         return finish(false);
     if (sequence_ < writing_->settledBy)
         return;
-    const bool isStored = !writing_->transfers.empty()
-                          && std::all_of(writing_->transfers.begin(), writing_->transfers.end(),
-                                         [this](const auto &change) {
-                                             const auto found = entries_.find(change.first);
-                                             return found != entries_.end()
-                                                    && found->second.version > writing_->expected
-                                                    && found->second.transfer == change.second;
-                                         });
+    // Rows that other transfers have replaced since name another owner, which is found out later.
+    const bool isStored = std::any_of(
+            writing_->transfers.begin(), writing_->transfers.end(), [this](const auto &change) {
+                const auto found = entries_.find(change.first);
+                return found != entries_.end() && found->second.transfer.writer == writing_->mark;
+            });
     finish(isStored);
 }
 
@@ -198,9 +213,7 @@
                 self->applyRows(complete);
                 if (!self->loaded_)
                     return self->watch_->resume(complete.version);
-                self->writing_ = {.mark = std::to_string(self->cell_.number) + "/"
-                                          + std::to_string(self->term_) + "/"
-                                          + std::to_string(++self->writes_),
+                self->writing_ = {.mark = self->nextMark(),
                                   .expected = self->sequence_,
                                   .done = [self, version = complete.version](bool isStored) {
                                       if (!isStored)
@@ -247,7 +260,7 @@
                          .knownAt = hooks_.clock(),
                          .wasLoaded = static_cast<bool>(loaded_)};
     ++revision_;
-    changed_.push_back(machine);
+    hasReceived_ = hasReceived_ || transfer.cell == cell_.number;
 }
 
 void MachineLedger::setSequence(Version version)
@@ -260,9 +273,8 @@
 
 void MachineLedger::notify()
 {
-    if (changed_.empty() || loaded_)
-        return;
-    hooks_.onChange(std::exchange(changed_, {}));
+    if (!loaded_ && std::exchange(hasReceived_, false))
+        hooks_.onReceived();
 }
 
 void MachineLedger::retryAfterPause(void (MachineLedger::*action)())
--- a/packages/entry/src/machine_ledger.h
+++ b/packages/entry/src/machine_ledger.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,9 +24,8 @@
 struct MachineLedgerHooks
 {
     std::function<scheduler::Millis()> clock; ///< steady, includes time in suspend
-    std::function<bool()> mayWrite; ///< false while another leader may have claimed the cell
-    /// Called when machines have joined or left the own cell.
-    std::function<void(const std::vector<std::string> &machines)> onChange;
+    std::function<bool()> mayWrite;   ///< false while another leader may have claimed the cell
+    std::function<void()> onReceived; ///< machines have joined the own cell
 };
 
 /// @brief Tells which cell owns a machine. A machine belongs to the cell of its rack until its
@@ -49,6 +49,9 @@
     /// @brief The fencing token for orders to a machine of the own cell and to its worker.
     std::int64_t fenceFor(const std::string &machine) const;
 
+    /// @brief Waves for which another cell has maintained a machine before it was transferred.
+    std::set<std::int64_t> maintainedFor(const std::string &machine) const;
+
     /// @brief False while the former owner of a machine may have sent an order recently.
     bool mayOrder(const std::string &machine) const;
 
@@ -92,6 +95,7 @@
         std::function<void(bool)> done;
     };
 
+    std::string nextMark();
     void read();
     void applyRows(const RowPage &page);
     void apply(const std::string &machine, const MachineTransfer &transfer, Version version);
@@ -118,7 +122,7 @@
     std::optional<Write> writing_;
     std::uint64_t writes_ = 0;
     std::uint64_t revision_ = 1;
-    std::vector<std::string> changed_; ///< machines that joined or left the cell, to be notified
+    bool hasReceived_ = false; ///< onReceived is due
     bool isStopped_ = false;
 };
 
--- a/packages/entry/src/machine_ledger_test.cpp
+++ b/packages/entry/src/machine_ledger_test.cpp
@@ -23,7 +23,7 @@
                 loop, table, Cell{.layout = layout, .number = cell}, term,
                 MachineLedgerHooks{.clock = [&now] { return now; },
                                    .mayWrite = [this] { return mayWrite; },
-                                   .onChange = [](const auto &) {}}))
+                                   .onReceived = [] {}}))
     {
         ledger->load([this] { isLoaded = true; });
     }
@@ -176,6 +176,38 @@
     CHECK(lender->uses("n", "r1"));
 }
 
+// Guards against a former owner that takes back machines which their new owner has passed on, and
+// that uses its fencing token.
+TEST_CASE("a transfer is known to be stored although the machine has been passed on since")
+{
+    Fixture fixture;
+    fixture.layout = CellLayout(3, {{"r0", 0}, {"r1", 1}, {"r2", 2}});
+    const auto lender = fixture.lead(0);
+    const auto borrower = fixture.lead(1);
+    const auto third = fixture.lead(2);
+    fixture.run();
+    fixture.table.fate = Fate::AnswerLost;
+    lender->ledger->transfer({{"m", {.cell = 1, .pool = "p", .minFence = 500}},
+                              {"n", {.cell = 1, .pool = "p", .minFence = 500}}},
+                             [&lender](bool isStored) {
+                                 (isStored ? lender->stored : lender->refused).insert("batch");
+                             });
+    lender->mayWrite = false; // its repetitions wait
+    fixture.table.fate = Fate::Answered;
+    fixture.run();
+    REQUIRE(borrower->uses("m", "r0"));
+    borrower->transfer("m", 2);
+    fixture.run();
+    lender->mayWrite = true;
+    fixture.run(400ms);
+    CHECK(lender->stored.contains("batch"));
+    CHECK(lender->ledger->hasLeft("m"));
+    CHECK(lender->ledger->hasLeft("n"));
+    CHECK(lender->ledger->fenceFor("n") < 500);
+    CHECK(third->uses("m", "r0"));
+    CHECK(borrower->uses("n", "r0"));
+}
+
 // Guards against a wave that counts as finished in a cell to which a machine of it is on its way.
 TEST_CASE("no transfer that was on its way takes effect after a confirmation")
 {
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -46,7 +46,7 @@
     needs_ = {};
     const bool mayMove = hooks_.maySendMachineOrders() && !sparePool_.empty();
     if (!mayMove)
-        return;
+        return releaseCordons();
     inventory_.refresh(kListPeriodMs);
     if (inventory_.snapshotTime() == 0)
         return;
@@ -140,11 +140,14 @@
             scheduler_.setCordoned(view.entry.id, scheduler::CordonReason::Move, false);
 }
 
-bool PoolBalancer::isLeaving(const std::string &machine, const std::string &pool) const
+bool PoolBalancer::isLeaving(const scheduler::WorkerEntry &entry) const
 {
-    const auto move = moving_.find(machine);
-    return move != moving_.end() && move->second.cell && !move->second.staysInPool
-           && move->second.pool == pool;
+    const auto move = moving_.find(entry.machine);
+    if (move == moving_.end() || !move->second.cell)
+        return false;
+    const bool isFormerWorker =
+            entry.id == move->second.worker && entry.incarnation == move->second.incarnation;
+    return !isFormerWorker;
 }
 
 // Machines that move to a pool of this cell, also those that another cell has moved there.
@@ -250,13 +253,17 @@
 {
     // The scheduler's view is used because the inventory may be older than the current worker.
     std::string worker;
+    scheduler::Millis incarnation = 0;
     for (const scheduler::WorkerView &view : views)
-        if (view.entry.machine == move.machine && view.isUsable)
+        if (view.entry.machine == move.machine && view.isUsable) {
             worker = view.entry.id;
+            incarnation = view.entry.incarnation;
+        }
     moving_[move.machine] = {.pool = move.pool,
                              .cell = move.cell,
                              .staysInPool = move.staysInPool,
                              .worker = worker,
+                             .incarnation = incarnation,
                              .orderedAt = hooks_.clock().steady,
                              .isAccepted = move.staysInPool};
     scheduler_.setCordoned(worker, scheduler::CordonReason::Move, true);
@@ -294,8 +301,11 @@
         move.isAccepted = true;
         move.orderedAt = now;
     } else if (!unansweredAt_.contains(machine)) {
+        const bool isKept = move.cell.has_value();
         moving_.erase(machine);
         uncordon(machine);
+        if (isKept)
+            lending_.onMachinesKept();
     }
 }
 
--- a/packages/entry/src/pool_balancer.h
+++ b/packages/entry/src/pool_balancer.h
@@ -24,6 +24,7 @@
 {
     std::shared_ptr<MachineLedger> ledger; ///< null if there are no other cells
     std::function<bool(const std::string &machine)> isInOpenWave; ///< empty: there are no waves
+    std::function<std::set<std::int64_t>(const std::string &machine)> maintainedFor; ///< waves
     /// Called when machines that were meant for another cell stay in this one.
     std::function<void()> onMachinesKept;
 };
@@ -43,9 +44,9 @@
     /// @brief The machines that the cell lacked after the latest pass, or could lend.
     const MachineNeeds &needs() const { return needs_; }
 
-    /// @brief True for a machine that moves to this pool for another cell. Its new worker must get
-    /// no order from this cell.
-    bool isLeaving(const std::string &machine, const std::string &pool) const;
+    /// @brief True for a worker that has joined a machine which is leaving for another cell. It
+    /// must get no order from this cell.
+    bool isLeaving(const scheduler::WorkerEntry &entry) const;
 
 private:
     struct Move
@@ -54,8 +55,9 @@
         std::optional<int> cell;  ///< the cell that gets the machine; none: the own cell
         bool staysInPool = false; ///< only its cell changes, and its worker stays
         std::string worker;       ///< the worker before the move; empty if the machine was off
-        scheduler::Millis orderedAt = 0; ///< the first order, or the answer that accepted it
-        scheduler::Millis sentAt = 0;    ///< the latest order
+        scheduler::Millis incarnation = 0; ///< of that worker
+        scheduler::Millis orderedAt = 0;   ///< the first order, or the answer that accepted it
+        scheduler::Millis sentAt = 0;      ///< the latest order
         bool isAwaitingAnswer = false;
         bool isAccepted = false;
     };
@@ -101,6 +103,8 @@
     void transferMachines(const Views &views);
     bool mayTransferNow(const std::string &machine, const Move &move, const Views &views) const;
     void keep(const std::string &machine);
+    void handOver(const std::string &machine);
+    void releaseCordons();
     void handleTransfer(const MachineTransfers &transfers, bool isStored);
 
     MachinePort &machines_;
--- a/packages/entry/src/pool_lending.cpp
+++ b/packages/entry/src/pool_lending.cpp
@@ -68,19 +68,25 @@
     const scheduler::Millis now = hooks_.clock().steady;
     MachineTransfers transfers;
     std::vector<std::string> kept;
+    std::vector<std::string> gone;
     for (const auto &[machine, move] : moving_) {
         if (!move.cell || !move.isAccepted || inTransfer_.contains(machine))
             continue;
         // An earlier order without an answer may still be carried out, in the other cell.
         const bool mustStay = unansweredAt_.contains(machine) || !isLendable(machine)
                               || now - move.orderedAt > kTransferTimeoutMs;
-        if (mustStay)
+        if (lending_.ledger->hasLeft(machine))
+            gone.push_back(machine);
+        else if (mustStay)
             kept.push_back(machine);
         else if (mayTransferNow(machine, move, views))
             transfers[machine] = {.cell = *move.cell,
                                   .pool = move.pool,
-                                  .minFence = inventory_.fenceFor(machine, fence_) + 1};
+                                  .minFence = inventory_.fenceFor(machine, fence_) + 1,
+                                  .maintainedFor = lending_.maintainedFor(machine)};
     }
+    for (const std::string &machine : gone)
+        handOver(machine);
     for (const std::string &machine : kept)
         keep(machine);
     if (transfers.empty() || !mayLend() || lending_.ledger->isWriting())
@@ -93,29 +99,39 @@
     });
 }
 
-// A move has ended the former worker of the machine, and the new one belongs to this cell.
+// A move has ended the former worker of the machine, and the new one belongs to this cell. So does
+// one that has joined after a crash.
 void PoolBalancer::keep(const std::string &machine)
 {
     const Move move = moving_.at(machine);
     moving_.erase(machine);
     if (move.staysInPool)
-        return uncordon(machine);
-    scheduler_.endWorker(move.worker);
+        uncordon(machine);
+    else
+        scheduler_.endWorker(move.worker);
     lending_.onMachinesKept();
 }
 
+// The worker has ended, or gets its orders from the other cell.
+void PoolBalancer::handOver(const std::string &machine)
+{
+    moving_.erase(machine);
+    for (const scheduler::WorkerView &view : scheduler_.workers()) {
+        if (view.entry.machine != machine)
+            continue;
+        scheduler_.endWorker(view.entry.id);
+        scheduler_.removeWorker(view.entry.id);
+    }
+}
+
 void PoolBalancer::handleTransfer(const MachineTransfers &transfers, bool isStored)
 {
     const scheduler::Millis now = hooks_.clock().steady;
     for (const auto &[machine, transfer] : transfers) {
         inTransfer_.erase(machine);
         if (!isStored)
-            continue; // the next tick tries again
-        // The worker has ended, or gets its orders from the other cell.
-        const std::string worker = moving_.at(machine).worker;
-        scheduler_.endWorker(worker);
-        scheduler_.removeWorker(worker);
-        moving_.erase(machine);
+            continue; // the next tick tries again, or finds that the machine has left
+        handOver(machine);
         loans_.push_back({.cell = transfer.cell, .pool = transfer.pool, .at = now});
         base::logEvent(base::Event::MachineTransferred,
                        {{"machine", machine},
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -248,15 +248,22 @@
 
 std::string encode(const MachineTransfer &transfer)
 {
-    return Json{{"cell", transfer.cell}, {"pool", transfer.pool}, {"fence", transfer.minFence}}
-            .dump();
+    Json json{{"cell", transfer.cell},
+              {"pool", transfer.pool},
+              {"fence", transfer.minFence},
+              {"writer", transfer.writer}};
+    putUnlessDefault(json, "waves", transfer.maintainedFor, Json::array());
+    return json.dump();
 }
 
 base::Result<MachineTransfer> decodeMachineTransfer(const std::string &text)
 {
     return decodeWith<MachineTransfer>(text, "machine row", [](const Json &json) {
-        return MachineTransfer{
-                .cell = json.at("cell"), .pool = json.at("pool"), .minFence = json.at("fence")};
+        return MachineTransfer{.cell = json.at("cell"),
+                               .pool = json.at("pool"),
+                               .minFence = json.at("fence"),
+                               .maintainedFor = json.value("waves", std::set<std::int64_t>()),
+                               .writer = json.at("writer")};
     });
 }
 
--- a/packages/entry/src/wave_ownership_test.cpp
+++ b/packages/entry/src/wave_ownership_test.cpp
@@ -38,7 +38,7 @@
                 loop, table, Cell{.layout = layout, .number = cell}, cell + 1,
                 MachineLedgerHooks{.clock = [] { return systemNow().steady; },
                                    .mayWrite = [] { return true; },
-                                   .onChange = [](const auto &) {}});
+                                   .onReceived = [] {}});
     }
     void run(std::chrono::milliseconds duration)
     {
@@ -99,4 +99,28 @@
     CHECK(!fixture.runner->isInOpenWave("m"));
 }
 
+// Guards against a wave that never ends, and a machine that is drained again, because a maintained
+// machine has changed its cell.
+TEST_CASE("a machine that was maintained before it changed its cell is not maintained again")
+{
+    Fixture fixture;
+    fixture.inventory.refresh(0);
+    fixture.run(50ms);
+    fixture.lender->transfer(
+            {{"m", {.cell = 1, .pool = "s", .minFence = 10, .maintainedFor = {kWave}}}},
+            [](bool) {});
+    fixture.run(100ms);
+    REQUIRE(fixture.borrower->owns("m", "r0"));
+    fixture.runner->setWaves(
+            {{.number = kWave, .machines = {"m"}, .durationMs = 60'000, .maxAtOnce = 2}});
+    constexpr int kTicks = 5;
+    for (int tick = 0; tick < kTicks; ++tick) {
+        fixture.runner->tick();
+        fixture.run(50ms);
+    }
+    CHECK(fixture.isStoredAsDone());
+    CHECK(fixture.fleet.maintained.empty());
+    CHECK(fixture.runner->maintainedFor("m") == std::set<std::int64_t>{kWave});
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -86,6 +86,23 @@
     });
 }
 
+std::set<std::int64_t> WaveRunner::maintainedFor(const std::string &machine) const
+{
+    std::set<std::int64_t> numbers;
+    for (const auto &[number, wave] : waves_)
+        if (hasStarted(wave, machine))
+            numbers.insert(number);
+    return numbers;
+}
+
+// A second maintenance for the same wave is accepted without effect, so it would seem to go on for
+// ever.
+bool WaveRunner::hasStarted(const Wave &wave, const std::string &machine) const
+{
+    return wave.startedMachines.contains(machine)
+           || (ledger_ && ledger_->maintainedFor(machine).contains(wave.request.number));
+}
+
 // A machine has returned when it is no longer listed, or when a list requested after the answer to
 // its order shows it up with a different worker. Before the answer, such a worker may have joined
 // after a crash, and the upkeep may still begin.
@@ -125,8 +142,9 @@
             ++down;
         if (listed == machines.end())
             continue;
-        hasRemaining = hasRemaining || !wave.startedMachines.contains(name);
-        if (isOrdered || wave.startedMachines.contains(name) || !inventory_.mayOrder(name))
+        const bool isStarted = hasStarted(wave, name);
+        hasRemaining = hasRemaining || !isStarted;
+        if (isOrdered || isStarted || !inventory_.mayOrder(name))
             continue;
         auto candidate = maintenanceCandidate(listed->second, workers,
                                               unusedPools_.contains(listed->second.pool));
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -44,6 +44,9 @@
     /// @brief True if a wave that is not known to be completed names the machine.
     bool isInOpenWave(const std::string &machine) const;
 
+    /// @brief Waves whose maintenance of the machine has started, in this cell or another one.
+    std::set<std::int64_t> maintainedFor(const std::string &machine) const;
+
 private:
     /// An upkeep that was ordered; the machine counts as down.
     struct Upkeep
@@ -72,6 +75,7 @@
         bool isOwnershipConfirmed = false;
     };
 
+    bool hasStarted(const Wave &wave, const std::string &machine) const;
     void updateReturned();
     int allowedDown(Wave &wave);
     void finishCell(Wave &wave);
--- a/packages/scheduler/src/pool_plan.cpp
+++ b/packages/scheduler/src/pool_plan.cpp
@@ -158,15 +158,17 @@
         for (const BusyMachine *&candidate : candidates) {
             if (missing <= 0)
                 break;
-            const bool isUsable = candidate != nullptr && candidate->pool != pool->service
-                                  && available[candidate->pool] > 0
-                                  && (!pool->cell || candidate->isLendable);
+            const bool isUsable =
+                    candidate != nullptr && (candidate->pool != pool->service || pool->cell)
+                    && available[candidate->pool] > 0 && (!pool->cell || candidate->isLendable);
             if (!isUsable)
                 continue;
             --available[candidate->pool];
             --missing;
-            chosen.push_back(
-                    {.machine = candidate->machine, .pool = pool->service, .cell = pool->cell});
+            chosen.push_back({.machine = candidate->machine,
+                              .pool = pool->service,
+                              .cell = pool->cell,
+                              .staysInPool = candidate->pool == pool->service});
             candidate = nullptr;
         }
     return chosen;
