Transfer at most 90 machines in one write

What callers could have seen (from the code, while reading the diff): with a slow store more than 100 machines gather for one transfer. The store rejects such a transaction, and the ledger sends it again without end, so no machine changes its cell any more. Change: a transfer holds at most 90 machines; the others follow with the next one. Test: pool_lending_test "are transferred in several writes" failed before (153 rows in one write, 99 allowed).

--- a/packages/entry/src/pool_lending.cpp
+++ b/packages/entry/src/pool_lending.cpp
@@ -13,6 +13,8 @@
 constexpr scheduler::Millis kLoanCountedMs = 1'500;
 // A machine whose transfer cannot be stored within this time stays in its cell.
 constexpr scheduler::Millis kTransferTimeoutMs = 6'000;
+// A transaction of the platform's store holds at most 100 rows, with the conditions.
+constexpr std::size_t kMaxMachinesPerTransfer = 90;
 
 } // namespace
 
@@ -79,7 +81,7 @@
             gone.push_back(machine);
         else if (mustStay)
             kept.push_back(machine);
-        else if (mayTransferNow(machine, move, views))
+        else if (transfers.size() < kMaxMachinesPerTransfer && mayTransferNow(machine, move, views))
             transfers[machine] = {.cell = *move.cell,
                                   .pool = move.pool,
                                   .minFence = inventory_.fenceFor(machine, fence_) + 1,
--- a/packages/entry/src/pool_lending_test.cpp
+++ b/packages/entry/src/pool_lending_test.cpp
@@ -13,14 +13,15 @@
 
 using namespace std::chrono_literals;
 
-/// @brief The balancer of a cell with three idle machines of a pool that another cell lacks.
+/// @brief The balancer of a cell with idle machines of a pool that another cell lacks.
 struct Fixture
 {
-    Fixture()
+    explicit Fixture(int machines = 3, int missing = 1)
+        : shortage(missing)
     {
         scheduler.setQueues({policy});
-        for (const char *const machine : {"a", "b", "c"})
-            fleet.addMachine(machine, "r0", "s");
+        for (int i = 0; i < machines; ++i)
+            fleet.addMachine("m" + std::to_string(i), "r0", "s");
         fleet.load([this](const base::Result<WorkerList> &list) {
             for (const scheduler::WorkerEntry &entry : list.value().present)
                 scheduler.upsertWorker(entry);
@@ -55,6 +56,7 @@
         return views;
     }
 
+    int shortage;
     const scheduler::QueuePolicy policy{.name = "q", .service = "s"};
     const Cell cell{.layout = CellLayout(2, {{"r0", 0}, {"r1", 1}}), .number = 0};
     boost::asio::io_context loop;
@@ -72,15 +74,16 @@
     MachineInventory inventory{fleet, systemNow, cell, ledger};
     std::shared_ptr<PoolBalancer> balancer = std::make_shared<PoolBalancer>(
             fleet,
-            ControllerHooks{.clock = systemNow,
-                            .maySendMachineOrders = [this] { return mayOrder; },
-                            .machineOrderValidity = [] { return scheduler::OrderValidity(); },
-                            .otherCells =
-                                    [] {
-                                        return std::vector<CellNeeds>{
-                                                {.cell = 1,
-                                                 .machines = {.shortages = {{"s", {.total = 1}}}}}};
-                                    }},
+            ControllerHooks{
+                    .clock = systemNow,
+                    .maySendMachineOrders = [this] { return mayOrder; },
+                    .machineOrderValidity = [] { return scheduler::OrderValidity(); },
+                    .otherCells =
+                            [this] {
+                                return std::vector<CellNeeds>{
+                                        {.cell = 1,
+                                         .machines = {.shortages = {{"s", {.total = shortage}}}}}};
+                            }},
             scheduler, inventory, 1,
             LendingPorts{.ledger = ledger,
                          .maintainedFor = [](const auto &) { return std::set<std::int64_t>(); },
@@ -131,4 +134,27 @@
     CHECK(fixture.kept == 1);
 }
 
+// Guards against a transfer of so many machines that the store rejects it, again and again.
+TEST_CASE("machines that wait for a slow store are transferred in several writes")
+{
+    constexpr int kMachines = 230;
+    constexpr int kMissing = 200;
+    constexpr std::size_t kMaxRows = 99; // of a transaction, with one condition
+    Fixture fixture(kMachines, kMissing);
+    fixture.table.fate = WatchedTable::Fate::Rejected;
+    fixture.tick(6);
+    fixture.table.fate = WatchedTable::Fate::Answered;
+    std::size_t largest = 0;
+    for (int i = 0; i < 10; ++i) {
+        fixture.tick(2);
+        largest = std::max(largest, fixture.table.lastTransaction.writes.size());
+    }
+    CHECK(largest > 1);
+    CHECK(largest <= kMaxRows);
+    int left = 0;
+    for (int i = 0; i < kMachines; ++i)
+        left += fixture.ledger->hasLeft("m" + std::to_string(i)) ? 1 : 0;
+    CHECK(left >= kMissing);
+}
+
 } // namespace chicorywick::entry
