--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -56,10 +56,13 @@
     void applyCancellation(const Row &row);
     void applyJobRow(const Row &row);
     void reportDelays();
+
+    // Workers of the cell's machines (controller_workers.cpp)
     bool isOwnWorker(const scheduler::WorkerEntry &entry) const;
-    void applyWorkers(const WorkerList &list, bool isComplete);
     void addReceivedWorkers();
     void addUnknownWorkers(const WorkerList &list);
+    void applyWorkers(const WorkerList &list, bool isComplete);
+
     void scheduleTick();
     void tick();
     void compactEndedJobs();
