--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -25,4 +25,7 @@
 /// @brief One runner fails what it starts, while a large job runs.
 bool largeJob(Record &record, bool isTroubled);
 
+/// @brief The leader is cut off from the store while a wave begins.
+bool cutInWave(Record &record, bool isTroubled);
+
 } // namespace chicorywick::review
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "machines.h"
 #include "record.h"
 #include "runner.h"
 #include "store.h"
@@ -68,12 +69,16 @@
     /// @brief Stops a daemon as the platform does: SIGTERM, and SIGKILL after grace_s.
     void stop(int daemon);
 
+    /// @brief Cuts a daemon off from the store, or ends that.
+    void setCutFromStore(int daemon, bool isCut);
+
     /// @brief Runs an action on the event loop of the stand-ins.
     void onLoop(const std::function<void()> &action);
 
     Store &store() { return *store_; }
     RunLog &log() { return log_; }
-    std::vector<std::unique_ptr<Runner>> &runners() { return runners_; }
+    Machines &machines() { return *machines_; }
+    std::vector<Runner *> runners() { return machines_->runners(); }
 
     /// @brief A port of this host at which nothing listens.
     std::uint16_t closedPort() const { return closedPort_; }
@@ -83,6 +88,7 @@
     {
         std::string name;
         std::vector<std::uint16_t> ports;
+        std::uint16_t storePort = 0;
         pid_t process = 0;
         std::unique_ptr<http::Client> client;
         std::unique_ptr<http::Client> readiness;
@@ -99,7 +105,8 @@
     boost::asio::io_context loop_;
     RunLog log_;
     std::unique_ptr<Store> store_;
-    std::vector<std::unique_ptr<Runner>> runners_;
+    std::unique_ptr<Machines> machines_;
+    std::set<std::string> services_;
     std::vector<boost::asio::ip::tcp::acceptor> reservations_;
     std::uint16_t closedPort_ = 0;
     std::vector<Daemon> daemons_;
--- a/review/standin-2/runner.cpp
+++ b/review/standin-2/runner.cpp
@@ -244,6 +244,18 @@
     }
 }
 
+void Runner::shutDown()
+{
+    for (const auto &[task, run] : running_) {
+        run.timer->cancel();
+        log_.tasks[task].activeOn.erase(setup_.id);
+        record_.add(setup_.id, "is shut down, and with it " + task);
+    }
+    running_.clear();
+    expiry_.cancel();
+    isCut_ = true;
+}
+
 void Runner::scheduleExpiry()
 {
     expiry_.expires_after(
--- a/review/standin-2/runner.h
+++ b/review/standin-2/runner.h
@@ -73,6 +73,9 @@
     std::uint16_t port() const { return server_.port(); }
     json registration();
 
+    /// @brief Ends the runner with its machine; it answers nothing any more.
+    void shutDown();
+
     /// @brief While cut off, the runner receives nothing and its answers are lost; it runs on.
     void setCut(bool isCut) { isCut_ = isCut; }
 
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -12,6 +12,8 @@
 #include <memory>
 #include <string>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace chicorywick::review {
 
@@ -25,10 +27,15 @@
 public:
     explicit Store(boost::asio::io_context &loop);
 
-    std::uint16_t port() const { return server_.port(); }
+    /// @brief Opens a way to the store, for one daemon; returns its port.
+    std::uint16_t addWay();
+
+    /// @brief While a way is cut off, requests and answers on it are lost.
+    void setCut(std::size_t way, bool isCut) { ways_[way]->isCut = isCut; }
 
     /// @brief Writes a row of an empty part, as the operator and the runners do.
     void put(const std::string &table, const std::string &key, const json &value);
+    void remove(const std::string &table, const std::string &key);
 
     /// @brief Called for each transaction that was refused as too large; receives the reason.
     void setRefusalHandler(std::function<void(const std::string &)> handler)
@@ -57,6 +64,12 @@
         bool isAnswered = false;
     };
 
+    struct Way
+    {
+        std::unique_ptr<http::Server> server;
+        bool isCut = false;
+    };
+
     void handle(const http::Request &request, const http::Responder &respond);
     http::Response transact(const http::Request &request);
     http::Response read(const std::map<std::string, std::string> &query) const;
@@ -68,7 +81,7 @@
     void notifyWatches();
 
     boost::asio::io_context &loop_;
-    http::Server server_;
+    std::vector<std::unique_ptr<Way>> ways_;
     std::map<Key, Row> rows_;
     std::map<std::string, std::map<std::int64_t, std::map<Key, int>>> keysByVersion_;
     std::list<std::shared_ptr<Watch>> watches_;
