--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -27,6 +27,7 @@
 constexpr auto kHeartbeat = 1'500ms;
 constexpr auto kDeadline = 3'000ms;
 constexpr auto kGrace = 6'000ms;
+constexpr auto kRestartDelay = 2'500ms;
 constexpr int kOk = 200;
 
 std::string address(std::uint16_t port)
@@ -48,9 +49,10 @@
 }
 
 Deployment::Deployment(Record &record, int daemons, const std::vector<RunnerSetup> &runners,
-                       bool isTerse)
+                       bool isTerse, const std::string &sparePool)
     : record_(record)
     , store_(std::make_unique<Store>(loop_))
+    , sparePool_(sparePool)
     , beatTimer_(loop_)
 {
     std::string directory = std::filesystem::temp_directory_path() / "chicorywick-review-XXXXXX";
@@ -59,6 +61,7 @@
     directory_ = directory;
     log_.isTerse = isTerse;
     machines_ = std::make_unique<Machines>(loop_, *store_, log_, record_);
+    machines_->setSparePool(sparePool);
     for (const RunnerSetup &setup : runners) {
         machines_->add(setup);
         services_.insert(setup.service);
@@ -122,7 +125,8 @@
                                     {"stretch", 1.6},
                                     {"target_completion_ms", 600}});
     for (const std::string &service : services_)
-        config["services"].push_back({{"name", service}, {"enforces_capacity", true}});
+        config["services"].push_back(
+                {{"name", service}, {"enforces_capacity", true}, {"spare", service == sparePool_}});
     onLoop([&] { store_->put("op", "config", config); });
     record_.add("operator", "writes configuration " + std::to_string(version));
 }
@@ -270,6 +274,32 @@
     record_.add("trouble", stopped.name + " has ended");
 }
 
+// The platform starts a process that has ended again after a short delay.
+void Deployment::restartEnded()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (Daemon &daemon : daemons_) {
+        if (daemon.process > 0 && ::waitpid(daemon.process, nullptr, WNOHANG) == daemon.process) {
+            daemon.process = 0;
+            daemon.endedAt = now;
+            ++daemon.ends;
+            record_.add("platform", daemon.name + " has ended by itself");
+        }
+        if (daemon.process == 0 && daemon.ends > 0 && now - daemon.endedAt > kRestartDelay) {
+            startDaemon(daemon);
+            record_.add("platform", daemon.name + " is started again");
+        }
+    }
+}
+
+std::vector<int> Deployment::ends() const
+{
+    std::vector<int> counts;
+    for (const Daemon &daemon : daemons_)
+        counts.push_back(daemon.ends);
+    return counts;
+}
+
 void Deployment::setCutFromStore(int daemon, bool isCut)
 {
     onLoop([&] { store_->setCut(static_cast<std::size_t>(daemon), isCut); });
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -42,7 +42,7 @@
 {
 public:
     Deployment(Record &record, int daemons, const std::vector<RunnerSetup> &runners,
-               bool isTerse = false);
+               bool isTerse = false, const std::string &sparePool = {});
     ~Deployment();
     Deployment(const Deployment &) = delete;
     Deployment &operator=(const Deployment &) = delete;
@@ -69,6 +69,12 @@
     /// @brief Stops a daemon as the platform does: SIGTERM, and SIGKILL after grace_s.
     void stop(int daemon);
 
+    /// @brief Starts the daemons again that have ended by themselves, after a pause.
+    void restartEnded();
+
+    /// @brief How often each daemon has ended by itself.
+    std::vector<int> ends() const;
+
     /// @brief Cuts a daemon off from the store, or ends that.
     void setCutFromStore(int daemon, bool isCut);
 
@@ -90,6 +96,8 @@
         std::vector<std::uint16_t> ports;
         std::uint16_t storePort = 0;
         pid_t process = 0;
+        int ends = 0; ///< by itself
+        std::chrono::steady_clock::time_point endedAt;
         std::unique_ptr<http::Client> client;
         std::unique_ptr<http::Client> readiness;
     };
@@ -107,6 +115,7 @@
     std::unique_ptr<Store> store_;
     std::unique_ptr<Machines> machines_;
     std::set<std::string> services_;
+    std::string sparePool_;
     std::vector<boost::asio::ip::tcp::acceptor> reservations_;
     std::uint16_t closedPort_ = 0;
     std::vector<Daemon> daemons_;
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -7,10 +7,11 @@
 int main(int argc, char **argv)
 {
     using namespace chicorywick::review;
-    const std::map<std::string, Case> cases = {
-            {"foreign-entry", foreignEntry}, {"moved-queue", movedQueue},
-            {"clean-exit", cleanExit},       {"spread-jobs", spreadJobs},
-            {"large-job", largeJob},         {"cut-in-wave", cutInWave}};
+    const std::map<std::string, Case> cases = {{"control-down", controlDown},
+                                               {"moved-queue", movedQueue},
+                                               {"clean-exit", cleanExit},
+                                               {"spread-jobs", spreadJobs},
+                                               {"cut-in-wave", cutInWave}};
     constexpr int kCouldNotRun = 2;
     const auto chosen = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (chosen == cases.end()) {
