Do not move a machine on a list that is older than its last move

Cause: while the machine control answers 503, the list of machines stays as it was. A machine that had moved out of the spare pool since was still listed there, so PoolBalancer::movable() offered it twice: as a spare machine and as the idle worker that it had become. One pass planned both moves. The first rejection erased the entry that the second answer read. The outdated list also offered a machine whose worker was at work, so a move could end its tasks; that happened in the test, not in the case.

Change: a listed machine counts as spare only if no order that may have moved it was answered, and no worker of another pool has joined on it, since the list was requested. The second condition covers the moves of a former leader. A machine is in one move at a time.

Evidence: entry_tests on the former code: "a machine is in one move only while the list of machines is older than its last one" orders the machine twice and throws "map::at"; "a machine whose worker has joined since the list was read does not count as spare" fails for moves of this leader and of its predecessor.

Ruled out: an entry that is erased while its answer is awaited by another path; updateMoves(), keep() and handOver() touch settled moves only.

--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -76,6 +76,9 @@
     const scheduler::Millis now = hooks_.clock().steady;
     std::erase_if(unansweredAt_,
                   [now](const auto &item) { return now - item.second > kLateOrderMs; });
+    std::erase_if(movedAt_, [listedAt = inventory_.snapshotTime()](const auto &item) {
+        return item.second < listedAt;
+    });
     std::set<std::string> joined;
     for (const scheduler::WorkerView &view : scheduler_.workers()) {
         const auto move = moving_.find(view.entry.machine);
@@ -226,12 +229,30 @@
     return lending_.isInOpenWave && lending_.isInOpenWave(machine);
 }
 
+// The list of machines can be older than the last move of a machine: by seconds while the platform's
+// machine control is down. A machine that has left the spare pool since may run tasks.
+std::set<std::string> PoolBalancer::spareMachines(const Views &views) const
+{
+    const scheduler::Millis listedAt = inventory_.snapshotTime();
+    std::set<std::string> spare;
+    for (const auto &[name, machine] : inventory_.machines()) {
+        const auto moved = movedAt_.find(name);
+        const bool hasMovedSince = moved != movedAt_.end() && moved->second >= listedAt;
+        if (machine.pool == sparePool_ && machine.state == MachineState::Up && !hasMovedSince)
+            spare.insert(name);
+    }
+    for (const scheduler::WorkerView &view : views)
+        if (view.entry.service != sparePool_ && view.joinedAt >= listedAt)
+            spare.erase(view.entry.machine);
+    return spare;
+}
+
 std::vector<scheduler::MovableMachine> PoolBalancer::movable(const Views &views) const
 {
     std::vector<scheduler::MovableMachine> movableMachines;
     const scheduler::Millis now = hooks_.clock().steady;
-    for (const auto &[name, machine] : inventory_.machines())
-        if (machine.pool == sparePool_ && machine.state == MachineState::Up && mayMove(name))
+    for (const std::string &name : spareMachines(views))
+        if (mayMove(name))
             movableMachines.push_back({.machine = name,
                                        .pool = sparePool_,
                                        .isInSparePool = true,
@@ -249,8 +270,11 @@
     return movableMachines;
 }
 
+// The answer to an order belongs to the move that sent it, so a machine is in one move at a time.
 void PoolBalancer::begin(const scheduler::PoolMove &move, const Views &views)
 {
+    if (moving_.contains(move.machine))
+        return;
     // The scheduler's view is used because the inventory may be older than the current worker.
     std::string worker;
     scheduler::Millis incarnation = 0;
@@ -295,6 +319,8 @@
                     {"status", std::to_string(static_cast<int>(status))}});
     const scheduler::Millis now = hooks_.clock().steady;
     move.isAwaitingAnswer = false;
+    if (status == MachineOrderStatus::Accepted || status == MachineOrderStatus::Unknown)
+        movedAt_[machine] = now;
     if (status == MachineOrderStatus::Unknown) {
         unansweredAt_[machine] = now;
     } else if (status == MachineOrderStatus::Accepted) {
--- a/packages/entry/src/pool_balancer.h
+++ b/packages/entry/src/pool_balancer.h
@@ -84,6 +84,7 @@
     std::map<std::string, int> joiningMachines(const Views &views) const;
     bool mayMove(const std::string &machine) const;
     bool isInOpenWave(const std::string &machine) const;
+    std::set<std::string> spareMachines(const Views &views) const;
     std::vector<scheduler::MovableMachine> movable(const Views &views) const;
     void begin(const scheduler::PoolMove &move, const Views &views);
     void send(const std::string &machine);
@@ -119,6 +120,8 @@
     /// When the last order without an answer became known, by machine; until it cannot be carried
     /// out any more.
     std::map<std::string, scheduler::Millis> unansweredAt_;
+    /// When the last order that has, or may have, moved a machine was answered or timed out.
+    std::map<std::string, scheduler::Millis> movedAt_;
     std::map<std::string, Emptying> emptying_;                 ///< by machine
     std::map<std::string, scheduler::Millis> notEmptiedUntil_; ///< by machine
     std::vector<Loan> loans_; ///< that the other cells may not have counted yet
--- a/packages/entry/src/pool_balancer_test.cpp
+++ b/packages/entry/src/pool_balancer_test.cpp
@@ -50,7 +50,8 @@
     std::string pool;
 };
 
-// Answers the first move order as unknown and later ones with a given status.
+// Answers the first move order and later ones with given statuses. While it is down, it lists no
+// machines, and answers arrive only when the test asks for them.
 class LateMachines : public MachinePort
 {
 public:
@@ -58,25 +59,49 @@
         : now_(now)
     {}
 
-    void list(Callback<std::vector<Machine>> done) override { done(machines); }
+    void list(Callback<std::vector<Machine>> done) override
+    {
+        if (isDown)
+            done(base::makeError(base::Code::PlatformUnavailable, "down"));
+        else
+            done(machines);
+    }
     void move(const std::string &machine, const std::string &pool, std::int64_t /*fence*/,
               scheduler::OrderValidity /*validity*/,
               std::function<void(MachineOrderStatus)> done) override
     {
         orders.push_back({.at = now_, .machine = machine, .pool = pool});
-        done(orders.size() == 1 ? MachineOrderStatus::Unknown : laterAnswer);
+        if (isDown)
+            held_.push_back(std::move(done));
+        else
+            done(orders.size() == 1 ? firstAnswer : laterAnswer);
+    }
+    int ordersOf(const std::string &machine, const std::string &pool) const
+    {
+        return static_cast<int>(
+                std::count_if(orders.begin(), orders.end(), [&](const MoveOrder &order) {
+                    return order.machine == machine && order.pool == pool;
+                }));
+    }
+    void rejectHeldOrders()
+    {
+        for (const auto &done : std::exchange(held_, {}))
+            done(MachineOrderStatus::Unavailable);
     }
     void maintain(const std::string & /*machine*/, std::int64_t /*wave*/, std::int64_t /*fence*/,
                   scheduler::OrderValidity /*validity*/,
                   std::function<void(MachineOrderStatus)> /*done*/) override
     {}
 
+    bool isDown = false;
     std::vector<Machine> machines;
     std::vector<MoveOrder> orders;
+    MachineOrderStatus firstAnswer = MachineOrderStatus::Unknown;
     MachineOrderStatus laterAnswer = MachineOrderStatus::Unavailable;
 
 private:
     const scheduler::Millis &now_;
+    std::vector<std::function<void(MachineOrderStatus)>> held_;
 };
 
 // The platform may carry out an order without an answer up to this long after it was sent.
@@ -306,4 +331,58 @@
     CHECK(fixture.hasMoved("spare", "t"));
 }
 
+// Guards against a leader that ends with std::out_of_range while the machine control is down
+// (review/7): it planned two moves of one machine in one pass, one from the outdated list of the
+// spare pool and one from the pool that the machine had joined since.
+TEST_CASE("a machine is in one move only while the list of machines is older than its last one")
+{
+    LateMoveFixture fixture;
+    fixture.machines.firstAnswer = MachineOrderStatus::Accepted;
+    fixture.addWorker("other", "m", "t");
+    fixture.listMachine("spare", "off");
+    fixture.addJob("a", "s", 2);
+    fixture.playToFirstOrder();
+    REQUIRE(fixture.hasMoved("spare", "s"));
+    fixture.machines.isDown = true;
+    fixture.scheduler.cancelJob("a");
+    fixture.playUntil(fixture.now + 2'000); // until the demand of its pool has subsided
+    fixture.addWorker("joined", "spare", "s");
+    fixture.playUntil(fixture.now + 500);
+    // Not idle for long enough to move; with them, the pool has a machine to spare.
+    for (const std::string number : {"0", "1", "2"})
+        fixture.addWorker("w" + number, "m" + number, "s");
+    fixture.addJob("b", "t", 8);
+    fixture.playUntil(fixture.now + 200);
+    CHECK(fixture.machines.ordersOf("spare", "t") == 1);
+    CHECK_NOTHROW(fixture.machines.rejectHeldOrders());
+}
+
+// Guards against the end of tasks on a machine that an outdated list still shows in the spare pool.
+TEST_CASE("a machine whose worker has joined since the list was read does not count as spare")
+{
+    for (const bool isMovedHere : {true, false}) {
+        CAPTURE(isMovedHere);
+        LateMoveFixture fixture;
+        fixture.machines.firstAnswer = MachineOrderStatus::Accepted;
+        fixture.addWorker("w0", "m0", "s");
+        fixture.addWorker("w1", "m1", "t");
+        fixture.listMachine("spare", "off");
+        if (isMovedHere) {
+            fixture.addJob("a", "s", 2);
+            fixture.playToFirstOrder();
+        } else {
+            fixture.playUntil(fixture.now + 200);
+        }
+        fixture.machines.isDown = true;
+        // Without an order of this leader, its predecessor has moved the machine.
+        fixture.addWorker("joined", "spare", "s");
+        fixture.scheduler.rosterStored(fixture.scheduler.roster());
+        fixture.addJob("c", "s", 3);
+        REQUIRE(fixture.tasksOn("joined") == 1);
+        fixture.addJob("b", "t", 8);
+        fixture.playUntil(fixture.now + 3'000);
+        CHECK(!fixture.hasMoved("spare", "t"));
+    }
+}
+
 } // namespace chicorywick::entry
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -70,6 +70,7 @@
     /// It runs nothing, all its ends are stored, and no order to it has failed lately.
     bool isTransferable = false;
     Millis idleSince = 0;
+    Millis joinedAt = 0; ///< when the scheduler learned of this incarnation
 
     bool operator==(const WorkerView &) const = default;
 };
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -391,7 +391,8 @@
                         .isCordoned = !worker->cordons.empty(),
                         .mayRunUnknownTasks = !worker->hasResponded && !worker->isReplaced
                                               && !isLeaseExpired(*worker),
-                        .idleSince = worker->idleSince};
+                        .idleSince = worker->idleSince,
+                        .joinedAt = worker->addedAt};
         view.isTransferable = view.isUsable && view.tasks == 0 && worker->unstoredEnds.empty()
                               && !worker->isSuspect && worker->restartSuspectedAt == 0
                               && worker->quarantinedUntil <= now;
