Do not wait for an upkeep that was done before it was ordered

Cause: a leader stores that an upkeep was ordered once the answer is there. Its successor, which did not find that, ordered the same upkeep again. The platform answers 200 also if the upkeep is done already, and WaveRunner then waited for a worker other than the one that had joined after the upkeep. That worker and those of the next two machines stayed cordoned without end.

Change: a machine has returned once a list of machines that was requested after its order was accepted shows it up, whichever worker it has. A machine whose upkeep has begun is listed as in maintenance until then. Whether an order was accepted is kept with the order itself: the set of started machines can come from a row that a former leader has stored while the own order is on its way.

Evidence: entry_tests: "an upkeep that was done before it is ordered again does not hold up the wave" fails on the former code in three checks (the second machine is never ordered, the wave does not complete, workers stay cordoned). "a machine keeps its place in the wave until a list shows it up after its order" holds on both and guards the limit of the wave.

Ruled out: storing the order before it is sent. The order may still not have been carried out, so the successor would have to repeat it anyway.

--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -103,9 +103,10 @@
            || (ledger_ && ledger_->maintainedFor(machine).contains(wave.request.number));
 }
 
-// A machine has returned when it is no longer listed, or when a list requested after the answer to
-// its order shows it up with a different worker. Before the answer, such a worker may have joined
-// after a crash, and the upkeep may still begin.
+// A machine has returned when it is no longer listed, or when a list requested after its order was
+// accepted shows it up. The worker says nothing: before the answer another one may have joined
+// after a crash, and it stays the same if the upkeep was done for a former leader, whose order is
+// accepted a second time without effect.
 void WaveRunner::updateReturned()
 {
     const scheduler::Millis now = hooks_.clock().steady;
@@ -113,14 +114,12 @@
     for (auto &[number, wave] : waves_)
         for (auto item = wave.down.begin(); item != wave.down.end();) {
             const auto &[machine, upkeep] = *item;
-            const bool isAnswered = wave.startedMachines.contains(machine);
             const auto listed = machines.find(machine);
             const bool hasReturned =
                     listed == machines.end()
-                    || (isAnswered && listed->second.state == MachineState::Up
-                        && (upkeep.worker.empty() || listed->second.workerId != upkeep.worker)
+                    || (upkeep.isAccepted && listed->second.state == MachineState::Up
                         && upkeep.orderedAt < inventory_.snapshotTime());
-            const bool isStale = !isAnswered && !upkeep.isAwaitingAnswer
+            const bool isStale = !upkeep.isAccepted && !upkeep.isAwaitingAnswer
                                  && now - upkeep.unansweredAt > kLateOrderMs;
             item = hasReturned || isStale ? wave.down.erase(item) : std::next(item);
         }
@@ -186,7 +185,7 @@
     for (const auto &[machine, upkeep] : wave.down) {
         cordon(upkeep.worker);
         const auto listed = machines.find(machine);
-        if (listed == machines.end() || wave.startedMachines.contains(machine))
+        if (listed == machines.end() || upkeep.isAccepted)
             continue;
         if (const auto worker = workers.find(machine); worker != workers.end())
             cordon(worker->second.entry.id);
@@ -240,7 +239,8 @@
         return; // it is no longer listed
     Upkeep &upkeep = item->second;
     upkeep.isAwaitingAnswer = false;
-    if (status == MachineOrderStatus::Accepted)
+    upkeep.isAccepted = status == MachineOrderStatus::Accepted;
+    if (upkeep.isAccepted)
         upkeep.orderedAt = hooks_.clock().steady;
     else if (status == MachineOrderStatus::Unknown)
         upkeep.unansweredAt = hooks_.clock().steady;
--- a/packages/entry/src/wave_runner.h
+++ b/packages/entry/src/wave_runner.h
@@ -56,6 +56,7 @@
         /// When the last order without an answer became known; 0: none.
         scheduler::Millis unansweredAt = 0;
         bool isAwaitingAnswer = false;
+        bool isAccepted = false;
     };
     struct Wave
     {
--- a/packages/entry/src/wave_runner_test.cpp
+++ b/packages/entry/src/wave_runner_test.cpp
@@ -21,7 +21,7 @@
     std::string machine;
 };
 
-// Answers the first upkeep order of each machine as unknown and later ones with a given status.
+// Answers the first upkeep order of each machine and later ones with given statuses.
 class LateUpkeeps : public MachinePort
 {
 public:
@@ -40,7 +40,7 @@
     {
         const int earlier = ordersOf(machine);
         orders.push_back({.at = now_, .machine = machine});
-        done(earlier == 0 ? MachineOrderStatus::Unknown : laterAnswer);
+        done(earlier == 0 ? firstAnswer : laterAnswer);
     }
 
     int ordersOf(const std::string &machine) const
@@ -53,6 +53,7 @@
 
     std::vector<Machine> machines;
     std::vector<UpkeepOrder> orders;
+    MachineOrderStatus firstAnswer = MachineOrderStatus::Unknown;
     MachineOrderStatus laterAnswer = MachineOrderStatus::Unavailable;
 
 private:
@@ -103,6 +104,12 @@
                                      .state = MachineState::Up,
                                      .rack = "r"});
     }
+    void setState(const std::string &name, MachineState state)
+    {
+        for (Machine &machine : machines.machines)
+            if (machine.name == name)
+                machine.state = state;
+    }
     void playUntil(scheduler::Millis end)
     {
         constexpr scheduler::Millis kTickMs = 100;
@@ -209,4 +216,35 @@
     CHECK(fixture.machines.ordersOf("m0") == before);
 }
 
+// Guards against a wave that waits without end, and keeps sound workers without tasks, for a machine
+// whose upkeep had been done under a former leader that could not store it (review/8).
+TEST_CASE("an upkeep that was done before it is ordered again does not hold up the wave")
+{
+    LateUpkeepFixture fixture(3, 1);
+    fixture.machines.firstAnswer = MachineOrderStatus::Accepted;
+    const scheduler::Millis first = fixture.playToOrders(1);
+    fixture.playUntil(first + 2'000);
+    CHECK(fixture.machines.ordersOf("m1") == 1);
+    fixture.playUntil(first + 6'000);
+    CHECK(fixture.operators.isCompleted);
+    CHECK(fixture.cordonedWorkers() == 0);
+    CHECK(fixture.machines.ordersOf("m0") == 1);
+}
+
+// Guards against more machines of a wave in maintenance than it allows: a list that was requested
+// before the order was accepted still shows the machine up.
+TEST_CASE("a machine keeps its place in the wave until a list shows it up after its order")
+{
+    LateUpkeepFixture fixture(2, 1);
+    fixture.machines.firstAnswer = MachineOrderStatus::Accepted;
+    const scheduler::Millis first = fixture.playToOrders(1);
+    fixture.setState("m0", MachineState::InMaintenance);
+    fixture.playUntil(first + 3'000);
+    CHECK(fixture.machines.ordersOf("m1") == 0);
+    CHECK(!fixture.operators.isCompleted);
+    fixture.addWorker("next", "m0");
+    fixture.playUntil(first + 5'000);
+    CHECK(fixture.machines.ordersOf("m1") == 1);
+}
+
 } // namespace chicorywick::entry
