Look behind waiting steps that use up the limit of a placement pass

Cause: a placement pass ended after 24 steps that fit nowhere. A step that only its limit per worker keeps waiting counted as one, and rules out no other step, so 24 of them at the head of the queue hid all steps behind them for as long as their tasks ran. Lasting jobs of that kind did the same ("Not built" in docs/platform.md).

Change: the limit counts the workers that were examined in vain (those of 24 steps, and at least 500) in place of steps: what it bounds is time, and a small service has few workers. Passes of ticks also scan a further part of the queue, each from where the former one has ended, so that every waiting step is looked at, however long the queue is. Passes of events scan the head only, as before.

Evidence: scheduler_tests: "a task that fits starts behind many jobs that wait for their limit per worker" fails on the former code (the small task is not started, 0 == 1), as does "a task that fits starts behind waiting steps that use up the limit of a pass" (80 workers, also with perpetual tasks). Both pass now. The tests that bound the workers examined per pass and per start hold unchanged.

Ruled out: no limit at all (a long queue of different steps would cost each event seconds on a large pool); a larger number of steps (the same fault with more jobs).

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -343,12 +343,16 @@
 
     // Placement (scheduler_placing.cpp)
     void requestPlacement();
-    void place();
+    /// How far a pass looks for steps that fit when many before them do not.
+    enum class PlacementDepth { Head, Further };
+    void place(PlacementDepth depth = PlacementDepth::Head);
     /// How the placement of a step's tasks has ended.
     enum class StepOutcome { Placed, Unplaceable, LabelUnmet };
-    void placeService(const std::string &service);
+    void placeService(const std::string &service, PlacementDepth depth);
+    std::optional<ReadyKey> scanQueue(const std::string &service, const ReadyQueue &queue,
+                                      const std::optional<ReadyKey> &from, WorkerList &open);
     StepOutcome placeStep(const ReadyQueue &queue, const ReadyKey &key, bool isKnownUnplaceable,
-                          WorkerList &open);
+                          WorkerList &open, std::uint64_t &fruitlessLooks);
     WorkerList openWorkers(const std::string &service, const Resources &demand);
     void closeFullWorkers(WorkerList &open, const Resources &demand) const;
     void markAllServicesForPlacement();
@@ -411,6 +415,7 @@
     std::unordered_map<std::string, std::vector<Worker *>> workersByMachine_;
     std::map<std::string, ReadyQueue> ready_; ///< by service
     std::set<std::string> servicesToPlace_;   ///< queue or free capacity has changed
+    std::map<std::string, ReadyKey> scanCursors_; ///< where the latest further scan ended
     std::uint64_t rosterRevision_ = 1;
     std::uint64_t examinedWorkers_ = 0;
     std::uint64_t examinedSteps_ = 0;
--- a/packages/scheduler/src/scheduler_cost_test.cpp
+++ b/packages/scheduler/src/scheduler_cost_test.cpp
@@ -21,6 +21,18 @@
     }
 }
 
+// Submits jobs of which one task each has to wait for a worker of its own.
+void submitSpread(SchedulerFixture &fixture, int jobs, int workers, bool isPerpetual = false)
+{
+    for (int i = 0; i < jobs; ++i) {
+        StepSpec spread = step(workers + 1);
+        spread.demand = {.cpuMillis = 10, .memoryMib = 1};
+        spread.maxPerWorker = 1;
+        spread.isPerpetual = isPerpetual;
+        fixture.submit("spread" + std::to_string(i), {spread});
+    }
+}
+
 } // namespace
 
 // Guards against a pass that looks at every worker for each of the demands that fit nowhere.
@@ -79,4 +91,44 @@
     CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against jobs that stay pending on almost empty workers, because a placement pass ended at
+// the jobs before them that only their limit per worker kept waiting (review/10).
+TEST_CASE("a task that fits starts behind many jobs that wait for their limit per worker")
+{
+    for (const int jobs : {24, 200}) {
+        CAPTURE(jobs);
+        constexpr int kWorkers = 6;
+        SchedulerFixture fixture;
+        fixture.workers.workMs = 0;
+        fixture.addWorkers(kWorkers);
+        fixture.run(500);
+        submitSpread(fixture, jobs, kWorkers);
+        fixture.run(500);
+        REQUIRE(fixture.workers.runningCount() == jobs * kWorkers);
+        fixture.submit("small", {step(1)});
+        fixture.run(500);
+        CHECK(fixture.workers.startsOf({.job = "small"}) == 1);
+    }
+}
+
+// Guards against the same with perpetual tasks at the head of the queue, and on a pool so large that
+// the waiting steps use up the cost limit of a pass.
+TEST_CASE("a task that fits starts behind waiting steps that use up the limit of a pass")
+{
+    constexpr int kWorkers = 80;
+    for (const bool isPerpetual : {false, true}) {
+        CAPTURE(isPerpetual);
+        SchedulerFixture fixture;
+        fixture.workers.workMs = 0;
+        fixture.addWorkers(kWorkers);
+        fixture.run(500);
+        submitSpread(fixture, 100, kWorkers, isPerpetual);
+        fixture.run(1'000);
+        REQUIRE(fixture.workers.runningCount() == 100 * kWorkers);
+        fixture.submit("small", {step(1)});
+        fixture.run(2'000);
+        CHECK(fixture.workers.startsOf({.job = "small"}) == 1);
+    }
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -267,7 +267,7 @@
     expireSilences();
     // Quarantines and capacity back-offs of workers end without an event.
     markAllServicesForPlacement();
-    place();
+    place(PlacementDepth::Further);
     reportWaiting();
 }
 
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-// Limits of one pass: steps that fit on no worker although one has the resources, and steps
-// examined. Both bound the work per event when a queue is much longer than its pool can run.
-constexpr int kMaxUnplaceable = 24;
+// Limits of one scan of the queue: workers examined for steps that fit on none of them, given as a
+// number of steps, but at least a number of workers, and steps examined. They bound the work per
+// event when a queue is much longer than its pool can run.
+constexpr std::uint64_t kMaxUnplaceable = 24;
+constexpr std::uint64_t kMinFruitlessLooks = 500;
 constexpr int kMaxExaminedSteps = 400;
 
 // True if a worker that cannot run a task of the other step cannot run one of this step either.
@@ -31,18 +33,21 @@
         servicesToPlace_.insert(service);
 }
 
-void Scheduler::place()
+void Scheduler::place(PlacementDepth depth)
 {
     if (isPlacing_ || !mayStartTasks())
         return;
     isPlacing_ = true;
     // Services that change during the pass are handled at the next event.
     for (const std::string &service : std::exchange(servicesToPlace_, {}))
-        placeService(service);
+        placeService(service, depth);
     isPlacing_ = false;
 }
 
-void Scheduler::placeService(const std::string &service)
+// Each pass scans the queue from its head. The steps behind the limit of that scan can fit although
+// the ones before them do not, so the passes of ticks also scan a further part, each where the
+// former one has ended.
+void Scheduler::placeService(const std::string &service, PlacementDepth depth)
 {
     const auto found = ready_.find(service);
     if (found == ready_.end() || found->second.empty())
@@ -52,20 +57,38 @@
     WorkerList open = openWorkers(service, queue.smallestDemand());
     placeTrials(service, open);
     closeFullWorkers(open, queue.smallestDemand());
+    const auto end = scanQueue(service, queue, {}, open);
+    if (depth == PlacementDepth::Head)
+        return;
+    const auto cursor = scanCursors_.extract(service);
+    if (!end)
+        return;
+    const ReadyKey from = cursor ? std::max(*end, cursor.mapped()) : *end;
+    if (const auto next = scanQueue(service, queue, from, open))
+        scanCursors_.emplace(service, *next);
+}
+
+// Places the tasks of waiting steps from a key on, or from the head of the queue, until the limits
+// of a scan are reached. Returns the next key, or none at the end of the queue.
+std::optional<ReadyKey> Scheduler::scanQueue(const std::string &service, const ReadyQueue &queue,
+                                             const std::optional<ReadyKey> &from, WorkerList &open)
+{
     const bool hasSilentWorker = hasSilentInheritedWorker(service);
     const Millis now = hooks_.clock().steady;
+    const std::uint64_t maxFruitlessLooks =
+            std::max(kMinFruitlessLooks, kMaxUnplaceable * workersFor(service).size());
     std::vector<const StepSpec *> unplaceableSteps;
-    int unplaceableCount = 0;
+    std::uint64_t fruitlessLooks = 0;
     int examined = 0;
-    for (auto item = queue.steps().begin();
-         item != queue.steps().end() && unplaceableCount < kMaxUnplaceable
-         && examined < kMaxExaminedSteps;
-         ++examined) {
+    for (auto item = from ? queue.steps().lower_bound(*from) : queue.steps().begin();
+         item != queue.steps().end(); ++examined) {
+        if (fruitlessLooks >= maxFruitlessLooks || examined >= kMaxExaminedSteps)
+            return item->first;
         const auto &[key, ready] = *item;
         const StepSpec &step = ready.spec(key);
         // Perpetual tasks come first; they reserve workers also in a full service.
         if (open.empty() && !step.isPerpetual)
-            break;
+            return std::nullopt;
         ++examinedSteps_;
         const bool hasRoom = std::any_of(open.begin(), open.end(),
                                          [&demand = ready.demand](const Worker *worker) {
@@ -84,28 +107,36 @@
             continue;
         }
         const ReadyKey current = key;
-        const StepOutcome outcome = placeStep(queue, current, isKnownUnplaceable, open);
+        std::uint64_t looks = 0;
+        const StepOutcome outcome = placeStep(queue, current, isKnownUnplaceable, open, looks);
         item = queue.steps().upper_bound(current); // placement may have removed the step
         if (outcome == StepOutcome::Placed)
             continue;
         // A label that no worker has costs one look, however many tasks require it.
-        unplaceableCount += outcome == StepOutcome::LabelUnmet ? 0 : 1;
-        if (!isKnownUnplaceable && !step.isGang)
+        if (outcome == StepOutcome::Unplaceable)
+            fruitlessLooks += looks;
+        if (!isKnownUnplaceable && !step.isGang && unplaceableSteps.size() < kMaxUnplaceable)
             unplaceableSteps.push_back(&step);
     }
+    return std::nullopt;
 }
 
 // Places the waiting tasks of a step until one fits nowhere; the others do not fit either, and
-// those of a perpetual step reserve workers.
+// those of a perpetual step reserve workers. Counts the workers examined since the last task was
+// placed.
 Scheduler::StepOutcome Scheduler::placeStep(const ReadyQueue &queue, const ReadyKey &key,
-                                            bool isKnownUnplaceable, WorkerList &open)
+                                            bool isKnownUnplaceable, WorkerList &open,
+                                            std::uint64_t &fruitlessLooks)
 {
+    std::uint64_t looksBefore = examinedWorkers_;
+    const auto countLooks = [&] { fruitlessLooks = examinedWorkers_ - looksBefore; };
     const ReadyStep &ready = queue.steps().at(key);
     const StepSpec &step = ready.spec(key);
     JobEntry &entry = *entryOf(ready.job->spec().id);
     TaskId id = ready.id(key, *ready.tasks.begin());
     if (step.isGang) {
         const bool isPlaced = tryPlaceGang(entry, id, open);
+        countLooks();
         if (isPlaced)
             closeFullWorkers(open, queue.smallestDemand());
         return isPlaced ? StepOutcome::Placed : StepOutcome::Unplaceable;
@@ -125,6 +156,7 @@
     for (int last = -1; isPlaced && hasNext(last); last = id.index) {
         if (!queue.trials().empty() && queue.trials().contains({key, id}))
             continue; // placeTrials() has tried
+        looksBefore = examinedWorkers_;
         isPlaced = !isKnownUnplaceable && tryPlace(entry, id, open);
         if (isPlaced)
             closeFullWorkers(open, queue.smallestDemand());
@@ -136,6 +168,7 @@
         }
         closeFullWorkers(open, queue.smallestDemand());
     }
+    countLooks();
     return isLabelUnmet(step, policyOf(entry.job)->service) ? StepOutcome::LabelUnmet
                                                             : StepOutcome::Unplaceable;
 }
@@ -289,6 +322,7 @@
     Worker *mostFree = nullptr;
     const Millis now = hooks_.clock().steady;
     for (Worker *const worker : workersFor(entry.job)) {
+        ++examinedWorkers_;
         const bool isCandidate = isUsable(*worker, now) && !reserved_.contains(worker->entry.id)
                                  && canTakeLater(*worker, step, id);
         if (!isCandidate)
