Start perpetual tasks again that end as done

Callers saw: a task of a lasting job whose program exited without an error stood still for good, while one that failed started again at once.

Cause: handleEnd() marked each task as done whose end says so, also one of a perpetual step.

Change: the end of a perpetual task as done puts it back into the queue. For a gang one such end represents all members: the others are stopped and start again with it once their runs are known to have ended. Perpetual tasks that a former version has stored as done are not restored as done.

Ruled out: completing the job when all its tasks have ended as done.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -251,6 +251,7 @@
     void handleEnd(Worker &worker, const EndedTask &end);
     void logEndedEarly(const JobEntry &entry, const Worker &worker, const EndedTask &end) const;
     void handleDone(JobEntry &entry, const EndedTask &end, const std::string &workerId);
+    void restartPerpetual(JobEntry &entry, const Worker &worker, const EndedTask &end);
     void releaseDone(const TaskId &id, Task &task, const EndedTask &end,
                      const std::string &workerId);
     void finishPartlyDoneGangs(JobEntry &entry);
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -82,13 +82,15 @@
     /// @brief Changes the capacity of a running worker and returns its new discovery entry.
     WorkerEntry setCapacity(const std::string &id, Resources capacity);
 
-    /// @brief Returns how a run ends; by default it succeeds after workMs.
+    /// @brief Returns how a run ends after workMs; by default it succeeds.
     std::function<EndKind(const TaskId &, std::int64_t run)> outcome;
     /// @brief True for a task that crashes each worker soon after its start; by default none does.
     std::function<bool(const TaskId &)> crashesWorker;
     Millis crashDelayMs = 10;
     Millis downMs = 3'200; ///< time after a crash until the worker is back as a new incarnation
     std::function<void(const WorkerEntry &)> onRestart;
+    /// Jobs whose tasks run on unless `outcome` ends them, and must start again however they end.
+    std::set<std::string> perpetualJobs;
     /// Called for each run that starts; it is late if its order was executed seconds after sending.
     std::function<void(const std::string &worker, const TaskId &task, bool isLate)> onStarted;
     /// Called for each run that ends; it is late if a stop that was executed seconds after sending
@@ -136,7 +138,6 @@
         std::int64_t run = 0;
         std::string checkpoint;
         Millis startedAt = 0;
-        bool isPerpetual = false;
     };
     struct Worker
     {
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -119,6 +119,7 @@
     return begun;
 }
 
+// Former versions stored perpetual tasks as done that had ended so.
 void Job::restore(const JobProgress &progress, Millis steady)
 {
     isCompleted_ = progress.state == JobState::Completed;
@@ -133,7 +134,8 @@
         for (std::size_t step = 0; step < open.doneTasks.size() && step < spec_.steps.size();
              ++step)
             for (const int index : open.doneTasks[step]) {
-                if (index < 0 || index >= spec_.steps[step].taskCount)
+                if (index < 0 || index >= spec_.steps[step].taskCount
+                    || spec_.steps[step].isPerpetual)
                     continue;
                 occurrence.steps[step][static_cast<std::size_t>(index)].phase = TaskPhase::Done;
                 ++occurrence.doneCounts[step];
@@ -185,6 +187,8 @@
                                        });
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
             for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                if (spec_.steps[step].isPerpetual)
+                    continue;
                 // A begun occurrence that is not in the stored progress has finished.
                 const bool isDone = open == progress.open.end()
                                     || (step < open->doneTasks.size()
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -130,6 +130,26 @@
         enqueueReady(entry);
 }
 
+// A perpetual task runs until its job is cancelled, however its runs end. The end of one member of a
+// gang represents all members of that run: the others start again with it once they are known to
+// have ended.
+void Scheduler::restartPerpetual(JobEntry &entry, const Worker &worker, const EndedTask &end)
+{
+    if (isTerminal(entry.job.state()))
+        return;
+    for (const TaskId &id : tasksFinishedBy(entry.job, end.task)) {
+        Task &task = *entry.job.task(id);
+        if (id == end.task) {
+            if (task.worker != worker.entry.id || task.run > end.run)
+                continue;
+            logEndedEarly(entry, worker, end);
+            requeue(entry, id, task);
+        } else if (task.run == end.run && task.phase == TaskPhase::Running) {
+            stop(id, task, StopReason::Superseded);
+        }
+    }
+}
+
 // Frees a task from its worker when an end of the task or of another member of its gang shows that
 // it is done.
 void Scheduler::releaseDone(const TaskId &id, Task &task, const EndedTask &end,
@@ -232,7 +252,10 @@
     switch (end.kind) {
     case EndKind::Done:
         recordTaskResult(worker, true, end.task.job);
-        handleDone(*entry, end, worker.entry.id);
+        if (stepOf(entry->job, end.task).isPerpetual)
+            restartPerpetual(*entry, worker, end);
+        else
+            handleDone(*entry, end, worker.entry.id);
         break;
     case EndKind::Failed:
         handleFailure(*entry, worker, end);
--- a/packages/scheduler/src/scheduler_fixture.h
+++ b/packages/scheduler/src/scheduler_fixture.h
@@ -4,6 +4,7 @@
 
 #include <chicorywick/scheduler/scheduler.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -108,8 +109,11 @@
         scheduler->addJob(spec(id, std::move(steps)), std::nullopt);
     }
 
-    JobSpec spec(const std::string &id, std::vector<StepSpec> steps) const
+    JobSpec spec(const std::string &id, std::vector<StepSpec> steps)
     {
+        if (std::any_of(steps.begin(), steps.end(),
+                        [](const StepSpec &step) { return step.isPerpetual; }))
+            workers.perpetualJobs.insert(id);
         return {.id = id,
                 .queue = "q",
                 .payload = "p",
