--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -229,8 +229,8 @@
     return lending_.isInOpenWave && lending_.isInOpenWave(machine);
 }
 
-// The list of machines can be older than the last move of a machine: by seconds while the platform's
-// machine control is down. A machine that has left the spare pool since may run tasks.
+// The list of machines can be older than the last move of a machine: by seconds while the
+// platform's machine control is down. A machine that has left the spare pool since may run tasks.
 std::set<std::string> PoolBalancer::spareMachines(const Views &views) const
 {
     const scheduler::Millis listedAt = inventory_.snapshotTime();
--- a/packages/entry/src/wave_runner_test.cpp
+++ b/packages/entry/src/wave_runner_test.cpp
@@ -216,8 +216,8 @@
     CHECK(fixture.machines.ordersOf("m0") == before);
 }
 
-// Guards against a wave that waits without end, and keeps sound workers without tasks, for a machine
-// whose upkeep had been done under a former leader that could not store it (review/8).
+// Guards against a wave that waits without end, and keeps sound workers without tasks, for a
+// machine whose upkeep had been done under a former leader that could not store it (review/8).
 TEST_CASE("an upkeep that was done before it is ordered again does not hold up the wave")
 {
     LateUpkeepFixture fixture(3, 1);
--- a/packages/scheduler/src/scheduler_cost_test.cpp
+++ b/packages/scheduler/src/scheduler_cost_test.cpp
@@ -111,8 +111,8 @@
     }
 }
 
-// Guards against the same with perpetual tasks at the head of the queue, and on a pool so large that
-// the waiting steps use up the cost limit of a pass.
+// Guards against the same with perpetual tasks at the head of the queue, and on a pool so large
+// that the waiting steps use up the cost limit of a pass.
 TEST_CASE("a task that fits starts behind waiting steps that use up the limit of a pass")
 {
     constexpr int kWorkers = 80;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -130,8 +130,8 @@
         enqueueReady(entry);
 }
 
-// A perpetual task runs until its job is cancelled, however its runs end. The end of one member of a
-// gang represents all members of that run: the others start again with it once they are known to
+// A perpetual task runs until its job is cancelled, however its runs end. The end of one member of
+// a gang represents all members of that run: the others start again with it once they are known to
 // have ended.
 void Scheduler::restartPerpetual(JobEntry &entry, const Worker &worker, const EndedTask &end)
 {
