Wait for the workers of all services that a job's queue has used

Callers saw: tasks ran twice at the same time.

Cause: a new leader holds back tasks that its predecessor may have started until the inherited workers have replied. It asked only those of the service that the queue uses now, and the tasks ran on the former one.

Change: a job's progress names the services that its queue has used besides the one it was accepted with, and a new leader waits for the workers of all of them. A service is stored before the first task starts there, so that a leader that ends right after a start cannot leave a task on a service that its successor does not know. Only jobs whose queue has changed its service wait for that write.

Evidence: scheduler_queue_removal_test: "tasks on a former service of their queue start nowhere else under a new leader" fails on the former code, and for queues that were moved once, twice, and away and back if the stored services are left out; "a job waits until the new service of its queue is stored with it" fails on the former code.

Ruled out: waiting for every silent worker of the cell. A worker that has ended with the move of its machine stays silent too, so each change of leaders would cost all queues the length of a lease. The accepted policy alone does not tell: a queue can have moved twice, or back.

Jobs of former versions have no accepted policy; for them only the present service counts, as before.

--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -175,6 +175,7 @@
 std::string encode(const scheduler::JobProgress &progress)
 {
     Json json{{"state", jobStateName(progress.state)}, {"begun", progress.begunOccurrences}};
+    putUnlessDefault(json, "services", progress.services, Json::array());
     for (const scheduler::OccurrenceProgress &open : progress.open) {
         Json each{{"number", open.number}, {"done", open.doneTasks}};
         for (const auto &[task, runs] : open.failedRuns)
@@ -190,7 +191,9 @@
 base::Result<scheduler::JobProgress> decodeProgress(const std::string &text)
 {
     return decodeWith<scheduler::JobProgress>(text, "progress row", [](const Json &json) {
-        scheduler::JobProgress progress{.begunOccurrences = json.at("begun")};
+        scheduler::JobProgress progress{.begunOccurrences = json.at("begun"),
+                                        .services =
+                                                json.value("services", std::set<std::string>())};
         const std::string name = json.at("state");
         for (std::size_t i = 0; i < kStateNames.size(); ++i)
             if (name == kStateNames[i])
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -80,6 +80,8 @@
     JobState state = JobState::Pending;
     std::int64_t begunOccurrences = 0;
     std::vector<OccurrenceProgress> open;
+    /// Services that the queue has used besides that of the accepted policy.
+    std::set<std::string> services = {};
 
     bool operator==(const JobProgress &) const = default;
 };
@@ -131,6 +133,13 @@
     /// @brief Marks a task done; returns the steps that this makes ready.
     std::vector<int> finishTask(const TaskId &id, Millis steady);
 
+    /// @brief Records a service that the queue uses; false if it is known. Only for jobs that have
+    /// an accepted policy.
+    bool addService(const std::string &service);
+
+    /// @brief Services on which tasks may have been started.
+    std::set<std::string> services() const;
+
     void markStarted() { hasStarted_ = true; }
     void cancel(Millis steady);
     void fail(Millis steady);
@@ -157,6 +166,7 @@
     Millis criticalPath_ = 0;
     std::map<std::int64_t, Occurrence> occurrences_; ///< begun and unfinished
     std::int64_t begunOccurrences_ = 0;
+    std::set<std::string> laterServices_; ///< besides that of the accepted policy
     bool hasStarted_ = false;
     bool isCancelled_ = false;
     bool hasFailed_ = false;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -180,6 +180,7 @@
         Job job;
         std::uint64_t sequence = 0;
         Millis uncertainUntil = 0; ///< until then, tasks may run on an unresponsive worker
+        std::uint64_t serviceBatch = 0; ///< its present service is stored once this batch is
         std::map<TaskId, ReadyKey> ready;
         std::deque<std::uint64_t> unstoredOccurrences; ///< batches of the ends of occurrences
     };
@@ -224,6 +225,7 @@
     const QueuePolicy *policyOf(const Job &job) const;
     void markDirty(const std::string &id);
     void recordArrival(const Job &job);
+    void recordService(JobEntry &entry);
     std::vector<std::int64_t> beginDueOccurrences(JobEntry &entry);
     void enqueueReady(JobEntry &entry);
     void enqueueReady(JobEntry &entry, const Occurrence &occurrence);
@@ -357,8 +359,9 @@
     WorkerList openWorkers(const std::string &service, const Resources &demand);
     void closeFullWorkers(WorkerList &open, const Resources &demand) const;
     void markAllServicesForPlacement();
-    bool hasSilentInheritedWorker(const std::string &service) const;
-    bool isStartUncertain(const JobEntry &entry, const std::string &service) const;
+    bool hasSilentInheritedWorker(const std::string &service);
+    bool isStartUncertain(const JobEntry &entry);
+    bool mustWait(const JobEntry &entry);
     bool tryPlace(JobEntry &entry, const TaskId &id, const WorkerList &workers);
     bool isLabelUnmet(const StepSpec &step, const std::string &service) const;
     bool isAllowedOn(const Worker &worker, const StepSpec &step, const TaskId &id) const;
@@ -436,6 +439,8 @@
     Millis bandsRefreshedAt_ = 0;
     Millis waitingReportedAt_ = 0;
     std::set<std::string> reserved_; ///< ids of workers kept free during one placement pass
+    /// Whether a service has silent inherited workers, as asked during one placement pass.
+    std::map<std::string, bool> hasSilentWorker_;
     bool isPlacing_ = false;
     bool isPlacementRequested_ = false;
 };
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -129,6 +129,7 @@
     if (isTerminal(progress.state))
         endedSteady_ = steady;
     begunOccurrences_ = progress.begunOccurrences;
+    laterServices_ = progress.services;
     for (const OccurrenceProgress &open : progress.open) {
         Occurrence &occurrence = beginOccurrence(open.number);
         for (std::size_t step = 0; step < open.doneTasks.size() && step < spec_.steps.size();
@@ -156,6 +157,7 @@
     JobProgress progress{.state = state(), .begunOccurrences = begunOccurrences_};
     if (isTerminal(progress.state))
         return progress;
+    progress.services = laterServices_;
     for (const auto &[number, occurrence] : occurrences_) {
         OccurrenceProgress open{.number = number};
         open.doneTasks.resize(occurrence.steps.size());
@@ -303,6 +305,21 @@
     return unblocked;
 }
 
+bool Job::addService(const std::string &service)
+{
+    if (!spec_.acceptedPolicy || spec_.acceptedPolicy->service == service)
+        return false;
+    return laterServices_.insert(service).second;
+}
+
+std::set<std::string> Job::services() const
+{
+    std::set<std::string> services = laterServices_;
+    if (spec_.acceptedPolicy)
+        services.insert(spec_.acceptedPolicy->service);
+    return services;
+}
+
 void Job::cancel(Millis steady)
 {
     if (isTerminal(state()))
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -271,7 +271,7 @@
         if (unplaceable >= kMaxUnplaceableTrials)
             return;
         JobEntry *const entry = entryOf(id.job);
-        if (entry == nullptr || isStartUncertain(*entry, service))
+        if (entry == nullptr || mustWait(*entry))
             continue;
         const Task &task = *entry->job.task(id);
         const bool mustWait = closed >= maxClosed && !task.crashes.needsOwnWorker()
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -103,11 +103,22 @@
         for (const auto &[task, key] : std::map(entry->ready))
             dequeue(*entry, task);
     queues_ = std::move(next);
-    for (const auto &[id, entry] : openJobs_)
+    for (const auto &[id, entry] : openJobs_) {
+        recordService(*entry);
         enqueueReady(*entry);
+    }
     place();
 }
 
+void Scheduler::recordService(JobEntry &entry)
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    if (policy == nullptr || !entry.job.addService(policy->service))
+        return;
+    markDirty(entry.job.spec().id);
+    entry.serviceBatch = batch_;
+}
+
 void Scheduler::markDirty(const std::string &id)
 {
     if (dirty_.empty())
@@ -141,6 +152,7 @@
             recurringJobs_.insert(spec.id);
         if (entry.job.isPerpetual())
             perpetualJobs_.insert(spec.id);
+        recordService(entry);
     }
     base::logEvent(base::Event::JobAccepted, {{"job", spec.id},
                                               {"queue", spec.queue},
@@ -166,6 +178,8 @@
     // The progress of a cancelled job does not tell which tasks are done.
     if (progress.state == JobState::Cancelled)
         return cancelJob(id);
+    for (const std::string &service : progress.services)
+        entry->job.addService(service);
     for (const TaskId &task : entry->job.tasksDoneIn(progress))
         handleDone(*entry, EndedTask{.task = task}, {});
     for (const TaskId &task : entry->job.mergeLostRuns(progress)) {
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -38,6 +38,7 @@
     if (isPlacing_ || !mayStartTasks())
         return;
     isPlacing_ = true;
+    hasSilentWorker_.clear();
     // Services that change during the pass are handled at the next event.
     for (const std::string &service : std::exchange(servicesToPlace_, {}))
         placeService(service, depth);
@@ -73,8 +74,6 @@
 std::optional<ReadyKey> Scheduler::scanQueue(const std::string &service, const ReadyQueue &queue,
                                              const std::optional<ReadyKey> &from, WorkerList &open)
 {
-    const bool hasSilentWorker = hasSilentInheritedWorker(service);
-    const Millis now = hooks_.clock().steady;
     const std::uint64_t maxFruitlessLooks =
             std::max(kMinFruitlessLooks, kMaxUnplaceable * workersFor(service).size());
     std::vector<const StepSpec *> unplaceableSteps;
@@ -100,9 +99,7 @@
                                [&step](const StepSpec *unplaceable) {
                                    return requiresAtLeast(step, *unplaceable);
                                });
-        const bool isUncertain =
-                hasSilentWorker && entryOf(ready.job->spec().id)->uncertainUntil > now;
-        if (isUncertain || (isKnownUnplaceable && !step.isPerpetual)) {
+        if (mustWait(*entryOf(ready.job->spec().id)) || (isKnownUnplaceable && !step.isPerpetual)) {
             ++item;
             continue;
         }
@@ -203,17 +200,36 @@
 
 // Until each inherited worker has replied or its lease has expired, a task without a known worker
 // may still run on an unresponsive one.
-bool Scheduler::hasSilentInheritedWorker(const std::string &service) const
+bool Scheduler::hasSilentInheritedWorker(const std::string &service)
 {
-    const auto &workers = workersFor(service);
-    return std::any_of(workers.begin(), workers.end(), [](const Worker *worker) {
-        return worker->isInherited && !worker->hasResponded && !worker->isReplaced;
+    const auto [known, isNew] = hasSilentWorker_.try_emplace(service, false);
+    if (isNew) {
+        const auto &workers = workersFor(service);
+        known->second = std::any_of(workers.begin(), workers.end(), [](const Worker *worker) {
+            return worker->isInherited && !worker->hasResponded && !worker->isReplaced;
+        });
+    }
+    return known->second;
+}
+
+// The tasks can run on each service that the queue has used, not only on the present one.
+bool Scheduler::isStartUncertain(const JobEntry &entry)
+{
+    if (entry.uncertainUntil <= hooks_.clock().steady)
+        return false;
+    const QueuePolicy *const policy = policyOf(entry.job);
+    if (policy != nullptr && hasSilentInheritedWorker(policy->service))
+        return true;
+    const std::set<std::string> services = entry.job.services();
+    return std::any_of(services.begin(), services.end(), [this](const std::string &service) {
+        return hasSilentInheritedWorker(service);
     });
 }
 
-bool Scheduler::isStartUncertain(const JobEntry &entry, const std::string &service) const
+// The next leader has to learn of the service of a task before the task can run there.
+bool Scheduler::mustWait(const JobEntry &entry)
 {
-    return entry.uncertainUntil > hooks_.clock().steady && hasSilentInheritedWorker(service);
+    return entry.serviceBatch > storedBatch_ || isStartUncertain(entry);
 }
 
 // Members of the same gang that are about to start count like those that have started.
--- a/packages/scheduler/src/scheduler_queue_removal_test.cpp
+++ b/packages/scheduler/src/scheduler_queue_removal_test.cpp
@@ -18,8 +18,7 @@
 }
 
 // A job with the policy under which its submission was accepted.
-JobSpec acceptedJob(SchedulerFixture &fixture, const std::string &id,
-                    std::vector<StepSpec> steps)
+JobSpec acceptedJob(SchedulerFixture &fixture, const std::string &id, std::vector<StepSpec> steps)
 {
     JobSpec spec = fixture.spec(id, std::move(steps));
     spec.acceptedPolicy = {.name = spec.queue, .service = "s", .maxAttempts = 2};
@@ -174,4 +173,72 @@
     }
 }
 
+// Guards against a second start of tasks that still run on workers of a service which their queue
+// used before: after a change of leaders only the workers of its present service were waited for
+// (review/6).
+TEST_CASE("tasks on a former service of their queue start nowhere else under a new leader")
+{
+    // Moved once, moved twice, and moved away and back.
+    for (const std::vector<const char *> &services :
+         std::vector<std::vector<const char *>>{{"t"}, {"t", "u"}, {"t", "s"}}) {
+        CAPTURE(services.back());
+        CrashFixture fixture;
+        fixture.workers.workMs = 0;
+        const auto useService = [&fixture](const char *service) {
+            fixture.scheduler->setQueues({{.name = "q", .service = service, .maxAttempts = 2}});
+        };
+        for (const std::string service : {"s", "t", "u"})
+            fixture.scheduler->upsertWorker(
+                    fixture.workers.add("w-" + service, service, kWorkerSize));
+        const JobSpec spec = acceptedJob(fixture, "a", {step(20)});
+        fixture.scheduler->addJob(spec, std::nullopt);
+        fixture.run(1'000);
+        REQUIRE(fixture.workers.tasksOn("w-s").size() == 16);
+        // The tasks that found no room start on the next service.
+        for (const char *const service : services) {
+            useService(service);
+            fixture.run(1'000);
+        }
+        REQUIRE(fixture.workers.tasksOn("w-t").size() == 4);
+        const auto roster = fixture.scheduler->roster();
+        // Workers of the present service answer at once, those of the former ones later.
+        std::set<std::string> silent{"w-s", "w-t"};
+        silent.erase(std::string("w-") + services.back());
+        for (const std::string &worker : silent)
+            fixture.workers.setReachable(worker, false);
+        fixture.startTerm();
+        useService(services.back());
+        fixture.scheduler->addInheritedWorkers(roster);
+        fixture.scheduler->addJob(spec, fixture.stored["a"]);
+        for (const WorkerEntry &entry : roster)
+            fixture.scheduler->upsertWorker(entry);
+        fixture.scheduler->upsertWorker(fixture.workers.add("w-new", services.back(), kWorkerSize));
+        fixture.run(1'000);
+        for (const std::string &worker : silent)
+            fixture.workers.setReachable(worker, true);
+        fixture.run(5'000);
+        CHECK(fixture.workers.violations().empty());
+        CHECK(fixture.workers.runningCount() == 20);
+    }
+}
+
+// Guards against a task that runs on a service which the next leader does not know of: its start
+// went out before the service was stored with the job.
+TEST_CASE("a job waits until the new service of its queue is stored with it")
+{
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.scheduler->upsertWorker(fixture.workers.add("w-t", "t", kWorkerSize));
+    fixture.scheduler->addJob(acceptedJob(fixture, "a", {step(1)}), std::nullopt);
+    fixture.run(500);
+    fixture.isStoreUp = false;
+    fixture.scheduler->setQueues({{.name = "q", .service = "t", .maxAttempts = 2}});
+    fixture.run(1'000);
+    CHECK(fixture.workers.runningCount() == 0);
+    fixture.isStoreUp = true;
+    fixture.run(500);
+    CHECK(fixture.workers.runningCount() == 1);
+    CHECK(fixture.stored["a"].services == std::set<std::string>{"t"});
+}
+
 } // namespace chicorywick::scheduler
