Acknowledge the end of a perpetual task after its next start

Cause: the end changes nothing that is stored, so it was acknowledged with the next renewal, before or while the task started again. A leader that ended in between would have left a task that no list names.

Change: the end asks for a write like the other ends that free a task. Ends are acknowledged after their write, and the start goes out before it.

Evidence: scheduler_perpetual_end_test: "the end of a perpetual task as done is acknowledged once the task has started again" fails without the change (1 == 0).

--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -144,6 +144,9 @@
                 continue;
             logEndedEarly(entry, worker, end);
             requeue(entry, id, task);
+            // The end is acknowledged after the write that this requests, once the task has been
+            // started again: until then a new leader finds it listed.
+            markDirty(id.job);
         } else if (task.run == end.run && task.phase == TaskPhase::Running) {
             stop(id, task, StopReason::Superseded);
         }
--- a/packages/scheduler/src/scheduler_perpetual_end_test.cpp
+++ b/packages/scheduler/src/scheduler_perpetual_end_test.cpp
@@ -48,6 +48,20 @@
     CHECK(fixture.scheduler->stateOf("a") == JobState::Cancelled);
 }
 
+// Guards against a start after an end as done was taken note of (review/9).
+TEST_CASE("the end of a perpetual task as done is acknowledged once the task has started again")
+{
+    PerpetualEndFixture fixture;
+    fixture.submitPerpetual(step(1));
+    int acknowledgedAtRestart = -1;
+    fixture.workers.onStarted = [&](const std::string &, const TaskId &, bool) {
+        acknowledgedAtRestart = fixture.workers.acknowledgedEnds();
+    };
+    fixture.run(2'000);
+    CHECK(acknowledgedAtRestart == 0);
+    CHECK(fixture.workers.acknowledgedEnds() == 1);
+}
+
 // Guards against a gang that waits for ever for members whose ends are never listed: one end as
 // done represents all.
 TEST_CASE("a perpetual gang starts again when one end shows that it is done")
