Count the longest lease of workers that have restarted under their id

Cause: a call that was meant for the former incarnation can be executed by the new one: the call names only the id. Its lease end is a time on the former clock, which is far ahead, so the worker shortens it to its longest lease (6 s). The leader counted the leases that it grants (4 s), and the longest one only while a start could have reached the new incarnation. A renewal that does so was not counted. Once the worker was silent, its tasks started elsewhere up to 2 s before its lease ended. A new leader counted the leases that its predecessor says it grants. Both also resent the longest lease after a failed renewal, which prolonged it.

Change: - Replies of a restarted worker count its longest lease while calls that were under way when the restart was noticed can still arrive, and for 12 s if such a call has had no answer. What is counted is not resent. - Rosters name the workers that have restarted. A new leader waits for the longest lease of those, and of workers that discovery shows restarted, and counts it after their replies too. For all others it waits for the leases of its predecessor, as before. - Such a worker changes its cell only once no such call can arrive. - The wait for evidence of a second crash is shorter by what the lease lasted longer, so that the whole pause is as long as before.

Ruled out: the longest lease for every silent worker (each loss of a worker and each change of leaders would cost callers two seconds more); longer waits for calls that no worker has received (they end with a reset of their connection).

Not covered: a call that the new incarnation has received, that had no answer, and that it executes late after its last reply.

--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -217,8 +217,11 @@
 std::string encode(const std::vector<scheduler::WorkerEntry> &roster)
 {
     Json json = Json::array();
-    for (const scheduler::WorkerEntry &entry : roster)
+    for (const scheduler::WorkerEntry &entry : roster) {
         json.push_back({entry.id, entry.service, entry.address, entry.machine, entry.incarnation});
+        if (entry.hasRestarted)
+            json.back().push_back(true);
+    }
     return json.dump();
 }
 
@@ -226,13 +229,15 @@
 {
     using Roster = std::vector<scheduler::WorkerEntry>;
     return decodeWith<Roster>(text, "roster row", [](const Json &json) {
+        constexpr std::size_t kRequiredColumns = 5;
         Roster roster;
         for (const Json &each : json)
             roster.push_back({.id = each.at(0),
                               .service = each.at(1),
                               .address = each.at(2),
                               .machine = each.at(3),
-                              .incarnation = each.at(4)});
+                              .incarnation = each.at(4),
+                              .hasRestarted = each.size() > kRequiredColumns && each.at(5)});
         return roster;
     });
 }
--- a/packages/entry/src/records_test.cpp
+++ b/packages/entry/src/records_test.cpp
@@ -22,4 +22,21 @@
     CHECK(decoded.value().services.empty());
 }
 
+// Guards against a new leader that does not learn which workers have restarted under their id, and
+// against rosters of former versions that it cannot read.
+TEST_CASE("a roster tells which workers have restarted")
+{
+    scheduler::WorkerEntry fresh{
+            .id = "a", .service = "s", .address = "x:1", .machine = "m", .incarnation = 5};
+    scheduler::WorkerEntry restarted = fresh;
+    restarted.id = "b";
+    restarted.hasRestarted = true;
+    const auto decoded = decodeRoster(encode(std::vector{fresh, restarted}));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == std::vector{fresh, restarted});
+    const auto former = decodeRoster(R"([["a","s","x:1","m",5]])");
+    REQUIRE(former);
+    CHECK(former.value() == std::vector{fresh});
+}
+
 } // namespace chicorywick::entry
--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -135,6 +135,8 @@
     Resources capacity;
     bool isDraining = false;
     Millis incarnation = 0; ///< start time, Unix time; distinguishes incarnations with the same id
+    /// A leader knew an earlier incarnation with this id and address; only rosters tell.
+    bool hasRestarted = false;
 
     bool operator==(const WorkerEntry &) const = default;
 };
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -179,7 +179,7 @@
     {
         Job job;
         std::uint64_t sequence = 0;
-        Millis uncertainUntil = 0; ///< until then, tasks may run on an unresponsive worker
+        bool mayHaveRuns = false;       ///< an earlier leader may have started its tasks
         std::uint64_t serviceBatch = 0; ///< its present service is stored once this batch is
         std::map<TaskId, ReadyKey> ready;
         std::deque<std::uint64_t> unstoredOccurrences; ///< batches of the ends of occurrences
@@ -302,6 +302,8 @@
     bool mayStopUnassigned(const Worker &worker, const TaskId &id, const UnassignedRun &run) const;
 
     void recordClock(Worker &worker, Millis workerClock);
+    void recordFormerLease(Worker &worker) const;
+    void recordFormerCall(Worker &worker, OrderStatus status) const;
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseExpired(const Worker &worker) const;
     bool isUsable(const Worker &worker, Millis now) const;
@@ -417,8 +419,8 @@
     std::map<std::string, Silence> silences_; ///< by machine
     std::map<std::string, std::vector<Worker *>> workersByService_;
     std::unordered_map<std::string, std::vector<Worker *>> workersByMachine_;
-    std::map<std::string, ReadyQueue> ready_; ///< by service
-    std::set<std::string> servicesToPlace_;   ///< queue or free capacity has changed
+    std::map<std::string, ReadyQueue> ready_;     ///< by service
+    std::set<std::string> servicesToPlace_;       ///< queue or free capacity has changed
     std::map<std::string, ReadyKey> scanCursors_; ///< where the latest further scan ended
     std::uint64_t rosterRevision_ = 1;
     std::uint64_t examinedWorkers_ = 0;
--- a/packages/scheduler/src/fake_workers.h
+++ b/packages/scheduler/src/fake_workers.h
@@ -104,7 +104,10 @@
     Millis workMs = 500;
     Millis maxLeaseMs = 60'000; ///< longer leases are shortened to this
     Millis replyDelayMs = 0;    ///< replies to renewals wait unread for this time
-    std::int64_t load = 0;      ///< reported for every running task
+    /// Renewals sent while a worker is down arrive when it is back, unless they were given up
+    /// before.
+    bool holdsRenewalsWhileDown = false;
+    std::int64_t load = 0; ///< reported for every running task
     int pacesSent = 0;
 
     void start(const WorkerAddress &worker, const StartOrder &order,
@@ -163,6 +166,8 @@
     bool hasRoom(const Worker &worker, const Resources &used) const;
     void executeRenewal(const WorkerAddress &address, const RenewOrder &order,
                         const std::function<void(const RenewReply &)> &done);
+    void deliverHeld(const WorkerAddress &address, const RenewOrder &order, Millis giveUpAt,
+                     const std::function<void(const RenewReply &)> &done);
     Millis randomDelay();
     void extendLease(Worker &worker, Millis leaseUntil);
     OrderReply executeStart(Worker &worker, const StartOrder &order);
--- a/packages/scheduler/src/fake_workers_test.cpp
+++ b/packages/scheduler/src/fake_workers_test.cpp
@@ -323,8 +323,24 @@
                     [done] { done({.status = OrderStatus::Unknown}); });
         return;
     }
-    loop_.after(kNetworkDelayMs,
-                [this, address, order, done] { executeRenewal(address, order, done); });
+    loop_.after(kNetworkDelayMs, [this, address, order, done, sentAt = loop_.now()] {
+        if (holdsRenewalsWhileDown && !workers_.contains(address.id))
+            return deliverHeld(address, order, sentAt + order.waitMs + kCallTimeoutMs, done);
+        executeRenewal(address, order, done);
+    });
+}
+
+void FakeWorkers::deliverHeld(const WorkerAddress &address, const RenewOrder &order,
+                              Millis giveUpAt, const std::function<void(const RenewReply &)> &done)
+{
+    constexpr Millis kRetryMs = 10;
+    if (workers_.contains(address.id))
+        return executeRenewal(address, order, done);
+    if (loop_.now() >= giveUpAt)
+        return done({.status = OrderStatus::Unknown});
+    loop_.after(kRetryMs, [this, address, order, giveUpAt, done] {
+        deliverHeld(address, order, giveUpAt, done);
+    });
 }
 
 Millis FakeWorkers::randomDelay()
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -112,6 +112,9 @@
 void Scheduler::recordSilence(const Worker &worker, const std::vector<LostRun> &runs)
 {
     const Millis now = hooks_.clock().steady;
+    // What the lease of a restarted worker lasted longer than usual is not waited for again.
+    const Millis waited =
+            std::max<Millis>(now - worker.replyAt - longestLocalLease(settings_.leaseMs), 0);
     Silence &silence = silences_[worker.entry.machine];
     silence.incarnation = worker.entry.incarnation;
     silence.since = now;
@@ -124,7 +127,8 @@
         if (!task->crashes.needsEvidence(task->silentRuns))
             continue;
         const bool isPerpetual = stepOf(entryOf(run.task.job)->job, run.task).isPerpetual;
-        task->heldUntil = now + (isPerpetual ? kPerpetualEvidenceWaitMs : kEvidenceWaitMs);
+        const Millis wait = isPerpetual ? kPerpetualEvidenceWaitMs : kEvidenceWaitMs;
+        task->heldUntil = now + std::max<Millis>(wait - waited, 0);
     }
 }
 
--- a/packages/scheduler/src/scheduler_fixture.h
+++ b/packages/scheduler/src/scheduler_fixture.h
@@ -29,6 +29,7 @@
     bool maySendOrders = true;
     /// Up to when stored jobs and cancellations are known; empty: up to now.
     std::optional<Millis> jobsKnownUntil;
+    Millis previousLeaseMs = SchedulerSettings().previousLeaseMs; ///< of the next term
     bool isStoring = false;
     std::map<std::string, JobProgress> stored;
     std::int64_t term = 0;
@@ -56,7 +57,7 @@
                                 [this](std::function<void()> action) {
                                     loop.after(0, std::move(action));
                                 }},
-                SchedulerSettings{.fence = term});
+                SchedulerSettings{.fence = term, .previousLeaseMs = previousLeaseMs});
         scheduler->setQueues({{.name = "q",
                                .service = "s",
                                .maxAttempts = 2,
--- a/packages/scheduler/src/scheduler_incarnations.cpp
+++ b/packages/scheduler/src/scheduler_incarnations.cpp
@@ -46,6 +46,9 @@
     worker.generation = nextGeneration_++;
     worker.isInherited = former.isInherited;
     worker.addedAt = hooks_.clock().steady;
+    worker.hasRestarted = true;
+    worker.formerOrdersUntil = worker.addedAt + kMaxCallMs;
+    worker.uncertainUntil = createdAt_ + longestLocalLease(settings_.maxLeaseMs);
     worker.idleSince = worker.addedAt;
     worker.formerRuns = runs;
     ++rosterRevision_;
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-// Longest local duration of a lease on a worker with a slow clock: 3 % and a margin are added.
-Millis longestLocalLease(Millis leaseMs)
-{
-    constexpr Millis kSlackMs = 200;
-    return leaseMs + leaseMs * 3 / 100 + kSlackMs;
-}
-
 const char *stateName(JobState state)
 {
     switch (state) {
@@ -140,7 +133,7 @@
     entry.sequence = nextSequence_++;
     if (progress) {
         entry.job.restore(*progress, now.steady);
-        entry.uncertainUntil = createdAt_ + longestLocalLease(settings_.previousLeaseMs);
+        entry.mayHaveRuns = true;
     }
     jobs_.emplace(spec.id, std::move(owned));
     beginDueOccurrences(entry);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -205,8 +205,10 @@
     const auto [known, isNew] = hasSilentWorker_.try_emplace(service, false);
     if (isNew) {
         const auto &workers = workersFor(service);
-        known->second = std::any_of(workers.begin(), workers.end(), [](const Worker *worker) {
-            return worker->isInherited && !worker->hasResponded && !worker->isReplaced;
+        const Millis now = hooks_.clock().steady;
+        known->second = std::any_of(workers.begin(), workers.end(), [now](const Worker *worker) {
+            return worker->isInherited && !worker->hasResponded && !worker->isReplaced
+                   && now < worker->uncertainUntil;
         });
     }
     return known->second;
@@ -215,7 +217,8 @@
 // The tasks can run on each service that the queue has used, not only on the present one.
 bool Scheduler::isStartUncertain(const JobEntry &entry)
 {
-    if (entry.uncertainUntil <= hooks_.clock().steady)
+    const Millis longest = std::max(settings_.maxLeaseMs, settings_.previousLeaseMs);
+    if (!entry.mayHaveRuns || hooks_.clock().steady >= createdAt_ + longestLocalLease(longest))
         return false;
     const QueuePolicy *const policy = policyOf(entry.job);
     if (policy != nullptr && hasSilentInheritedWorker(policy->service))
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -15,8 +15,6 @@
 constexpr Millis kLeaseSlackMs = 150;
 // A lease with less than this remaining is renewed even while ends are not stored yet.
 constexpr Millis kUrgentLeaseMs = 3'000;
-// The platform may execute an order without an answer up to this much later.
-constexpr Millis kMaxOrderDelayMs = 12'000;
 
 } // namespace
 
@@ -36,9 +34,11 @@
     if (worker.clockAtReply == 0) {
         const auto longest =
                 static_cast<Millis>(static_cast<double>(settings_.maxLeaseMs) * (1 + kClockSkew));
-        return now - worker.addedAt > longest + kLeaseSlackMs;
+        const Millis undelivered = worker.hasRestarted ? kMaxCallMs : 0;
+        return now - worker.addedAt > undelivered + longest + kLeaseSlackMs;
     }
-    const Millis left = std::max<Millis>(worker.leaseSent - worker.clockAtReply, 0);
+    const Millis leaseEnd = std::max(worker.leaseSent, worker.formerLeaseEnd);
+    const Millis left = std::max<Millis>(leaseEnd - worker.clockAtReply, 0);
     const auto local = static_cast<Millis>(static_cast<double>(left) / (1 - kClockSkew));
     return now > worker.replyAt + local + kLeaseSlackMs;
 }
@@ -82,8 +82,10 @@
                    repliesBeforeSend = replyCount_,
                    leaseUntil = order.leaseUntil](const RenewReply &reply) {
                       Worker *const probed = *alive ? workerOf(id) : nullptr;
-                      if (probed == nullptr || probed->generation != generation)
+                      if (probed == nullptr)
                           return;
+                      if (probed->generation != generation)
+                          return recordFormerCall(*probed, reply.status);
                       probed->isProbing = false;
                       // Other failures are handled by the pending renewal.
                       if (reply.status == OrderStatus::Accepted)
@@ -141,6 +143,30 @@
     worker.clockAtReply = workerClock;
     worker.replyAt = now;
     worker.reportAt = workerClock + worker.clockOffset;
+    recordFormerLease(worker);
+}
+
+// Orders that were meant for the former incarnation carry lease ends on its clock, which is far
+// ahead: the worker shortens them to its longest lease. Calls that were under way when the new
+// incarnation was noticed can arrive after the latest reply.
+void Scheduler::recordFormerLease(Worker &worker) const
+{
+    const bool mayExecuteOrders =
+            !worker.inheritedTasks.empty() || worker.replyAt < worker.formerOrdersUntil;
+    if (!mayExecuteOrders)
+        return;
+    const Millis underWayMs = std::max<Millis>(worker.addedAt + kMaxCallMs - worker.replyAt, 0);
+    worker.formerLeaseEnd = std::max(worker.formerLeaseEnd,
+                                     worker.clockAtReply + underWayMs + settings_.maxLeaseMs);
+}
+
+// A call to the former incarnation that gets no answer can have reached the present one, which may
+// execute it late.
+void Scheduler::recordFormerCall(Worker &worker, OrderStatus status) const
+{
+    if (status == OrderStatus::Unknown)
+        worker.formerOrdersUntil =
+                std::max(worker.formerOrdersUntil, hooks_.clock().steady + kMaxOrderDelayMs);
 }
 
 void Scheduler::handleRenewal(const std::string &id, std::uint64_t generation,
@@ -148,8 +174,10 @@
                               const RenewReply &reply)
 {
     Worker *const worker = workerOf(id);
-    if (worker == nullptr || worker->generation != generation)
+    if (worker == nullptr)
         return;
+    if (worker->generation != generation)
+        return recordFormerCall(*worker, reply.status);
     worker->isRenewing = false;
     const Millis now = hooks_.clock().steady;
     if (reply.status == OrderStatus::Fenced) {
@@ -207,10 +235,6 @@
     worker.isSuspect = false;
     if (repliesBeforeSend >= worker.restartSuspectedAt)
         worker.restartSuspectedAt = 0;
-    // Starts that were meant for the former incarnation carry lease ends on its clock, which the
-    // worker shortens to its longest lease.
-    if (!worker.inheritedTasks.empty())
-        worker.leaseSent = std::max(worker.leaseSent, reply.workerClock + settings_.maxLeaseMs);
     recordReturn(worker);
     // Replies on two connections can arrive out of order. An older list of running tasks is
     // ignored, because a task that it lacks may have started since.
--- a/packages/scheduler/src/scheduler_restart_test.cpp
+++ b/packages/scheduler/src/scheduler_restart_test.cpp
@@ -39,6 +39,62 @@
     }
 };
 
+/// @brief A worker that has restarted while it had a task, so that a renewal meant for its former
+/// incarnation has brought it its longest lease, and has got two tasks of a job "a" since.
+struct RecentRestartFixture : RestartFixture
+{
+    JobSpec before;
+    JobSpec job;
+    std::vector<WorkerEntry> formerRoster; ///< before the restart
+
+    explicit RecentRestartFixture(bool isSilentRestart)
+    {
+        isSilent = isSilentRestart;
+        discoveryDelayMs = 50;
+        workers.workMs = 0;
+        workers.holdsRenewalsWhileDown = true;
+        addWorkers(1);
+        run(60'000); // the clock of the former incarnation is far ahead
+        before = spec("before", {step(1)});
+        scheduler->addJob(before, std::nullopt);
+        run(500);
+        REQUIRE(workers.tasksOn("w0").size() == 1);
+        formerRoster = scheduler->roster();
+        restart("w0");
+        run(isSilent ? 1'500 : 500);
+        job = spec("a", {step(2)});
+        scheduler->addJob(job, std::nullopt);
+        run(200);
+        REQUIRE(workers.startsOf({.job = "a", .index = 1}) == 1);
+    }
+
+    // Begins a new term that inherits a stored roster and the jobs.
+    void changeLeader(const std::vector<WorkerEntry> &roster)
+    {
+        const auto discovered = scheduler->roster();
+        previousLeaseMs = SchedulerSettings().leaseMs;
+        startTerm();
+        scheduler->addInheritedWorkers(roster);
+        for (const JobSpec &each : {before, job}) {
+            const auto found = stored.find(each.id);
+            scheduler->addJob(each, found != stored.end() ? found->second : JobProgress{});
+        }
+        for (const WorkerEntry &entry : discovered)
+            scheduler->upsertWorker(entry);
+    }
+
+    // The worker is cut off for good, and its tasks start elsewhere once their lease has ended.
+    void checkTasksMoveOnce()
+    {
+        workers.setReachable("w0", false);
+        scheduler->upsertWorker(workers.add("w1", "s", kWorkerSize));
+        run(8'000);
+        CHECK(workers.violations().empty());
+        CHECK(workers.startsOf({.job = "a"}) == 2);
+        CHECK(workers.startsOf({.job = "a", .index = 1}) == 2);
+    }
+};
+
 } // namespace
 
 // Guards against a second start of tasks that a worker took, or finished, between its restart and
@@ -244,4 +300,71 @@
     CHECK(fixture.scheduler->stateOf("a") == JobState::Completed);
 }
 
+// Guards against tasks that run twice because a worker holds its lease for longer than the leader
+// counts: a renewal that was meant for its former incarnation carried a lease end on the clock of
+// that one (hhbma-wick: restarts under the old id, and a cut soon after).
+TEST_CASE("tasks of a worker that is cut off soon after its restart wait for its longest lease")
+{
+    for (const bool isSilent : {false, true}) {
+        CAPTURE(isSilent);
+        RecentRestartFixture fixture(isSilent);
+        fixture.checkTasksMoveOnce();
+    }
+}
+
+// Guards against the same under a new leader, which counts the leases that its predecessor has
+// granted.
+TEST_CASE("a new leader waits for the longest lease of a worker that has restarted before")
+{
+    for (const bool isSilent : {false, true}) {
+        CAPTURE(isSilent);
+        RecentRestartFixture fixture(isSilent);
+        fixture.workers.setReachable("w0", false);
+        fixture.changeLeader(fixture.scheduler->roster());
+        fixture.checkTasksMoveOnce();
+    }
+}
+
+// Guards against the same if the worker is cut off once the new leader has renewed its lease.
+TEST_CASE("a new leader counts the longest lease of a worker that it has found restarted")
+{
+    for (const bool isSilent : {false, true}) {
+        CAPTURE(isSilent);
+        RecentRestartFixture fixture(isSilent);
+        fixture.changeLeader(fixture.scheduler->roster());
+        fixture.run(100);
+        fixture.checkTasksMoveOnce();
+    }
+}
+
+// Guards against the same if the former leader ended before it could store the new incarnation.
+TEST_CASE("a new leader learns from discovery that a worker has restarted")
+{
+    RecentRestartFixture fixture(false);
+    fixture.workers.setReachable("w0", false);
+    fixture.changeLeader(fixture.formerRoster);
+    fixture.checkTasksMoveOnce();
+}
+
+// Guards against a long wait for each silent worker after a change of leaders.
+TEST_CASE("a new leader waits for the granted lease only if no worker has restarted lately")
+{
+    RestartFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(1);
+    const JobSpec job = fixture.spec("a", {step(2)});
+    fixture.scheduler->addJob(job, std::nullopt);
+    fixture.run(500);
+    const auto roster = fixture.scheduler->roster();
+    fixture.workers.setReachable("w0", false);
+    fixture.previousLeaseMs = SchedulerSettings().leaseMs;
+    fixture.startTerm();
+    fixture.scheduler->addInheritedWorkers(roster);
+    fixture.scheduler->addJob(job, fixture.stored["a"]);
+    fixture.scheduler->upsertWorker(fixture.workers.add("w1", "s", kWorkerSize));
+    fixture.run(4'500);
+    CHECK(fixture.workers.tasksOn("w1").size() == 2);
+    CHECK(fixture.workers.violations().empty());
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -142,6 +142,8 @@
     task->unansweredStarts = std::max(task->unansweredStarts - 1, 0);
     task->lastReplyNumber = ++replyCount_;
     Worker *const worker = workerOf(workerId);
+    if (worker != nullptr && worker->generation != destination.generation)
+        recordFormerCall(*worker, reply.status);
     const bool isCurrent = task->worker == workerId && task->run == run
                            && task->phase != TaskPhase::Done && worker != nullptr;
     if (reply.status == OrderStatus::Accepted)
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -11,6 +11,21 @@
 
 namespace chicorywick::scheduler {
 
+/// @brief The platform may execute an order without an answer up to this much later.
+inline constexpr Millis kMaxOrderDelayMs = 12'000;
+
+/// @brief A call is given up within this time. Its connection is then reset, so it cannot arrive
+/// later.
+inline constexpr Millis kMaxCallMs = 1'500;
+
+/// @brief Longest local duration of a lease on a worker with a slow clock: 3 % and a margin are
+/// added.
+inline Millis longestLocalLease(Millis leaseMs)
+{
+    constexpr Millis kSlackMs = 200;
+    return leaseMs + leaseMs * 3 / 100 + kSlackMs;
+}
+
 /// @brief Resources that a task reserves on its worker.
 inline Resources reservedFor(const StepSpec &step)
 {
@@ -42,7 +57,12 @@
     bool hasResponded = false;    ///< it has replied to this leader
     bool isReplaced = false;      ///< ended, usually replaced by another incarnation
     std::set<CordonReason> cordons;
-    bool isInherited = false; ///< an earlier leader may have started tasks on it
+    bool isInherited = false;  ///< an earlier leader may have started tasks on it
+    Millis uncertainUntil = 0; ///< until then, it may run tasks of an earlier leader
+    bool hasRestarted = false; ///< an earlier incarnation had its id and address
+    /// Until then, it may execute orders that were meant for the former incarnation.
+    Millis formerOrdersUntil = 0;
+    Millis formerLeaseEnd = 0; ///< latest lease end that it may have taken from them, on its clock
     bool isInStoredRoster = false;
 
     Resources fullCapacity; ///< largest capacity that this incarnation has shown, by resource
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -93,6 +93,15 @@
         Worker &worker = addWorker(entry);
         worker.isInherited = true;
         worker.isInStoredRoster = true;
+        // The clocks of machines can differ by seconds.
+        constexpr Millis kRestartMemoryMs = 30'000;
+        worker.hasRestarted =
+                entry.hasRestarted && hooks_.clock().wall - entry.incarnation < kRestartMemoryMs;
+        worker.formerOrdersUntil = worker.hasRestarted ? createdAt_ + kMaxOrderDelayMs : 0;
+        worker.uncertainUntil =
+                createdAt_
+                + longestLocalLease(worker.hasRestarted ? settings_.maxLeaseMs
+                                                        : settings_.previousLeaseMs);
         renew(worker);
     }
 }
@@ -162,9 +171,12 @@
 std::vector<WorkerEntry> Scheduler::roster() const
 {
     std::vector<WorkerEntry> entries;
-    for (const auto &[id, worker] : workers_)
-        if (!worker->isReplaced)
-            entries.push_back(worker->entry);
+    for (const auto &[id, worker] : workers_) {
+        if (worker->isReplaced)
+            continue;
+        entries.push_back(worker->entry);
+        entries.back().hasRestarted = worker->hasRestarted;
+    }
     return entries;
 }
 
@@ -395,6 +407,7 @@
                         .joinedAt = worker->addedAt};
         view.isTransferable = view.isUsable && view.tasks == 0 && worker->unstoredEnds.empty()
                               && !worker->isSuspect && worker->restartSuspectedAt == 0
+                              && worker->formerOrdersUntil <= now
                               && worker->quarantinedUntil <= now;
         for (const TaskId &task : worker->tasks) {
             const JobEntry *const entry = entryOf(task.job);
