Note calls to a former incarnation also when their job is unknown

Cause: the answer to a start that was meant for the former incarnation of a worker was looked at only while its job was known. A job can end between the call and its time-out.

--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -134,6 +134,9 @@
                             const OrderReply &reply)
 {
     const std::string &workerId = destination.workerId;
+    Worker *const worker = workerOf(workerId);
+    if (worker != nullptr && worker->generation != destination.generation)
+        recordFormerCall(*worker, reply.status);
     JobEntry *const entry = entryOf(id.job);
     Task *const task = taskOf(id);
     if (entry == nullptr || task == nullptr)
@@ -141,9 +144,6 @@
     const Millis now = hooks_.clock().steady;
     task->unansweredStarts = std::max(task->unansweredStarts - 1, 0);
     task->lastReplyNumber = ++replyCount_;
-    Worker *const worker = workerOf(workerId);
-    if (worker != nullptr && worker->generation != destination.generation)
-        recordFormerCall(*worker, reply.status);
     const bool isCurrent = task->worker == workerId && task->run == run
                            && task->phase != TaskPhase::Done && worker != nullptr;
     if (reply.status == OrderStatus::Accepted)
