Bound the scans of events by steps again, and let ticks look further

A busy pool has few open workers, so a pass of an event could examine up to 400 steps in place of 24.

Change: passes of events are bounded as they were, by 24 steps; the further scans of ticks take 96. The check for jobs that have to wait follows the cheaper one for steps that are known not to fit.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -354,10 +354,10 @@
     /// How the placement of a step's tasks has ended.
     enum class StepOutcome { Placed, Unplaceable, LabelUnmet };
     void placeService(const std::string &service, PlacementDepth depth);
-    std::optional<ReadyKey> scanQueue(const std::string &service, const ReadyQueue &queue,
-                                      const std::optional<ReadyKey> &from, WorkerList &open);
+    std::optional<ReadyKey> scanQueue(const ReadyQueue &queue, const std::optional<ReadyKey> &from,
+                                      std::size_t maxUnplaceable, WorkerList &open);
     StepOutcome placeStep(const ReadyQueue &queue, const ReadyKey &key, bool isKnownUnplaceable,
-                          WorkerList &open, std::uint64_t &fruitlessLooks);
+                          WorkerList &open);
     WorkerList openWorkers(const std::string &service, const Resources &demand);
     void closeFullWorkers(WorkerList &open, const Resources &demand) const;
     void markAllServicesForPlacement();
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-// Limits of one scan of the queue: workers examined for steps that fit on none of them, given as a
-// number of steps, but at least a number of workers, and steps examined. They bound the work per
-// event when a queue is much longer than its pool can run.
-constexpr std::uint64_t kMaxUnplaceable = 24;
-constexpr std::uint64_t kMinFruitlessLooks = 500;
+// Limits of a scan of the queue: steps that fit on no worker although one has the resources, and
+// steps examined. They bound the work per event when a queue is much longer than its pool can run.
+// The further scans of ticks are rarer and can be longer.
+constexpr std::size_t kMaxUnplaceable = 24;
+constexpr std::size_t kMaxUnplaceableFurther = 96;
 constexpr int kMaxExaminedSteps = 400;
 
 // True if a worker that cannot run a task of the other step cannot run one of this step either.
@@ -58,30 +58,29 @@
     WorkerList open = openWorkers(service, queue.smallestDemand());
     placeTrials(service, open);
     closeFullWorkers(open, queue.smallestDemand());
-    const auto end = scanQueue(service, queue, {}, open);
+    const auto end = scanQueue(queue, {}, kMaxUnplaceable, open);
     if (depth == PlacementDepth::Head)
         return;
     const auto cursor = scanCursors_.extract(service);
     if (!end)
         return;
     const ReadyKey from = cursor ? std::max(*end, cursor.mapped()) : *end;
-    if (const auto next = scanQueue(service, queue, from, open))
+    if (const auto next = scanQueue(queue, from, kMaxUnplaceableFurther, open))
         scanCursors_.emplace(service, *next);
 }
 
 // Places the tasks of waiting steps from a key on, or from the head of the queue, until the limits
 // of a scan are reached. Returns the next key, or none at the end of the queue.
-std::optional<ReadyKey> Scheduler::scanQueue(const std::string &service, const ReadyQueue &queue,
-                                             const std::optional<ReadyKey> &from, WorkerList &open)
+std::optional<ReadyKey> Scheduler::scanQueue(const ReadyQueue &queue,
+                                             const std::optional<ReadyKey> &from,
+                                             std::size_t maxUnplaceable, WorkerList &open)
 {
-    const std::uint64_t maxFruitlessLooks =
-            std::max(kMinFruitlessLooks, kMaxUnplaceable * workersFor(service).size());
     std::vector<const StepSpec *> unplaceableSteps;
-    std::uint64_t fruitlessLooks = 0;
+    std::size_t unplaceableCount = 0;
     int examined = 0;
     for (auto item = from ? queue.steps().lower_bound(*from) : queue.steps().begin();
          item != queue.steps().end(); ++examined) {
-        if (fruitlessLooks >= maxFruitlessLooks || examined >= kMaxExaminedSteps)
+        if (unplaceableCount >= maxUnplaceable || examined >= kMaxExaminedSteps)
             return item->first;
         const auto &[key, ready] = *item;
         const StepSpec &step = ready.spec(key);
@@ -99,41 +98,34 @@
                                [&step](const StepSpec *unplaceable) {
                                    return requiresAtLeast(step, *unplaceable);
                                });
-        if (mustWait(*entryOf(ready.job->spec().id)) || (isKnownUnplaceable && !step.isPerpetual)) {
+        if ((isKnownUnplaceable && !step.isPerpetual) || mustWait(*entryOf(ready.job->spec().id))) {
             ++item;
             continue;
         }
         const ReadyKey current = key;
-        std::uint64_t looks = 0;
-        const StepOutcome outcome = placeStep(queue, current, isKnownUnplaceable, open, looks);
+        const StepOutcome outcome = placeStep(queue, current, isKnownUnplaceable, open);
         item = queue.steps().upper_bound(current); // placement may have removed the step
         if (outcome == StepOutcome::Placed)
             continue;
         // A label that no worker has costs one look, however many tasks require it.
-        if (outcome == StepOutcome::Unplaceable)
-            fruitlessLooks += looks;
-        if (!isKnownUnplaceable && !step.isGang && unplaceableSteps.size() < kMaxUnplaceable)
+        unplaceableCount += outcome == StepOutcome::LabelUnmet ? 0 : 1;
+        if (!isKnownUnplaceable && !step.isGang)
             unplaceableSteps.push_back(&step);
     }
     return std::nullopt;
 }
 
 // Places the waiting tasks of a step until one fits nowhere; the others do not fit either, and
-// those of a perpetual step reserve workers. Counts the workers examined since the last task was
-// placed.
+// those of a perpetual step reserve workers.
 Scheduler::StepOutcome Scheduler::placeStep(const ReadyQueue &queue, const ReadyKey &key,
-                                            bool isKnownUnplaceable, WorkerList &open,
-                                            std::uint64_t &fruitlessLooks)
+                                            bool isKnownUnplaceable, WorkerList &open)
 {
-    std::uint64_t looksBefore = examinedWorkers_;
-    const auto countLooks = [&] { fruitlessLooks = examinedWorkers_ - looksBefore; };
     const ReadyStep &ready = queue.steps().at(key);
     const StepSpec &step = ready.spec(key);
     JobEntry &entry = *entryOf(ready.job->spec().id);
     TaskId id = ready.id(key, *ready.tasks.begin());
     if (step.isGang) {
         const bool isPlaced = tryPlaceGang(entry, id, open);
-        countLooks();
         if (isPlaced)
             closeFullWorkers(open, queue.smallestDemand());
         return isPlaced ? StepOutcome::Placed : StepOutcome::Unplaceable;
@@ -153,7 +145,6 @@
     for (int last = -1; isPlaced && hasNext(last); last = id.index) {
         if (!queue.trials().empty() && queue.trials().contains({key, id}))
             continue; // placeTrials() has tried
-        looksBefore = examinedWorkers_;
         isPlaced = !isKnownUnplaceable && tryPlace(entry, id, open);
         if (isPlaced)
             closeFullWorkers(open, queue.smallestDemand());
@@ -165,7 +156,6 @@
         }
         closeFullWorkers(open, queue.smallestDemand());
     }
-    countLooks();
     return isLabelUnmet(step, policyOf(entry.job)->service) ? StepOutcome::LabelUnmet
                                                             : StepOutcome::Unplaceable;
 }
@@ -341,7 +331,6 @@
     Worker *mostFree = nullptr;
     const Millis now = hooks_.clock().steady;
     for (Worker *const worker : workersFor(entry.job)) {
-        ++examinedWorkers_;
         const bool isCandidate = isUsable(*worker, now) && !reserved_.contains(worker->entry.id)
                                  && canTakeLater(*worker, step, id);
         if (!isCandidate)
