Keep the handling of calls to former incarnations in one source

Cause: scheduler_renewals.cpp held two functions on the incarnations of a worker. Change: they move to scheduler_incarnations.cpp, and the time for which a new leader remembers a restart has its reason. No behaviour changes.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -302,8 +302,6 @@
     bool mayStopUnassigned(const Worker &worker, const TaskId &id, const UnassignedRun &run) const;
 
     void recordClock(Worker &worker, Millis workerClock);
-    void recordFormerLease(Worker &worker) const;
-    void recordFormerCall(Worker &worker, OrderStatus status) const;
     Millis leaseUntil(const Worker &worker) const;
     bool isLeaseExpired(const Worker &worker) const;
     bool isUsable(const Worker &worker, Millis now) const;
@@ -324,6 +322,8 @@
     void decideInheritedTasks(Worker &worker, std::uint64_t repliesBeforeSend,
                               const RenewReply &reply);
     void suspectRestart(Worker &worker);
+    void recordFormerLease(Worker &worker) const;
+    void recordFormerCall(Worker &worker, OrderStatus status) const;
 
     // Tasks that crash their workers (scheduler_crashes.cpp)
     bool isProven(const Worker &worker, const Task &task) const;
--- a/packages/scheduler/src/scheduler_incarnations.cpp
+++ b/packages/scheduler/src/scheduler_incarnations.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_worker.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -111,4 +112,27 @@
     worker.restartSuspectedAt = ++replyCount_;
 }
 
+// Orders that were meant for the former incarnation carry lease ends on its clock, which is far
+// ahead: the worker shortens them to its longest lease. Calls that were under way when the new
+// incarnation was noticed can arrive after the latest reply.
+void Scheduler::recordFormerLease(Worker &worker) const
+{
+    const bool mayExecuteOrders =
+            !worker.inheritedTasks.empty() || worker.replyAt < worker.formerOrdersUntil;
+    if (!mayExecuteOrders)
+        return;
+    const Millis underWayMs = std::max<Millis>(worker.addedAt + kMaxCallMs - worker.replyAt, 0);
+    worker.formerLeaseEnd = std::max(worker.formerLeaseEnd,
+                                     worker.clockAtReply + underWayMs + settings_.maxLeaseMs);
+}
+
+// A call to the former incarnation that gets no answer can have reached the present one, which may
+// execute it late.
+void Scheduler::recordFormerCall(Worker &worker, OrderStatus status) const
+{
+    if (status == OrderStatus::Unknown)
+        worker.formerOrdersUntil =
+                std::max(worker.formerOrdersUntil, hooks_.clock().steady + kMaxOrderDelayMs);
+}
+
 } // namespace chicorywick::scheduler
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -93,7 +93,8 @@
         Worker &worker = addWorker(entry);
         worker.isInherited = true;
         worker.isInStoredRoster = true;
-        // The clocks of machines can differ by seconds.
+        // Orders for the former incarnation arrive up to 12 s late and bring a lease of 6 s. The
+        // clocks of machines can differ by seconds.
         constexpr Millis kRestartMemoryMs = 30'000;
         worker.hasRestarted =
                 entry.hasRestarted && hooks_.clock().wall - entry.incarnation < kRestartMemoryMs;
