Add client accounts to the configuration, to jobs and to the scheduler

Cause: configurations hold client accounts (tenants on the wire), and no part of the code knows them: any API key, or none, is served, and nothing relates a job to its account.

--- a/packages/entry/include/chicorywick/entry/ports.h
+++ b/packages/entry/include/chicorywick/entry/ports.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
     std::string host;
     std::string pathPrefix;
     scheduler::QueuePolicy policy;
+    bool allowsAnonymous = false; ///< serves callers without an API key
 
     bool operator==(const QueueRoute &) const = default;
 };
@@ -28,6 +30,15 @@
     bool operator==(const ServiceSetup &) const = default;
 };
 
+/// @brief A client account and the API keys that identify its callers.
+struct ClientAccount
+{
+    scheduler::AccountPolicy policy;
+    std::set<std::string> apiKeys;
+
+    bool operator==(const ClientAccount &) const = default;
+};
+
 /// @brief One version of the configuration that operators write.
 struct Configuration
 {
@@ -35,6 +46,8 @@
     std::vector<QueueRoute> routes;
     std::map<std::string, ServiceSetup> services;
     std::size_t maxBodyBytes = 0;
+    /// Empty if the deployment has no accounts; then no request needs an API key.
+    std::optional<std::vector<ClientAccount>> accounts;
 
     bool operator==(const Configuration &) const = default;
 };
--- a/packages/entry/include/chicorywick/entry/route_table.h
+++ b/packages/entry/include/chicorywick/entry/route_table.h
@@ -13,6 +13,7 @@
 {
     scheduler::QueuePolicy policy;
     std::string rest;
+    bool allowsAnonymous = false;
 
     bool operator==(const RouteMatch &) const = default;
 };
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -187,6 +187,11 @@
     std::vector<scheduler::QueuePolicy> queues;
     for (const QueueRoute &route : configuration.routes)
         queues.push_back(route.policy);
+    std::vector<scheduler::AccountPolicy> accounts;
+    for (const ClientAccount &account :
+         configuration.accounts.value_or(std::vector<ClientAccount>()))
+        accounts.push_back(account.policy);
+    scheduler_.setAccounts(accounts);
     scheduler_.setQueues(queues);
     applyUsedServices();
 }
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -144,6 +144,7 @@
               {"steps", Json::array()}};
     for (const scheduler::StepSpec &step : spec.steps)
         json["steps"].push_back(encodeStep(step));
+    putUnlessDefault(json, "account", spec.account, "");
     if (spec.acceptedPolicy)
         json["policy"] = encodePolicy(*spec.acceptedPolicy);
     if (spec.repeatCount > 0) {
@@ -159,6 +160,7 @@
     return decodeWith<scheduler::JobSpec>(text, "job row", [](const Json &json) {
         scheduler::JobSpec spec{.id = json.at("id"),
                                 .queue = json.at("queue"),
+                                .account = json.value("account", ""),
                                 .payload = json.at("payload"),
                                 .repeatCount = json.value("repeat", std::int64_t{0}),
                                 .firstStartWall = json.value("first", scheduler::Millis{0}),
--- a/packages/entry/src/records_test.cpp
+++ b/packages/entry/src/records_test.cpp
@@ -39,4 +39,18 @@
     CHECK(former.value() == std::vector{fresh});
 }
 
+// Guards against a new leader that does not learn whose job it runs, and against job rows of former
+// versions that it cannot read.
+TEST_CASE("the account of a job is stored with it")
+{
+    const scheduler::JobSpec spec{.id = "j", .queue = "q", .account = "a"};
+    const auto decoded = decodeJob(encode(spec));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == spec);
+    const auto former =
+            decodeJob(R"({"id":"j","queue":"q","payload":"","submitted":0,"steps":[]})");
+    REQUIRE(former);
+    CHECK(former.value().account.empty());
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/route_table.cpp
+++ b/packages/entry/src/route_table.cpp
@@ -24,7 +24,8 @@
     for (const QueueRoute &route : found->second)
         if (withoutQuery.starts_with(route.pathPrefix))
             return RouteMatch{.policy = route.policy,
-                              .rest = withoutQuery.substr(route.pathPrefix.size())};
+                              .rest = withoutQuery.substr(route.pathPrefix.size()),
+                              .allowsAnonymous = route.allowsAnonymous};
     return std::nullopt;
 }
 
--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -105,11 +105,24 @@
     bool operator==(const QueuePolicy &) const = default;
 };
 
+/// @brief What the scheduler needs to know of a client account.
+struct AccountPolicy
+{
+    std::string name;
+    /// Share of a full service relative to the other accounts; also the number of jobs a second,
+    /// over the whole fleet, up to which the account's jobs count as within its share.
+    double weight = 1.0;
+    Resources limit; ///< that its tasks may use at once, over the whole fleet; 0: no limit
+
+    bool operator==(const AccountPolicy &) const = default;
+};
+
 /// @brief An accepted job.
 struct JobSpec
 {
     std::string id;
     std::string queue;
+    std::string account; ///< client account that has submitted the job; empty: none
     std::string payload;
     std::vector<StepSpec> steps;
     std::int64_t repeatCount = 0; ///< 0: runs once, immediately
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -105,6 +105,9 @@
 
     void setQueues(const std::vector<QueuePolicy> &queues);
 
+    /// @brief Replaces the client accounts; jobs of accounts that are not named have no limit.
+    void setAccounts(const std::vector<AccountPolicy> &accounts);
+
     /// @brief Services of all queues, and of removed queues with unfinished jobs.
     std::set<std::string> usedServices() const;
 
@@ -403,6 +406,7 @@
     Millis createdAt_; ///< earlier leaders sent their last orders before this time
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::map<std::string, QueuePolicy> queues_;
+    std::map<std::string, AccountPolicy> accounts_;
     std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
     std::unordered_map<std::string, JobEntry *> openJobs_; ///< jobs that are not in a final state
     std::set<std::string> recurringJobs_;
