Check API keys of client accounts, and fetch the configuration from peers

An entry instance that the store rejects kept its configuration for as long, and relayed submissions under it. Change: AccountTable finds the account of a request; the intake answers 401 to unknown and missing keys, 403 to the cancellation of another account's job, and 400 to a job with a task above its account's limit. While the watch of the configuration fails or is late, an instance asks leaders and recent senders for a newer version on the peer port. Ruled out: pushing versions from leaders, as these do not know all instances (docs/design/accounts.md).

--- a/packages/base/include/chicorywick/base/code.h
+++ b/packages/base/include/chicorywick/base/code.h
@@ -49,6 +49,9 @@
     UnknownService = 4012,
     ResponseTooLarge = 4013,
     CallerLimitExceeded = 4014,
+    ApiKeyMissing = 4015,
+    ApiKeyUnknown = 4016,
+    OtherAccount = 4017,
 
     // 5xxx: fleet
     BudgetExhausted = 5001,
--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -71,6 +71,7 @@
     JobGivenUp = 6016,
     JobWaiting = 6017,
     JobStopSent = 6018,
+    AccountLimited = 6019,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
@@ -87,6 +88,8 @@
     ViewOutdated = 7012,
     ViewCurrent = 7013,
     AnnouncementLost = 7014,
+    ApiKeyAmbiguous = 7015,
+    ApiKeyRefused = 7016,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -96,6 +96,8 @@
          "a task of a lasting job has waited for seconds; the counts are workers of its service"},
         {Event::JobStopSent, Severity::Info, "job.stop-sent",
          "a stop of a run was sent; away and budget are tasks of its step, for lasting jobs"},
+        {Event::AccountLimited, Severity::Info, "account.limited",
+         "tasks of a client account wait because it uses its limit in the cell"},
         {Event::MemberJoined, Severity::Info, "member.joined", "an entry instance joined"},
         {Event::MemberSuspected, Severity::Warning, "member.suspected",
          "an entry instance does not answer"},
@@ -123,6 +125,10 @@
          "the rows are known again; the fields describe the answer that ended the delay"},
         {Event::AnnouncementLost, Severity::Warning, "announcement.lost",
          "the leader of a cell did not confirm a stored row; its watch shows the row"},
+        {Event::ApiKeyAmbiguous, Severity::Warning, "account.key-ambiguous",
+         "an API key is listed more than once; it belongs to the first account that lists it"},
+        {Event::ApiKeyRefused, Severity::Info, "account.key-refused",
+         "a request was refused because of its API key or its account"},
 });
 
 EventWriter &eventWriter()
--- a/packages/entry/include/chicorywick/entry/ports.h
+++ b/packages/entry/include/chicorywick/entry/ports.h
@@ -67,6 +67,7 @@
 struct OperatorState
 {
     std::optional<Configuration> configuration;
+    std::string configurationText; ///< stored form of the configuration
     std::vector<WaveRequest> waves;
     bool hasMore = false; ///< later changes can be missing
     Version version = 0;
@@ -83,6 +84,9 @@
     virtual void watch(Version after, std::chrono::milliseconds wait,
                        Callback<OperatorState> done) = 0;
     virtual void reportWave(std::int64_t number, bool isCompleted, Callback<bool> done) = 0;
+
+    /// @brief Decodes the stored form of a configuration.
+    virtual base::Result<Configuration> decode(const std::string &configurationText) const = 0;
 };
 
 /// @brief The discovered workers, or an incremental change to them.
--- a/packages/entry/src/controller_fixture.h
+++ b/packages/entry/src/controller_fixture.h
@@ -145,6 +145,10 @@
     {}
     void reportWave(std::int64_t /*number*/, bool /*isCompleted*/, Callback<bool> /*done*/) override
     {}
+    base::Result<Configuration> decode(const std::string & /*configurationText*/) const override
+    {
+        return base::makeError(base::Code::ConfigRejected);
+    }
 };
 
 /// @brief A controller with one worker, an in-memory store and a clock that the test sets.
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -15,6 +15,8 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
 constexpr int kGone = 410;
@@ -56,6 +58,29 @@
     return response;
 }
 
+http::Response refuseKey(const RouteMatch &route, base::Code code)
+{
+    base::logEvent(base::Event::ApiKeyRefused, {{"queue", route.policy.name},
+                                                {"code", std::to_string(static_cast<int>(code))}});
+    return refusal(code == base::Code::OtherAccount ? kForbidden : kUnauthorized, code);
+}
+
+// A task that uses more than the limit of its account could never start.
+base::Result<void> checkTaskSizes(const scheduler::JobSpec &spec,
+                                  const scheduler::AccountPolicy &account)
+{
+    const auto exceeds = [](std::int64_t demand, std::int64_t limit) {
+        return limit > 0 && demand > limit;
+    };
+    for (const scheduler::StepSpec &step : spec.steps)
+        if (exceeds(step.demand.cpuMillis, account.limit.cpuMillis)
+            || exceeds(step.demand.memoryMib, account.limit.memoryMib)
+            || exceeds(step.demand.accelerators, account.limit.accelerators))
+            return base::makeError(base::Code::NoWorkerFits,
+                                   "a task exceeds the limit of account " + account.name);
+    return base::ok();
+}
+
 http::Response json(int status, std::string body)
 {
     return {.status = status,
@@ -63,6 +88,15 @@
             .body = std::move(body)};
 }
 
+// The row of an ended job does not tell its account; its cancellation has no effect.
+bool belongsToOther(const RowPage &jobRows, const std::string &account)
+{
+    return std::any_of(jobRows.rows.begin(), jobRows.rows.end(), [&account](const Row &row) {
+        const auto job = decodeJob(row.value);
+        return job && !job.value().account.empty() && job.value().account != account;
+    });
+}
+
 bool isUnknown(const base::Error &error)
 {
     return error.code == base::Code::PlatformUnknownOutcome;
@@ -95,6 +129,7 @@
 void Intake::configure(const Configuration &configuration)
 {
     routes_ = RouteTable(configuration.routes);
+    accounts_ = AccountTable(configuration.accounts);
     isConfigured_ = true;
 }
 
@@ -105,6 +140,10 @@
     const auto route = routes_.match(http::headerOf(request.headers, "host"), request.target);
     if (!route)
         return respond(refusal(kNotFound, base::Code::UnknownService));
+    const auto account = accounts_.identify(http::headerOf(request.headers, "x-api-key"),
+                                            route->allowsAnonymous);
+    if (!account)
+        return respond(refuseKey(*route, account.error().code));
     if (route->rest.empty()) {
         if (request.method != "GET")
             return respond(refusal(kMethodNotAllowed, base::Code::UnknownMethod));
@@ -113,20 +152,23 @@
     if (!isJobId(route->rest))
         return respond(refusal(kBadRequest, base::Code::InvalidArgument));
     if (request.method == "POST")
-        return submit(*route, request, std::move(respond));
+        return submit(*route, account.value(), request, std::move(respond));
     if (request.method == "GET")
         return respondState(route->rest, respond);
     if (request.method == "DELETE")
-        return cancel(route->rest, respond);
+        return cancel(route->rest, account.value(), respond);
     respond(refusal(kMethodNotAllowed, base::Code::UnknownMethod));
 }
 
-void Intake::submit(const RouteMatch &route, const http::Request &request, http::Responder respond)
+void Intake::submit(const RouteMatch &route, const scheduler::AccountPolicy *account,
+                    const http::Request &request, http::Responder respond)
 {
     auto decoded = codec_.decodeSubmission(request.body);
     base::Result<void> checked = base::ok();
     if (decoded)
         checked = validateSubmission(decoded.value());
+    if (decoded && checked && account != nullptr)
+        checked = checkTaskSizes(decoded.value(), *account);
     if (!decoded || !checked) {
         const base::Error error = decoded ? checked.error() : decoded.error();
         base::logEvent(
@@ -139,6 +181,7 @@
     submission->spec = std::move(decoded.value());
     submission->spec.id = route.rest;
     submission->spec.queue = route.policy.name;
+    submission->spec.account = account != nullptr ? account->name : std::string();
     submission->spec.acceptedPolicy = route.policy;
     submission->spec.submittedWall = now.wall;
     submission->value = encode(submission->spec);
@@ -278,14 +321,20 @@
 
 // The cancellation is also stored if the job is not: a submission that got no answer may still be
 // carried out seconds later, and its job must not run then.
-void Intake::cancel(const std::string &id, const http::Responder &respond)
+void Intake::cancel(const std::string &id, const scheduler::AccountPolicy *account,
+                    const http::Responder &respond)
 {
-    table_.read(rangeOf(rowsOf(id).jobRow(id)), kStoreTimeout,
-                [self = shared_from_this(), id, respond](const base::Result<RowPage> &page) {
-                    if (!page)
-                        return respond(refusal(kUnavailable, page.error().code));
-                    self->storeCancellation(id, !page.value().rows.empty(), 1, respond);
-                });
+    // The account may be gone from the configuration when the store answers.
+    const std::string caller = account != nullptr ? account->name : std::string();
+    table_.read(
+            rangeOf(rowsOf(id).jobRow(id)), kStoreTimeout,
+            [self = shared_from_this(), id, caller, respond](const base::Result<RowPage> &page) {
+                if (!page)
+                    return respond(refusal(kUnavailable, page.error().code));
+                if (belongsToOther(page.value(), caller))
+                    return respond(refusal(kForbidden, base::Code::OtherAccount));
+                self->storeCancellation(id, !page.value().rows.empty(), 1, respond);
+            });
 }
 
 void Intake::storeCancellation(const std::string &id, bool isJobStored, int attempts,
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account_table.h"
 #include "controller_answer.h"
 
 #include <chicorywick/entry/caller_codec.h>
@@ -43,14 +44,16 @@
 private:
     struct Submission;
 
-    void submit(const RouteMatch &route, const http::Request &request, http::Responder respond);
+    void submit(const RouteMatch &route, const scheduler::AccountPolicy *account,
+                const http::Request &request, http::Responder respond);
     void store(const std::shared_ptr<Submission> &submission);
     void retryAfter(const std::shared_ptr<Submission> &submission, std::chrono::milliseconds pause);
     void handleStored(const std::shared_ptr<Submission> &submission,
                       const base::Result<TransactionResult> &result);
     void respondState(const std::string &id, const http::Responder &respond);
     void readState(const std::string &id, const http::Responder &respond);
-    void cancel(const std::string &id, const http::Responder &respond);
+    void cancel(const std::string &id, const scheduler::AccountPolicy *account,
+                const http::Responder &respond);
     void storeCancellation(const std::string &id, bool isJobStored, int attempts,
                            const http::Responder &respond);
     void ifJobExists(const std::string &id, const http::Responder &respond,
@@ -66,6 +69,7 @@
     ControllerQuery controller_;
     std::function<scheduler::Now()> clock_;
     RouteTable routes_;
+    AccountTable accounts_;
     std::optional<CellLayout> layout_;
     bool isConfigured_ = false;
 };
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -24,6 +24,8 @@
             return base::makeError(base::Code::MalformedInput);
         scheduler::JobSpec spec{.payload = body};
         spec.steps.push_back({.taskCount = 1});
+        if (body == "large task")
+            spec.steps.back().demand.cpuMillis = 3'000;
         if (body == "cycle")
             spec.steps.back().after = {0};
         if (body == "many tasks")
@@ -72,12 +74,15 @@
     }
 
     http::Response call(const std::string &method, const std::string &target,
-                        const std::string &body = "work", const std::string &host = "h:80")
+                        const std::string &body = "work", const std::string &host = "h:80",
+                        const std::string &apiKey = {})
     {
         http::Response received{.status = 0};
-        intake->handle(
-                {.method = method, .target = target, .headers = {{"host", host}}, .body = body},
-                [&](http::Response response) { received = std::move(response); });
+        http::Request request{
+                .method = method, .target = target, .headers = {{"host", host}}, .body = body};
+        if (!apiKey.empty())
+            request.headers["x-api-key"] = apiKey;
+        intake->handle(request, [&](http::Response response) { received = std::move(response); });
         loop.restart();
         loop.run_for(400ms);
         return received;
@@ -284,4 +289,101 @@
     CHECK(!decodeRoster("[7]"));
 }
 
+namespace {
+
+// Route "r" needs a key, route "open" needs none.
+Configuration withAccounts(std::int64_t version, std::vector<ClientAccount> accounts)
+{
+    return {.version = version,
+            .routes = {{.host = "h", .pathPrefix = "/q/", .policy = {.name = "r", .service = "s"}},
+                       {.host = "h",
+                        .pathPrefix = "/open/",
+                        .policy = {.name = "open", .service = "s"},
+                        .allowsAnonymous = true}},
+            .accounts = std::move(accounts)};
+}
+
+const std::string kHost = "h:80";
+
+} // namespace
+
+// Guards against callers that are served without a key or with one that no account has, and against
+// a job that is stored although its caller was refused.
+TEST_CASE("a request is served with the key of an account or on an anonymous route only")
+{
+    Fixture fixture;
+    fixture.intake->configure(withAccounts(2, {{.policy = {.name = "a"}, .apiKeys = {"k"}}}));
+    const auto missing = fixture.call("POST", "/q/j1");
+    CHECK(missing.status == 401);
+    CHECK(missing.headers.at("X-Result-Code") == "4015");
+    const auto unknown = fixture.call("POST", "/q/j1", "work", kHost, "x");
+    CHECK(unknown.status == 401);
+    CHECK(unknown.headers.at("X-Result-Code") == "4016");
+    CHECK(fixture.call("GET", "/q/", {}, kHost, "x").status == 401);
+    CHECK(fixture.call("DELETE", "/q/j1", {}, kHost, "x").status == 401);
+    CHECK(fixture.call("POST", "/open/j1", "work", kHost, "x").status == 401);
+    CHECK(fixture.table.rows.empty());
+    CHECK(fixture.call("POST", "/absent/j1").status == 404);
+
+    CHECK(fixture.call("POST", "/q/j1", "work", kHost, "k").status == 200);
+    CHECK(fixture.call("POST", "/open/j2").status == 200);
+    CHECK(decodeJob(fixture.table.rows.at(kRows.jobRow("j1")).value).value().account == "a");
+    CHECK(decodeJob(fixture.table.rows.at(kRows.jobRow("j2")).value).value().account.empty());
+}
+
+// Guards against keys that stay valid, or do not become valid, when a version changes them while
+// callers are connected.
+TEST_CASE("a configuration adds and removes keys for the requests that follow")
+{
+    Fixture fixture;
+    CHECK(fixture.call("POST", "/q/j0").status == 200);
+    fixture.intake->configure(withAccounts(2, {{.policy = {.name = "a"}, .apiKeys = {"k"}}}));
+    CHECK(fixture.call("POST", "/q/j1", "work", kHost, "k").status == 200);
+    fixture.intake->configure(withAccounts(3, {{.policy = {.name = "a"}, .apiKeys = {"l"}}}));
+    CHECK(fixture.call("POST", "/q/j2", "work", kHost, "k").status == 401);
+    CHECK(fixture.call("POST", "/q/j2", "work", kHost, "l").status == 200);
+    fixture.intake->configure(withAccounts(4, {}));
+    CHECK(fixture.call("POST", "/q/j3", "work", kHost, "l").status == 401);
+    CHECK(fixture.call("POST", "/open/j3").status == 200);
+}
+
+// Guards against an ambiguous key that changes its account with the order of evaluation.
+TEST_CASE("a key that two accounts list belongs to the first one")
+{
+    Fixture fixture;
+    fixture.intake->configure(withAccounts(2, {{.policy = {.name = "a"}, .apiKeys = {"k"}},
+                                               {.policy = {.name = "b"}, .apiKeys = {"k"}}}));
+    REQUIRE(fixture.call("POST", "/q/j1", "work", kHost, "k").status == 200);
+    CHECK(decodeJob(fixture.table.rows.at(kRows.jobRow("j1")).value).value().account == "a");
+}
+
+// Guards against a caller that ends the jobs of another account.
+TEST_CASE("a job is cancelled by callers of its own account only")
+{
+    Fixture fixture;
+    fixture.intake->configure(withAccounts(2, {{.policy = {.name = "a"}, .apiKeys = {"k"}},
+                                               {.policy = {.name = "b"}, .apiKeys = {"l"}}}));
+    REQUIRE(fixture.call("POST", "/q/j1", "work", kHost, "k").status == 200);
+    const auto refused = fixture.call("DELETE", "/q/j1", {}, kHost, "l");
+    CHECK(refused.status == 403);
+    CHECK(refused.headers.at("X-Result-Code") == "4017");
+    CHECK(fixture.table.rows.size() == 1);
+    CHECK(fixture.call("DELETE", "/q/j1", {}, kHost, "k").status == 200);
+}
+
+// Guards against an accepted job that can never start, because one of its tasks exceeds the limit
+// of its account; a limit of 0 is none.
+TEST_CASE("a submission with a task larger than the limit of its account is rejected")
+{
+    Fixture fixture;
+    fixture.intake->configure(withAccounts(
+            2, {{.policy = {.name = "a", .limit = {.cpuMillis = 2'999}}, .apiKeys = {"k"}},
+                {.policy = {.name = "b"}, .apiKeys = {"l"}}}));
+    const auto refused = fixture.call("POST", "/q/j1", "large task", kHost, "k");
+    CHECK(refused.status == 400);
+    CHECK(refused.headers.at("X-Result-Code") == "6005");
+    CHECK(fixture.table.rows.empty());
+    CHECK(fixture.call("POST", "/q/j1", "large task", kHost, "l").status == 200);
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -1,11 +1,13 @@
 #include "announcer.h"
 #include "cell_leadership.h"
+#include "configuration_exchange.h"
 #include "intake.h"
 #include "peer_client.h"
 #include "relayed_table.h"
 #include "view_report.h"
 #include "view_watch.h"
 
+#include <chicorywick/base/hash.h>
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/base/unique_id.h>
 #include <chicorywick/entry/node.h>
@@ -26,6 +28,9 @@
 constexpr auto kReportPeriod = 250ms;
 // Without an answer from the store for this time, this instance is not ready: it cannot store jobs.
 constexpr scheduler::Millis kStoreUnreachableMs = 2'500;
+// A watch without changes is answered after its wait; the rest is for the way of the answer.
+constexpr scheduler::Millis kConfigurationOverdueMs = 1'500;
+constexpr scheduler::Millis kAskPeersPeriodMs = 500;
 // The load balancer removes a daemon after two failed probes, one second apart. Requests arrive
 // until then, and on open connections even later.
 constexpr scheduler::Millis kReadinessDrainMs = 2'600;
@@ -57,8 +62,8 @@
         , ports_(ports)
         , loop_(*ports.loop)
         , incarnation_(base::uniqueId().substr(0, kIncarnationLength))
-        , peers_(std::make_shared<PeerClient>(
-                  loop_, settings_.peers.host + ":" + std::to_string(settings_.peers.port)))
+        , peerAddress_(settings_.peers.host + ":" + std::to_string(settings_.peers.port))
+        , peers_(std::make_shared<PeerClient>(loop_, peerAddress_))
         , cells_(std::make_shared<CellLeadership>(settings_, ports_, peers_, incarnation_))
         , announcer_(std::make_shared<Announcer>(
                   loop_,
@@ -88,9 +93,18 @@
                     constexpr int kUnavailable = 503;
                     respond(http::Response{.status = self->isReady() ? kOk : kUnavailable});
                 });
+        exchange_ = std::make_shared<ConfigurationExchange>(
+                loop_, peerAddress_, base::hash64(incarnation_),
+                [self = shared_from_this()](const std::string &text) {
+                    self->applyFromPeers(text);
+                });
         peerServer_ = std::make_unique<http::Server>(
                 loop_, [self = shared_from_this()](const http::Request &request,
                                                    const http::Responder &respond) {
+                    self->exchange_->recordSender(request);
+                    if (answerConfigurationQuery(request, self->version(), self->configurationText_,
+                                                 respond))
+                        return;
                     if (const auto yieldRequest = parseYieldRequest(request)) {
                         self->cells_->handleYieldRequest(*yieldRequest);
                         return respond({});
@@ -235,6 +249,7 @@
     void reportViewAge()
     {
         operatorReport_.update(operatorWatch_->view(), systemNow().steady);
+        askPeersIfOverdue();
         reportTimer_.expires_after(kReportPeriod);
         reportTimer_.async_wait(
                 [self = shared_from_this()](const boost::system::error_code &error) {
@@ -243,6 +258,33 @@
                 });
     }
 
+    std::int64_t version() const { return configuration_ ? configuration_->version : 0; }
+
+    // The store may reject this instance and serve the others, which then know newer versions.
+    void askPeersIfOverdue()
+    {
+        const scheduler::Millis now = systemNow().steady;
+        const bool isOverdue =
+                isStoreUnreachable_ || now - storeAnsweredAt_ > kConfigurationOverdueMs;
+        if (!isOverdue || now - askedPeersAt_ < kAskPeersPeriodMs)
+            return;
+        askedPeersAt_ = now;
+        exchange_->ask(version(), peers_->leaderAddresses());
+    }
+
+    void applyFromPeers(const std::string &text)
+    {
+        const auto configuration = ports_.operators->decode(text);
+        if (!configuration)
+            return base::logEvent(base::Event::ConfigRefused,
+                                  {{"reason", configuration.error().message}});
+        if (configuration.value().version <= version())
+            return;
+        base::logEvent(base::Event::ConfigFromPeers,
+                       {{"version", std::to_string(configuration.value().version)}});
+        apply({.configuration = configuration.value(), .configurationText = text});
+    }
+
     void apply(const OperatorState &state)
     {
         for (const WaveRequest &wave : state.waves)
@@ -253,6 +295,7 @@
         if (!next || (configuration_ && next->version <= configuration_->version))
             return;
         configuration_ = next;
+        configurationText_ = state.configurationText;
         intake_->configure(*next);
         cells_->configure(*next);
         base::logEvent(base::Event::ConfigApplied,
@@ -286,17 +329,21 @@
     ControllerPorts ports_;
     boost::asio::io_context &loop_;
     std::string incarnation_;
+    std::string peerAddress_;
     std::shared_ptr<PeerClient> peers_;
     std::shared_ptr<CellLeadership> cells_;
     std::shared_ptr<Announcer> announcer_;
     RelayedTable relayed_;
     std::shared_ptr<Intake> intake_;
+    std::shared_ptr<ConfigurationExchange> exchange_;
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> readiness_;
     std::unique_ptr<http::Server> peerServer_;
     std::unique_ptr<http::Server> metricsServer_;
     const Metrics &metrics_;
     std::optional<Configuration> configuration_;
+    std::string configurationText_; ///< stored form of configuration_
+    scheduler::Millis askedPeersAt_ = 0;
     std::map<std::int64_t, WaveRequest> waves_;
     std::shared_ptr<ViewWatch<OperatorState>> operatorWatch_;
     ViewReport operatorReport_{"operators"};
--- a/packages/entry/src/peer_client.cpp
+++ b/packages/entry/src/peer_client.cpp
@@ -1,5 +1,7 @@
 #include "peer_client.h"
 
+#include "configuration_exchange.h"
+
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/records.h>
 
@@ -160,18 +162,33 @@
     return others.empty() ? nullptr : others[nextRelay_++ % others.size()];
 }
 
+std::vector<std::string> PeerClient::leaderAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[address, client] : clients_)
+        addresses.push_back(address);
+    return addresses;
+}
+
+void PeerClient::send(http::Client &leader, http::Request request,
+                      std::chrono::milliseconds timeout, http::ResponseCallback done) const
+{
+    request.headers[kSenderHeader] = ownAddress_;
+    leader.send(std::move(request), timeout, std::move(done));
+}
+
 void PeerClient::queryState(int cell, const std::string &id,
                             std::function<void(ControllerAnswer)> done)
 {
     const ClientPointer leader = leaderOf(cell);
     if (!leader)
         return done({});
-    leader->send({.method = "GET", .target = cellPath(cell) + kStatePath + id}, kTimeout,
-                 [done = std::move(done)](const base::Result<http::Response> &response) {
-                     if (!response || response.value().status != kOk)
-                         return done({});
-                     done(decode(response.value().body));
-                 });
+    send(*leader, {.method = "GET", .target = cellPath(cell) + kStatePath + id}, kTimeout,
+         [done = std::move(done)](const base::Result<http::Response> &response) {
+             if (!response || response.value().status != kOk)
+                 return done({});
+             done(decode(response.value().body));
+         });
 }
 
 void PeerClient::transact(const Transaction &transaction, std::chrono::milliseconds timeout,
@@ -180,22 +197,22 @@
     const ClientPointer relay = nextRelay();
     if (!relay)
         return done(base::makeError(base::Code::PlatformUnavailable, "no relay"));
-    relay->send({.method = "POST", .target = kTransactPath, .body = encode(transaction)}, timeout,
-                [done = std::move(done)](const base::Result<http::Response> &response) {
-                    const bool mayHaveRun =
-                            response ? response.value().status == kOutcomeUnknown
-                                     : response.error().code == base::Code::UpstreamOutcomeUnknown;
-                    if (mayHaveRun)
-                        return done(base::makeError(base::Code::PlatformUnknownOutcome, "relay"));
-                    const bool isAnswer = response
-                                          && (response.value().status == kOk
-                                              || response.value().status == kConflict);
-                    if (!isAnswer)
-                        return done(base::makeError(base::Code::PlatformUnavailable, "relay"));
-                    // The current rows are not relayed: the intake only needs to know that they
-                    // exist.
-                    done(TransactionResult{.isCommitted = response.value().status == kOk});
-                });
+    send(*relay, {.method = "POST", .target = kTransactPath, .body = encode(transaction)}, timeout,
+         [done = std::move(done)](const base::Result<http::Response> &response) {
+             const bool mayHaveRun =
+                     response ? response.value().status == kOutcomeUnknown
+                              : response.error().code == base::Code::UpstreamOutcomeUnknown;
+             if (mayHaveRun)
+                 return done(base::makeError(base::Code::PlatformUnknownOutcome, "relay"));
+             const bool isAnswer =
+                     response
+                     && (response.value().status == kOk || response.value().status == kConflict);
+             if (!isAnswer)
+                 return done(base::makeError(base::Code::PlatformUnavailable, "relay"));
+             // The current rows are not relayed: the intake only needs to know that they
+             // exist.
+             done(TransactionResult{.isCommitted = response.value().status == kOk});
+         });
 }
 
 bool relayTransaction(const http::Request &request, Table &table, const http::Responder &respond)
@@ -224,10 +241,10 @@
     if (!leader)
         return done(false);
     const nlohmann::json body{encodeKey(row.key), row.value, row.version};
-    leader->send({.method = "POST", .target = cellPath(cell) + kRowsPath, .body = body.dump()},
-                 kTimeout, [done = std::move(done)](const base::Result<http::Response> &response) {
-                     done(response && response.value().status == kOk);
-                 });
+    send(*leader, {.method = "POST", .target = cellPath(cell) + kRowsPath, .body = body.dump()},
+         kTimeout, [done = std::move(done)](const base::Result<http::Response> &response) {
+             done(response && response.value().status == kOk);
+         });
 }
 
 std::optional<AnnouncedRow> parseAnnouncedRow(const http::Request &request)
@@ -261,16 +278,15 @@
     if (!leader)
         return;
     const nlohmann::json body{request.memoryMib, request.heldCells};
-    leader->send(
-            {.method = "POST", .target = cellPath(request.cell) + kYieldPath, .body = body.dump()},
-            kTimeout, [](const base::Result<http::Response> &response) {
-                // The daemon repeats the request; the leader row shows whether the leader has
-                // yielded.
-                if (!response)
-                    base::logEvent(
-                            base::Event::PlatformUnreachable,
-                            {{"call", "ask-for-yield"}, {"reason", response.error().message}});
-            });
+    send(*leader,
+         {.method = "POST", .target = cellPath(request.cell) + kYieldPath, .body = body.dump()},
+         kTimeout, [](const base::Result<http::Response> &response) {
+             // The daemon repeats the request; the leader row shows whether the leader has
+             // yielded.
+             if (!response)
+                 base::logEvent(base::Event::PlatformUnreachable,
+                                {{"call", "ask-for-yield"}, {"reason", response.error().message}});
+         });
 }
 
 std::optional<YieldRequest> parseYieldRequest(const http::Request &request)
--- a/packages/entry/src/peer_client.h
+++ b/packages/entry/src/peer_client.h
@@ -55,6 +55,9 @@
                   Callback<TransactionResult> done);
     bool hasRelay() const;
 
+    /// @brief Peer addresses of the known leaders.
+    std::vector<std::string> leaderAddresses() const;
+
     /// @brief Sends a stored row of a jobs table once to the leader of its cell, and reports
     /// whether the leader has confirmed it.
     void announce(int cell, const Row &row, std::function<void(bool isConfirmed)> done);
@@ -68,6 +71,8 @@
     ClientPointer leaderOf(int cell) const;
     ClientPointer nextRelay();
     std::vector<ClientPointer> relays() const;
+    void send(http::Client &leader, http::Request request, std::chrono::milliseconds timeout,
+              http::ResponseCallback done) const;
 
     boost::asio::io_context &loop_;
     std::string ownAddress_;
