Keep accounts within their limits over the whole fleet

Change: the scheduler counts the runs of each account until their end is known, and starts a task only within the account's limit in the cell. Cells divide a limit by shares in one stored row, which only the giver lowers; the needs travel in the leader rows. A new leader counts what may run on silent workers. Limits hold back no other account, and call for no machines. Evidence: scheduler_tests (143 cases) and entry_tests (119) pass: limits under lost and late orders, changed limits, gangs, take-over, gifts under lost, late and rejected writes and changes of leader.

--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -74,6 +74,9 @@
     /// @brief Machines that the cell lacks or can lend to others.
     MachineNeeds machineNeeds() const;
 
+    /// @brief Client accounts whose share of their limit does not suffice in the cell.
+    const AccountNeeds &accountNeeds() const;
+
 private:
     class Impl;
     std::shared_ptr<Impl> impl_;
--- a/packages/entry/include/chicorywick/entry/layout.h
+++ b/packages/entry/include/chicorywick/entry/layout.h
@@ -19,6 +19,8 @@
 inline constexpr const char *kWaves = "waves";
 /// Machines that have changed their cell. Only leaders watch this table.
 inline constexpr const char *kMachines = "machines";
+/// How the cells divide the limits of client accounts. Only leaders watch this table.
+inline constexpr const char *kQuota = "quota";
 
 /// @brief Parts of the leader table. The store runs the transactions of a part one after another:
 /// at fifty times the usual latency, a part accepts five renewals per second.
@@ -34,6 +36,8 @@
 RowKey leaderRow(int cell);
 std::string leaderPart(int number);
 
+RowKey quotaSharesRow();
+
 /// @brief The row that each change of the machines table writes. It comes first in the table.
 RowKey machineSequenceRow();
 RowKey machineRow(const std::string &machine);
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -22,11 +22,23 @@
     bool operator==(const MachineNeeds &) const = default;
 };
 
+/// @brief What the tasks of a client account ask for in a cell, in thousandths of its limit.
+struct AccountNeed
+{
+    int demand = 0;   ///< of running and waiting tasks
+    int smallest = 0; ///< of one waiting task
+
+    bool operator==(const AccountNeed &) const = default;
+};
+
+using AccountNeeds = std::map<std::string, AccountNeed>;
+
 /// @brief The machines that another cell lacks or can lend, as its leader has published them.
 struct CellNeeds
 {
     int cell = 0;
     MachineNeeds machines;
+    AccountNeeds accounts; ///< those whose share of the limit does not suffice in the cell
 
     bool operator==(const CellNeeds &) const = default;
 };
@@ -44,6 +56,7 @@
     int heldCells = 0;                      ///< cells that the holder leads; 0: unknown
     std::map<std::string, int> waitingJobs; ///< by queue; jobs of the cell that have not started
     MachineNeeds machines;
+    AccountNeeds accounts; ///< those whose share of the limit does not suffice in the cell
 
     bool operator==(const LeaderRecord &) const = default;
 };
@@ -78,6 +91,20 @@
 std::string encode(const MachineTransfer &transfer);
 base::Result<MachineTransfer> decodeMachineTransfer(const std::string &text);
 
+/// @brief How the cells divide the limits of client accounts.
+struct QuotaShares
+{
+    /// By account, then by cell: thousandths of the limit. Accounts that are not named are divided
+    /// equally.
+    std::map<std::string, std::vector<int>> shares;
+    std::string writer; ///< unique to the write that has stored them
+
+    bool operator==(const QuotaShares &) const = default;
+};
+
+std::string encode(const QuotaShares &shares);
+base::Result<QuotaShares> decodeQuotaShares(const std::string &text);
+
 /// @brief Progress of a wave in one cell.
 struct WaveProgress
 {
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -161,8 +161,9 @@
         const bool isLed =
                 !election.record().holder.empty() && now - election.changedAt() < kMaxNeedsAgeMs;
         if (static_cast<int>(other) != cell && isLed)
-            needs.push_back(
-                    {.cell = static_cast<int>(other), .machines = election.record().machines});
+            needs.push_back({.cell = static_cast<int>(other),
+                             .machines = election.record().machines,
+                             .accounts = election.record().accounts});
     }
     return needs;
 }
@@ -263,6 +264,7 @@
     if (controller != nullptr && controller->isLoaded()) {
         write.record.waitingJobs = controller->waitingJobs();
         write.record.machines = controller->machineNeeds();
+        write.record.accounts = controller->accountNeeds();
     }
     const RowKey key = layout::leaderRow(cell);
     ports_.table->transact({.conditions = {{.key = key, .version = write.expected}},
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -88,6 +88,11 @@
     return impl_->machineNeeds();
 }
 
+const AccountNeeds &Controller::accountNeeds() const
+{
+    return impl_->accountNeeds();
+}
+
 Controller::Impl::Impl(ControllerPorts ports, ControllerHooks hooks, Cell cell,
                        scheduler::SchedulerSettings settings)
     : ports_(ports)
@@ -155,6 +160,8 @@
                                        return waves->maintainedFor(machine);
                                    },
                            .onMachinesKept = [this] { addReceivedWorkers(); }}))
+    , quota_(std::make_shared<AccountQuota>(*ports.loop, *ports.table, hooks_, scheduler_, cell_,
+                                            settings.fence))
     , tickTimer_(*ports.loop)
     , fence_(settings.fence)
     , retentionMs_(settings.retentionMs)
@@ -177,6 +184,7 @@
     roster_->stop();
     waves_->stop();
     poolBalancer_->stop();
+    quota_->stop();
     if (ledger_)
         ledger_->stop();
 }
@@ -192,6 +200,7 @@
          configuration.accounts.value_or(std::vector<ClientAccount>()))
         accounts.push_back(account.policy);
     scheduler_.setAccounts(accounts);
+    quota_->configure(configuration.accounts);
     scheduler_.setQueues(queues);
     applyUsedServices();
 }
@@ -328,6 +337,7 @@
     roster_->update();
     waves_->tick();
     poolBalancer_->tick();
+    quota_->tick();
     compactEndedJobs();
     removeExpiredJobs();
 }
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account_quota.h"
 #include "action_pacer.h"
 #include "cancellation_index.h"
 #include "machine_inventory.h"
@@ -36,6 +37,7 @@
     std::optional<scheduler::JobState> reportedState(const std::string &id) const;
     std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
     MachineNeeds machineNeeds() const { return poolBalancer_->needs(); }
+    const AccountNeeds &accountNeeds() const { return quota_->needs(); }
 
 private:
     // Loads transferred machines, waves, roster, progress, jobs, rows stored since, and workers, in
@@ -82,6 +84,7 @@
     MachineInventory inventory_;
     std::shared_ptr<WaveRunner> waves_;
     std::shared_ptr<PoolBalancer> poolBalancer_;
+    std::shared_ptr<AccountQuota> quota_;
     boost::asio::steady_timer tickTimer_;
 
     Configuration configuration_;
--- a/packages/entry/src/layout.cpp
+++ b/packages/entry/src/layout.cpp
@@ -44,6 +44,11 @@
             .key = kCellPrefix + std::to_string(cell)};
 }
 
+RowKey quotaSharesRow()
+{
+    return {.table = kQuota, .part = kQuota, .key = "shares"};
+}
+
 RowKey machineSequenceRow()
 {
     return {.table = kMachines, .part = kMachines, .key = "0-sequence"};
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -111,6 +111,8 @@
     for (const auto &[pool, shortage] : record.machines.shortages)
         json["short"][pool] = {shortage.total, shortage.urgent, shortage.blocked};
     putUnlessDefault(json, "lendable", record.machines.lendable, 0);
+    for (const auto &[account, need] : record.accounts)
+        json["accounts"][account] = {need.demand, need.smallest};
     return json.dump();
 }
 
@@ -131,6 +133,9 @@
         for (const auto &[pool, shortage] : shortages.items())
             record.machines.shortages[pool] = {
                     .total = shortage.at(0), .urgent = shortage.at(1), .blocked = shortage.at(2)};
+        const Json accounts = json.value("accounts", Json::object());
+        for (const auto &[account, need] : accounts.items())
+            record.accounts[account] = {.demand = need.at(0), .smallest = need.at(1)};
         return record;
     });
 }
@@ -277,6 +282,18 @@
     });
 }
 
+std::string encode(const QuotaShares &shares)
+{
+    return Json{{"shares", shares.shares}, {"writer", shares.writer}}.dump();
+}
+
+base::Result<QuotaShares> decodeQuotaShares(const std::string &text)
+{
+    return decodeWith<QuotaShares>(text, "quota row", [](const Json &json) {
+        return QuotaShares{.shares = json.at("shares"), .writer = json.at("writer")};
+    });
+}
+
 std::string encode(const WaveProgress &progress)
 {
     return Json{{"started", progress.startedMachines}, {"done", progress.isDone}}.dump();
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -5,6 +5,7 @@
 #include <chicorywick/scheduler/task_id.h>
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,7 @@
     std::string worker;        ///< worker id; empty unless Starting, Running or Stopping
     std::string avoidedWorker; ///< worker on which the last run failed
     std::string checkpoint;
+    std::shared_ptr<const void> accountUse; ///< counts the run towards its account while it exists
     Millis phaseSince = 0;
     Millis heldUntil = 0; ///< no start before, unless the worker of a lost run returns
     int silentRuns = 0; ///< runs that were lost when a lease expired, and may have crashed a worker
--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -29,6 +29,9 @@
 
     bool operator==(const Resources &) const = default;
 
+    /// @brief More than any demand; sums of a few such values do not overflow.
+    static constexpr std::int64_t kUnlimited = std::int64_t{1} << 60;
+
     bool covers(const Resources &demand) const
     {
         return cpuMillis >= demand.cpuMillis && memoryMib >= demand.memoryMib
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -93,6 +93,16 @@
     bool operator==(const ServiceLoad &) const = default;
 };
 
+/// @brief Demand of a client account's tasks in the cell.
+struct AccountLoad
+{
+    Resources running; ///< of all runs that may be on a worker, also those of earlier leaders
+    Resources waiting;
+    Resources smallestWaiting; ///< of a task; zero if none waits
+
+    bool operator==(const AccountLoad &) const = default;
+};
+
 /// @brief Runs the tasks of accepted jobs on workers: places and starts them, renews worker leases
 /// and processes task ends. Event-driven; calls workers only through WorkerOrders. Not thread-safe.
 class Scheduler
@@ -108,6 +118,11 @@
     /// @brief Replaces the client accounts; jobs of accounts that are not named have no limit.
     void setAccounts(const std::vector<AccountPolicy> &accounts);
 
+    /// @brief Sets what the tasks of each account may use in this cell. Running tasks stay.
+    /// Accounts that are not named have no limit.
+    void setAccountLimits(const std::map<std::string, Resources> &limits);
+    std::map<std::string, AccountLoad> accountLoads() const;
+
     /// @brief Services of all queues, and of removed queues with unfinished jobs.
     std::set<std::string> usedServices() const;
 
@@ -252,6 +267,22 @@
     void recordEndedJob(const JobEntry &entry);
     void expireEndedJobs();
 
+    // Limits of client accounts (scheduler_accounts.cpp)
+    struct AccountUse
+    {
+        Resources running;
+        Resources waiting;
+        std::map<std::string, std::int64_t> waitingCpuMillis; ///< by service
+    };
+    AccountUse &useOf(const std::string &account);
+    std::shared_ptr<const void> countRun(const JobEntry &entry, const StepSpec &step);
+    void countWaiting(const JobEntry &entry, const StepSpec &step, const std::string &service,
+                      int tasks);
+    bool isWithinLimit(const JobEntry &entry, const Resources &demand) const;
+    bool isGangWithinLimit(const JobEntry &entry, const TaskId &id) const;
+    void updateHiddenUse();
+    std::map<std::string, std::int64_t> withheldCpuMillis() const;
+
     // Task ends (scheduler_ends.cpp)
     void handleEnd(Worker &worker, const EndedTask &end);
     void logEndedEarly(const JobEntry &entry, const Worker &worker, const EndedTask &end) const;
@@ -355,7 +386,7 @@
     enum class PlacementDepth { Head, Further };
     void place(PlacementDepth depth = PlacementDepth::Head);
     /// How the placement of a step's tasks has ended.
-    enum class StepOutcome { Placed, Unplaceable, LabelUnmet };
+    enum class StepOutcome { Placed, Unplaceable, LabelUnmet, OverLimit };
     void placeService(const std::string &service, PlacementDepth depth);
     std::optional<ReadyKey> scanQueue(const ReadyQueue &queue, const std::optional<ReadyKey> &from,
                                       std::size_t maxUnplaceable, WorkerList &open);
@@ -407,6 +438,10 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::map<std::string, QueuePolicy> queues_;
     std::map<std::string, AccountPolicy> accounts_;
+    std::map<std::string, Resources> accountLimits_;
+    std::map<std::string, std::shared_ptr<AccountUse>> accountUse_;
+    /// Demand of runs that an earlier leader may have started on workers that are silent.
+    std::map<std::string, Resources> hiddenUse_;
     std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
     std::unordered_map<std::string, JobEntry *> openJobs_; ///< jobs that are not in a final state
     std::set<std::string> recurringJobs_;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -88,6 +88,7 @@
             worker->idleSince = hooks_.clock().steady;
     }
     task.worker.clear();
+    task.accountUse.reset();
     task.isStopConfirmed = false;
     task.isStopPending = false;
     task.wasMissing = false;
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxUnplaceable = 24;
 constexpr std::size_t kMaxUnplaceableFurther = 96;
 constexpr int kMaxExaminedSteps = 400;
+// A step that the limit of its account holds back costs little, and must not hide those behind it.
+constexpr int kMaxWithheldSteps = 4'000;
 
 // True if a worker that cannot run a task of the other step cannot run one of this step either.
 bool requiresAtLeast(const StepSpec &step, const StepSpec &other)
@@ -39,6 +41,7 @@
         return;
     isPlacing_ = true;
     hasSilentWorker_.clear();
+    updateHiddenUse();
     // Services that change during the pass are handled at the next event.
     for (const std::string &service : std::exchange(servicesToPlace_, {}))
         placeService(service, depth);
@@ -78,12 +81,21 @@
     std::vector<const StepSpec *> unplaceableSteps;
     std::size_t unplaceableCount = 0;
     int examined = 0;
+    int withheld = 0;
     for (auto item = from ? queue.steps().lower_bound(*from) : queue.steps().begin();
-         item != queue.steps().end(); ++examined) {
-        if (unplaceableCount >= maxUnplaceable || examined >= kMaxExaminedSteps)
+         item != queue.steps().end();) {
+        if (unplaceableCount >= maxUnplaceable || examined >= kMaxExaminedSteps
+            || withheld >= kMaxWithheldSteps)
             return item->first;
         const auto &[key, ready] = *item;
         const StepSpec &step = ready.spec(key);
+        if (!accountLimits_.empty()
+            && !isWithinLimit(*entryOf(ready.job->spec().id), step.demand)) {
+            ++withheld;
+            ++item;
+            continue;
+        }
+        ++examined;
         // Perpetual tasks come first; they reserve workers also in a full service.
         if (open.empty() && !step.isPerpetual)
             return std::nullopt;
@@ -105,7 +117,7 @@
         const ReadyKey current = key;
         const StepOutcome outcome = placeStep(queue, current, isKnownUnplaceable, open);
         item = queue.steps().upper_bound(current); // placement may have removed the step
-        if (outcome == StepOutcome::Placed)
+        if (outcome == StepOutcome::Placed || outcome == StepOutcome::OverLimit)
             continue;
         // A label that no worker has costs one look, however many tasks require it.
         unplaceableCount += outcome == StepOutcome::LabelUnmet ? 0 : 1;
@@ -125,6 +137,8 @@
     JobEntry &entry = *entryOf(ready.job->spec().id);
     TaskId id = ready.id(key, *ready.tasks.begin());
     if (step.isGang) {
+        if (!isGangWithinLimit(entry, id))
+            return StepOutcome::OverLimit;
         const bool isPlaced = tryPlaceGang(entry, id, open);
         if (isPlaced)
             closeFullWorkers(open, queue.smallestDemand());
@@ -151,6 +165,8 @@
     }
     if (isPlaced)
         return StepOutcome::Placed;
+    if (!isWithinLimit(entry, step.demand))
+        return StepOutcome::OverLimit;
     if (step.isPerpetual) {
         while (reserve(entry, id) && hasNext(id.index)) {
         }
@@ -346,6 +362,8 @@
 
 bool Scheduler::tryPlace(JobEntry &entry, const TaskId &id, const WorkerList &workers)
 {
+    if (!isWithinLimit(entry, stepOf(entry.job, id).demand))
+        return false;
     Worker *const worker = chooseWorker(entry, id, workers, {});
     if (worker == nullptr)
         return false;
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -118,6 +118,7 @@
     const ReadyKey key = keyOf(entry, id);
     entry.ready.emplace(id, key);
     ready_[policy->service].insert(key, entry.job, id);
+    countWaiting(entry, stepOf(entry.job, id), policy->service, 1);
     servicesToPlace_.insert(policy->service);
 }
 
@@ -126,8 +127,10 @@
     const auto found = entry.ready.find(id);
     if (found == entry.ready.end())
         return;
-    if (const QueuePolicy *const policy = policyOf(entry.job))
+    if (const QueuePolicy *const policy = policyOf(entry.job)) {
         ready_[policy->service].erase(found->second, id);
+        countWaiting(entry, stepOf(entry.job, id), policy->service, -1);
+    }
     entry.ready.erase(found);
 }
 
@@ -238,7 +241,7 @@
     for (const auto &[key, ready] : queue->second.steps()) {
         const StepSpec &step = ready.spec(key);
         const Occurrence *const occurrence = ready.job->occurrence(key.occurrence);
-        if (occurrence == nullptr)
+        if (occurrence == nullptr || !isWithinLimit(*entryOf(ready.job->spec().id), step.demand))
             continue;
         const Worker *large = nullptr;
         std::optional<bool> lacksRoom; // the same for all tasks of a step
@@ -290,8 +293,11 @@
             load.machineCpuMillis = std::max(load.machineCpuMillis, worker->fullCapacity.cpuMillis);
         }
     }
+    const std::map<std::string, std::int64_t> withheld = withheldCpuMillis();
     for (const auto &[service, queue] : ready_) {
-        loads[service].waitingCpuMillis = queue.waitingCpuMillis();
+        const auto ofAccounts = withheld.find(service);
+        loads[service].waitingCpuMillis =
+                queue.waitingCpuMillis() - (ofAccounts != withheld.end() ? ofAccounts->second : 0);
         const ExtraWorkers extra = extraWorkersFor(service);
         loads[service].extraWorkers = extra.all;
         loads[service].extraWorkersForPerpetual = extra.forPerpetual;
--- a/packages/scheduler/src/scheduler_renewals.cpp
+++ b/packages/scheduler/src/scheduler_renewals.cpp
@@ -316,6 +316,7 @@
     task.isAdopted = true;
     task.isSettled = true;
     worker.addUse(stepOf(entry.job, running.task));
+    task.accountUse = countRun(entry, stepOf(entry.job, running.task));
     entry.job.markStarted();
 }
 
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -76,6 +76,7 @@
     worker.tasks.insert(id);
     beginRun(worker, id, task);
     worker.addUse(stepOf(entry.job, id));
+    task.accountUse = countRun(entry, stepOf(entry.job, id));
 }
 
 void Scheduler::sendStart(JobEntry &entry, const TaskId &id, Worker &worker)
--- a/packages/scheduler/src/scheduler_unassigned.cpp
+++ b/packages/scheduler/src/scheduler_unassigned.cpp
@@ -13,8 +13,11 @@
     const JobEntry *const entry = entryOf(running.task.job);
     const bool isStepKnown = entry != nullptr && running.task.step >= 0
                              && running.task.step < std::ssize(entry->job.spec().steps);
-    if (isStepKnown)
+    if (isStepKnown) {
         run.demand = reservedFor(stepOf(entry->job, running.task));
+        if (!run.accountUse)
+            run.accountUse = countRun(*entry, stepOf(entry->job, running.task));
+    }
     if (mayStopUnassigned(worker, running.task, run))
         sendStop(running.task, running.run, worker.entry.id, StopReason::Unassigned);
 }
@@ -49,6 +52,7 @@
     if (worker != nullptr && entry != nullptr) {
         UnassignedRun &run = worker->unassigned[{id, task.run}];
         run.demand = reservedFor(stepOf(entry->job, id));
+        run.accountUse = task.accountUse;
         run.stopReason = reason;
         run.listedAt = task.isListed ? worker->listClock : 0;
         run.isStopSent =
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -40,6 +40,7 @@
 struct Scheduler::UnassignedRun
 {
     std::optional<Resources> demand; ///< empty: the job is unknown
+    std::shared_ptr<const void> accountUse;
     Millis listedAt = 0; ///< the worker's clock at the newest list with the run; 0: not listed
     StopReason stopReason = StopReason::Unassigned;
     bool isStopSent = false; ///< a stop was sent, and may still be executed
--- a/packages/scheduler/src/scheduler_workers.cpp
+++ b/packages/scheduler/src/scheduler_workers.cpp
@@ -229,6 +229,8 @@
     worker.formerRuns.clear();
     worker.used = {};
     worker.usedByPerpetual = {};
+    for (auto &[key, run] : worker.unassigned)
+        run.accountUse.reset(); // it has ended with the lease or the worker
     if (reason == LossReason::LeaseExpired) {
         recordSilence(worker, runs);
         return;
