Order backlogs by what a delay costs callers, and refuse what cannot end in time

Cause: a backlog was worked off by latest start alone. An account that sends many times its usual delays all others. Change: jobs beyond the share of their account's weight start after those within it, in the order of virtual clocks. With the setting overload_control, jobs that cannot all end in time are chosen by the algorithm of Moore and Hodgson; the others wait. Leaders publish the backlog of their queues, and the intake refuses a submission that cannot end within three times its objective, unless an earlier attempt has stored it.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -72,6 +72,7 @@
     JobWaiting = 6017,
     JobStopSent = 6018,
     AccountLimited = 6019,
+    JobsDeferred = 6020,
 
     // 7xxx: cluster and configuration
     MemberJoined = 7001,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -98,6 +98,8 @@
          "a stop of a run was sent; away and budget are tasks of its step, for lasting jobs"},
         {Event::AccountLimited, Severity::Info, "account.limited",
          "tasks of a client account wait because it uses its limit in the cell"},
+        {Event::JobsDeferred, Severity::Info, "jobs.deferred",
+         "jobs of a service wait for others because it cannot end all of them in time"},
         {Event::MemberJoined, Severity::Info, "member.joined", "an entry instance joined"},
         {Event::MemberSuspected, Severity::Warning, "member.suspected",
          "an entry instance does not answer"},
--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -77,6 +77,9 @@
     /// @brief Client accounts whose share of their limit does not suffice in the cell.
     const AccountNeeds &accountNeeds() const;
 
+    /// @brief Time until a job submitted now can start, by queue; short ones are left out.
+    std::map<std::string, scheduler::Millis> backlogs() const;
+
 private:
     class Impl;
     std::shared_ptr<Impl> impl_;
--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -21,6 +21,7 @@
     http::Endpoint metrics;
     std::int64_t memoryMib = 0;           ///< of the machine; larger ones lead first
     int machinesPerCell = 280;            ///< at most; used when the fleet is first divided
+    bool controlsOverload = false;        ///< jobs that cost callers least wait under overload
     scheduler::Millis maxLeaseMs = 6'000; ///< longest lease that a worker grants
     /// From an acknowledged cancellation to the last start of a task of its job.
     scheduler::Millis cancelMs = 3'000;
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -57,6 +57,8 @@
     std::map<std::string, int> waitingJobs; ///< by queue; jobs of the cell that have not started
     MachineNeeds machines;
     AccountNeeds accounts; ///< those whose share of the limit does not suffice in the cell
+    /// Time until a job submitted now can start, by queue; short ones are left out.
+    std::map<std::string, scheduler::Millis> backlogs;
 
     bool operator==(const LeaderRecord &) const = default;
 };
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -152,6 +152,19 @@
     return waiting;
 }
 
+scheduler::Millis CellLeadership::backlogMs(int cell, const std::string &queue) const
+{
+    const auto find = [&queue](const std::map<std::string, scheduler::Millis> &backlogs) {
+        const auto found = backlogs.find(queue);
+        return found != backlogs.end() ? found->second : 0;
+    };
+    if (const Controller *const controller = controllerOf(cell))
+        return find(controller->backlogs());
+    const LeaderElection &election = *seats_[static_cast<std::size_t>(cell)].election;
+    const bool isCurrent = systemNow().steady - election.changedAt() < kMaxNeedsAgeMs;
+    return isCurrent ? find(election.record().backlogs) : 0;
+}
+
 std::vector<CellNeeds> CellLeadership::needsOfOthers(int cell) const
 {
     const scheduler::Millis now = systemNow().steady;
@@ -265,6 +278,7 @@
         write.record.waitingJobs = controller->waitingJobs();
         write.record.machines = controller->machineNeeds();
         write.record.accounts = controller->accountNeeds();
+        write.record.backlogs = controller->backlogs();
     }
     const RowKey key = layout::leaderRow(cell);
     ports_.table->transact({.conditions = {{.key = key, .version = write.expected}},
@@ -352,6 +366,8 @@
     // The rest is for the way of an order that was written in time, which may take as long as its
     // time limit. A shorter age would withhold starts between two answers of the watch.
     scheduling.maxJobsAgeMs = std::max(kMinJobsAgeMs, settings_.cancelMs * 2 / 3);
+    scheduling.shareOfJobs = 1.0 / layout_->count();
+    scheduling.controlsOverload = settings_.controlsOverload;
     seat.controller = std::make_unique<Controller>(
             ports_,
             ControllerHooks{
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -59,6 +59,10 @@
     /// @brief Waiting jobs of a queue in all cells; none if a cell has not been led yet.
     std::optional<int> waitingJobs(const std::string &queue) const;
 
+    /// @brief Time until a job of the queue that is submitted to the cell now can start; 0 if
+    /// unknown.
+    scheduler::Millis backlogMs(int cell, const std::string &queue) const;
+
     /// @brief Hands a cell over if the requesting daemon has much more room for it.
     void handleYieldRequest(const YieldRequest &request);
 
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -33,6 +33,8 @@
 // Replaces the specification in the row of an ended job.
 constexpr const char *kEndedJobValue = "{}";
 constexpr scheduler::Millis kCompactionPeriodMs = 1'000;
+// Shorter backlogs refuse no submission, and would make the row of the leader larger.
+constexpr scheduler::Millis kMinBacklogMs = 500;
 // Row removals per transaction; an expired job has three rows.
 constexpr std::size_t kRemovalsPerWrite = 30;
 
@@ -93,6 +95,11 @@
     return impl_->accountNeeds();
 }
 
+std::map<std::string, scheduler::Millis> Controller::backlogs() const
+{
+    return impl_->backlogs();
+}
+
 Controller::Impl::Impl(ControllerPorts ports, ControllerHooks hooks, Cell cell,
                        scheduler::SchedulerSettings settings)
     : ports_(ports)
@@ -228,6 +235,13 @@
     return state;
 }
 
+std::map<std::string, scheduler::Millis> Controller::Impl::backlogs() const
+{
+    auto backlogs = scheduler_.backlogs();
+    std::erase_if(backlogs, [](const auto &backlog) { return backlog.second < kMinBacklogMs; });
+    return backlogs;
+}
+
 void Controller::Impl::retryAfterPause(std::function<void()> action)
 {
     runAfter(kRetryPause, std::move(action));
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -38,6 +38,7 @@
     std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
     MachineNeeds machineNeeds() const { return poolBalancer_->needs(); }
     const AccountNeeds &accountNeeds() const { return quota_->needs(); }
+    std::map<std::string, scheduler::Millis> backlogs() const;
 
 private:
     // Loads transferred machines, waves, roster, progress, jobs, rows stored since, and workers, in
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -2,6 +2,7 @@
 
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/records.h>
+#include <chicorywick/scheduler/job.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -38,6 +39,9 @@
 constexpr scheduler::Millis kDefaultTimeLimitMs = 3'000;
 // Short, because another entry instance may accept the request immediately.
 constexpr const char *kRetryAfterSeconds = "1";
+constexpr scheduler::Millis kMaxRetryAfterSeconds = 10;
+// A job that ends later than this many times its objective has no value for its caller.
+constexpr scheduler::Millis kLateFactor = 3;
 constexpr std::size_t kMaxIdLength = 64;
 constexpr const char *kCancelValue = "{}";
 
@@ -81,6 +85,22 @@
     return base::ok();
 }
 
+// By how much a job that starts after the backlog ends too late to have any value. Perpetual and
+// scheduled jobs keep theirs.
+scheduler::Millis lateByMs(const scheduler::JobSpec &spec, const scheduler::QueuePolicy &policy,
+                           scheduler::Millis backlogMs)
+{
+    if (backlogMs <= 0 || spec.repeatCount > 0)
+        return 0;
+    const scheduler::Job job(spec, 0);
+    if (job.isPerpetual())
+        return 0;
+    const auto objective =
+            static_cast<scheduler::Millis>(policy.stretch * static_cast<double>(job.criticalPath()))
+            + policy.targetCompletionMs;
+    return std::max<scheduler::Millis>(backlogMs + job.criticalPath() - kLateFactor * objective, 0);
+}
+
 http::Response json(int status, std::string body)
 {
     return {.status = status,
@@ -190,9 +210,35 @@
     submission->answerBy = now.steady
                            + codec_.timeLimit(request.headers).value_or(kDefaultTimeLimitMs)
                            - kResponseMarginMs;
+    const scheduler::Millis backlogMs =
+            controller_.backlogMs(layout_->cellOfJob(route.rest), route.policy.name);
+    const scheduler::Millis excessMs = lateByMs(submission->spec, route.policy, backlogMs);
+    if (excessMs > 0)
+        return refuseUnlessStored(submission, excessMs);
     store(submission);
 }
 
+// A job that an earlier attempt has stored runs, and its submission must not be refused.
+void Intake::refuseUnlessStored(const std::shared_ptr<Submission> &submission,
+                                scheduler::Millis retryAfterMs)
+{
+    table_.read(rangeOf(rowsOf(submission->spec.id).jobRow(submission->spec.id)), kStoreTimeout,
+                [self = shared_from_this(), submission,
+                 retryAfterMs](const base::Result<RowPage> &page) {
+                    if (!page || !page.value().rows.empty())
+                        return self->store(submission);
+                    base::logEvent(base::Event::JobRefused,
+                                   {{"job", submission->spec.id},
+                                    {"queue", submission->spec.queue},
+                                    {"reason", "backlog"},
+                                    {"retry_after_ms", std::to_string(retryAfterMs)}});
+                    http::Response response = refusal(kUnavailable, base::Code::DeadlineExceeded);
+                    response.headers["Retry-After"] = std::to_string(std::clamp<scheduler::Millis>(
+                            (retryAfterMs + 999) / 1'000, 1, kMaxRetryAfterSeconds));
+                    submission->respond(std::move(response));
+                });
+}
+
 // The row is written only if it does not exist, so a parallel second attempt is safe. The second
 // attempt covers a lost answer; the first one keeps its full timeout in case the store is slow.
 void Intake::store(const std::shared_ptr<Submission> &submission)
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -24,6 +24,8 @@
             state;
     /// Waiting jobs of a queue in all cells; none if a cell has never reported its number.
     std::function<std::optional<int>(const std::string &queue)> waiting;
+    /// Time until a job of the queue that is submitted to the cell now can start; 0 if unknown.
+    std::function<scheduler::Millis(int cell, const std::string &queue)> backlogMs;
     /// Sends a stored row of a jobs table to the controller, which also reads it from the store.
     std::function<void(int cell, const Row &row)> announce;
 };
@@ -46,6 +48,8 @@
 
     void submit(const RouteMatch &route, const scheduler::AccountPolicy *account,
                 const http::Request &request, http::Responder respond);
+    void refuseUnlessStored(const std::shared_ptr<Submission> &submission,
+                            scheduler::Millis retryAfterMs);
     void store(const std::shared_ptr<Submission> &submission);
     void retryAfter(const std::shared_ptr<Submission> &submission, std::chrono::milliseconds pause);
     void handleStored(const std::shared_ptr<Submission> &submission,
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -23,7 +23,9 @@
         if (body == "bad")
             return base::makeError(base::Code::MalformedInput);
         scheduler::JobSpec spec{.payload = body};
-        spec.steps.push_back({.taskCount = 1});
+        spec.steps.push_back({.taskCount = 1, .estimatedMs = 1'000});
+        if (body == "perpetual")
+            spec.steps.back().isPerpetual = true;
         if (body == "large task")
             spec.steps.back().demand.cpuMillis = 3'000;
         if (body == "cycle")
@@ -52,6 +54,7 @@
     FakeCodec codec;
     ControllerAnswer controller;
     std::optional<int> waiting;
+    scheduler::Millis backlogMs = 0;
     std::vector<Row> announced;
     std::shared_ptr<Intake> intake = std::make_shared<Intake>(
             loop, table, codec,
@@ -61,6 +64,7 @@
                                         done(controller);
                                     },
                             .waiting = [this](const std::string &) { return waiting; },
+                            .backlogMs = [this](int, const std::string &) { return backlogMs; },
                             .announce = [this](int, const Row &row) { announced.push_back(row); }},
             [] { return scheduler::Now{.steady = 1'000, .wall = 1'000}; });
 
@@ -386,4 +390,28 @@
     CHECK(fixture.call("POST", "/q/j1", "large task", kHost, "l").status == 200);
 }
 
+// Guards against jobs that wait behind a backlog although none of their callers will get any value,
+// and against refusals of jobs that still have some.
+TEST_CASE("a submission that cannot end within three times its objective is refused at once")
+{
+    Fixture fixture;
+    fixture.backlogMs = 2'000; // the objective is 1 s
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
+    fixture.backlogMs = 3'500;
+    const auto refused = fixture.call("POST", "/q/a2");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.at("Retry-After") == "2");
+    CHECK(!fixture.table.rows.contains(kRows.jobRow("a2")));
+    CHECK(fixture.call("POST", "/q/a3", "perpetual").status == 200);
+}
+
+// Guards against a refusal of a job that runs: an earlier attempt has stored it.
+TEST_CASE("a repeated submission of a stored job is not refused for the backlog")
+{
+    Fixture fixture;
+    REQUIRE(fixture.call("POST", "/q/a1").status == 200);
+    fixture.backlogMs = 60'000;
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -170,6 +170,10 @@
                             peers_->queryState(cell, id, std::move(done));
                         },
                 .waiting = [this](const std::string &queue) { return cells_->waitingJobs(queue); },
+                .backlogMs =
+                        [this](int cell, const std::string &queue) {
+                            return cells_->backlogMs(cell, queue);
+                        },
                 .announce = [this](int cell, const Row &row) { announcer_->announce(cell, row); }};
     }
 
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -58,6 +58,7 @@
     const auto loads = scheduler_.loads();
     const auto movableMachines = movable(views);
     auto pools = demands(views, loads);
+    reportJoining(views, loads);
     auto moves = scheduler::planPoolMoves(pools, movableMachines, sparePool_, {});
     needs_ = {.shortages = scheduler::remainingShortages(pools, moves),
               .lendable = scheduler::lendableMachines(pools, movableMachines, moves)};
@@ -217,6 +218,16 @@
     return demands;
 }
 
+void PoolBalancer::reportJoining(const Views &views,
+                                 const std::map<std::string, scheduler::ServiceLoad> &loads)
+{
+    std::map<std::string, std::int64_t> cpuMillis;
+    for (const auto &[service, machines] : joiningMachines(views))
+        if (const auto load = loads.find(service); load != loads.end())
+            cpuMillis[service] = machines * load->second.machineCpuMillis;
+    scheduler_.setJoiningCpu(std::move(cpuMillis));
+}
+
 // A late order would take the machine out of the pool of a newer move.
 bool PoolBalancer::mayMove(const std::string &machine) const
 {
--- a/packages/entry/src/pool_balancer.h
+++ b/packages/entry/src/pool_balancer.h
@@ -81,6 +81,8 @@
     void uncordon(const std::string &machine);
     std::vector<scheduler::PoolDemand>
     demands(const Views &views, const std::map<std::string, scheduler::ServiceLoad> &loads) const;
+    void reportJoining(const Views &views,
+                       const std::map<std::string, scheduler::ServiceLoad> &loads);
     std::map<std::string, int> joiningMachines(const Views &views) const;
     bool mayMove(const std::string &machine) const;
     bool isInOpenWave(const std::string &machine) const;
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -113,6 +113,7 @@
     putUnlessDefault(json, "lendable", record.machines.lendable, 0);
     for (const auto &[account, need] : record.accounts)
         json["accounts"][account] = {need.demand, need.smallest};
+    putUnlessDefault(json, "backlog_ms", record.backlogs, Json::object());
     return json.dump();
 }
 
@@ -133,6 +134,7 @@
         for (const auto &[pool, shortage] : shortages.items())
             record.machines.shortages[pool] = {
                     .total = shortage.at(0), .urgent = shortage.at(1), .blocked = shortage.at(2)};
+        record.backlogs = json.value("backlog_ms", std::map<std::string, scheduler::Millis>());
         const Json accounts = json.value("accounts", Json::object());
         for (const auto &[account, need] : accounts.items())
             record.accounts[account] = {.demand = need.at(0), .smallest = need.at(1)};
--- a/packages/scheduler/include/chicorywick/scheduler/ready_queue.h
+++ b/packages/scheduler/include/chicorywick/scheduler/ready_queue.h
@@ -14,6 +14,7 @@
 struct ReadyKey
 {
     int band = 0;
+    Millis order = 0; ///< within the band, before the latest start
     Millis latestStart = 0;
     std::uint64_t sequence = 0; ///< of the job
     std::int64_t occurrence = 0;
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chicorywick/scheduler/account_rate.h>
+#include <chicorywick/scheduler/backlog_plan.h>
 #include <chicorywick/scheduler/job.h>
 #include <chicorywick/scheduler/model.h>
 #include <chicorywick/scheduler/ready_queue.h>
@@ -35,6 +37,10 @@
     /// longer ago. Cancellations must take effect within three seconds, and an order that was
     /// written in time takes up to half a second more.
     Millis maxJobsAgeMs = 2'000;
+    /// Part of all jobs that this cell gets; the weights of accounts are for the whole fleet.
+    double shareOfJobs = 1.0;
+    /// Jobs that cost callers least wait when a service cannot end all of them in time.
+    bool controlsOverload = false;
 
     bool operator==(const SchedulerSettings &) const = default;
 };
@@ -180,6 +186,13 @@
     std::vector<WorkerView> workers() const;
     std::map<std::string, ServiceLoad> loads() const;
 
+    /// @brief Sets the CPU of machines that are about to join each service.
+    void setJoiningCpu(std::map<std::string, std::int64_t> cpuMillis);
+
+    /// @brief Time until a job submitted now starts if all jobs that can end in time go first, by
+    /// queue; known if overload is controlled.
+    std::map<std::string, Millis> backlogs() const;
+
     /// @brief Number of workers examined for placement so far, a measure of scheduling cost.
     std::uint64_t examinedWorkers() const { return examinedWorkers_; }
 
@@ -200,6 +213,8 @@
         bool mayHaveRuns = false;       ///< an earlier leader may have started its tasks
         std::uint64_t serviceBatch = 0; ///< its present service is stored once this batch is
         std::map<TaskId, ReadyKey> ready;
+        Millis shareTime = 0;    ///< from then on, the job is within the share of its account
+        bool isDeferred = false; ///< others go first, so that they end in time
         std::deque<std::uint64_t> unstoredOccurrences; ///< batches of the ends of occurrences
     };
     enum class LossReason { Replaced, LeaseExpired };
@@ -283,6 +298,15 @@
     void updateHiddenUse();
     std::map<std::string, std::int64_t> withheldCpuMillis() const;
 
+    // Order under load (scheduler_backlog.cpp)
+    void recordShare(JobEntry &entry);
+    Millis objectiveOf(const Job &job) const;
+    void planBacklogs();
+    BacklogCapacity capacityOf(const std::string &service) const;
+    void setDeferred(JobEntry &entry, bool isDeferred);
+    void reportBacklog(const std::string &service, std::size_t jobs, std::size_t overShare,
+                       std::size_t deferred);
+
     // Task ends (scheduler_ends.cpp)
     void handleEnd(Worker &worker, const EndedTask &end);
     void logEndedEarly(const JobEntry &entry, const Worker &worker, const EndedTask &end) const;
@@ -442,6 +466,10 @@
     std::map<std::string, std::shared_ptr<AccountUse>> accountUse_;
     /// Demand of runs that an earlier leader may have started on workers that are silent.
     std::map<std::string, Resources> hiddenUse_;
+    std::map<std::string, AccountRate> accountRates_;
+    std::map<std::string, std::int64_t> joiningCpuMillis_; ///< by service
+    std::map<std::string, Millis> backlogMs_;              ///< by service
+    std::map<std::string, Millis> backlogReportedAt_;      ///< by service
     std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
     std::unordered_map<std::string, JobEntry *> openJobs_; ///< jobs that are not in a final state
     std::set<std::string> recurringJobs_;
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -135,6 +135,7 @@
         entry.job.restore(*progress, now.steady);
         entry.mayHaveRuns = true;
     }
+    recordShare(entry);
     jobs_.emplace(spec.id, std::move(owned));
     beginDueOccurrences(entry);
     if (isTerminal(entry.job.state())) {
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -18,9 +18,11 @@
 // Priority bands of the ready queue; lower bands are placed first.
 constexpr int kPerpetualBand = 0;
 constexpr int kOnTimeBand = 1;
-constexpr int kLateBand = 2;
-constexpr int kOverdueBand = 3;
-constexpr int kBandsPerPriority = 4;
+constexpr int kOverShareBand = 2;
+constexpr int kDeferredBand = 3;
+constexpr int kLateBand = 4;
+constexpr int kOverdueBand = 5;
+constexpr int kBandsPerPriority = 6;
 // Time constant of the moving average of submitted work; short enough to follow a sudden load.
 constexpr double kArrivalWindowMs = 700;
 // Ends free room every few milliseconds, so only tasks that wait longer count as lacking room.
@@ -88,22 +90,25 @@
     const QueuePolicy *const policy = policyOf(entry.job);
     const Millis now = hooks_.clock().steady;
     const StepSpec &step = stepOf(entry.job, id);
-    const Millis objective =
-            policy == nullptr ? entry.job.criticalPath()
-                              : static_cast<Millis>(policy->stretch
-                                                    * static_cast<double>(entry.job.criticalPath()))
-                                        + policy->targetCompletionMs;
+    const Millis objective = objectiveOf(entry.job);
     Millis due = entry.job.acceptedSteady() + objective;
     const Millis path = entry.job.remainingCriticalPath(id.step);
     int band = kOnTimeBand;
+    Millis order = 0;
     if (step.isPerpetual)
         band = kPerpetualBand;
     else if (due - path < now) {
         due += (kLateFactor - 1) * objective;
         band = due - path < now ? kOverdueBand : kLateBand;
+    } else if (entry.isDeferred) {
+        band = kDeferredBand;
+    } else if (entry.shareTime > now) {
+        band = kOverShareBand;
+        order = entry.shareTime;
     }
     const int priority = policy != nullptr ? policy->priority : 0;
     return {.band = step.isPerpetual ? kPerpetualBand : priority * kBandsPerPriority + band,
+            .order = order,
             .latestStart = due - path,
             .sequence = entry.sequence,
             .occurrence = id.occurrence,
@@ -159,12 +164,15 @@
     if (now - bandsRefreshedAt_ < kBandRefreshMs)
         return;
     bandsRefreshedAt_ = now;
+    planBacklogs();
     for (auto &[service, queue] : ready_) {
         std::vector<ReadyKey> passed;
         for (const auto &[key, ready] : queue.steps()) {
             const bool isLast =
                     key.band == kPerpetualBand || key.band % kBandsPerPriority == kOverdueBand;
-            if (!isLast && key.latestStart < now)
+            const bool isWithinShare =
+                    key.band % kBandsPerPriority == kOverShareBand && key.order <= now;
+            if (isWithinShare || (!isLast && key.latestStart < now))
                 passed.push_back(key);
         }
         for (const ReadyKey &key : passed)
