Add tests of hostile callers, which fail on the present code

Change: tests that start a daemon with lowered limits (settings that the code does not know yet) and send parts of requests without end, bodies that are never finished, connections that are left open, and small bodies that decode to much. They check that the daemon lives, that its memory and descriptors stay under a bound, and that an ordinary submission is answered afterwards.

--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -101,30 +101,33 @@
     });
 }
 
-std::string HostedDeployment::settingsFile(int number) const
+std::string HostedDeployment::settingsFile(int number, const std::string &extraSettings) const
 {
     const auto &ports = ports_[static_cast<std::size_t>(number)];
     const std::string path = directory_ + "/daemon-" + std::to_string(number) + ".json";
-    const json settings{{"name", "edge-" + std::to_string(number)},
-                        {"host", "127.0.0.1"},
-                        {"callers", address(ports[0])},
-                        {"readiness", address(ports[1])},
-                        {"peer_port", ports[2]},
-                        {"metrics_port", ports[3]},
-                        {"store", address(store_.port())},
-                        {"machine_control", address(store_.port())},
-                        {"max_lease_ms", 6'000},
-                        {"stop_grace_s", 6},
-                        {"status_retention_s", 120},
-                        {"machines_per_cell", machinesPerCell_}};
+    json settings{{"name", "edge-" + std::to_string(number)},
+                  {"host", "127.0.0.1"},
+                  {"callers", address(ports[0])},
+                  {"readiness", address(ports[1])},
+                  {"peer_port", ports[2]},
+                  {"metrics_port", ports[3]},
+                  {"store", address(store_.port())},
+                  {"machine_control", address(store_.port())},
+                  {"max_lease_ms", 6'000},
+                  {"stop_grace_s", 6},
+                  {"status_retention_s", 120},
+                  {"machines_per_cell", machinesPerCell_}};
+    settings.update(json::parse(extraSettings));
     std::ofstream(path) << settings.dump();
     return path;
 }
 
-void HostedDeployment::startDaemon(int number)
+void HostedDeployment::startDaemon(int number, const std::string &extraSettings)
 {
-    daemons_[static_cast<std::size_t>(number)] = std::make_unique<e2e::ChildProcess>(
-            std::vector<std::string>{CHICORYWICKD, "--deployment", settingsFile(number)});
+    auto &daemon = daemons_[static_cast<std::size_t>(number)];
+    daemon.reset();
+    daemon = std::make_unique<e2e::ChildProcess>(std::vector<std::string>{
+            CHICORYWICKD, "--deployment", settingsFile(number, extraSettings)});
 }
 
 bool HostedDeployment::waitUntilReady()
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -36,8 +36,14 @@
     HostedDeployment(const HostedDeployment &) = delete;
     HostedDeployment &operator=(const HostedDeployment &) = delete;
 
-    void startDaemon(int number);
+    /// @brief Starts a daemon, in place of a running one. The extra settings, a JSON object, go
+    /// before the usual ones.
+    void startDaemon(int number, const std::string &extraSettings = "{}");
     e2e::ChildProcess &daemon(int number) { return *daemons_[static_cast<std::size_t>(number)]; }
+    std::uint16_t callerPort(int number) const
+    {
+        return ports_[static_cast<std::size_t>(number)][0];
+    }
     int daemonCount() const { return static_cast<int>(daemons_.size()); }
 
     /// @brief Waits up to 20 s per daemon for readiness; returns false if one is not ready.
@@ -85,7 +91,7 @@
     int post(int daemon, const std::string &id, const json &body) const;
     void addRunner(int number, std::chrono::milliseconds downTime);
     void onLoop(const std::function<void()> &action);
-    std::string settingsFile(int number) const;
+    std::string settingsFile(int number, const std::string &extraSettings) const;
 
     boost::asio::io_context loop_;
     RunRecord record_;
