Bound what connections of callers may take

Cause: Beast checks the header limit for the header only, and the read buffer had no largest size: trailers or a chunk extension without end filled the memory of the process. Responses are bounded in the same way. Ruled out: shorter time limits, as a crowd fills the memory before any of them ends.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -36,6 +36,7 @@
     UpstreamReinstated = 4004,
     UpstreamLeaving = 4005,
     RoutingPublished = 4006,
+    ConnectionClosed = 4007,
 
     // 5xxx: fleet
     GrantTaken = 5001,
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -45,6 +45,8 @@
          "an upstream gets no new work"},
         {Event::RoutingPublished, Severity::Info, "routing.published",
          "a new routing snapshot is in use"},
+        {Event::ConnectionClosed, Severity::Warning, "connection.closed",
+         "connections were closed, or requests refused, to keep a limit of their listener"},
         {Event::GrantTaken, Severity::Info, "grant.taken",
          "a disruption of an instance was granted"},
         {Event::GrantReturned, Severity::Info, "grant.returned",
--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -19,9 +19,12 @@
     http::Endpoint readiness;
     http::Endpoint peers;
     http::Endpoint metrics;
-    std::int64_t memoryMib = 0;           ///< of the machine; larger ones lead first
-    int machinesPerCell = 280;            ///< at most; used when the fleet is first divided
-    bool controlsOverload = false;        ///< jobs that cost callers least wait under overload
+    std::int64_t memoryMib = 0;            ///< of the machine; larger ones lead first
+    int machinesPerCell = 280;             ///< at most; used when the fleet is first divided
+    bool controlsOverload = false;         ///< jobs that cost callers least wait under overload
+    std::size_t callerConnections = 2'000; ///< open connections of callers
+    /// Requests of callers that are being read or have no response yet.
+    std::size_t callerBufferBytes = 40 * 1024 * 1024;
     scheduler::Millis maxLeaseMs = 6'000; ///< longest lease that a worker grants
     /// From an acknowledged cancellation to the last start of a task of its job.
     scheduler::Millis cancelMs = 3'000;
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -37,6 +37,11 @@
 constexpr scheduler::Millis kStopMarginMs = 1'500;
 constexpr auto kStopPollInterval = 50ms;
 constexpr std::size_t kIncarnationLength = 8;
+// Twice the largest body that callers are allowed.
+constexpr std::size_t kMaxCallerBodyBytes = 512 * 1024;
+// Probes and metrics have no body.
+constexpr http::ServerLimits kProbeLimits{
+        .maxBodyBytes = 4 * 1024, .maxBufferedBytes = 1024 * 1024, .maxConnections = 100};
 
 scheduler::Millis millisOf(clockid_t clock)
 {
@@ -85,14 +90,18 @@
                 loop_,
                 [self = shared_from_this()](const http::Request &request, http::Responder respond) {
                     self->intake_->handle(request, std::move(respond));
-                });
+                },
+                http::ServerLimits{.maxBodyBytes = kMaxCallerBodyBytes,
+                                   .maxBufferedBytes = settings_.callerBufferBytes,
+                                   .maxConnections = settings_.callerConnections});
         readiness_ = std::make_unique<http::Server>(
                 loop_,
                 [self = shared_from_this()](const http::Request &, const http::Responder &respond) {
                     constexpr int kOk = 200;
                     constexpr int kUnavailable = 503;
                     respond(http::Response{.status = self->isReady() ? kOk : kUnavailable});
-                });
+                },
+                kProbeLimits);
         exchange_ = std::make_shared<ConfigurationExchange>(
                 loop_, peerAddress_, base::hash64(incarnation_),
                 [self = shared_from_this()](const std::string &text) {
@@ -124,7 +133,8 @@
                 [self = shared_from_this()](const http::Request &, const http::Responder &respond) {
                     respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
                              .body = self->metrics_.text()});
-                });
+                },
+                kProbeLimits);
         for (const auto &[server, endpoint] :
              {std::pair(callers_.get(), settings_.callers),
               std::pair(readiness_.get(), settings_.readiness),
--- a/packages/http/include/chicorywick/http/server.h
+++ b/packages/http/include/chicorywick/http/server.h
@@ -17,6 +17,11 @@
 {
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 512 * 1024;
+    /// Of all requests that are being read or have no response yet. Beyond it, the connections
+    /// whose requests have been read for longest are closed.
+    std::size_t maxBufferedBytes = 40 * 1024 * 1024;
+    /// Beyond it, the connection that has been idle for longest is closed.
+    std::size_t maxConnections = 2'000;
     std::chrono::milliseconds writeTimeout{5'000}; ///< for writing a response
     std::chrono::milliseconds idleTimeout{60'000}; ///< for waiting for a request and reading it
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Of responses; those of the platform have a few hundred bytes.
+constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 struct PendingRequest
@@ -163,12 +166,13 @@
     {
         parser_.emplace();
         parser_->body_limit(pool_->limits.maxBodyBytes);
-        readMessage(stream_, buffer_, *parser_,
-                    [self = shared_from_this()](beast::error_code error) {
-                        if (error)
-                            return self->fail(true, error.message());
-                        self->finish();
-                    });
+        readMessage(
+                stream_, buffer_, *parser_, [] { return true; },
+                [self = shared_from_this()](beast::error_code error) {
+                    if (error)
+                        return self->fail(true, error.message());
+                    self->finish();
+                });
     }
 
     void finish()
@@ -246,7 +250,7 @@
     Stream stream_;
     SteadyTime lastUsedAt_;
     std::string encodedRequest_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{maxBufferSize(kMaxHeaderBytes)};
     std::optional<PendingRequest> current_;
     std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
 };
