--- a/packages/entry/src/account_quota.cpp
+++ b/packages/entry/src/account_quota.cpp
@@ -152,6 +152,7 @@
         base::logEvent(base::Event::AccountLimited,
                        {{"account", name},
                         {"cell", std::to_string(cell_.number)},
+                        {"period_ms", std::to_string(kReportPeriodMs)},
                         {"running_cpu", std::to_string(load.running.cpuMillis)},
                         {"waiting_cpu", std::to_string(load.waiting.cpuMillis)},
                         {"limit_cpu", std::to_string(limit.cpuMillis)},
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -107,6 +107,27 @@
                     .Name("chicorywick_pool_cpu_cores")
                     .Help("CPU of a pool in a cell that this instance leads, by state")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &refusedKeys =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_refused_keys_total")
+                    .Help("Requests refused because of their API key or account, by result code")
+                    .Register(registry);
+    prometheus::Family<prometheus::Counter> &limitedAccounts =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_account_limited_seconds_total")
+                    .Help("Time for which tasks of an account waited for its limit, by cell")
+                    .Register(registry);
+    prometheus::Family<prometheus::Gauge> &backlogJobs =
+            prometheus::BuildGauge()
+                    .Name("chicorywick_backlog_jobs")
+                    .Help("Unfinished jobs of a service that can end in time, by how they are "
+                          "placed")
+                    .Register(registry);
+    prometheus::Family<prometheus::Counter> &closedConnections =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_closed_connections_total")
+                    .Help("Connections closed or requests refused to keep a limit of a listener")
+                    .Register(registry);
     std::map<base::Event, prometheus::Counter *> counters;
     prometheus::Histogram &wait = waits.Add({}, kSeconds);
     prometheus::Histogram &jobsAge = jobsAges.Add({}, kSeconds);
@@ -156,6 +177,23 @@
                     .Set(numberOf(fields, std::string(state) + "_cpu") / kMillisPerCore);
         break;
     }
+    case base::Event::ApiKeyRefused:
+        families_->refusedKeys.Add({{"code", valueOf(fields, "code")}}).Increment();
+        break;
+    case base::Event::AccountLimited:
+        families_->limitedAccounts
+                .Add({{"account", valueOf(fields, "account")}, {"cell", valueOf(fields, "cell")}})
+                .Increment(secondsOf(fields, "period_ms"));
+        break;
+    case base::Event::JobsDeferred:
+        for (const char *const state : {"jobs", "over_share", "deferred"})
+            families_->backlogJobs.Add({{"service", valueOf(fields, "service")}, {"state", state}})
+                    .Set(numberOf(fields, state));
+        break;
+    case base::Event::ConnectionClosed:
+        families_->closedConnections.Add({{"limit", valueOf(fields, "limit")}})
+                .Increment(numberOf(fields, "count"));
+        break;
     default:
         break;
     }
--- a/packages/entry/src/metrics_test.cpp
+++ b/packages/entry/src/metrics_test.cpp
@@ -14,6 +14,11 @@
     metrics.observe(base::Event::ViewOutdated, {{"view", "workers"}, {"age_ms", "2501"}});
     metrics.observe(base::Event::PoolState,
                     {{"cell", "1"}, {"pool", "p"}, {"finite", "3"}, {"waiting_cpu", "1500"}});
+    metrics.observe(base::Event::ApiKeyRefused, {{"queue", "q"}, {"code", "4016"}});
+    metrics.observe(base::Event::AccountLimited,
+                    {{"account", "a"}, {"cell", "0"}, {"period_ms", "1000"}});
+    metrics.observe(base::Event::JobsDeferred, {{"service", "s"}, {"deferred", "4"}});
+    metrics.observe(base::Event::ConnectionClosed, {{"limit", "bytes"}, {"count", "7"}});
     metrics.observeStoreCall("transact", "ok", 0.004);
     const std::string text = metrics.text();
     for (const char *line :
@@ -23,6 +28,10 @@
           "chicorywick_outdated_views_total{view=\"workers\"} 1",
           "chicorywick_pool_machines{cell=\"1\",pool=\"p\",use=\"finite\"} 3",
           "chicorywick_pool_cpu_cores{cell=\"1\",pool=\"p\",state=\"waiting\"} 1.5",
+          "chicorywick_refused_keys_total{code=\"4016\"} 1",
+          "chicorywick_account_limited_seconds_total{account=\"a\",cell=\"0\"} 1",
+          "chicorywick_backlog_jobs{service=\"s\",state=\"deferred\"} 4",
+          "chicorywick_closed_connections_total{limit=\"bytes\"} 7",
           "chicorywick_store_call_seconds_count{call=\"transact\",result=\"ok\"} 1"})
         CHECK(text.find(line) != std::string::npos);
 }
--- a/packages/http/include/chicorywick/http/server.h
+++ b/packages/http/include/chicorywick/http/server.h
@@ -52,6 +52,9 @@
     /// @brief The number of requests that were read and have no response yet.
     std::size_t inFlight() const;
 
+    /// @brief Bytes of requests that are being read or have no response yet.
+    std::size_t bufferedBytes() const;
+
 private:
     struct SharedState;
     class Session;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -331,6 +331,11 @@
     return shared_->inFlight;
 }
 
+std::size_t Server::bufferedBytes() const
+{
+    return shared_->bufferedBytes;
+}
+
 // All connections that have arrived are accepted now: with one accept a turn, they would wait for
 // the other events of a busy loop.
 void Server::accept()
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -469,7 +469,12 @@
     std::map<std::string, AccountRate> accountRates_;
     std::map<std::string, std::int64_t> joiningCpuMillis_; ///< by service
     std::map<std::string, Millis> backlogMs_;              ///< by service
-    std::map<std::string, Millis> backlogReportedAt_;      ///< by service
+    struct BacklogReport
+    {
+        Millis at = 0;
+        bool isOrdinary = true; ///< no job was deferred or over its account's share
+    };
+    std::map<std::string, BacklogReport> backlogReports_; ///< by service
     std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
     std::unordered_map<std::string, JobEntry *> openJobs_; ///< jobs that are not in a final state
     std::set<std::string> recurringJobs_;
--- a/packages/scheduler/src/scheduler_backlog.cpp
+++ b/packages/scheduler/src/scheduler_backlog.cpp
@@ -165,10 +165,12 @@
                               std::size_t deferred)
 {
     const Millis now = hooks_.clock().steady;
-    Millis &reportedAt = backlogReportedAt_[service];
-    if ((deferred == 0 && overShare == 0) || now - reportedAt < kReportPeriodMs)
+    const auto [report, isNew] = backlogReports_.try_emplace(service);
+    const bool isOrdinary = deferred == 0 && overShare == 0;
+    // The end of a backlog is reported once, so that the metrics fall to zero.
+    if ((isOrdinary && report->second.isOrdinary) || now - report->second.at < kReportPeriodMs)
         return;
-    reportedAt = now;
+    report->second = {.at = now, .isOrdinary = isOrdinary};
     const auto backlog = backlogMs_.find(service);
     base::logEvent(
             base::Event::JobsDeferred,
--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -178,10 +178,26 @@
     return post(daemon, id, body);
 }
 
-int HostedDeployment::post(int daemon, const std::string &id, const json &body) const
+void HostedDeployment::configure(const std::string &configuration)
 {
+    onLoop([&] { store_.put("op", "config", configuration); });
+}
+
+int HostedDeployment::submitWithKey(int daemon, const std::string &id,
+                                    const std::string &apiKey) const
+{
+    return post(daemon, id, {{"spec", "work"}, {"steps", {{{"count", 1}, {"cpu", 1'000}}}}},
+                apiKey);
+}
+
+int HostedDeployment::post(int daemon, const std::string &id, const json &body,
+                           const std::string &apiKey) const
+{
+    httplib::Headers headers;
+    if (!apiKey.empty())
+        headers.emplace("X-Api-Key", apiKey);
     const auto response = makeClient(ports_[static_cast<std::size_t>(daemon)][0])
-                                  .Post("/q/" + id, body.dump(), "application/json");
+                                  .Post("/q/" + id, headers, body.dump(), "application/json");
     return response ? response->status : 0;
 }
 
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -64,6 +64,17 @@
     /// @brief Returns the metrics page of a daemon; empty without a response.
     std::string metrics(int daemon) const;
 
+    /// @brief Stores a configuration, a JSON object.
+    void configure(const std::string &configuration);
+    std::uint16_t storePort() const { return store_.port(); }
+
+    /// @brief Like submit(), with an API key.
+    int submitWithKey(int daemon, const std::string &id, const std::string &apiKey) const;
+
+    /// @brief Runs an action on the event loop of the stand-ins.
+    void onLoop(const std::function<void()> &action);
+    boost::asio::io_context &loop() { return loop_; }
+
     void setTaskDuration(std::chrono::milliseconds duration);
     void setStoreFaults(const StoreFaults &faults);
     void setRunnerUnresponsive(int number, bool isUnresponsive);
@@ -88,9 +99,9 @@
     int acknowledgedTasks();
 
 private:
-    int post(int daemon, const std::string &id, const json &body) const;
+    int post(int daemon, const std::string &id, const json &body,
+             const std::string &apiKey = {}) const;
     void addRunner(int number, std::chrono::milliseconds downTime);
-    void onLoop(const std::function<void()> &action);
     std::string settingsFile(int number, const std::string &extraSettings) const;
 
     boost::asio::io_context loop_;
