--- a/packages/entry/include/chicorywick/entry/caller_codec.h
+++ b/packages/entry/include/chicorywick/entry/caller_codec.h
@@ -22,6 +22,9 @@
 
     /// @brief The caller's timeout for the response, in milliseconds.
     virtual std::optional<scheduler::Millis> timeLimit(const http::Headers &headers) const = 0;
+
+    /// @brief The caller's API key, or an empty string.
+    virtual std::string apiKey(const http::Headers &headers) const = 0;
 };
 
 /// @brief Checks that numbers are in range and that steps depend on earlier steps only.
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -1,8 +1,9 @@
 #include "intake.h"
 
+#include "submission_rules.h"
+
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/records.h>
-#include <chicorywick/scheduler/job.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -40,8 +41,6 @@
 // Short, because another entry instance may accept the request immediately.
 constexpr const char *kRetryAfterSeconds = "1";
 constexpr scheduler::Millis kMaxRetryAfterSeconds = 10;
-// A job that ends later than this many times its objective has no value for its caller.
-constexpr scheduler::Millis kLateFactor = 3;
 constexpr std::size_t kMaxIdLength = 64;
 constexpr const char *kCancelValue = "{}";
 
@@ -69,38 +68,6 @@
     return refusal(code == base::Code::OtherAccount ? kForbidden : kUnauthorized, code);
 }
 
-// A task that uses more than the limit of its account could never start.
-base::Result<void> checkTaskSizes(const scheduler::JobSpec &spec,
-                                  const scheduler::AccountPolicy &account)
-{
-    const auto exceeds = [](std::int64_t demand, std::int64_t limit) {
-        return limit > 0 && demand > limit;
-    };
-    for (const scheduler::StepSpec &step : spec.steps)
-        if (exceeds(step.demand.cpuMillis, account.limit.cpuMillis)
-            || exceeds(step.demand.memoryMib, account.limit.memoryMib)
-            || exceeds(step.demand.accelerators, account.limit.accelerators))
-            return base::makeError(base::Code::NoWorkerFits,
-                                   "a task exceeds the limit of account " + account.name);
-    return base::ok();
-}
-
-// By how much a job that starts after the backlog ends too late to have any value. Perpetual and
-// scheduled jobs keep theirs.
-scheduler::Millis lateByMs(const scheduler::JobSpec &spec, const scheduler::QueuePolicy &policy,
-                           scheduler::Millis backlogMs)
-{
-    if (backlogMs <= 0 || spec.repeatCount > 0)
-        return 0;
-    const scheduler::Job job(spec, 0);
-    if (job.isPerpetual())
-        return 0;
-    const auto objective =
-            static_cast<scheduler::Millis>(policy.stretch * static_cast<double>(job.criticalPath()))
-            + policy.targetCompletionMs;
-    return std::max<scheduler::Millis>(backlogMs + job.criticalPath() - kLateFactor * objective, 0);
-}
-
 http::Response json(int status, std::string body)
 {
     return {.status = status,
@@ -160,8 +127,7 @@
     const auto route = routes_.match(http::headerOf(request.headers, "host"), request.target);
     if (!route)
         return respond(refusal(kNotFound, base::Code::UnknownService));
-    const auto account = accounts_.identify(http::headerOf(request.headers, "x-api-key"),
-                                            route->allowsAnonymous);
+    const auto account = accounts_.identify(codec_.apiKey(request.headers), route->allowsAnonymous);
     if (!account)
         return respond(refuseKey(*route, account.error().code));
     if (route->rest.empty()) {
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -45,6 +45,10 @@
     {
         return std::nullopt;
     }
+    std::string apiKey(const http::Headers &headers) const override
+    {
+        return http::headerOf(headers, "key");
+    }
 };
 
 struct Fixture
@@ -85,7 +89,7 @@
         http::Request request{
                 .method = method, .target = target, .headers = {{"host", host}}, .body = body};
         if (!apiKey.empty())
-            request.headers["x-api-key"] = apiKey;
+            request.headers["key"] = apiKey;
         intake->handle(request, [&](http::Response response) { received = std::move(response); });
         loop.restart();
         loop.run_for(400ms);
--- a/packages/entry/src/submission_rules.cpp
+++ b/packages/entry/src/submission_rules.cpp
@@ -1,4 +1,9 @@
+#include "submission_rules.h"
+
 #include <chicorywick/entry/caller_codec.h>
+#include <chicorywick/scheduler/job.h>
+
+#include <algorithm>
 
 namespace chicorywick::entry {
 
@@ -7,6 +12,8 @@
 constexpr std::size_t kMaxPayloadBytes = 4'000;
 constexpr std::size_t kMaxSteps = 200;
 constexpr std::int64_t kMaxResource = 1'000'000'000;
+// A job that ends later than this many times its objective has no value for its caller.
+constexpr scheduler::Millis kLateFactor = 3;
 
 base::Error invalid(const std::string &what)
 {
@@ -63,4 +70,35 @@
     return base::ok();
 }
 
+// A task that uses more than the limit of its account could never start.
+base::Result<void> checkTaskSizes(const scheduler::JobSpec &spec,
+                                  const scheduler::AccountPolicy &account)
+{
+    const auto exceeds = [](std::int64_t demand, std::int64_t limit) {
+        return limit > 0 && demand > limit;
+    };
+    for (const scheduler::StepSpec &step : spec.steps)
+        if (exceeds(step.demand.cpuMillis, account.limit.cpuMillis)
+            || exceeds(step.demand.memoryMib, account.limit.memoryMib)
+            || exceeds(step.demand.accelerators, account.limit.accelerators))
+            return base::makeError(base::Code::NoWorkerFits,
+                                   "a task exceeds the limit of account " + account.name);
+    return base::ok();
+}
+
+// Perpetual and scheduled jobs keep their value.
+scheduler::Millis lateByMs(const scheduler::JobSpec &spec, const scheduler::QueuePolicy &policy,
+                           scheduler::Millis backlogMs)
+{
+    if (backlogMs <= 0 || spec.repeatCount > 0)
+        return 0;
+    const scheduler::Job job(spec, 0);
+    if (job.isPerpetual())
+        return 0;
+    const auto objective =
+            static_cast<scheduler::Millis>(policy.stretch * static_cast<double>(job.criticalPath()))
+            + policy.targetCompletionMs;
+    return std::max<scheduler::Millis>(backlogMs + job.criticalPath() - kLateFactor * objective, 0);
+}
+
 } // namespace chicorywick::entry
