--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -35,6 +35,9 @@
 constexpr scheduler::Millis kCompactionPeriodMs = 1'000;
 // Shorter backlogs refuse no submission, and would make the row of the leader larger.
 constexpr scheduler::Millis kMinBacklogMs = 500;
+// At the start of a peak, and of a term, most of the capacity has yet to join: idle machines are
+// lent and workers reply within this time.
+constexpr scheduler::Millis kLastingBacklogMs = 3'000;
 // Row removals per transaction; an expired job has three rows.
 constexpr std::size_t kRemovalsPerWrite = 30;
 
@@ -238,10 +241,26 @@
 std::map<std::string, scheduler::Millis> Controller::Impl::backlogs() const
 {
     auto backlogs = scheduler_.backlogs();
-    std::erase_if(backlogs, [](const auto &backlog) { return backlog.second < kMinBacklogMs; });
+    const scheduler::Millis now = hooks_.clock().steady;
+    std::erase_if(backlogs, [this, now](const auto &backlog) {
+        const auto since = backlogSince_.find(backlog.first);
+        return since == backlogSince_.end() || now - since->second < kLastingBacklogMs;
+    });
     return backlogs;
 }
 
+void Controller::Impl::updateBacklogs()
+{
+    const auto backlogs = scheduler_.backlogs();
+    std::erase_if(backlogSince_, [&backlogs](const auto &since) {
+        const auto backlog = backlogs.find(since.first);
+        return backlog == backlogs.end() || backlog->second < kMinBacklogMs;
+    });
+    for (const auto &[queue, backlogMs] : backlogs)
+        if (backlogMs >= kMinBacklogMs)
+            backlogSince_.try_emplace(queue, hooks_.clock().steady);
+}
+
 void Controller::Impl::retryAfterPause(std::function<void()> action)
 {
     runAfter(kRetryPause, std::move(action));
@@ -348,6 +367,7 @@
 {
     reportDelays();
     scheduler_.tick();
+    updateBacklogs();
     roster_->update();
     waves_->tick();
     poolBalancer_->tick();
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -66,6 +66,7 @@
     void addUnknownWorkers(const WorkerList &list);
     void applyWorkers(const WorkerList &list, bool isComplete);
 
+    void updateBacklogs();
     void scheduleTick();
     void tick();
     void compactEndedJobs();
@@ -98,6 +99,7 @@
     bool isLoadingReceived_ = false;
     bool isReceivedLoadDue_ = false;         ///< machines were received during a load
     std::set<std::string> removedMeanwhile_; ///< workers removed since that load was requested
+    std::map<std::string, scheduler::Millis> backlogSince_; ///< by queue
     Version jobsVersion_ = 0;
     ViewReport jobsReport_;
     ViewReport workersReport_;
--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -183,6 +183,11 @@
     onLoop([&] { store_.put("op", "config", configuration); });
 }
 
+void HostedDeployment::setMaxLimitedTasks(int tasks)
+{
+    onLoop([&] { record_.maxLimitedTasks = tasks; });
+}
+
 int HostedDeployment::submitWithKey(int daemon, const std::string &id,
                                     const std::string &apiKey) const
 {
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -71,6 +71,9 @@
     /// @brief Like submit(), with an API key.
     int submitWithKey(int daemon, const std::string &id, const std::string &apiKey) const;
 
+    /// @brief Sets how many tasks of jobs whose id begins with kLimitedPrefix may run at once.
+    void setMaxLimitedTasks(int tasks);
+
     /// @brief Runs an action on the event loop of the stand-ins.
     void onLoop(const std::function<void()> &action);
     boost::asio::io_context &loop() { return loop_; }
--- a/tests/hosted/hosted_runner.cpp
+++ b/tests/hosted/hosted_runner.cpp
@@ -2,6 +2,7 @@
 
 #include <chicorywick/entry/node.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -138,6 +139,12 @@
     if (record_.doneAndAcknowledged.contains(task))
         record_.violations.push_back(task + " started after its end was acknowledged");
     runnerIds.insert(id_);
+    const auto limited = std::count_if(
+            record_.runningOn.begin(), record_.runningOn.end(), [](const auto &running) {
+                return running.first.starts_with(kLimitedPrefix) && !running.second.empty();
+            });
+    if (record_.maxLimitedTasks > 0 && limited > record_.maxLimitedTasks)
+        record_.violations.push_back("QUOTA: " + task + " is one too many of its account");
     record_.jobStarts.push_back(
             {.job = spec.substr(0, spec.find(' ')), .time = std::chrono::steady_clock::now()});
     if (spec != kCrashSpec)
--- a/tests/hosted/hosted_runner.h
+++ b/tests/hosted/hosted_runner.h
@@ -40,8 +40,12 @@
     std::map<std::string, int> crashes; ///< of runners, by the task that caused them
     std::map<std::string, int> startsAfterThirdCrash;
     int crashingTaskStarts = 0;
+    /// Most tasks of jobs whose id begins with kLimitedPrefix that may run at once; 0: no limit.
+    int maxLimitedTasks = 0;
 };
 
+inline constexpr const char *kLimitedPrefix = "limited";
+
 /// @brief Whether a runner has its former id when it is back after a crash.
 enum class RestartIdentity { SameId, NewId };
 
--- a/tests/hosted/hosted_test.cpp
+++ b/tests/hosted/hosted_test.cpp
@@ -127,4 +127,14 @@
         FAIL_CHECK(violation);
 }
 
+// Guards against an account that runs more than its limit in several cells, or whose jobs never
+// end, while leaders are killed and paused and the store and runners fail.
+TEST_CASE("the tasks of an account stay within its limit through kills and outages")
+{
+    const SoakReport report = runSoak({.seed = 11, .duration = 12s, .accountLimit = 3});
+    CHECK(report.acceptedLimited > 0);
+    for (const std::string &violation : report.violations)
+        FAIL_CHECK(violation);
+}
+
 } // namespace chicorywick::hosted
--- a/tests/hosted/soak.cpp
+++ b/tests/hosted/soak.cpp
@@ -16,6 +16,9 @@
 
 constexpr int kDaemons = 3;
 constexpr int kRunners = 4;
+constexpr int kMachinesInOneCell = 280;
+constexpr int kMachinesPerCell = 2;
+constexpr const char *kApiKey = "soak";
 constexpr auto kStep = 200ms;
 // Longest outage of a daemon, a runner or the store. It exceeds the 6 s leases, so that some
 // expire.
@@ -43,13 +46,16 @@
         : plan_(plan)
         , rng_(plan.seed)
         , crashingRng_(plan.seed)
-        , deployment_(kDaemons, kRunners, plan.seed)
+        , deployment_(kDaemons, kRunners, plan.seed,
+                      plan.accountLimit > 0 ? kMachinesPerCell : kMachinesInOneCell)
         , isDown_(kDaemons, false)
     {
         for (int job = 0; job < plan.crashingJobs; ++job)
             crashingJobsDue_.emplace_back(
                     crashingRng_.below(static_cast<std::uint64_t>(plan.duration / 1ms * 3 / 4)));
         std::ranges::sort(crashingJobsDue_);
+        if (plan.accountLimit > 0)
+            configureAccount();
     }
 
     SoakReport run()
@@ -63,6 +69,7 @@
             if (rng_.chance(0.12))
                 injectFault();
             submitJob();
+            submitLimitedJobs();
             submitCrashingJob(Clock::now() - start);
             std::this_thread::sleep_for(kStep);
         }
@@ -75,6 +82,35 @@
     }
 
 private:
+    // The route also serves the jobs without an account.
+    void configureAccount()
+    {
+        constexpr int kCpuPerTask = 1'000;
+        deployment_.setMaxLimitedTasks(plan_.accountLimit);
+        deployment_.configure(
+                R"({"version":2,"routes":[{"name":"r","host":"work.example","path_prefix":"/q/",)"
+                R"("service":"s","max_attempts":2,"stretch":1.6,"target_completion_ms":600,)"
+                R"("allow_anonymous":true}],"services":[{"name":"s"}],"limits":{},)"
+                R"("tenants":[{"name":"a","api_keys":[")"
+                + std::string(kApiKey) + R"("],"weight":5,"cap":{"cpu":)"
+                + std::to_string(plan_.accountLimit * kCpuPerTask) + "}}]}");
+    }
+
+    // Asks for more than the limit of the account allows.
+    void submitLimitedJobs()
+    {
+        constexpr int kJobsPerStep = 2;
+        for (int job = 0; plan_.accountLimit > 0 && job < kJobsPerStep; ++job) {
+            const int daemon = static_cast<int>(accountRng_.below(kDaemons));
+            const std::string id = kLimitedPrefix + std::to_string(submittedLimited_++);
+            if (isDown_[static_cast<std::size_t>(daemon)]
+                || deployment_.submitWithKey(daemon, id, kApiKey) != 200)
+                continue;
+            ++report_.acceptedLimited;
+            accepted_.push_back({.id = id, .expectedState = "completed"});
+        }
+    }
+
     void submitJob()
     {
         const int daemon = static_cast<int>(rng_.below(kDaemons));
@@ -197,6 +233,8 @@
     std::vector<bool> isDown_;
     std::vector<ActiveFault> activeFaults_;
     int submitted_ = 0;
+    int submittedLimited_ = 0;
+    base::Rng accountRng_{1}; ///< separate, like crashingRng_
 };
 
 } // namespace
--- a/tests/hosted/soak.h
+++ b/tests/hosted/soak.h
@@ -13,6 +13,8 @@
     std::uint64_t seed = 1;
     std::chrono::seconds duration{20}; ///< of the faults
     int crashingJobs = 0;              ///< jobs that crash each runner that starts them
+    /// Tasks of a client account that may run at once, in a fleet of several cells; 0: no account.
+    int accountLimit = 0;
 
     bool operator==(const SoakPlan &) const = default;
 };
@@ -21,6 +23,7 @@
 struct SoakReport
 {
     int accepted = 0;
+    int acceptedLimited = 0;  ///< of the account with a limit; not in accepted
     int acceptedCrashing = 0; ///< accepted jobs that crash their runners; not in accepted
     int crashes = 0;          ///< of runners
     int faults = 0;
