--- a/packages/entry/src/account_quota.cpp
+++ b/packages/entry/src/account_quota.cpp
@@ -107,7 +107,7 @@
         return;
     const std::vector<CellNeeds> others =
             hooks_.otherCells ? hooks_.otherCells() : std::vector<CellNeeds>();
-    QuotaGifts gifts;
+    ShareTransfers transfers;
     for (const auto &[name, policy] : limited_) {
         const auto load = loads.find(name);
         const scheduler::AccountLoad use =
@@ -127,11 +127,11 @@
                 positions.push_back({.cell = other.cell,
                                      .share = ledger_->storedShare(name, other.cell),
                                      .need = need->second});
-        auto planned = planQuotaGifts(own, positions, hooks_.clock().wall / kTurnMs);
+        auto planned = planShareTransfers(own, positions, hooks_.clock().wall / kTurnMs);
         if (!planned.empty())
-            gifts.emplace(name, std::move(planned));
+            transfers.emplace(name, std::move(planned));
     }
-    ledger_->give(gifts);
+    ledger_->transfer(transfers);
 }
 
 void AccountQuota::report(const std::map<std::string, scheduler::AccountLoad> &loads)
--- a/packages/entry/src/quota_ledger.cpp
+++ b/packages/entry/src/quota_ledger.cpp
@@ -70,28 +70,29 @@
         return 0;
     int share = storedShare(account, cell_.number);
     if (writing_)
-        if (const auto gifts = writing_->gifts.find(account); gifts != writing_->gifts.end())
-            for (const auto &[cell, gift] : gifts->second)
-                share -= gift;
+        if (const auto transfers = writing_->transfers.find(account);
+            transfers != writing_->transfers.end())
+            for (const auto &[cell, amount] : transfers->second)
+                share -= amount;
     return std::max(share, 0);
 }
 
-void QuotaLedger::give(const QuotaGifts &gifts)
+void QuotaLedger::transfer(const ShareTransfers &transfers)
 {
-    if (!isLoaded_ || writing_ || gifts.empty())
+    if (!isLoaded_ || writing_ || transfers.empty())
         return;
     QuotaShares next = shares_;
-    for (const auto &[account, toCells] : gifts) {
+    for (const auto &[account, toCells] : transfers) {
         std::vector<int> shares;
         for (int cell = 0; cell < cell_.layout.count(); ++cell)
             shares.push_back(storedShare(account, cell));
-        for (const auto &[cell, gift] : toCells) {
-            shares[static_cast<std::size_t>(cell)] += gift;
-            shares[static_cast<std::size_t>(cell_.number)] -= gift;
+        for (const auto &[cell, amount] : toCells) {
+            shares[static_cast<std::size_t>(cell)] += amount;
+            shares[static_cast<std::size_t>(cell_.number)] -= amount;
         }
         next.shares[account] = std::move(shares);
     }
-    write(std::move(next), gifts);
+    write(std::move(next), transfers);
     hooks_.onChanged(); // the own cell uses less from before the write is sent
 }
 
@@ -114,11 +115,11 @@
             });
 }
 
-void QuotaLedger::write(QuotaShares next, QuotaGifts gifts)
+void QuotaLedger::write(QuotaShares next, ShareTransfers transfers)
 {
     next.writer = std::to_string(cell_.number) + "/" + std::to_string(term_) + "/"
                   + std::to_string(++writes_);
-    writing_ = {.next = std::move(next), .expected = version_, .gifts = std::move(gifts)};
+    writing_ = {.next = std::move(next), .expected = version_, .transfers = std::move(transfers)};
     send();
 }
 
--- a/packages/entry/src/quota_ledger.h
+++ b/packages/entry/src/quota_ledger.h
@@ -17,7 +17,7 @@
 
 namespace chicorywick::entry {
 
-using QuotaGifts = std::map<std::string, std::map<int, int>>; ///< by account and receiving cell
+using ShareTransfers = std::map<std::string, std::map<int, int>>; ///< by account and receiving cell
 
 struct QuotaLedgerHooks
 {
@@ -47,7 +47,7 @@
     int storedShare(const std::string &account, int cell) const;
 
     /// @brief Moves shares of the own cell to others, unless a write is on its way.
-    void give(const QuotaGifts &gifts);
+    void transfer(const ShareTransfers &transfers);
     bool isWriting() const { return writing_.has_value(); }
 
 private:
@@ -56,11 +56,11 @@
     {
         QuotaShares next;
         Version expected = 0;
-        QuotaGifts gifts;
+        ShareTransfers transfers;
     };
 
     void read();
-    void write(QuotaShares next, QuotaGifts gifts);
+    void write(QuotaShares next, ShareTransfers transfers);
     void send();
     void handleResult(const base::Result<TransactionResult> &result);
     void apply(const Row &row);
--- a/packages/entry/src/quota_ledger_test.cpp
+++ b/packages/entry/src/quota_ledger_test.cpp
@@ -56,15 +56,15 @@
 
 } // namespace
 
-// Guards against a gift that one of the cells does not learn of.
-TEST_CASE("a gift lowers the share of its giver and raises that of the other cell")
+// Guards against a transfer that one of the cells does not learn of.
+TEST_CASE("a transfer lowers the share of its sender and raises that of the other cell")
 {
     Fixture fixture;
     const auto first = fixture.lead(0);
     const auto second = fixture.lead(1);
     fixture.run();
     CHECK(first->share() == 500);
-    first->ledger->give({{"a", {{1, 200}}}});
+    first->ledger->transfer({{"a", {{1, 200}}}});
     CHECK(first->share() == 300);
     fixture.run();
     CHECK(first->share() == 300);
@@ -74,14 +74,14 @@
 
 // Guards against a leader that uses a share that its predecessor has given away, in a write that is
 // carried out after the change of leader.
-TEST_CASE("a late gift of a former leader has no effect once its successor has loaded")
+TEST_CASE("a late transfer of a former leader has no effect once its successor has loaded")
 {
     Fixture fixture;
     const auto other = fixture.lead(1);
     auto former = fixture.lead(0);
     fixture.run();
     fixture.table.fate = Fate::Late;
-    former->ledger->give({{"a", {{1, 200}}}});
+    former->ledger->transfer({{"a", {{1, 200}}}});
     fixture.run(50ms);
     former->mayWrite = false;
     fixture.table.fate = Fate::Answered;
@@ -93,26 +93,26 @@
     CHECK(successor->share() + other->share() == 1'000);
 }
 
-// Guards against a giver that uses its former share because the answer to its write was lost.
-TEST_CASE("a share whose gift has no answer is not used")
+// Guards against a sender that uses its former share because the answer to its write was lost.
+TEST_CASE("a share whose transfer has no answer is not used")
 {
     Fixture fixture;
     const auto first = fixture.lead(0);
     const auto second = fixture.lead(1);
     fixture.run();
-    SUBCASE("and the gift was stored")
+    SUBCASE("and the transfer was stored")
     {
         fixture.table.fate = Fate::AnswerLost;
     }
-    SUBCASE("and the gift is stored later")
+    SUBCASE("and the transfer is stored later")
     {
         fixture.table.fate = Fate::Late;
     }
-    SUBCASE("and the gift was rejected")
+    SUBCASE("and the transfer was rejected")
     {
         fixture.table.fate = Fate::Rejected;
     }
-    first->ledger->give({{"a", {{1, 200}}}});
+    first->ledger->transfer({{"a", {{1, 200}}}});
     CHECK(first->share() == 300);
     fixture.run();
     CHECK(first->share() <= 300);
@@ -159,8 +159,9 @@
                 former.push_back(std::move(leaders[cell]));
                 leaders[cell] = fixture.lead(static_cast<int>(cell));
             } else if (share > 0) {
-                const int gift = 1 + static_cast<int>(rng.below(static_cast<std::uint64_t>(share)));
-                leaders[cell]->ledger->give({{"a", {{cell == 0 ? 1 : 0, gift}}}});
+                const int amount =
+                        1 + static_cast<int>(rng.below(static_cast<std::uint64_t>(share)));
+                leaders[cell]->ledger->transfer({{"a", {{cell == 0 ? 1 : 0, amount}}}});
             }
             checkSum();
             fixture.run(std::chrono::milliseconds(rng.below(40)));
--- a/packages/entry/src/quota_plan.cpp
+++ b/packages/entry/src/quota_plan.cpp
@@ -17,15 +17,15 @@
     std::int64_t total = 0;
     for (const auto &[cell, lack] : lacks)
         total += lack;
-    std::map<int, int> gifts;
+    std::map<int, int> transfers;
     if (amount <= 0 || total <= 0)
-        return gifts;
+        return transfers;
     for (const auto &[cell, lack] : lacks) {
-        const std::int64_t gift = std::min(lack, amount * lack / total);
-        if (gift > 0)
-            gifts[cell] = static_cast<int>(gift);
+        const std::int64_t part = std::min(lack, amount * lack / total);
+        if (part > 0)
+            transfers[cell] = static_cast<int>(part);
     }
-    return gifts;
+    return transfers;
 }
 
 // The cell that gets its turn when the limit does not suffice for one task in each cell.
@@ -41,8 +41,8 @@
 
 } // namespace
 
-std::map<int, int> planQuotaGifts(const QuotaPosition &own, std::span<const QuotaPosition> others,
-                                  std::int64_t turn)
+std::map<int, int> planShareTransfers(const QuotaPosition &own,
+                                      std::span<const QuotaPosition> others, std::int64_t turn)
 {
     std::vector<QuotaPosition> shortCells;
     std::int64_t total = own.share;
--- a/packages/entry/src/quota_plan.h
+++ b/packages/entry/src/quota_plan.h
@@ -26,7 +26,7 @@
 /// that the own cell gives to others, by cell. It gives what its tasks do not need; if all cells
 /// are short, the shares approach the proportion of the demands. Runs that exist keep their share.
 /// @param turn selects the cell that is served if the limit is too small for a task in each cell.
-std::map<int, int> planQuotaGifts(const QuotaPosition &own, std::span<const QuotaPosition> others,
-                                  std::int64_t turn);
+std::map<int, int> planShareTransfers(const QuotaPosition &own,
+                                      std::span<const QuotaPosition> others, std::int64_t turn);
 
 } // namespace chicorywick::entry
--- a/packages/scheduler/src/backlog_plan.cpp
+++ b/packages/scheduler/src/backlog_plan.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Jobs of equal due times are compared by what their delay costs callers.
-auto cheapness(const BacklogJob &job)
+// Jobs with larger keys are delayed first: their delay costs callers less.
+auto delayKey(const BacklogJob &job)
 {
     return std::tuple(job.isOverShare, job.priority, job.workMillis);
 }
@@ -41,11 +41,11 @@
                      [&jobs](std::size_t left, std::size_t right) {
                          return jobs[left].due < jobs[right].due;
                      });
-    const auto costsMore = [&jobs](std::size_t left, std::size_t right) {
-        return cheapness(jobs[left]) < cheapness(jobs[right]);
+    const auto isDelayedLater = [&jobs](std::size_t left, std::size_t right) {
+        return delayKey(jobs[left]) < delayKey(jobs[right]);
     };
-    std::priority_queue<std::size_t, std::vector<std::size_t>, decltype(costsMore)> scheduled(
-            costsMore);
+    std::priority_queue<std::size_t, std::vector<std::size_t>, decltype(isDelayedLater)> scheduled(
+            isDelayedLater);
     std::set<std::size_t> deferred;
     double work = 0;
     for (const std::size_t index : byDueTime) {
--- a/tests/hosted/hosted_hostile_caller_test.cpp
+++ b/tests/hosted/hosted_hostile_caller_test.cpp
@@ -67,7 +67,7 @@
     boost::system::error_code error_;
 };
 
-using Crowd = std::vector<std::unique_ptr<HostileCaller>>;
+using HostileCallers = std::vector<std::unique_ptr<HostileCaller>>;
 
 std::string head(const std::string &id, const std::string &fields)
 {
@@ -89,7 +89,8 @@
 
     std::uint16_t callerPort() const { return deployment_.callerPort(0); }
 
-    /// @brief Checks the state of the daemon while the connections of the crowd are still open.
+    /// @brief Checks the state of the daemon while the connections of the hostile callers are still
+    /// open.
     void check()
     {
         CHECK(!deployment_.daemon(0).waitForExit(std::chrono::seconds(0)));
@@ -167,12 +168,12 @@
         start = std::string();
         part = "/" + std::string(4'000, 'x');
     }
-    Crowd crowd;
+    HostileCallers callers;
     for (int sender = 0; sender < kSenders; ++sender) {
-        crowd.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
+        callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
         const bool isPath = part.front() == '/';
-        if (crowd.back()->send(isPath ? "POST /q/" : head("endless", start)))
-            crowd.back()->repeat(part, kBytesPerSender);
+        if (callers.back()->send(isPath ? "POST /q/" : head("endless", start)))
+            callers.back()->repeat(part, kBytesPerSender);
     }
     deployment.check();
 }
@@ -182,11 +183,11 @@
 TEST_CASE("callers that never finish their requests do not exhaust a daemon")
 {
     LimitedDeployment deployment;
-    Crowd crowd;
+    HostileCallers callers;
     for (int sender = 0; sender < 250; ++sender) {
-        crowd.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
-        crowd.back()->send(head("unfinished", "Content-Length: 250000\r\n\r\n"));
-        crowd.back()->send(std::string(200'000, 'x'));
+        callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
+        callers.back()->send(head("unfinished", "Content-Length: 250000\r\n\r\n"));
+        callers.back()->send(std::string(200'000, 'x'));
     }
     deployment.check();
 }
@@ -196,17 +197,17 @@
 TEST_CASE("connections that callers open and leave are bounded")
 {
     LimitedDeployment deployment;
-    Crowd crowd;
+    HostileCallers callers;
     SUBCASE("without a byte")
     {
         for (int sender = 0; sender < 400; ++sender)
-            crowd.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
+            callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
     }
     SUBCASE("within the header")
     {
         for (int sender = 0; sender < 400; ++sender) {
-            crowd.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
-            crowd.back()->send("POST /q/slow HTTP/1.1\r\nHost: ");
+            callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
+            callers.back()->send("POST /q/slow HTTP/1.1\r\nHost: ");
         }
     }
     deployment.check();
@@ -234,10 +235,10 @@
     }
     const std::string request =
             head("decoded", "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n") + body;
-    Crowd crowd;
+    HostileCallers callers;
     for (int sender = 0; sender < kSenders; ++sender) {
-        crowd.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
-        crowd.back()->repeat(request, 2'000'000);
+        callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
+        callers.back()->repeat(request, 2'000'000);
     }
     deployment.check();
 }
