Count the memory that requests hold, not the bytes that came

What callers saw: a process ended for want of memory, or refused everybody, once some hundred connections held a complete header of small fields, or one chunk with a long extension. Cause: the listener counted unread bytes and the body. Parsed header fields take some sixteen times their bytes. Beast's read operations wait for the rest of an incomplete part by themselves, so that buffers grew to 64 KB each without being counted, and what was parsed no longer counted although the buffer kept its capacity. Responses that nobody reads did not count either. Without descriptors the accepting loop spun. Change: the server parses requests into its own type with a limit of 100 fields (431), reads by itself and counts fields, bodies and the capacity of buffers before each wait. A request that is handled counts eight times its body, at most a quarter of what is left; one that could never be admitted gets 413. Connections whose response is not read are closed like those that send slowly. Headers over the limit get 431 instead of 413. Why it works: nothing is held for a connection that its listener does not count before it waits, and what counts is bounded. Ruled out: fragmentation of the heap (the growth followed the number of connections that were read at the same time); a limit of the header's bytes alone, as a field of three bytes takes over a hundred.

--- a/packages/http/include/chicorywick/http/server.h
+++ b/packages/http/include/chicorywick/http/server.h
@@ -16,10 +16,14 @@
 struct ServerLimits
 {
     std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxHeaderFields = 100; ///< including trailers
     std::size_t maxBodyBytes = 512 * 1024;
-    /// Of all requests that are being read or have no response yet. Beyond it, the connections
-    /// whose requests have been read for longest are closed.
+    /// Memory for requests that are being read or have no response yet and for responses that are
+    /// being written, besides a few KiB for each connection. Beyond it, the connections that have
+    /// kept the server waiting for longest are closed.
     std::size_t maxBufferedBytes = 40 * 1024 * 1024;
+    /// Memory that counts for a request while it is handled, for each byte of its body.
+    std::size_t handlingFactor = 8;
     /// Beyond it, the connection that has been idle for longest is closed.
     std::size_t maxConnections = 2'000;
     std::chrono::milliseconds writeTimeout{5'000}; ///< for writing a response
@@ -52,7 +56,7 @@
     /// @brief The number of requests that were read and have no response yet.
     std::size_t inFlight() const;
 
-    /// @brief Bytes of requests that are being read or have no response yet.
+    /// @brief Memory that counts towards ServerLimits::maxBufferedBytes.
     std::size_t bufferedBytes() const;
 
 private:
--- a/packages/http/src/http_test.cpp
+++ b/packages/http/src/http_test.cpp
@@ -149,6 +149,49 @@
     CHECK(status == 413);
 }
 
+// Guards against a header within the limit of its size that takes many times that in memory.
+TEST_CASE("a request with too many header fields receives status 431")
+{
+    Fixture fixture;
+    Client client(fixture.loop, {.host = "127.0.0.1", .port = fixture.server->port()});
+    std::vector<int> statuses;
+    for (const int fields : {50, 150}) {
+        Request request{.method = "GET", .target = "/echo"};
+        for (int field = 0; field < fields; ++field)
+            request.headers["x-" + std::to_string(field)] = "v";
+        client.send(std::move(request), 1s, [&](base::Result<Response> response) {
+            REQUIRE(response);
+            statuses.push_back(response.value().status);
+        });
+    }
+    fixture.loop.run_for(300ms);
+    std::sort(statuses.begin(), statuses.end());
+    CHECK(statuses == std::vector{200, 431});
+}
+
+// Guards against a request that is asked to come back although it can never be handled.
+TEST_CASE("a request that takes most of the server's memory is refused for good")
+{
+    boost::asio::io_context loop;
+    Server server(
+            loop,
+            [](const Request &, const Responder &respond) { respond(Response{.status = 200}); },
+            ServerLimits{.maxBufferedBytes = 256 * 1024, .handlingFactor = 8});
+    REQUIRE(server.listen({.host = "127.0.0.1"}));
+    Client client(loop, {.host = "127.0.0.1", .port = server.port()});
+    std::vector<int> statuses;
+    for (const std::size_t bytes : {1'000, 20'000})
+        client.send({.method = "POST", .target = "/", .body = std::string(bytes, 'x')}, 1s,
+                    [&](base::Result<Response> response) {
+                        REQUIRE(response);
+                        statuses.push_back(response.value().status);
+                    });
+    loop.run_for(300ms);
+    std::sort(statuses.begin(), statuses.end());
+    CHECK(statuses == std::vector{200, 413});
+    CHECK(server.bufferedBytes() == 0);
+}
+
 // Guards against using a wrong port when an address has no port or has characters after it.
 TEST_CASE("an endpoint without a port or with trailing characters is invalid")
 {
--- a/tests/hosted/hosted_deployment.cpp
+++ b/tests/hosted/hosted_deployment.cpp
@@ -197,15 +197,26 @@
 
 int HostedDeployment::post(int daemon, const std::string &id, const json &body,
                            const std::string &apiKey) const
+{
+    return postText(daemon, id, body.dump(), apiKey);
+}
+
+int HostedDeployment::postText(int daemon, const std::string &id, const std::string &body,
+                               const std::string &apiKey) const
 {
     httplib::Headers headers;
     if (!apiKey.empty())
         headers.emplace("X-Api-Key", apiKey);
-    const auto response = makeClient(ports_[static_cast<std::size_t>(daemon)][0])
-                                  .Post("/q/" + id, headers, body.dump(), "application/json");
+    const auto response =
+            makeClient(callerPort(daemon)).Post("/q/" + id, headers, body, "application/json");
     return response ? response->status : 0;
 }
 
+int HostedDeployment::submitText(int daemon, const std::string &id, const std::string &body) const
+{
+    return postText(daemon, id, body, {});
+}
+
 std::optional<std::string> HostedDeployment::stateOf(int daemon, const std::string &id) const
 {
     const auto response = makeClient(ports_[static_cast<std::size_t>(daemon)][0]).Get("/q/" + id);
@@ -293,6 +304,13 @@
     return count;
 }
 
+StoreCalls HostedDeployment::storeCalls()
+{
+    StoreCalls calls;
+    onLoop([&] { calls = store_.calls(); });
+    return calls;
+}
+
 std::vector<std::string> HostedDeployment::violations()
 {
     std::vector<std::string> found;
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -44,6 +44,15 @@
     {
         return ports_[static_cast<std::size_t>(number)][0];
     }
+    std::uint16_t readinessPort(int number) const
+    {
+        return ports_[static_cast<std::size_t>(number)][1];
+    }
+    std::uint16_t peerPort(int number) const { return ports_[static_cast<std::size_t>(number)][2]; }
+    std::uint16_t metricsPort(int number) const
+    {
+        return ports_[static_cast<std::size_t>(number)][3];
+    }
     int daemonCount() const { return static_cast<int>(daemons_.size()); }
 
     /// @brief Waits up to 20 s per daemon for readiness; returns false if one is not ready.
@@ -52,6 +61,9 @@
     /// @brief Submits a job to a daemon; returns the HTTP status, or 0 without a response.
     int submit(int daemon, const std::string &id, const HostedJob &job = {}) const;
 
+    /// @brief Like submit(), with a body as it is to be sent.
+    int submitText(int daemon, const std::string &id, const std::string &body) const;
+
     /// @brief Cancels a job; returns the HTTP status, or 0 without a response.
     int cancel(int daemon, const std::string &id) const;
 
@@ -80,6 +92,7 @@
 
     void setTaskDuration(std::chrono::milliseconds duration);
     void setStoreFaults(const StoreFaults &faults);
+    StoreCalls storeCalls();
     void setRunnerUnresponsive(int number, bool isUnresponsive);
     std::vector<std::string> violations();
 
@@ -104,6 +117,8 @@
 private:
     int post(int daemon, const std::string &id, const json &body,
              const std::string &apiKey = {}) const;
+    int postText(int daemon, const std::string &id, const std::string &body,
+                 const std::string &apiKey) const;
     void addRunner(int number, std::chrono::milliseconds downTime);
     std::string settingsFile(int number, const std::string &extraSettings) const;
 
--- a/tests/hosted/hosted_hostile_caller_test.cpp
+++ b/tests/hosted/hosted_hostile_caller_test.cpp
@@ -1,130 +1,17 @@
-#include "hosted_deployment.h"
+#include "hostile_callers.h"
 
-#include <boost/asio/connect.hpp>
 #include <doctest/doctest.h>
-#include <sys/socket.h>
-#include <sys/time.h>
 
-#include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace chicorywick::hosted {
 
 namespace {
 
-using boost::asio::ip::tcp;
-
-// The limits of these tests. A process that keeps to them grows by a few MiB.
-constexpr const char *kSettings = R"({"caller_buffer_kib":1024,"caller_connections":50})";
-constexpr std::int64_t kMaxGrowthKib = 24 * 1024;
-constexpr std::size_t kMaxFurtherDescriptors = 50 + 32;
-
 constexpr int kSenders = 12;
 constexpr std::size_t kBytesPerSender = 8 * 1024 * 1024;
 
-/// @brief A connection to a daemon's listener for callers.
-class HostileCaller
-{
-public:
-    explicit HostileCaller(std::uint16_t port)
-        : socket_(loop_)
-    {
-        socket_.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port), error_);
-        // A daemon may stop reading without closing the connection.
-        const timeval limit{.tv_sec = 2, .tv_usec = 0};
-        ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-    }
-
-    /// @brief Sends a text; false once the connection is closed or not read any more.
-    bool send(const std::string &text)
-    {
-        std::size_t sent = 0;
-        while (sent < text.size()) {
-            const ssize_t count = ::send(socket_.native_handle(), text.data() + sent,
-                                         text.size() - sent, MSG_NOSIGNAL);
-            if (count <= 0)
-                return false;
-            sent += static_cast<std::size_t>(count);
-        }
-        return true;
-    }
-
-    /// @brief Sends a text again and again, up to a number of bytes.
-    void repeat(const std::string &text, std::size_t bytes)
-    {
-        for (std::size_t sent = 0; sent < bytes && send(text); sent += text.size()) {
-        }
-    }
-
-private:
-    boost::asio::io_context loop_;
-    tcp::socket socket_;
-    boost::system::error_code error_;
-};
-
-using HostileCallers = std::vector<std::unique_ptr<HostileCaller>>;
-
-std::string head(const std::string &id, const std::string &fields)
-{
-    return "POST /q/" + id + " HTTP/1.1\r\nHost: work.example\r\n" + fields;
-}
-
-/// @brief A deployment of one daemon with lowered limits, and its use of memory and descriptors.
-class LimitedDeployment
-{
-public:
-    LimitedDeployment()
-    {
-        deployment_.startDaemon(0, kSettings);
-        REQUIRE(deployment_.waitUntilReady());
-        REQUIRE(deployment_.submit(0, "before") == 200);
-        memoryBefore_ = memoryKib("VmRSS:");
-        descriptorsBefore_ = descriptors();
-    }
-
-    std::uint16_t callerPort() const { return deployment_.callerPort(0); }
-
-    /// @brief Checks the state of the daemon while the connections of the hostile callers are still
-    /// open.
-    void check()
-    {
-        CHECK(!deployment_.daemon(0).waitForExit(std::chrono::seconds(0)));
-        CHECK(memoryKib("VmHWM:") - memoryBefore_ < kMaxGrowthKib);
-        CHECK(descriptors() < descriptorsBefore_ + kMaxFurtherDescriptors);
-        CHECK(deployment_.submit(0, "after") == 200);
-    }
-
-private:
-    std::string processPath() const
-    {
-        return "/proc/" + std::to_string(deployment_.daemon(0).pid());
-    }
-    std::int64_t memoryKib(const std::string &field) const
-    {
-        std::ifstream status(processPath() + "/status");
-        std::string word;
-        std::int64_t kib = 0;
-        while (status >> word)
-            if (word == field)
-                status >> kib;
-        return kib;
-    }
-    std::size_t descriptors() const
-    {
-        const std::filesystem::directory_iterator entries(processPath() + "/fd");
-        return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
-    }
-
-    mutable HostedDeployment deployment_{1, 2, 8};
-    std::int64_t memoryBefore_ = 0;
-    std::size_t descriptorsBefore_ = 0;
-};
-
 } // namespace
 
 // Guards against a daemon that runs out of memory, or that serves nobody else, because callers send
@@ -183,12 +70,9 @@
 TEST_CASE("callers that never finish their requests do not exhaust a daemon")
 {
     LimitedDeployment deployment;
-    HostileCallers callers;
-    for (int sender = 0; sender < 250; ++sender) {
-        callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
-        callers.back()->send(head("unfinished", "Content-Length: 250000\r\n\r\n"));
-        callers.back()->send(std::string(200'000, 'x'));
-    }
+    const HostileCallers callers = openConnections(
+            deployment.callerPort(), 250,
+            head("unfinished", "Content-Length: 250000\r\n\r\n") + std::string(200'000, 'x'));
     deployment.check();
 }
 
@@ -200,15 +84,11 @@
     HostileCallers callers;
     SUBCASE("without a byte")
     {
-        for (int sender = 0; sender < 400; ++sender)
-            callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
+        callers = openConnections(deployment.callerPort(), 400, "");
     }
     SUBCASE("within the header")
     {
-        for (int sender = 0; sender < 400; ++sender) {
-            callers.push_back(std::make_unique<HostileCaller>(deployment.callerPort()));
-            callers.back()->send("POST /q/slow HTTP/1.1\r\nHost: ");
-        }
+        callers = openConnections(deployment.callerPort(), 400, "POST /q/slow HTTP/1.1\r\nHost: ");
     }
     deployment.check();
 }
@@ -243,4 +123,34 @@
     deployment.check();
 }
 
+// Guards against a daemon that counts the bytes of a request, and not the memory that it holds for
+// them: parsed header fields, and the capacity of buffers.
+TEST_CASE("connections that hold parsed requests do not exhaust a daemon")
+{
+    constexpr int kConnections = 600;
+    LimitedDeployment deployment(
+            {.settings = R"({"caller_buffer_kib":1024,"caller_connections":600})",
+             .maxFurtherDescriptors = kConnections + 32});
+    std::string text;
+    SUBCASE("many header fields")
+    {
+        text = head("fields", "Content-Length: 10\r\n");
+        while (text.size() < 15'000)
+            text += "a:\r\n";
+        text += "\r\n";
+    }
+    SUBCASE("a long chunk extension")
+    {
+        text = head("extension", "Transfer-Encoding: chunked\r\n\r\n1;extension=")
+               + std::string(60'000, 'x') + "\r\nx\r\n";
+    }
+    SUBCASE("requests behind one that has no answer yet")
+    {
+        text = head("chunk", "Content-Length: 2\r\n\r\n{}");
+        text += std::string(60'000, 'x');
+    }
+    const HostileCallers callers = openConnections(deployment.callerPort(), kConnections, text);
+    deployment.check();
+}
+
 } // namespace chicorywick::hosted
--- a/tests/hosted/hosted_store.cpp
+++ b/tests/hosted/hosted_store.cpp
@@ -95,10 +95,16 @@
 {
     if (faults_.isDown)
         return respond({.status = 503});
-    if (request.target == "/rows-tx")
+    if (faults_.isSilent)
+        return unanswered_.push_back(respond);
+    if (request.target == "/rows-tx") {
+        ++calls_.transactions;
         return transact(json::parse(request.body), respond);
-    if (request.target.starts_with("/rows-get?"))
+    }
+    if (request.target.starts_with("/rows-get?")) {
+        ++calls_.reads;
         return read(parseQuery(request.target), respond);
+    }
     if (request.target.starts_with("/rows-feed?"))
         return watch(parseQuery(request.target), respond);
     respond({.status = 404});
--- a/tests/hosted/hosted_store.h
+++ b/tests/hosted/hosted_store.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace chicorywick::hosted {
 
@@ -19,12 +20,22 @@
 struct StoreFaults
 {
     bool isDown = false;
+    bool isSilent = false;              ///< calls get no answer and have no effect
     bool areWatchesStalled = false;     ///< watches report no changes; other requests work
     double responseLossProbability = 0; ///< per committed transaction
 
     bool operator==(const StoreFaults &) const = default;
 };
 
+/// @brief Calls that the store stand-in has received.
+struct StoreCalls
+{
+    int transactions = 0;
+    int reads = 0;
+
+    bool operator==(const StoreCalls &) const = default;
+};
+
 /// @brief Stand-in for the platform's metadata store with conditional transactions, range reads and
 /// watches.
 ///
@@ -42,6 +53,7 @@
     std::string value(const std::string &table, const std::string &part,
                       const std::string &key) const;
     void setFaults(const StoreFaults &faults) { faults_ = faults; }
+    const StoreCalls &calls() const { return calls_; }
 
 private:
     struct Row
@@ -78,6 +90,8 @@
     std::list<std::shared_ptr<Watch>> watches_;
     std::int64_t version_ = 0;
     StoreFaults faults_;
+    StoreCalls calls_;
+    std::vector<http::Responder> unanswered_; ///< calls that came while the store was silent
     std::uint64_t faultSeed_;
 };
 
