Give tasks memory only once something has happened to them

What callers saw: 300 jobs of 84 bytes each, with 10,000 tasks, took 1.7 GB of the leader; the process ended, and so did each successor that loaded the jobs. Cause: an open occurrence held a Task of some 400 bytes for each task that its job names, a waiting task had an entry of its own with its identifier in its job and another one in the queue. Change: TaskList holds the tasks of a step. One that nothing has happened to shares its state with the others, and one that is done without a record of lost runs is an index in a set. IndexSet stores runs of indices. A step has one place in the ready queue for all its waiting tasks, where tasks of one step could have several places that differed for half a second at most. Stored rows stay as they are. Why it works: the memory grows with the tasks that have been placed, and those are bounded by the workers. Ruled out: a cap of open tasks with parked jobs, because tasks that fit nowhere would keep all other jobs from being considered.

--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -186,7 +186,13 @@
     Json json{{"state", jobStateName(progress.state)}, {"begun", progress.begunOccurrences}};
     putUnlessDefault(json, "services", progress.services, Json::array());
     for (const scheduler::OccurrenceProgress &open : progress.open) {
-        Json each{{"number", open.number}, {"done", open.doneTasks}};
+        Json each{{"number", open.number}, {"done", Json::array()}};
+        for (const scheduler::IndexSet &step : open.doneTasks) {
+            Json indices = Json::array();
+            for (auto index = step.next(-1); index; index = step.next(*index))
+                indices.push_back(*index);
+            each["done"].push_back(std::move(indices));
+        }
         for (const auto &[task, runs] : open.failedRuns)
             each["failed"].push_back({task.first, task.second, runs});
         for (const auto &[task, crashes] : open.crashes)
@@ -208,8 +214,12 @@
             if (name == kStateNames[i])
                 progress.state = static_cast<scheduler::JobState>(i);
         for (const Json &each : json.value("open", Json::array())) {
-            scheduler::OccurrenceProgress open{.number = each.at("number"),
-                                               .doneTasks = each.at("done")};
+            scheduler::OccurrenceProgress open{.number = each.at("number")};
+            for (const Json &step : each.at("done")) {
+                scheduler::IndexSet &done = open.doneTasks.emplace_back();
+                for (const Json &index : step)
+                    done.insert(index.get<int>());
+            }
             for (const Json &failed : each.value("failed", Json::array()))
                 open.failedRuns[{failed.at(0).get<int>(), failed.at(1).get<int>()}] =
                         failed.at(2).get<std::set<std::int64_t>>();
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -3,6 +3,7 @@
 #include <chicorywick/scheduler/crash_history.h>
 #include <chicorywick/scheduler/model.h>
 #include <chicorywick/scheduler/task_id.h>
+#include <chicorywick/scheduler/task_list.h>
 
 #include <map>
 #include <memory>
@@ -12,64 +13,11 @@
 
 namespace chicorywick::scheduler {
 
-enum class TaskPhase {
-    Blocked, ///< a step it depends on is not done
-    Ready,
-    Starting, ///< the start order is sent and not confirmed
-    Running,
-    Stopping,
-    Done,
-};
-
-/// @brief Why a run is stopped.
-enum class StopReason {
-    JobEnded,
-    NotStarted, ///< the worker's list lacks the run, and its start order may still arrive
-    Unassigned, ///< the run is not assigned to the worker that lists it
-    Superseded, ///< another run of the task is done or stays
-    Draining,   ///< the worker is shutting down
-    Maintenance,
-};
-
-/// @brief A task and its current run.
-struct Task
-{
-    TaskPhase phase = TaskPhase::Blocked;
-    std::int64_t run = 0;        ///< number of the current run
-    std::int64_t highestRun = 0; ///< highest run number seen; the next run gets a higher one
-    std::int64_t endedRun = 0;   ///< highest run whose end was seen
-    std::set<std::int64_t> failedRuns;
-    CrashHistory crashes;
-    std::string worker;        ///< worker id; empty unless Starting, Running or Stopping
-    std::string avoidedWorker; ///< worker on which the last run failed
-    std::string checkpoint;
-    std::shared_ptr<const void> accountUse; ///< counts the run towards its account while it exists
-    Millis phaseSince = 0;
-    Millis heldUntil = 0; ///< no start before, unless the worker of a lost run returns
-    int silentRuns = 0; ///< runs that were lost when a lease expired, and may have crashed a worker
-    Millis startedAt = 0;              ///< when the current run was assigned or adopted
-    Millis readySince = 0;             ///< time from which the current run could start
-    std::uint64_t lastReplyNumber = 0; ///< of the latest reply to a start or stop order
-    int unansweredStarts = 0;          ///< start orders without a reply yet
-    bool isStopConfirmed = false;
-    bool isStopPending = false;
-    StopReason stopReason = StopReason::JobEnded; ///< of the current run, while it is Stopping
-    Millis stopExpectedUntil = 0; ///< an unanswered stop of the current run may still be executed
-    bool hasBegun = false;        ///< the worker has accepted or listed the current run
-    bool isListed = false;        ///< the worker has listed the current run
-    bool isAdopted = false;       ///< a worker listed the current run before it was assigned here
-    bool isSettled = false;       ///< a task list has shown the current run at work for a while
-    bool wasMissing = false; ///< start order without a reply, and the worker did not list the task
-    int percent = 0;
-    int pacePercent = 100;
-    std::int64_t load = 0;
-};
-
 /// @brief Stored progress of an unfinished occurrence.
 struct OccurrenceProgress
 {
     std::int64_t number = 0;
-    std::vector<std::set<int>> doneTasks;                             ///< by step
+    std::vector<IndexSet> doneTasks;                                  ///< by step
     std::map<std::pair<int, int>, std::set<std::int64_t>> failedRuns; ///< by step and index
     std::map<std::pair<int, int>, CrashHistory> crashes;              ///< by step and index
 
@@ -92,7 +40,7 @@
 struct Occurrence
 {
     std::int64_t number = 0;
-    std::vector<std::vector<Task>> steps;
+    std::vector<TaskList> steps;
     std::vector<int> doneCounts;
 
     bool isDone(const JobSpec &spec) const;
@@ -127,6 +75,7 @@
 
     Occurrence *occurrence(std::int64_t number);
     const Occurrence *occurrence(std::int64_t number) const;
+    /// @brief The task, which then takes memory of its own; for reading, use the const overload.
     Task *task(const TaskId &id);
     const Task *task(const TaskId &id) const;
     std::map<std::int64_t, Occurrence> &occurrences() { return occurrences_; }
@@ -155,6 +104,7 @@
     bool isPerpetual() const;
 
 private:
+    void unblockReadySteps(Occurrence &occurrence) const;
     bool isStepReady(const Occurrence &occurrence, std::size_t step) const;
     bool isDue(std::int64_t number, Millis wall) const;
     std::size_t maxOpenOccurrences() const;
--- a/packages/scheduler/include/chicorywick/scheduler/model.h
+++ b/packages/scheduler/include/chicorywick/scheduler/model.h
@@ -54,6 +54,13 @@
         return *this;
     }
 
+    Resources operator*(std::int64_t count) const
+    {
+        return {.cpuMillis = cpuMillis * count,
+                .memoryMib = memoryMib * count,
+                .accelerators = accelerators * count};
+    }
+
     Resources &operator-=(const Resources &other)
     {
         cpuMillis -= other.cpuMillis;
--- a/packages/scheduler/include/chicorywick/scheduler/ready_queue.h
+++ b/packages/scheduler/include/chicorywick/scheduler/ready_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/scheduler/index_set.h>
 #include <chicorywick/scheduler/job.h>
 #include <chicorywick/scheduler/model.h>
 #include <chicorywick/scheduler/task_id.h>
@@ -27,8 +28,8 @@
 struct ReadyStep
 {
     Job *job = nullptr;
-    Resources demand;    ///< that each task reserves on its worker
-    std::set<int> tasks; ///< indices
+    Resources demand; ///< that each task reserves on its worker
+    IndexSet tasks;
 
     const StepSpec &spec(const ReadyKey &key) const
     {
@@ -43,8 +44,14 @@
 public:
     using Trial = std::pair<ReadyKey, TaskId>;
 
-    void insert(const ReadyKey &key, Job &job, const TaskId &id);
-    void erase(const ReadyKey &key, const TaskId &id);
+    /// @brief Adds waiting tasks of the step of a task.
+    void insert(const ReadyKey &key, Job &job, const TaskId &id, const IndexSet &tasks);
+
+    /// @brief Removes a task; false if it does not wait there.
+    bool erase(const ReadyKey &key, const TaskId &id);
+
+    /// @brief Removes all tasks of a step; returns their number.
+    int eraseStep(const ReadyKey &key);
 
     /// @brief Moves all waiting tasks of a step; those that wait at the new place already stay.
     void move(const ReadyKey &from, const ReadyKey &to);
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -206,13 +206,15 @@
     struct Worker;
     struct UnassignedRun;
     using WorkerList = std::vector<Worker *>;
+    /// Occurrence and step.
+    using StepPlace = std::pair<std::int64_t, int>;
     struct JobEntry
     {
         Job job;
         std::uint64_t sequence = 0;
-        bool mayHaveRuns = false;       ///< an earlier leader may have started its tasks
-        std::uint64_t serviceBatch = 0; ///< its present service is stored once this batch is
-        std::map<TaskId, ReadyKey> ready;
+        bool mayHaveRuns = false;            ///< an earlier leader may have started its tasks
+        std::uint64_t serviceBatch = 0;      ///< its present service is stored once this batch is
+        std::map<StepPlace, ReadyKey> ready; ///< its waiting steps
         Millis shareTime = 0;    ///< from then on, the job is within the share of its account
         bool isDeferred = false; ///< others go first, so that they end in time
         std::deque<std::uint64_t> unstoredOccurrences; ///< batches of the ends of occurrences
@@ -263,7 +265,10 @@
     void enqueueReady(JobEntry &entry);
     void enqueueReady(JobEntry &entry, const Occurrence &occurrence);
     void enqueue(JobEntry &entry, const TaskId &id);
+    void enqueue(JobEntry &entry, const TaskId &id, const IndexSet &tasks);
     void dequeue(JobEntry &entry, const TaskId &id);
+    void dequeueAll(JobEntry &entry);
+    bool isQueued(const JobEntry &entry, const TaskId &id) const;
     ReadyKey keyOf(const JobEntry &entry, const TaskId &id) const;
     void stopAllTasks(JobEntry &entry);
     void finishJob(JobEntry &entry);
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -64,10 +64,17 @@
     Occurrence occurrence{.number = number};
     occurrence.doneCounts.resize(spec_.steps.size(), 0);
     for (const StepSpec &step : spec_.steps)
-        occurrence.steps.emplace_back(static_cast<std::size_t>(step.taskCount));
+        occurrence.steps.emplace_back(step.taskCount);
     return occurrences_.emplace(number, std::move(occurrence)).first->second;
 }
 
+void Job::unblockReadySteps(Occurrence &occurrence) const
+{
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+        if (isStepReady(occurrence, step))
+            occurrence.steps[step].unblock(0);
+}
+
 bool Job::isStepReady(const Occurrence &occurrence, std::size_t step) const
 {
     return std::all_of(spec_.steps[step].after.begin(), spec_.steps[step].after.end(),
@@ -108,12 +115,7 @@
     while (begunOccurrences_ < occurrenceCount() && occurrences_.size() + unstoredEnds < limit
            && isDue(begunOccurrences_, wall)) {
         Occurrence &occurrence = beginOccurrence(begunOccurrences_);
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (!isStepReady(occurrence, step))
-                continue;
-            for (Task &task : occurrence.steps[step])
-                task.phase = TaskPhase::Ready;
-        }
+        unblockReadySteps(occurrence);
         begun.push_back(begunOccurrences_++);
     }
     return begun;
@@ -134,20 +136,14 @@
         Occurrence &occurrence = beginOccurrence(open.number);
         for (std::size_t step = 0; step < open.doneTasks.size() && step < spec_.steps.size();
              ++step)
-            for (const int index : open.doneTasks[step]) {
-                if (index < 0 || index >= spec_.steps[step].taskCount
-                    || spec_.steps[step].isPerpetual)
+            for (auto index = open.doneTasks[step].next(-1); index;
+                 index = open.doneTasks[step].next(*index)) {
+                if (*index >= spec_.steps[step].taskCount || spec_.steps[step].isPerpetual)
                     continue;
-                occurrence.steps[step][static_cast<std::size_t>(index)].phase = TaskPhase::Done;
+                occurrence.steps[step].finish(*index, 0);
                 ++occurrence.doneCounts[step];
             }
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (!isStepReady(occurrence, step))
-                continue;
-            for (Task &ready : occurrence.steps[step])
-                if (ready.phase == TaskPhase::Blocked)
-                    ready.phase = TaskPhase::Ready;
-        }
+        unblockReadySteps(occurrence);
     }
     mergeLostRuns(progress);
 }
@@ -161,17 +157,16 @@
     for (const auto &[number, occurrence] : occurrences_) {
         OccurrenceProgress open{.number = number};
         open.doneTasks.resize(occurrence.steps.size());
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
-            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-                const Task &each = occurrence.steps[step][index];
-                if (each.phase == TaskPhase::Done)
-                    open.doneTasks[step].insert(static_cast<int>(index));
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const TaskList &tasks = occurrence.steps[step];
+            open.doneTasks[step] = tasks.done();
+            for (const auto &[index, each] : tasks.edited()) {
                 if (!each.failedRuns.empty())
-                    open.failedRuns[{static_cast<int>(step), static_cast<int>(index)}] =
-                            each.failedRuns;
+                    open.failedRuns[{static_cast<int>(step), index}] = each.failedRuns;
                 if (!each.crashes.empty())
-                    open.crashes[{static_cast<int>(step), static_cast<int>(index)}] = each.crashes;
+                    open.crashes[{static_cast<int>(step), index}] = each.crashes;
             }
+        }
         progress.open.push_back(std::move(open));
     }
     return progress;
@@ -188,18 +183,18 @@
                                            return each.number == number;
                                        });
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
-            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+            for (int index = 0; index < occurrence.steps[step].size(); ++index) {
                 if (spec_.steps[step].isPerpetual)
                     continue;
                 // A begun occurrence that is not in the stored progress has finished.
-                const bool isDone = open == progress.open.end()
-                                    || (step < open->doneTasks.size()
-                                        && open->doneTasks[step].contains(static_cast<int>(index)));
+                const bool isDone =
+                        open == progress.open.end()
+                        || (step < open->doneTasks.size() && open->doneTasks[step].contains(index));
                 if (isDone)
                     done.push_back({.job = spec_.id,
                                     .occurrence = number,
                                     .step = static_cast<int>(step),
-                                    .index = static_cast<int>(index)});
+                                    .index = index});
             }
     }
     return done;
@@ -255,7 +250,9 @@
 
 Task *Job::task(const TaskId &id)
 {
-    return const_cast<Task *>(std::as_const(*this).task(id));
+    if (std::as_const(*this).task(id) == nullptr)
+        return nullptr;
+    return &occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)].edit(id.index);
 }
 
 const Task *Job::task(const TaskId &id) const
@@ -264,21 +261,19 @@
     if (owner == nullptr || id.step < 0 || id.index < 0)
         return nullptr;
     const auto step = static_cast<std::size_t>(id.step);
-    const auto index = static_cast<std::size_t>(id.index);
-    if (step >= owner->steps.size() || index >= owner->steps[step].size())
+    if (step >= owner->steps.size() || id.index >= owner->steps[step].size())
         return nullptr;
-    return &owner->steps[step][index];
+    return &owner->steps[step][id.index];
 }
 
 std::vector<int> Job::finishTask(const TaskId &id, Millis steady)
 {
     std::vector<int> unblocked;
-    Task *const finished = task(id);
-    if (finished == nullptr || finished->phase == TaskPhase::Done)
+    const Task *const known = std::as_const(*this).task(id);
+    if (known == nullptr || known->phase == TaskPhase::Done)
         return unblocked;
     Occurrence &owner = *occurrence(id.occurrence);
-    finished->phase = TaskPhase::Done;
-    finished->phaseSince = steady;
+    owner.steps[static_cast<std::size_t>(id.step)].finish(id.index, steady);
     if (++owner.doneCounts[static_cast<std::size_t>(id.step)]
         < spec_.steps[static_cast<std::size_t>(id.step)].taskCount)
         return unblocked;
@@ -288,11 +283,7 @@
                 > 0;
         if (!follows || !isStepReady(owner, step))
             continue;
-        for (Task &each : owner.steps[step])
-            if (each.phase == TaskPhase::Blocked) {
-                each.phase = TaskPhase::Ready;
-                each.phaseSince = steady;
-            }
+        owner.steps[step].unblock(steady);
         unblocked.push_back(static_cast<int>(step));
     }
     if (owner.isDone(spec_)) {
--- a/packages/scheduler/src/ready_queue.cpp
+++ b/packages/scheduler/src/ready_queue.cpp
@@ -2,6 +2,8 @@
 
 #include <chicorywick/scheduler/ready_queue.h>
 
+#include <utility>
+
 namespace chicorywick::scheduler {
 
 TaskId ReadyStep::id(const ReadyKey &key, int index) const
@@ -9,30 +11,59 @@
     return {.job = job->spec().id, .occurrence = key.occurrence, .step = key.step, .index = index};
 }
 
-void ReadyQueue::insert(const ReadyKey &key, Job &job, const TaskId &id)
+void ReadyQueue::insert(const ReadyKey &key, Job &job, const TaskId &id, const IndexSet &tasks)
 {
+    if (tasks.empty())
+        return;
     const StepSpec &spec = stepOf(job, id);
     const auto [item, isNew] =
             steps_.try_emplace(key, ReadyStep{.job = &job, .demand = reservedFor(spec)});
+    ReadyStep &step = item->second;
     if (isNew)
-        count(item->second.demand, 1);
-    item->second.tasks.insert(id.index);
-    if (!spec.isGang && job.task(id)->crashes.isSuspected())
-        trials_.emplace(key, id);
-    waitingCpuMillis_ += item->second.demand.cpuMillis;
+        count(step.demand, 1);
+    const auto before = static_cast<std::int64_t>(step.tasks.size());
+    step.tasks.merge(tasks);
+    const auto added = static_cast<std::int64_t>(step.tasks.size()) - before;
+    waitingCpuMillis_ += added * step.demand.cpuMillis;
+    const Occurrence *const occurrence = std::as_const(job).occurrence(id.occurrence);
+    if (spec.isGang || occurrence == nullptr)
+        return;
+    // Only tasks that have run have a crash history.
+    for (const auto &[index, task] : occurrence->steps[static_cast<std::size_t>(id.step)].edited())
+        if (task.crashes.isSuspected() && tasks.contains(index)) {
+            TaskId suspected = id;
+            suspected.index = index;
+            trials_.emplace(key, std::move(suspected));
+        }
 }
 
-void ReadyQueue::erase(const ReadyKey &key, const TaskId &id)
+bool ReadyQueue::erase(const ReadyKey &key, const TaskId &id)
 {
     const auto item = steps_.find(key);
-    if (item == steps_.end() || item->second.tasks.erase(id.index) == 0)
-        return;
+    if (item == steps_.end() || !item->second.tasks.erase(id.index))
+        return false;
     trials_.erase({key, id});
     waitingCpuMillis_ -= item->second.demand.cpuMillis;
     if (!item->second.tasks.empty())
-        return;
+        return true;
+    count(item->second.demand, -1);
+    steps_.erase(item);
+    return true;
+}
+
+int ReadyQueue::eraseStep(const ReadyKey &key)
+{
+    const auto item = steps_.find(key);
+    if (item == steps_.end())
+        return 0;
+    const auto tasks = static_cast<int>(item->second.tasks.size());
+    for (auto trial = trials_.lower_bound({key, {}});
+         trial != trials_.end() && trial->first == key;)
+        trial = trials_.erase(trial);
+    waitingCpuMillis_ -= tasks * item->second.demand.cpuMillis;
     count(item->second.demand, -1);
     steps_.erase(item);
+    return tasks;
 }
 
 void ReadyQueue::move(const ReadyKey &from, const ReadyKey &to)
--- a/packages/scheduler/src/ready_queue_test.cpp
+++ b/packages/scheduler/src/ready_queue_test.cpp
@@ -32,14 +32,13 @@
     ReadyQueue queue;
     const ReadyKey early{.band = 1};
     const ReadyKey late{.band = 2};
-    queue.insert({.band = 1, .sequence = 1}, wide, task(0));
-    for (int index = 0; index < 2; ++index)
-        queue.insert(early, small, task(index));
-    queue.insert(late, small, task(2));
+    queue.insert({.band = 1, .sequence = 1}, wide, task(0), {0});
+    queue.insert(early, small, task(0), {0, 1});
+    queue.insert(late, small, task(2), {2});
     CHECK(queue.smallestDemand() == Resources{.cpuMillis = 1'000, .memoryMib = 500});
     queue.move(early, late);
     REQUIRE(queue.steps().size() == 2);
-    CHECK(queue.steps().at(late).tasks == std::set{0, 1, 2});
+    CHECK(queue.steps().at(late).tasks == IndexSet{0, 1, 2});
     CHECK(queue.waitingCpuMillis() == 7'000);
     for (int index = 0; index < 3; ++index)
         queue.erase(late, task(index));
@@ -57,8 +56,7 @@
     ReadyQueue queue;
     const ReadyKey from{.band = 1};
     const ReadyKey to{.band = 2};
-    for (int index = 0; index < 2; ++index)
-        queue.insert(from, job, task(index));
+    queue.insert(from, job, task(0), {0, 1});
     queue.move(from, to);
     CHECK(queue.trials() == std::set{ReadyQueue::Trial(to, task(1))});
     queue.erase(to, task(1));
--- a/packages/scheduler/src/scheduler_accounts.cpp
+++ b/packages/scheduler/src/scheduler_accounts.cpp
@@ -13,11 +13,6 @@
             .accelerators = std::min(left.accelerators, right.accelerators)};
 }
 
-bool mayBeUnlocated(const Task &task)
-{
-    return task.worker.empty() && task.phase != TaskPhase::Done;
-}
-
 } // namespace
 
 void Scheduler::setAccounts(const std::vector<AccountPolicy> &accounts)
@@ -64,9 +59,7 @@
     if (account.empty())
         return;
     AccountUse &use = useOf(account);
-    use.waiting += {.cpuMillis = step.demand.cpuMillis * tasks,
-                    .memoryMib = step.demand.memoryMib * tasks,
-                    .accelerators = step.demand.accelerators * tasks};
+    use.waiting += step.demand * tasks;
     use.waitingCpuMillis[service] += reservedFor(step).cpuMillis * tasks;
 }
 
@@ -87,10 +80,7 @@
 bool Scheduler::isGangWithinLimit(const JobEntry &entry, const TaskId &id) const
 {
     const StepSpec &step = stepOf(entry.job, id);
-    Resources demand;
-    for (int member = 0; member < step.taskCount; ++member)
-        demand += step.demand;
-    return isWithinLimit(entry, demand);
+    return isWithinLimit(entry, step.demand * step.taskCount);
 }
 
 // After a change of leader, tasks without a known worker may run on workers that have not replied.
@@ -120,9 +110,8 @@
             continue;
         for (const auto &[number, occurrence] : entry->job.occurrences())
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
-                for (const Task &task : occurrence.steps[step])
-                    if (mayBeUnlocated(task))
-                        hiddenUse_[account] += entry->job.spec().steps[step].demand;
+                hiddenUse_[account] += entry->job.spec().steps[step].demand
+                                       * occurrence.steps[step].waitingCount();
     }
     for (auto &[account, hidden] : hiddenUse_)
         hidden = smallerOf(hidden, silent);
@@ -139,7 +128,8 @@
         const std::string &account = entry->job.spec().account;
         if (account.empty() || entry->ready.empty())
             continue;
-        const Resources &demand = stepOf(entry->job, entry->ready.begin()->first).demand;
+        const auto step = static_cast<std::size_t>(entry->ready.begin()->first.second);
+        const Resources &demand = entry->job.spec().steps[step].demand;
         Resources &smallest = loads[account].smallestWaiting;
         smallest = smallest == Resources() ? demand : smallerOf(smallest, demand);
     }
--- a/packages/scheduler/src/scheduler_backlog.cpp
+++ b/packages/scheduler/src/scheduler_backlog.cpp
@@ -37,19 +37,14 @@
     for (const auto &[number, occurrence] : job.occurrences())
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
             const StepSpec &step = job.spec().steps[index];
-            bool isDone = true;
-            for (const Task &task : occurrence.steps[index]) {
-                if (task.phase == TaskPhase::Done)
-                    continue;
-                isDone = false;
-                if (task.worker.empty())
-                    remaining.waiting += workOf(step, step.estimatedMs);
-                else
+            const TaskList &tasks = occurrence.steps[index];
+            remaining.waiting += tasks.waitingCount() * workOf(step, step.estimatedMs);
+            for (const auto &[taskIndex, task] : tasks.edited())
+                if (task.phase != TaskPhase::Done && !task.worker.empty())
                     remaining.running += workOf(
                             step, std::clamp<Millis>(step.estimatedMs - (now - task.startedAt), 0,
                                                      step.estimatedMs));
-            }
-            if (!isDone)
+            if (occurrence.doneCounts[index] < step.taskCount)
                 remaining.path = std::max(remaining.path,
                                           job.remainingCriticalPath(static_cast<int>(index)));
         }
@@ -153,10 +148,7 @@
         return;
     entry.isDeferred = isDeferred;
     const QueuePolicy *const policy = policyOf(entry.job);
-    std::set<ReadyKey> keys;
-    for (const auto &[task, key] : entry.ready)
-        keys.insert(key);
-    for (const ReadyKey &key : keys)
+    for (const auto &[place, key] : std::map(entry.ready))
         moveStep(ready_[policy->service], key);
     servicesToPlace_.insert(policy->service);
 }
--- a/packages/scheduler/src/scheduler_crashes.cpp
+++ b/packages/scheduler/src/scheduler_crashes.cpp
@@ -101,7 +101,7 @@
 // The place of a task in the queue depends on its crash history.
 void Scheduler::requeueReady(JobEntry &entry, const TaskId &id)
 {
-    if (!entry.ready.contains(id))
+    if (!isQueued(entry, id))
         return;
     dequeue(entry, id);
     enqueue(entry, id);
--- a/packages/scheduler/src/scheduler_disruption.cpp
+++ b/packages/scheduler/src/scheduler_disruption.cpp
@@ -64,14 +64,13 @@
     const Millis now = hooks_.clock().steady;
     const Millis startUp = startUpTime(stepOf(entry.job, id));
     const auto &siblings = found->second.steps[static_cast<std::size_t>(id.step)];
-    for (std::size_t index = 0; index < siblings.size(); ++index) {
-        const Worker *const worker = workerOf(siblings[index].worker);
-        const bool isAvailable = worker != nullptr && siblings[index].phase == TaskPhase::Running
-                                 && siblings[index].percent >= kFullPacePercent
-                                 && now - siblings[index].phaseSince >= startUp
-                                 && now >= siblings[index].stopExpectedUntil
-                                 && showsTasksAtWork(*worker);
-        available += isAvailable && static_cast<int>(index) != id.index ? 1 : 0;
+    for (const auto &[index, sibling] : siblings.edited()) {
+        const Worker *const worker = workerOf(sibling.worker);
+        const bool isAvailable = worker != nullptr && sibling.phase == TaskPhase::Running
+                                 && sibling.percent >= kFullPacePercent
+                                 && now - sibling.phaseSince >= startUp
+                                 && now >= sibling.stopExpectedUntil && showsTasksAtWork(*worker);
+        available += isAvailable && index != id.index ? 1 : 0;
     }
     return available;
 }
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -176,17 +176,20 @@
     std::vector<TaskId> unfinished;
     for (const auto &[number, occurrence] : entry.job.occurrences())
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const std::vector<Task> &members = occurrence.steps[step];
-            const auto member = std::find_if(members.begin(), members.end(), [](const Task &task) {
-                return task.phase != TaskPhase::Done;
-            });
+            const TaskList &members = occurrence.steps[step];
             const bool isPartlyDone = entry.job.spec().steps[step].isGang
-                                      && occurrence.doneCounts[step] > 0 && member != members.end();
-            if (isPartlyDone)
-                unfinished.push_back({.job = entry.job.spec().id,
-                                      .occurrence = number,
-                                      .step = static_cast<int>(step),
-                                      .index = static_cast<int>(member - members.begin())});
+                                      && occurrence.doneCounts[step] > 0
+                                      && occurrence.doneCounts[step] < members.size();
+            if (!isPartlyDone)
+                continue;
+            const IndexSet done = members.done();
+            int first = 0;
+            while (done.contains(first))
+                ++first;
+            unfinished.push_back({.job = entry.job.spec().id,
+                                  .occurrence = number,
+                                  .step = static_cast<int>(step),
+                                  .index = first});
         }
     for (const TaskId &id : unfinished)
         handleDone(entry, EndedTask{.task = id}, {});
--- a/packages/scheduler/src/scheduler_gang_test.cpp
+++ b/packages/scheduler/src/scheduler_gang_test.cpp
@@ -114,7 +114,7 @@
     CHECK(fixture.workers.workersRunning(kSecond).empty());
     CHECK(fixture.workers.runningCount() == 1);
     REQUIRE(fixture.stored["a"].open.size() == 1);
-    CHECK(fixture.stored["a"].open[0].doneTasks[0] == std::set<int>{0, 1});
+    CHECK(fixture.stored["a"].open[0].doneTasks[0] == IndexSet{0, 1});
     CHECK(fixture.stored["a"].open[0].failedRuns.empty());
     CHECK(fixture.stored["a"].open[0].crashes.empty());
     fixture.run(kGangWorkMs + 1'000);
@@ -133,7 +133,7 @@
     fixture.isStoreUp = true;
     fixture.run(500);
     CHECK(fixture.workers.acknowledgedEnds() == 1);
-    CHECK(fixture.stored["a"].open[0].doneTasks[0] == std::set<int>{0, 1});
+    CHECK(fixture.stored["a"].open[0].doneTasks[0] == IndexSet{0, 1});
 }
 
 // Guards against a new leader that waits for the members which a stored row lacks.
@@ -163,7 +163,7 @@
     fixture.scheduler->mergeStoredProgress("a", {.state = JobState::Running,
                                                  .begunOccurrences = 1,
                                                  .open = {{.number = 0, .doneTasks = {{1}}}}});
-    CHECK(fixture.scheduler->progressOf("a")->open[0].doneTasks[0] == std::set<int>{0, 1});
+    CHECK(fixture.scheduler->progressOf("a")->open[0].doneTasks[0] == IndexSet{0, 1});
     fixture.checkCompletes();
 }
 
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -93,8 +93,7 @@
     if (next == queues_)
         return;
     for (const auto &[id, entry] : openJobs_)
-        for (const auto &[task, key] : std::map(entry->ready))
-            dequeue(*entry, task);
+        dequeueAll(*entry);
     queues_ = std::move(next);
     for (const auto &[id, entry] : openJobs_) {
         recordService(*entry);
@@ -205,8 +204,7 @@
 // Removes the waiting tasks of a job in a final state from the queue and stops the running ones.
 void Scheduler::finishJob(JobEntry &entry)
 {
-    for (const auto &[task, key] : std::map(entry.ready))
-        dequeue(entry, task);
+    dequeueAll(entry);
     stopAllTasks(entry);
     recordEndedJob(entry);
     markDirty(entry.job.spec().id);
@@ -222,14 +220,13 @@
 {
     for (auto &[number, occurrence] : entry.job.occurrences())
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
-            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-                Task &task = occurrence.steps[step][index];
+            for (auto &[index, task] : occurrence.steps[step].edited()) {
                 if (task.worker.empty() || task.phase == TaskPhase::Done)
                     continue;
                 stop({.job = entry.job.spec().id,
                       .occurrence = number,
                       .step = static_cast<int>(step),
-                      .index = static_cast<int>(index)},
+                      .index = index},
                      task, StopReason::JobEnded);
             }
 }
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -135,7 +135,7 @@
     const ReadyStep &ready = queue.steps().at(key);
     const StepSpec &step = ready.spec(key);
     JobEntry &entry = *entryOf(ready.job->spec().id);
-    TaskId id = ready.id(key, *ready.tasks.begin());
+    TaskId id = ready.id(key, *ready.tasks.next(-1));
     if (step.isGang) {
         if (!isGangWithinLimit(entry, id))
             return StepOutcome::OverLimit;
@@ -149,8 +149,8 @@
         const auto item = queue.steps().find(key);
         if (item == queue.steps().end())
             return false;
-        const auto next = item->second.tasks.upper_bound(after);
-        if (next == item->second.tasks.end())
+        const std::optional<int> next = item->second.tasks.next(after);
+        if (!next)
             return false;
         id.index = *next;
         return true;
@@ -247,7 +247,7 @@
                                            const std::map<std::string, int> &plannedMembers)
 {
     const StepSpec &step = stepOf(entry.job, id);
-    const Task &task = *entry.job.task(id);
+    const Task &task = *std::as_const(entry.job).task(id);
     std::vector<Worker *> usable;
     std::vector<PlacementCandidate> candidates;
     std::map<std::string, int> ofStepByWorker;
@@ -255,7 +255,7 @@
     if (dependsOnSiblings) {
         const auto &siblings =
                 entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
-        for (const Task &sibling : siblings)
+        for (const auto &[index, sibling] : siblings.edited())
             if (!sibling.worker.empty())
                 ++ofStepByWorker[sibling.worker];
         for (const auto &[workerId, count] : plannedMembers)
@@ -288,8 +288,8 @@
         if (task.crashes.isSuspected())
             candidate.neighbours = static_cast<int>(worker->tasks.size());
         const auto planned = plannedMembers.find(workerId);
-        for (int i = 0; planned != plannedMembers.end() && i < planned->second; ++i)
-            candidate.free -= demand;
+        if (planned != plannedMembers.end())
+            candidate.free -= demand * planned->second;
         if (step.needsOneRack)
             for (const auto &[other, count] : ofStepByWorker) {
                 const Worker *const holder = workerOf(other);
@@ -377,35 +377,38 @@
 // Starts all members together with the same run number, or none.
 bool Scheduler::tryPlaceGang(JobEntry &entry, const TaskId &id, const WorkerList &workers)
 {
-    auto &members = entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
+    TaskList &members =
+            entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
+    if (static_cast<int>(members.ready().size()) < members.size())
+        return false; // members of the previous run are still stopping
     std::int64_t run = 0;
     std::string checkpoint;
-    for (const Task &member : members) {
-        if (member.phase != TaskPhase::Ready)
-            return false; // members of the previous run are still stopping
+    for (const auto &[index, member] : members.edited()) {
         run = std::max(run, member.highestRun);
         if (!member.checkpoint.empty())
             checkpoint = member.checkpoint;
     }
     std::map<std::string, int> plannedMembers;
     std::vector<Worker *> chosen;
-    for (std::size_t index = 0; index < members.size(); ++index) {
+    for (int index = 0; index < members.size(); ++index) {
         TaskId member = id;
-        member.index = static_cast<int>(index);
+        member.index = index;
         Worker *const worker = chooseWorker(entry, member, workers, plannedMembers);
         if (worker == nullptr)
             return false;
         ++plannedMembers[worker->entry.id];
         chosen.push_back(worker);
     }
-    for (std::size_t index = 0; index < members.size(); ++index) {
+    for (int index = 0; index < members.size(); ++index) {
         TaskId member = id;
-        member.index = static_cast<int>(index);
-        members[index].run = run + 1;
-        members[index].highestRun = run + 1;
-        members[index].checkpoint = checkpoint;
-        assign(entry, member, *chosen[index]);
-        sendStart(entry, member, *chosen[index]);
+        member.index = index;
+        Task &task = members.edit(index);
+        task.run = run + 1;
+        task.highestRun = run + 1;
+        task.checkpoint = checkpoint;
+        Worker &worker = *chosen[static_cast<std::size_t>(index)];
+        assign(entry, member, worker);
+        sendStart(entry, member, worker);
     }
     return true;
 }
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 namespace chicorywick::scheduler {
 
@@ -116,27 +117,65 @@
 }
 
 void Scheduler::enqueue(JobEntry &entry, const TaskId &id)
+{
+    enqueue(entry, id, {id.index});
+}
+
+// All waiting tasks of a step have one place in the queue.
+void Scheduler::enqueue(JobEntry &entry, const TaskId &id, const IndexSet &tasks)
 {
     const QueuePolicy *const policy = policyOf(entry.job);
-    if (policy == nullptr || isTerminal(entry.job.state()) || entry.ready.contains(id))
+    if (policy == nullptr || isTerminal(entry.job.state()) || tasks.empty())
         return;
-    const ReadyKey key = keyOf(entry, id);
-    entry.ready.emplace(id, key);
-    ready_[policy->service].insert(key, entry.job, id);
-    countWaiting(entry, stepOf(entry.job, id), policy->service, 1);
+    auto place = entry.ready.find({id.occurrence, id.step});
+    if (place == entry.ready.end())
+        place = entry.ready.emplace(StepPlace(id.occurrence, id.step), keyOf(entry, id)).first;
+    ReadyQueue &queue = ready_[policy->service];
+    const auto waitingTasks = [&queue, &key = place->second] {
+        const auto step = queue.steps().find(key);
+        return step != queue.steps().end() ? static_cast<int>(step->second.tasks.size()) : 0;
+    };
+    const int before = waitingTasks();
+    queue.insert(place->second, entry.job, id, tasks);
+    countWaiting(entry, stepOf(entry.job, id), policy->service, waitingTasks() - before);
     servicesToPlace_.insert(policy->service);
 }
 
 void Scheduler::dequeue(JobEntry &entry, const TaskId &id)
 {
-    const auto found = entry.ready.find(id);
-    if (found == entry.ready.end())
+    const auto place = entry.ready.find({id.occurrence, id.step});
+    const QueuePolicy *const policy = policyOf(entry.job);
+    if (place == entry.ready.end() || policy == nullptr)
+        return;
+    ReadyQueue &queue = ready_[policy->service];
+    if (!queue.erase(place->second, id))
+        return;
+    countWaiting(entry, stepOf(entry.job, id), policy->service, -1);
+    if (!queue.steps().contains(place->second))
+        entry.ready.erase(place);
+}
+
+void Scheduler::dequeueAll(JobEntry &entry)
+{
+    const QueuePolicy *const policy = policyOf(entry.job);
+    const auto places = std::exchange(entry.ready, {});
+    if (policy == nullptr)
         return;
-    if (const QueuePolicy *const policy = policyOf(entry.job)) {
-        ready_[policy->service].erase(found->second, id);
-        countWaiting(entry, stepOf(entry.job, id), policy->service, -1);
+    for (const auto &[place, key] : places) {
+        const StepSpec &step = entry.job.spec().steps[static_cast<std::size_t>(place.second)];
+        countWaiting(entry, step, policy->service, -ready_[policy->service].eraseStep(key));
     }
-    entry.ready.erase(found);
+}
+
+bool Scheduler::isQueued(const JobEntry &entry, const TaskId &id) const
+{
+    const auto place = entry.ready.find({id.occurrence, id.step});
+    const QueuePolicy *const policy = policyOf(entry.job);
+    if (place == entry.ready.end() || policy == nullptr)
+        return false;
+    const auto &steps = ready_.at(policy->service).steps();
+    const auto step = steps.find(place->second);
+    return step != steps.end() && step->second.tasks.contains(id.index);
 }
 
 void Scheduler::enqueueReady(JobEntry &entry)
@@ -148,14 +187,11 @@
 void Scheduler::enqueueReady(JobEntry &entry, const Occurrence &occurrence)
 {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
-        for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
-            if (occurrence.steps[step][index].phase != TaskPhase::Ready)
-                continue;
-            enqueue(entry, {.job = entry.job.spec().id,
-                            .occurrence = occurrence.number,
-                            .step = static_cast<int>(step),
-                            .index = static_cast<int>(index)});
-        }
+        enqueue(entry,
+                {.job = entry.job.spec().id,
+                 .occurrence = occurrence.number,
+                 .step = static_cast<int>(step)},
+                occurrence.steps[step].ready());
 }
 
 void Scheduler::refreshBands()
@@ -184,15 +220,10 @@
 {
     const ReadyStep &ready = queue.steps().at(from);
     JobEntry &entry = *entryOf(ready.job->spec().id);
-    const TaskId first = ready.id(from, *ready.tasks.begin());
-    const ReadyKey to = keyOf(entry, first);
+    const ReadyKey to = keyOf(entry, ready.id(from, 0));
+    const StepPlace place(from.occurrence, from.step);
     queue.move(from, to);
-    for (auto item = entry.ready.find(first);
-         item != entry.ready.end() && item->first.occurrence == first.occurrence
-         && item->first.step == first.step;
-         ++item)
-        if (item->second == from)
-            item->second = to;
+    entry.ready[place] = to;
 }
 
 std::map<std::string, int> Scheduler::waitingJobs() const
@@ -253,11 +284,11 @@
             continue;
         const Worker *large = nullptr;
         std::optional<bool> lacksRoom; // the same for all tasks of a step
-        for (const int index : ready.tasks) {
+        for (auto next = ready.tasks.next(-1); next; next = ready.tasks.next(*next)) {
             if (++examined > kMaxExaminedForRoom)
                 return result();
-            const Task &task = occurrence->steps[static_cast<std::size_t>(key.step)]
-                                                [static_cast<std::size_t>(index)];
+            const int index = *next;
+            const Task &task = occurrence->steps[static_cast<std::size_t>(key.step)][index];
             if (now - std::max(task.phaseSince, ready.job->acceptedSteady()) < kWaitForRoomMs)
                 continue;
             const TaskId id = ready.id(key, index);
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -3,6 +3,7 @@
 #include <chicorywick/base/log_event.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorywick::scheduler {
 
@@ -285,9 +286,10 @@
                      if (reply.status == OrderStatus::Fenced)
                          return hooks_.onFenced();
                      handleUnassignedStop(workerId, id, run, reply);
-                     Task *const task = taskOf(id);
-                     if (task == nullptr || task->worker != workerId || task->run != run)
+                     const Task *const known = std::as_const(*this).taskOf(id);
+                     if (known == nullptr || known->worker != workerId || known->run != run)
                          return;
+                     Task *const task = taskOf(id);
                      task->isStopPending = false;
                      task->lastReplyNumber = ++replyCount_;
                      task->isStopConfirmed = task->isStopConfirmed
--- a/packages/scheduler/src/scheduler_takeover_test.cpp
+++ b/packages/scheduler/src/scheduler_takeover_test.cpp
@@ -60,7 +60,7 @@
                                                  .begunOccurrences = 1,
                                                  .open = {{.number = 0, .doneTasks = {{1}}}}});
     CHECK(fixture.scheduler->stateOf("a") == JobState::Completed);
-    CHECK(fixture.scheduler->progressOf("b")->open[0].doneTasks[0] == std::set<int>{1});
+    CHECK(fixture.scheduler->progressOf("b")->open[0].doneTasks[0] == IndexSet{1});
 }
 
 // Guards against a cancelled job that is shown as completed: its stored progress lists no open
--- a/packages/scheduler/src/scheduler_waiting.cpp
+++ b/packages/scheduler/src/scheduler_waiting.cpp
@@ -3,6 +3,7 @@
 #include <chicorywick/base/log_event.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorywick::scheduler {
 
@@ -31,15 +32,21 @@
     for (const std::string &job : perpetualJobs_) {
         const JobEntry &entry = *entryOf(job);
         const QueuePolicy *const policy = policyOf(entry.job);
-        for (const auto &[id, key] : entry.ready) {
-            const Millis since = std::max(taskOf(id)->phaseSince, entry.job.acceptedSteady());
-            if (policy == nullptr || now - since < kReportAfterMs)
+        if (policy == nullptr)
+            continue;
+        for (const auto &[place, key] : entry.ready) {
+            const ReadyStep &ready = ready_.at(policy->service).steps().at(key);
+            const TaskId id = ready.id(key, *ready.tasks.next(-1));
+            const Millis since = std::max(std::as_const(*this).taskOf(id)->phaseSince,
+                                          entry.job.acceptedSteady());
+            if (now - since < kReportAfterMs)
                 continue;
             Waiting &waiting = byService[policy->service];
-            if (waiting.tasks++ == 0 || since < waiting.since) {
+            if (waiting.tasks == 0 || since < waiting.since) {
                 waiting.id = id;
                 waiting.since = since;
             }
+            waiting.tasks += static_cast<int>(ready.tasks.size());
         }
     }
     for (const auto &[service, waiting] : byService)
