Bound the runs on a worker and the starts without an answer

What callers saw: ten jobs with 10,000 tasks that request no resources took over 100 MB of the leader. Cause: such tasks find no full worker, so all of them were started at once: a run each, and a start order with a copy of the payload. A gang was tried member by member in each pass, up to the last one that fitted. Change: a worker gets at most 500 runs and, gangs aside, at most 64 starts that wait for its answer. A gang is tried only if the workers have room for all its members. Why it works: the number of tasks with state of their own is bounded by the workers, whatever the tasks request.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -432,6 +432,7 @@
     bool isAllowedOn(const Worker &worker, const StepSpec &step, const TaskId &id) const;
     bool canTakeLater(const Worker &worker, const StepSpec &step, const TaskId &id) const;
     bool reserve(const JobEntry &entry, const TaskId &id);
+    static int tasksThatFit(const Worker &worker, const StepSpec &step);
     bool tryPlaceGang(JobEntry &entry, const TaskId &id, const WorkerList &workers);
     Worker *chooseWorker(JobEntry &entry, const TaskId &id, const WorkerList &workers,
                          const std::map<std::string, int> &plannedMembers);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 namespace chicorywick::scheduler {
@@ -183,7 +184,7 @@
     WorkerList open;
     for (Worker *const worker : workersFor(service)) {
         ++examinedWorkers_;
-        if (worker->free().covers(demand) && isUsable(*worker, now))
+        if (worker->taskRoom() > 0 && worker->free().covers(demand) && isUsable(*worker, now))
             open.push_back(worker);
     }
     return open;
@@ -192,7 +193,8 @@
 void Scheduler::closeFullWorkers(WorkerList &open, const Resources &demand) const
 {
     std::erase_if(open, [&](const Worker *worker) {
-        return !worker->free().covers(demand) || reserved_.contains(worker->entry.id);
+        return worker->taskRoom() == 0 || !worker->free().covers(demand)
+               || reserved_.contains(worker->entry.id);
     });
 }
 
@@ -267,7 +269,11 @@
         ++examinedWorkers_;
         const std::string &workerId = worker->entry.id;
         const Resources free = worker->free();
-        const bool isCandidate = free.covers(demand) && isUsable(*worker, now)
+        const auto planned = plannedMembers.find(workerId);
+        const int plannedHere = planned != plannedMembers.end() ? planned->second : 0;
+        const bool mayBeSent = step.isGang || worker->unansweredStarts < kMaxUnansweredStarts;
+        const bool isCandidate = static_cast<int>(worker->taskRoom()) > plannedHere && mayBeSent
+                                 && free.covers(demand) && isUsable(*worker, now)
                                  && !reserved_.contains(workerId)
                                  && mayStartBeside(*worker, id, task);
         if (!isCandidate)
@@ -287,9 +293,7 @@
                     }));
         if (task.crashes.isSuspected())
             candidate.neighbours = static_cast<int>(worker->tasks.size());
-        const auto planned = plannedMembers.find(workerId);
-        if (planned != plannedMembers.end())
-            candidate.free -= demand * planned->second;
+        candidate.free -= demand * plannedHere;
         if (step.needsOneRack)
             for (const auto &[other, count] : ofStepByWorker) {
                 const Worker *const holder = workerOf(other);
@@ -374,6 +378,22 @@
     return true;
 }
 
+// At most this many further tasks of the step fit on the worker.
+int Scheduler::tasksThatFit(const Worker &worker, const StepSpec &step)
+{
+    const Resources free = worker.free();
+    const Resources demand = reservedFor(step);
+    std::int64_t fitting = static_cast<std::int64_t>(worker.taskRoom());
+    const auto limitBy = [&fitting](std::int64_t room, std::int64_t each) {
+        if (each > 0)
+            fitting = std::min(fitting, std::max<std::int64_t>(room, 0) / each);
+    };
+    limitBy(free.cpuMillis, demand.cpuMillis);
+    limitBy(free.memoryMib, demand.memoryMib);
+    limitBy(free.accelerators, demand.accelerators);
+    return static_cast<int>(fitting);
+}
+
 // Starts all members together with the same run number, or none.
 bool Scheduler::tryPlaceGang(JobEntry &entry, const TaskId &id, const WorkerList &workers)
 {
@@ -381,6 +401,14 @@
             entry.job.occurrence(id.occurrence)->steps[static_cast<std::size_t>(id.step)];
     if (static_cast<int>(members.ready().size()) < members.size())
         return false; // members of the previous run are still stopping
+    // A gang that has no room is tried in each pass; without this check, up to the last member that
+    // fits.
+    const int fitting = std::accumulate(
+            workers.begin(), workers.end(), 0, [&entry, &id](int sum, const Worker *worker) {
+                return sum + tasksThatFit(*worker, stepOf(entry.job, id));
+            });
+    if (fitting < members.size())
+        return false;
     std::int64_t run = 0;
     std::string checkpoint;
     for (const auto &[index, member] : members.edited()) {
--- a/packages/scheduler/src/scheduler_starts.cpp
+++ b/packages/scheduler/src/scheduler_starts.cpp
@@ -92,6 +92,7 @@
                      .validity = startValidity()};
     worker.leaseSent = std::max(worker.leaseSent, order.leaseUntil);
     ++task.unansweredStarts;
+    ++worker.unansweredStarts;
     const Millis now = hooks_.clock().steady;
     base::logEvent(base::Event::JobStarted,
                    {{"task", id.text()},
@@ -139,6 +140,8 @@
     Worker *const worker = workerOf(workerId);
     if (worker != nullptr && worker->generation != destination.generation)
         recordFormerCall(*worker, reply.status);
+    else if (worker != nullptr)
+        --worker->unansweredStarts;
     JobEntry *const entry = entryOf(id.job);
     Task *const task = taskOf(id);
     if (entry == nullptr || task == nullptr)
--- a/packages/scheduler/src/scheduler_worker.h
+++ b/packages/scheduler/src/scheduler_worker.h
@@ -18,6 +18,14 @@
 /// later.
 inline constexpr Millis kMaxCallMs = 1'500;
 
+/// @brief Largest number of runs on a worker. Tasks may request no resources, and each run takes
+/// memory of the leader.
+inline constexpr std::size_t kMaxTasksPerWorker = 500;
+
+/// @brief Largest number of starts of a worker that wait for its answer; each holds a copy of the
+/// payload. Members of a gang are not counted, as they have to start together.
+inline constexpr int kMaxUnansweredStarts = 64;
+
 /// @brief Longest local duration of a lease on a worker with a slow clock: 3 % and a margin are
 /// added.
 inline Millis longestLocalLease(Millis leaseMs)
@@ -79,6 +87,7 @@
     std::vector<LostRun> formerRuns; ///< runs that can have crashed the former incarnation
     Millis idleSince = 0;
     Millis fullUntil = 0;
+    int unansweredStarts = 0;
 
     Millis clockAtReply = 0; ///< the worker's clock at the latest reply; 0: unknown
     Millis replyAt = 0;
@@ -109,6 +118,12 @@
     Millis quarantineMs = 0;
     Millis pacedAt = 0;
 
+    /// @brief Number of further runs that the leader keeps track of.
+    std::size_t taskRoom() const
+    {
+        return kMaxTasksPerWorker - std::min(kMaxTasksPerWorker, tasks.size() + unassigned.size());
+    }
+
     WorkerAddress address() const { return {.id = entry.id, .address = entry.address}; }
 
     /// @brief True if the worker is shutting down, or an order to its machine may end it.
--- a/tests/hosted/hosted_hostile_job_test.cpp
+++ b/tests/hosted/hosted_hostile_job_test.cpp
@@ -69,4 +69,23 @@
     limited.check();
 }
 
+// Guards against jobs that cost nothing by their own words: no room keeps them from starting all
+// their tasks at once.
+TEST_CASE("tasks that request no resources do not exhaust a leader")
+{
+    LimitedDeployment limited(kJobBounds);
+    limited.deployment().setTaskDuration(60s);
+    std::string body;
+    SUBCASE("independent tasks")
+    {
+        body = R"({"spec":"x","steps":[{"count":10000}]})";
+    }
+    SUBCASE("a gang")
+    {
+        body = R"({"spec":"x","steps":[{"count":10000,"gang":true}]})";
+    }
+    CHECK(submitJobs(limited.deployment(), "free", 10, body) > 0);
+    limited.check();
+}
+
 } // namespace chicorywick::hosted
