Refuse for good what can never be stored or end

What callers saw: a submission with a text of 100 KB got 503 or 504, as if it could be stored later. Schedules of 9e18 occurrences, or with times that overflow, were accepted, and the leader worked on them without an end. A step that names one dependency 500 times cost processor time with each end of a task. Cause: nothing limited texts, times and the stored form; numbers out of range were undefined when they were converted. The status is 413 for result code 2003, as docs/result-codes.md says, and 400 otherwise. A caller's time limit counts as at most one hour. Jobs that are stored already are checked by the former rules, so none is lost. The test of too many tasks expected 400 with code 2003, against the table of result codes; it expects 413 now. Dependencies kept their bound on already; the test stays as a guard. Why it works: the checks stand before the first call of the store and before the job is accepted.

--- a/packages/entry/include/chicorywick/entry/caller_codec.h
+++ b/packages/entry/include/chicorywick/entry/caller_codec.h
@@ -27,7 +27,11 @@
     virtual std::string apiKey(const http::Headers &headers) const = 0;
 };
 
-/// @brief Checks that numbers are in range and that steps depend on earlier steps only.
+/// @brief Checks that the scheduler can handle a job: numbers are in range, and steps depend on
+/// earlier steps only.
+base::Result<void> validateJob(const scheduler::JobSpec &spec);
+
+/// @brief Checks what a new job has to keep to besides: lengths of texts, and times that can come.
 base::Result<void> validateSubmission(const scheduler::JobSpec &spec);
 
 } // namespace chicorywick::entry
--- a/packages/entry/include/chicorywick/entry/table.h
+++ b/packages/entry/include/chicorywick/entry/table.h
@@ -13,6 +13,9 @@
 
 using Version = std::int64_t;
 
+/// @brief Largest value of a row. Larger ones can never be stored.
+inline constexpr std::size_t kMaxRowBytes = 65'536;
+
 /// @brief Identifies a row. One transaction can change rows of one part, also in several tables.
 struct RowKey
 {
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -309,7 +309,7 @@
         return; // already announced by the daemon that stored it
     const auto spec = decodeJob(row.value);
     // A row that the scheduler cannot handle would end each leader of the cell in turn.
-    const auto checked = spec ? validateSubmission(spec.value()) : base::Result<void>(spec.error());
+    const auto checked = spec ? validateJob(spec.value()) : base::Result<void>(spec.error());
     const bool isOwn = spec && spec.value().id == row.key.key;
     if (!checked || !isOwn) {
         base::logEvent(base::Event::JobRefused, {{"job", row.key.key},
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -22,6 +22,7 @@
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
 constexpr int kGone = 410;
+constexpr int kPayloadTooLarge = 413;
 constexpr int kUnavailable = 503;
 constexpr int kOutcomeUnknown = 504;
 
@@ -38,6 +39,7 @@
 // Reserved for sending the response before the caller times out.
 constexpr scheduler::Millis kResponseMarginMs = 300;
 constexpr scheduler::Millis kDefaultTimeLimitMs = 3'000;
+constexpr scheduler::Millis kMaxTimeLimitMs = 3'600'000;
 // Short, because another entry instance may accept the request immediately.
 constexpr const char *kRetryAfterSeconds = "1";
 constexpr scheduler::Millis kMaxRetryAfterSeconds = 10;
@@ -61,6 +63,11 @@
     return response;
 }
 
+int statusOf(base::Code code)
+{
+    return code == base::Code::InputTooLarge ? kPayloadTooLarge : kBadRequest;
+}
+
 http::Response refuseKey(const RouteMatch &route, base::Code code)
 {
     base::logEvent(base::Event::ApiKeyRefused, {{"queue", route.policy.name},
@@ -155,27 +162,37 @@
         checked = validateSubmission(decoded.value());
     if (decoded && checked && account != nullptr)
         checked = checkTaskSizes(decoded.value(), *account);
+    const scheduler::Now now = clock_();
+    std::string value;
+    if (decoded && checked) {
+        scheduler::JobSpec &spec = decoded.value();
+        spec.id = route.rest;
+        spec.queue = route.policy.name;
+        spec.account = account != nullptr ? account->name : std::string();
+        spec.acceptedPolicy = route.policy;
+        spec.submittedWall = now.wall;
+        value = encode(spec);
+        if (value.size() > kMaxRowBytes)
+            checked = base::makeError(base::Code::InputTooLarge,
+                                      "the job takes " + std::to_string(value.size())
+                                              + " bytes to store, more than "
+                                              + std::to_string(kMaxRowBytes));
+    }
     if (!decoded || !checked) {
         const base::Error error = decoded ? checked.error() : decoded.error();
         base::logEvent(
                 base::Event::JobRefused,
                 {{"job", route.rest}, {"queue", route.policy.name}, {"reason", error.message}});
-        return respond(refusal(kBadRequest, error.code));
+        return respond(refusal(statusOf(error.code), error.code));
     }
-    const scheduler::Now now = clock_();
+    const scheduler::Millis limitMs =
+            codec_.timeLimit(request.headers).value_or(kDefaultTimeLimitMs);
     auto submission = std::make_shared<Submission>();
     submission->spec = std::move(decoded.value());
-    submission->spec.id = route.rest;
-    submission->spec.queue = route.policy.name;
-    submission->spec.account = account != nullptr ? account->name : std::string();
-    submission->spec.acceptedPolicy = route.policy;
-    submission->spec.submittedWall = now.wall;
-    submission->value = encode(submission->spec);
+    submission->value = std::move(value);
     submission->respond = std::move(respond);
     submission->receivedAt = now.steady;
-    submission->answerBy = now.steady
-                           + codec_.timeLimit(request.headers).value_or(kDefaultTimeLimitMs)
-                           - kResponseMarginMs;
+    submission->answerBy = now.steady + std::min(limitMs, kMaxTimeLimitMs) - kResponseMarginMs;
     const scheduler::Millis backlogMs =
             controller_.backlogMs(layout_->cellOfJob(route.rest), route.policy.name);
     const scheduler::Millis excessMs = lateByMs(submission->spec, route.policy, backlogMs);
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -32,6 +32,10 @@
             spec.steps.back().after = {0};
         if (body == "many tasks")
             spec.steps.assign(200, {.taskCount = scheduler::kMaxTasksPerJob});
+        if (body == "many steps") {
+            scheduler::StepSpec step{.taskCount = 1, .requiredLabel = std::string(900, 'l')};
+            spec.steps.assign(200, step);
+        }
         if (body == "most tasks")
             spec.steps.assign(2, {.taskCount = scheduler::kMaxTasksPerJob / 2});
         return spec;
@@ -141,7 +145,7 @@
 {
     Fixture fixture;
     const auto refused = fixture.call("POST", "/q/a1", "many tasks");
-    CHECK(refused.status == 400);
+    CHECK(refused.status == 413);
     CHECK(refused.headers.at("X-Result-Code") == "2003");
     CHECK(fixture.table.rows.empty());
     CHECK(fixture.call("POST", "/q/a2", "most tasks").status == 200);
@@ -418,4 +422,14 @@
     CHECK(fixture.call("POST", "/q/a1").status == 200);
 }
 
+// Guards against a caller that is asked to come back with what no row can hold.
+TEST_CASE("a job that is larger than a row is refused for good")
+{
+    Fixture fixture;
+    const auto refused = fixture.call("POST", "/q/a1", "many steps");
+    CHECK(refused.status == 413);
+    CHECK(refused.headers.at("X-Result-Code") == "2003");
+    CHECK(fixture.table.rows.empty());
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/submission_rules.cpp
+++ b/packages/entry/src/submission_rules.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t kMaxPayloadBytes = 4'000;
 constexpr std::size_t kMaxSteps = 200;
 constexpr std::int64_t kMaxResource = 1'000'000'000;
+constexpr std::size_t kMaxNameBytes = 1'000;
+// One a second for thirty years.
+constexpr std::int64_t kMaxOccurrences = 1'000'000'000;
+constexpr scheduler::Millis kLatestWall = 253'402'300'799'999; // end of the year 9999
 // A job that ends later than this many times its objective has no value for its caller.
 constexpr scheduler::Millis kLateFactor = 3;
 
@@ -46,7 +50,7 @@
 
 } // namespace
 
-base::Result<void> validateSubmission(const scheduler::JobSpec &spec)
+base::Result<void> validateJob(const scheduler::JobSpec &spec)
 {
     if (spec.payload.size() > kMaxPayloadBytes)
         return base::makeError(base::Code::InputTooLarge, "the payload exceeds "
@@ -70,6 +74,27 @@
     return base::ok();
 }
 
+base::Result<void> validateSubmission(const scheduler::JobSpec &spec)
+{
+    if (const auto checked = validateJob(spec); !checked)
+        return checked;
+    for (const scheduler::StepSpec &step : spec.steps)
+        for (const std::string *text : {&step.requiredLabel, &step.preferredRack, &step.image})
+            if (text->size() > kMaxNameBytes)
+                return base::makeError(base::Code::InputTooLarge,
+                                       "a label, rack or image exceeds "
+                                               + std::to_string(kMaxNameBytes) + " bytes");
+    if (spec.repeatCount > kMaxOccurrences)
+        return invalid("more than " + std::to_string(kMaxOccurrences) + " occurrences");
+    const bool isInTime =
+            spec.firstStartWall <= kLatestWall
+            && (spec.intervalMs == 0 || spec.repeatCount == 0
+                || spec.repeatCount - 1 <= (kLatestWall - spec.firstStartWall) / spec.intervalMs);
+    if (!isInTime)
+        return invalid("an occurrence is due after the year 9999");
+    return base::ok();
+}
+
 // A task that uses more than the limit of its account could never start.
 base::Result<void> checkTaskSizes(const scheduler::JobSpec &spec,
                                   const scheduler::AccountPolicy &account)
--- a/tests/hosted/hosted_hostile_job_test.cpp
+++ b/tests/hosted/hosted_hostile_job_test.cpp
@@ -88,4 +88,75 @@
     limited.check();
 }
 
+// Guards against dependencies that cost a leader more memory and time than they have bytes.
+TEST_CASE("jobs with many dependencies do not exhaust a leader")
+{
+    LimitedDeployment limited(kJobBounds);
+    std::string body = R"({"spec":"x","steps":[{"count":1})";
+    std::string after;
+    SUBCASE("one step again and again")
+    {
+        after = "0";
+        for (int times = 1; times < 500; ++times)
+            after += ",0";
+        for (int number = 1; number < 200; ++number)
+            body += R"(,{"count":1,"after":[)" + after + "]}";
+    }
+    SUBCASE("all earlier steps")
+    {
+        for (int number = 1; number < 200; ++number) {
+            after += (number > 1 ? "," : "") + std::to_string(number - 1);
+            body += R"(,{"count":1,"after":[)" + after + "]}";
+        }
+    }
+    body += "]}";
+    submitJobs(limited.deployment(), "knot", 200, body);
+    limited.check();
+}
+
+// Guards against schedules whose times overflow, or that keep a leader at work without an end.
+TEST_CASE("schedules without an end do not exhaust a leader")
+{
+    LimitedDeployment limited(kJobBounds);
+    const auto schedule = [](const std::string &fields) {
+        return R"({"spec":"x","steps":[{"count":1,"cpu":1000}],)" + fields + "}";
+    };
+    const HostedDeployment &deployment = limited.deployment();
+    for (const std::string fields :
+         {R"("repeat_count":9000000000000000000)",
+          R"("repeat_count":2,"interval_ms":9000000000000000000)",
+          R"("repeat_count":1000000000,"interval_ms":9000000000000)",
+          R"("repeat_count":2,"start_time_ms":9000000000000000000)",
+          R"("repeat_count":18446744073709551615)", R"("repeat_count":1e300)"}) {
+        CAPTURE(fields);
+        CHECK(isPermanentRefusal(deployment.submitText(0, "endless", schedule(fields))));
+    }
+    submitJobs(deployment, "dense", 30, schedule(R"("repeat_count":100000000)"));
+    submitJobs(deployment, "denser", 30,
+               schedule(R"("repeat_count":100000000,"interval_ms":1,"start_time_ms":1)"));
+    limited.check();
+}
+
+// Guards against a refusal that asks a caller to come back with what can never be stored.
+TEST_CASE("a job that no row can hold is refused for good")
+{
+    LimitedDeployment limited({.settings = R"({"caller_connections":50})"});
+    const auto submit = [&limited](const std::string &body) {
+        return limited.deployment().submitText(0, "huge", body);
+    };
+    const std::string text(100'000, 'x');
+    for (const std::string field : {"requires", "affinity", "image"}) {
+        CAPTURE(field);
+        CHECK(isPermanentRefusal(submit(R"({"spec":"x","steps":[{"count":1,")" + field + R"(":")"
+                                        + text + R"("}]})")));
+    }
+    CHECK(isPermanentRefusal(submit(R"({"spec":")" + text + R"(","steps":[{"count":1}]})")));
+    std::string steps = R"({"spec":"x","steps":[{"count":1})";
+    for (int number = 1; number < 199; ++number)
+        steps += R"(,{"count":1,"requires":")" + std::string(190, 'l') + R"(","image":")"
+                 + std::string(190, 'i') + R"("})";
+    CHECK(isPermanentRefusal(submit(steps + "]}")));
+    limited.check();
+}
+
 } // namespace chicorywick::hosted
