Refuse jobs for which the leader of their cell has no room

What callers saw: accepted jobs that cannot start, or that are cancelled at once, took the memory of the leader, then that of its successor; ordinary requests got no answer. Cause: an accepted job has to be kept, and nothing bounded their number. Ended jobs kept payload, steps and tasks for the time that their state is shown. Change: the scheduler estimates the memory of its jobs. The leader publishes it in its row, in total and for large holders (a client account, or the anonymous callers of a queue). A holder gets two thirds at most, and large jobs leave some of it to small ones. Ended jobs lose their payload at once, and steps and tasks once no worker can run one. A submission keeps its stored form only while it waits for the store. Why it works: the bound stands before the acceptance, and the row of the leader carries it to all instances and to the successor. Not proved: several instances that accept at the same time.

--- a/packages/base/include/chicorywick/base/code.h
+++ b/packages/base/include/chicorywick/base/code.h
@@ -71,6 +71,7 @@
     NoWorkerFits = 6005,
     JobFateUnknown = 6006,
     JobCannotRun = 6007,
+    NoRoomForJob = 6008,
 
     // 7xxx: cluster and configuration
     ConfigRejected = 7001,
--- a/packages/base/src/code.cpp
+++ b/packages/base/src/code.cpp
@@ -109,6 +109,8 @@
          "a non-idempotent job's last attempt has an unknown outcome"},
         {Code::JobCannotRun, "job-cannot-run", "failed_precondition", 412,
          "the job failed on several healthy workers"},
+        {Code::NoRoomForJob, "no-room-for-job", "resource_exhausted", 503,
+         "the leader of the cell holds as many jobs as its memory allows"},
         {Code::ConfigRejected, "config-rejected", "invalid_argument", 400,
          "the configuration change is invalid"},
         {Code::ConfigVersionConflict, "config-version-conflict", "aborted", 409,
--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -80,6 +80,9 @@
     /// @brief Time until a job submitted now can start, by queue; short ones are left out.
     std::map<std::string, scheduler::Millis> backlogs() const;
 
+    /// @brief Memory of the cell's jobs.
+    const scheduler::JobMemory &jobMemory() const;
+
 private:
     class Impl;
     std::shared_ptr<Impl> impl_;
--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chicorywick::entry {
@@ -23,8 +24,11 @@
     int machinesPerCell = 280;             ///< at most; used when the fleet is first divided
     bool controlsOverload = false;         ///< jobs that cost callers least wait under overload
     std::size_t callerConnections = 2'000; ///< open connections of callers
-    /// Requests of callers that are being read or have no response yet.
-    std::size_t callerBufferBytes = 40 * 1024 * 1024;
+    /// Memory for requests of callers; by default an eighth of that of the machine, at most 40 MiB.
+    std::optional<std::size_t> callerBufferBytes;
+    /// Memory for the jobs of a cell beyond which further ones are refused; by default a quarter of
+    /// that of the machine.
+    std::optional<std::int64_t> jobMemoryBytes;
     scheduler::Millis maxLeaseMs = 6'000; ///< longest lease that a worker grants
     /// From an acknowledged cancellation to the last start of a task of its job.
     scheduler::Millis cancelMs = 3'000;
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -3,6 +3,7 @@
 #include <chicorywick/base/result.h>
 #include <chicorywick/entry/cell_layout.h>
 #include <chicorywick/scheduler/job.h>
+#include <chicorywick/scheduler/job_memory.h>
 #include <chicorywick/scheduler/model.h>
 #include <chicorywick/scheduler/pool_plan.h>
 
@@ -59,6 +60,7 @@
     AccountNeeds accounts; ///< those whose share of the limit does not suffice in the cell
     /// Time until a job submitted now can start, by queue; short ones are left out.
     std::map<std::string, scheduler::Millis> backlogs;
+    scheduler::JobMemory jobMemory; ///< without small parts
 
     bool operator==(const LeaderRecord &) const = default;
 };
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -28,9 +28,21 @@
 // changes every few milliseconds, and each change would cost every daemon a call.
 constexpr std::chrono::milliseconds kWatchPausePerCell = 40ms;
 constexpr std::chrono::milliseconds kMaxWatchPause = 250ms;
+// Less memory for jobs limits no submission, and would make the row of the leader larger.
+constexpr std::int64_t kMinPublishedBytes = 1024 * 1024;
+constexpr std::int64_t kMinPublishedBytesOfHolder = 128 * 1024;
 // A cell that has not renewed its row for this long may have no leader that uses lent machines.
 constexpr scheduler::Millis kMaxNeedsAgeMs = 1'500;
 
+scheduler::JobMemory publishedPart(scheduler::JobMemory memory)
+{
+    if (memory.total < kMinPublishedBytes)
+        return {};
+    std::erase_if(memory.byHolder,
+                  [](const auto &holder) { return holder.second < kMinPublishedBytesOfHolder; });
+    return memory;
+}
+
 } // namespace
 
 CellLeadership::CellLeadership(const NodeSettings &settings, ControllerPorts ports,
@@ -165,6 +177,13 @@
     return isCurrent ? find(election.record().backlogs) : 0;
 }
 
+const scheduler::JobMemory &CellLeadership::jobMemory(int cell) const
+{
+    const Seat &seat = seats_[static_cast<std::size_t>(cell)];
+    const bool isLocal = seat.controller && seat.controller->isLoaded();
+    return isLocal ? seat.controller->jobMemory() : seat.election->record().jobMemory;
+}
+
 std::vector<CellNeeds> CellLeadership::needsOfOthers(int cell) const
 {
     const scheduler::Millis now = systemNow().steady;
@@ -279,6 +298,7 @@
         write.record.machines = controller->machineNeeds();
         write.record.accounts = controller->accountNeeds();
         write.record.backlogs = controller->backlogs();
+        write.record.jobMemory = publishedPart(controller->jobMemory());
     }
     const RowKey key = layout::leaderRow(cell);
     ports_.table->transact({.conditions = {{.key = key, .version = write.expected}},
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -63,6 +63,9 @@
     /// unknown.
     scheduler::Millis backlogMs(int cell, const std::string &queue) const;
 
+    /// @brief Memory of the jobs of a cell, as its leader has published it.
+    const scheduler::JobMemory &jobMemory(int cell) const;
+
     /// @brief Hands a cell over if the requesting daemon has much more room for it.
     void handleYieldRequest(const YieldRequest &request);
 
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -103,6 +103,11 @@
     return impl_->backlogs();
 }
 
+const scheduler::JobMemory &Controller::jobMemory() const
+{
+    return impl_->jobMemory();
+}
+
 Controller::Impl::Impl(ControllerPorts ports, ControllerHooks hooks, Cell cell,
                        scheduler::SchedulerSettings settings)
     : ports_(ports)
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -39,6 +39,7 @@
     MachineNeeds machineNeeds() const { return poolBalancer_->needs(); }
     const AccountNeeds &accountNeeds() const { return quota_->needs(); }
     std::map<std::string, scheduler::Millis> backlogs() const;
+    const scheduler::JobMemory &jobMemory() const { return scheduler_.jobMemory(); }
 
 private:
     // Loads transferred machines, waves, roster, progress, jobs, rows stored since, and workers, in
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -43,6 +43,10 @@
 // Short, because another entry instance may accept the request immediately.
 constexpr const char *kRetryAfterSeconds = "1";
 constexpr scheduler::Millis kMaxRetryAfterSeconds = 10;
+// Room becomes free as jobs end.
+constexpr scheduler::Millis kRoomRetryMs = 5'000;
+// All instances share the calls of the store.
+constexpr base::TokenBucketLimits kRefusalReads{.tokensPerSecond = 100, .burst = 400};
 constexpr std::size_t kMaxIdLength = 64;
 constexpr const char *kCancelValue = "{}";
 
@@ -98,9 +102,11 @@
 
 } // namespace
 
+// Without the decoded job, which would take memory while the store is slow.
 struct Intake::Submission
 {
-    scheduler::JobSpec spec;
+    std::string id;
+    std::string queue;
     std::string value;
     http::Responder respond;
     scheduler::Millis receivedAt = 0;
@@ -111,13 +117,24 @@
     bool mayBeStored = false; ///< an attempt with an unknown outcome may have stored the job
 };
 
+// Why a submission is not accepted now, and when it may be.
+struct Intake::Refusal
+{
+    base::Code code = base::Code::JobNotAccepted;
+    const char *reason = "";
+    scheduler::Millis retryAfterMs = 0;
+};
+
 Intake::Intake(boost::asio::io_context &loop, Table &table, const CallerCodec &codec,
-               ControllerQuery controller, std::function<scheduler::Now()> clock)
+               ControllerQuery controller, std::function<scheduler::Now()> clock,
+               std::int64_t maxJobBytes)
     : loop_(loop)
     , table_(table)
     , codec_(codec)
     , controller_(std::move(controller))
     , clock_(std::move(clock))
+    , admission_(maxJobBytes)
+    , refusalReads_(kRefusalReads)
 {}
 
 void Intake::configure(const Configuration &configuration)
@@ -162,7 +179,7 @@
         checked = validateSubmission(decoded.value());
     if (decoded && checked && account != nullptr)
         checked = checkTaskSizes(decoded.value(), *account);
-    const scheduler::Now now = clock_();
+    const scheduler::Now received = clock_();
     std::string value;
     if (decoded && checked) {
         scheduler::JobSpec &spec = decoded.value();
@@ -170,7 +187,7 @@
         spec.queue = route.policy.name;
         spec.account = account != nullptr ? account->name : std::string();
         spec.acceptedPolicy = route.policy;
-        spec.submittedWall = now.wall;
+        spec.submittedWall = received.wall;
         value = encode(spec);
         if (value.size() > kMaxRowBytes)
             checked = base::makeError(base::Code::InputTooLarge,
@@ -180,46 +197,70 @@
     }
     if (!decoded || !checked) {
         const base::Error error = decoded ? checked.error() : decoded.error();
-        base::logEvent(
-                base::Event::JobRefused,
-                {{"job", route.rest}, {"queue", route.policy.name}, {"reason", error.message}});
+        base::logEvent(base::Event::JobRefused,
+                       {{"job", route.rest},
+                        {"queue", route.policy.name},
+                        {"code", std::to_string(static_cast<int>(error.code))},
+                        {"reason", error.message}});
         return respond(refusal(statusOf(error.code), error.code));
     }
     const scheduler::Millis limitMs =
             codec_.timeLimit(request.headers).value_or(kDefaultTimeLimitMs);
     auto submission = std::make_shared<Submission>();
-    submission->spec = std::move(decoded.value());
+    submission->id = route.rest;
+    submission->queue = route.policy.name;
     submission->value = std::move(value);
     submission->respond = std::move(respond);
-    submission->receivedAt = now.steady;
-    submission->answerBy = now.steady + std::min(limitMs, kMaxTimeLimitMs) - kResponseMarginMs;
-    const scheduler::Millis backlogMs =
-            controller_.backlogMs(layout_->cellOfJob(route.rest), route.policy.name);
-    const scheduler::Millis excessMs = lateByMs(submission->spec, route.policy, backlogMs);
-    if (excessMs > 0)
-        return refuseUnlessStored(submission, excessMs);
+    submission->receivedAt = received.steady;
+    submission->answerBy = received.steady + std::min(limitMs, kMaxTimeLimitMs) - kResponseMarginMs;
+    if (const auto refused = reasonToRefuse(decoded.value(), route.policy))
+        return refuseUnlessStored(submission, *refused);
     store(submission);
 }
 
+std::optional<Intake::Refusal> Intake::reasonToRefuse(const scheduler::JobSpec &spec,
+                                                      const scheduler::QueuePolicy &policy)
+{
+    const int cell = layout_->cellOfJob(spec.id);
+    const scheduler::Millis backlogMs = controller_.backlogMs(cell, policy.name);
+    if (const scheduler::Millis excessMs = lateByMs(spec, policy, backlogMs); excessMs > 0)
+        return Refusal{.code = base::Code::DeadlineExceeded,
+                       .reason = "backlog",
+                       .retryAfterMs = excessMs};
+    const bool hasRoom = admission_.reserve(
+            cell, controller_.jobMemory(cell), scheduler::roomHolderOf(spec.account, spec.queue),
+            scheduler::memoryFor(spec, clock_().wall), clock_().steady);
+    if (!hasRoom)
+        return Refusal{.code = base::Code::NoRoomForJob,
+                       .reason = "no room for the job",
+                       .retryAfterMs = kRoomRetryMs};
+    return std::nullopt;
+}
+
 // A job that an earlier attempt has stored runs, and its submission must not be refused.
 void Intake::refuseUnlessStored(const std::shared_ptr<Submission> &submission,
-                                scheduler::Millis retryAfterMs)
+                                const Refusal &refused)
 {
-    table_.read(rangeOf(rowsOf(submission->spec.id).jobRow(submission->spec.id)), kStoreTimeout,
-                [self = shared_from_this(), submission,
-                 retryAfterMs](const base::Result<RowPage> &page) {
-                    if (!page || !page.value().rows.empty())
-                        return self->store(submission);
-                    base::logEvent(base::Event::JobRefused,
-                                   {{"job", submission->spec.id},
-                                    {"queue", submission->spec.queue},
-                                    {"reason", "backlog"},
-                                    {"retry_after_ms", std::to_string(retryAfterMs)}});
-                    http::Response response = refusal(kUnavailable, base::Code::DeadlineExceeded);
-                    response.headers["Retry-After"] = std::to_string(std::clamp<scheduler::Millis>(
-                            (retryAfterMs + 999) / 1'000, 1, kMaxRetryAfterSeconds));
-                    submission->respond(std::move(response));
-                });
+    if (!refusalReads_.tryTake(now()))
+        return submission->respond(refusal(kOutcomeUnknown, refused.code));
+    table_.read(
+            rangeOf(rowsOf(submission->id).jobRow(submission->id)), kStoreTimeout,
+            [self = shared_from_this(), submission, refused](const base::Result<RowPage> &page) {
+                if (!page)
+                    return submission->respond(refusal(kOutcomeUnknown, page.error().code));
+                if (!page.value().rows.empty())
+                    return submission->respond(http::Response{.status = kOk});
+                base::logEvent(base::Event::JobRefused,
+                               {{"job", submission->id},
+                                {"queue", submission->queue},
+                                {"code", std::to_string(static_cast<int>(refused.code))},
+                                {"reason", refused.reason},
+                                {"retry_after_ms", std::to_string(refused.retryAfterMs)}});
+                http::Response response = refusal(kUnavailable, refused.code);
+                response.headers["Retry-After"] = std::to_string(std::clamp<scheduler::Millis>(
+                        (refused.retryAfterMs + 999) / 1'000, 1, kMaxRetryAfterSeconds));
+                submission->respond(std::move(response));
+            });
 }
 
 // The row is written only if it does not exist, so a parallel second attempt is safe. The second
@@ -229,7 +270,7 @@
     const scheduler::Millis left = submission->answerBy - clock_().steady;
     ++submission->attempts;
     ++submission->outstanding;
-    const RowKey key = rowsOf(submission->spec.id).jobRow(submission->spec.id);
+    const RowKey key = rowsOf(submission->id).jobRow(submission->id);
     const Transaction transaction{.conditions = {{.key = key, .version = 0}},
                                   .writes = {{.key = key, .value = submission->value}}};
     table_.transact(
@@ -266,15 +307,14 @@
         submission->isAnswered = true;
         // An existing row was stored by an earlier attempt of the same submission.
         base::logEvent(base::Event::JobSubmitted,
-                       {{"job", submission->spec.id},
-                        {"queue", submission->spec.queue},
+                       {{"job", submission->id},
+                        {"queue", submission->queue},
                         {"took_ms", took},
                         {"repeated", result.value().isCommitted ? "0" : "1"}});
         if (result.value().isCommitted)
-            announce(submission->spec.id,
-                     {.key = rowsOf(submission->spec.id).jobRow(submission->spec.id),
-                      .value = submission->value,
-                      .version = result.value().version});
+            announce(submission->id, {.key = rowsOf(submission->id).jobRow(submission->id),
+                                      .value = submission->value,
+                                      .version = result.value().version});
         return submission->respond(http::Response{.status = kOk});
     }
     submission->mayBeStored = submission->mayBeStored || isUnknown(result.error());
@@ -283,8 +323,8 @@
     if (submission->outstanding > 0)
         return;
     submission->isAnswered = true;
-    base::logEvent(base::Event::JobRefused, {{"job", submission->spec.id},
-                                             {"queue", submission->spec.queue},
+    base::logEvent(base::Event::JobRefused, {{"job", submission->id},
+                                             {"queue", submission->queue},
                                              {"took_ms", took},
                                              {"attempts", std::to_string(submission->attempts)},
                                              {"unknown", submission->mayBeStored ? "1" : "0"},
@@ -294,6 +334,11 @@
     submission->respond(refusal(kUnavailable, base::Code::JobNotAccepted));
 }
 
+base::TimePoint Intake::now() const
+{
+    return base::TimePoint(std::chrono::milliseconds(clock_().steady));
+}
+
 CellRows Intake::rowsOf(const std::string &id) const
 {
     return {layout_->cellOfJob(id), layout_->count()};
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -2,7 +2,9 @@
 
 #include "account_table.h"
 #include "controller_answer.h"
+#include "job_admission.h"
 
+#include <chicorywick/base/token_bucket.h>
 #include <chicorywick/entry/caller_codec.h>
 #include <chicorywick/entry/layout.h>
 #include <chicorywick/entry/route_table.h>
@@ -26,6 +28,8 @@
     std::function<std::optional<int>(const std::string &queue)> waiting;
     /// Time until a job of the queue that is submitted to the cell now can start; 0 if unknown.
     std::function<scheduler::Millis(int cell, const std::string &queue)> backlogMs;
+    /// Memory of the jobs of a cell.
+    std::function<scheduler::JobMemory(int cell)> jobMemory;
     /// Sends a stored row of a jobs table to the controller, which also reads it from the store.
     std::function<void(int cell, const Row &row)> announce;
 };
@@ -35,7 +39,8 @@
 {
 public:
     Intake(boost::asio::io_context &loop, Table &table, const CallerCodec &codec,
-           ControllerQuery controller, std::function<scheduler::Now()> clock);
+           ControllerQuery controller, std::function<scheduler::Now()> clock,
+           std::int64_t maxJobBytes);
 
     void configure(const Configuration &configuration);
 
@@ -45,11 +50,13 @@
 
 private:
     struct Submission;
+    struct Refusal;
 
     void submit(const RouteMatch &route, const scheduler::AccountPolicy *account,
                 const http::Request &request, http::Responder respond);
-    void refuseUnlessStored(const std::shared_ptr<Submission> &submission,
-                            scheduler::Millis retryAfterMs);
+    std::optional<Refusal> reasonToRefuse(const scheduler::JobSpec &spec,
+                                          const scheduler::QueuePolicy &policy);
+    void refuseUnlessStored(const std::shared_ptr<Submission> &submission, const Refusal &refused);
     void store(const std::shared_ptr<Submission> &submission);
     void retryAfter(const std::shared_ptr<Submission> &submission, std::chrono::milliseconds pause);
     void handleStored(const std::shared_ptr<Submission> &submission,
@@ -65,6 +72,7 @@
     void respondWaiting(const std::string &queue, const http::Responder &respond);
     http::Response stateResponse(scheduler::JobState state) const;
     CellRows rowsOf(const std::string &id) const;
+    base::TimePoint now() const;
     void announce(const std::string &id, const Row &row);
 
     boost::asio::io_context &loop_;
@@ -76,6 +84,8 @@
     AccountTable accounts_;
     std::optional<CellLayout> layout_;
     bool isConfigured_ = false;
+    JobAdmission admission_;
+    base::TokenBucket refusalReads_; ///< reads of the store before a submission is refused
 };
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -12,6 +12,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::int64_t kMaxJobBytes = 1'000'000;
 // The fixture has one cell.
 const CellRows kRows(0, 1);
 
@@ -63,6 +64,7 @@
     ControllerAnswer controller;
     std::optional<int> waiting;
     scheduler::Millis backlogMs = 0;
+    scheduler::JobMemory jobMemory;
     std::vector<Row> announced;
     std::shared_ptr<Intake> intake = std::make_shared<Intake>(
             loop, table, codec,
@@ -73,8 +75,9 @@
                                     },
                             .waiting = [this](const std::string &) { return waiting; },
                             .backlogMs = [this](int, const std::string &) { return backlogMs; },
+                            .jobMemory = [this](int) { return jobMemory; },
                             .announce = [this](int, const Row &row) { announced.push_back(row); }},
-            [] { return scheduler::Now{.steady = 1'000, .wall = 1'000}; });
+            [] { return scheduler::Now{.steady = 1'000, .wall = 1'000}; }, kMaxJobBytes);
 
     Fixture()
     {
@@ -432,4 +435,29 @@
     CHECK(fixture.table.rows.empty());
 }
 
+// Guards against accepted jobs that are more than the leader of their cell can hold, and against a
+// refusal of one that it holds already.
+TEST_CASE("a submission is refused once the leader has no room for its job")
+{
+    Fixture fixture;
+    REQUIRE(fixture.call("POST", "/q/a1").status == 200);
+    fixture.jobMemory = {.total = kMaxJobBytes, .byHolder = {{"queue r", kMaxJobBytes}}};
+    const auto refused = fixture.call("POST", "/q/a2");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.at("X-Result-Code") == "6008");
+    CHECK(refused.headers.at("Retry-After") == "5");
+    CHECK(!fixture.table.rows.contains(kRows.jobRow("a2")));
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
+}
+
+// Guards against one queue whose jobs take the room of all others.
+TEST_CASE("a queue that has used its part leaves room to the others")
+{
+    Fixture fixture;
+    fixture.jobMemory = {.total = 700'000, .byHolder = {{"queue r", 700'000}}};
+    CHECK(fixture.call("POST", "/q/a1").status == 503);
+    fixture.jobMemory.byHolder = {{"queue other", 700'000}};
+    CHECK(fixture.call("POST", "/q/a1").status == 200);
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -14,6 +14,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <ctime>
 
 namespace chicorywick::entry {
@@ -40,6 +41,12 @@
 // Twice the largest body that callers are allowed.
 constexpr std::size_t kMaxCallerBodyBytes = 512 * 1024;
 // Probes and metrics have no body.
+// A machine whose memory is not known counts as one with this much.
+constexpr std::int64_t kDefaultMemoryMib = 256;
+constexpr std::int64_t kBytesPerMib = 1024 * 1024;
+constexpr std::int64_t kMaxCallerBufferBytes = 40 * kBytesPerMib;
+constexpr std::int64_t kCallerBufferShare = 8;
+constexpr std::int64_t kJobMemoryShare = 4;
 constexpr http::ServerLimits kProbeLimits{
         .maxBodyBytes = 4 * 1024, .maxBufferedBytes = 1024 * 1024, .maxConnections = 100};
 
@@ -51,6 +58,21 @@
     return static_cast<scheduler::Millis>(time.tv_sec) * 1000 + time.tv_nsec / kNanosPerMilli;
 }
 
+std::int64_t memoryBytes(const NodeSettings &settings)
+{
+    return kBytesPerMib * (settings.memoryMib > 0 ? settings.memoryMib : kDefaultMemoryMib);
+}
+
+http::ServerLimits callerLimits(const NodeSettings &settings)
+{
+    const std::int64_t share =
+            std::min(memoryBytes(settings) / kCallerBufferShare, kMaxCallerBufferBytes);
+    return {.maxBodyBytes = kMaxCallerBodyBytes,
+            .maxBufferedBytes =
+                    settings.callerBufferBytes.value_or(static_cast<std::size_t>(share)),
+            .maxConnections = settings.callerConnections};
+}
+
 } // namespace
 
 scheduler::Now systemNow()
@@ -79,7 +101,9 @@
                       peers->announce(cell, row, std::move(done));
                   }))
         , relayed_(*ports.table, peers_, systemNow)
-        , intake_(std::make_shared<Intake>(loop_, relayed_, codec, controllerQuery(), systemNow))
+        , intake_(std::make_shared<Intake>(
+                  loop_, relayed_, codec, controllerQuery(), systemNow,
+                  settings_.jobMemoryBytes.value_or(memoryBytes(settings_) / kJobMemoryShare)))
         , metrics_(metrics)
         , reportTimer_(loop_)
     {}
@@ -91,9 +115,7 @@
                 [self = shared_from_this()](const http::Request &request, http::Responder respond) {
                     self->intake_->handle(request, std::move(respond));
                 },
-                http::ServerLimits{.maxBodyBytes = kMaxCallerBodyBytes,
-                                   .maxBufferedBytes = settings_.callerBufferBytes,
-                                   .maxConnections = settings_.callerConnections});
+                callerLimits(settings_));
         readiness_ = std::make_unique<http::Server>(
                 loop_,
                 [self = shared_from_this()](const http::Request &, const http::Responder &respond) {
@@ -184,6 +206,7 @@
                         [this](int cell, const std::string &queue) {
                             return cells_->backlogMs(cell, queue);
                         },
+                .jobMemory = [this](int cell) { return cells_->jobMemory(cell); },
                 .announce = [this](int cell, const Row &row) { announcer_->announce(cell, row); }};
     }
 
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -114,6 +114,8 @@
     for (const auto &[account, need] : record.accounts)
         json["accounts"][account] = {need.demand, need.smallest};
     putUnlessDefault(json, "backlog_ms", record.backlogs, Json::object());
+    putUnlessDefault(json, "job_bytes", record.jobMemory.total, 0);
+    putUnlessDefault(json, "job_bytes_by", record.jobMemory.byHolder, Json::object());
     return json.dump();
 }
 
@@ -135,6 +137,9 @@
             record.machines.shortages[pool] = {
                     .total = shortage.at(0), .urgent = shortage.at(1), .blocked = shortage.at(2)};
         record.backlogs = json.value("backlog_ms", std::map<std::string, scheduler::Millis>());
+        record.jobMemory.total = json.value("job_bytes", std::int64_t{0});
+        record.jobMemory.byHolder =
+                json.value("job_bytes_by", std::map<std::string, std::int64_t>());
         const Json accounts = json.value("accounts", Json::object());
         for (const auto &[account, need] : accounts.items())
             record.accounts[account] = {.demand = need.at(0), .smallest = need.at(1)};
--- a/packages/scheduler/include/chicorywick/scheduler/job.h
+++ b/packages/scheduler/include/chicorywick/scheduler/job.h
@@ -46,6 +46,9 @@
     bool isDone(const JobSpec &spec) const;
 };
 
+/// @brief Largest number of occurrences of a job that are open at once.
+std::size_t maxOpenOccurrences(const JobSpec &spec);
+
 /// @brief An accepted job with the state of its tasks.
 class Job
 {
@@ -91,6 +94,12 @@
     /// @brief Services on which tasks may have been started.
     std::set<std::string> services() const;
 
+    /// @brief Drops the payload of a job in a final state; no task of it starts again.
+    void dropPayload() { spec_.payload = {}; }
+
+    /// @brief Drops the steps and tasks of a job in a final state that no worker knows any more.
+    void compact();
+
     void markStarted() { hasStarted_ = true; }
     void cancel(Millis steady);
     void fail(Millis steady);
@@ -107,7 +116,6 @@
     void unblockReadySteps(Occurrence &occurrence) const;
     bool isStepReady(const Occurrence &occurrence, std::size_t step) const;
     bool isDue(std::int64_t number, Millis wall) const;
-    std::size_t maxOpenOccurrences() const;
     Occurrence &beginOccurrence(std::int64_t number);
     std::int64_t occurrenceCount() const { return spec_.repeatCount > 0 ? spec_.repeatCount : 1; }
 
--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -3,6 +3,7 @@
 #include <chicorywick/scheduler/account_rate.h>
 #include <chicorywick/scheduler/backlog_plan.h>
 #include <chicorywick/scheduler/job.h>
+#include <chicorywick/scheduler/job_memory.h>
 #include <chicorywick/scheduler/model.h>
 #include <chicorywick/scheduler/ready_queue.h>
 #include <chicorywick/scheduler/worker_orders.h>
@@ -180,6 +181,9 @@
     std::map<std::string, int> waitingJobs() const;
     std::vector<std::string> takeExpiredJobs();
 
+    /// @brief Memory of the jobs, as it was a fraction of a second ago.
+    const JobMemory &jobMemory() const;
+
     /// @brief Sets or clears a cordon reason; a worker with any reason gets no new tasks. For
     /// maintenance, perpetual tasks also move elsewhere as their disruption budgets allow.
     void setCordoned(const std::string &workerId, CordonReason reason, bool isCordoned);
@@ -211,6 +215,7 @@
     struct JobEntry
     {
         Job job;
+        JobFootprint footprint;
         std::uint64_t sequence = 0;
         bool mayHaveRuns = false;            ///< an earlier leader may have started its tasks
         std::uint64_t serviceBatch = 0;      ///< its present service is stored once this batch is
@@ -284,8 +289,9 @@
     void reportWaiting(const std::string &service, const TaskId &id, Millis waitedMs,
                        int waitingTasks) const;
 
-    void recordEndedJob(const JobEntry &entry);
+    void recordEndedJob(JobEntry &entry);
     void expireEndedJobs();
+    void compactEndedJobs();
 
     // Limits of client accounts (scheduler_accounts.cpp)
     struct AccountUse
@@ -486,6 +492,10 @@
     std::set<std::string> recurringJobs_;
     std::set<std::string> perpetualJobs_;
     std::deque<std::pair<Millis, std::string>> endedJobs_; ///< end time and id, ordered by end time
+    std::set<std::string> uncompactedJobs_;                ///< ended, with their steps and tasks
+    Millis compactedAt_ = 0;
+    mutable JobMemory jobMemory_;
+    mutable Millis jobMemoryAt_ = 0;
     std::map<std::string, std::unique_ptr<Worker>> workers_;
     /// Runs of a worker whose lease has expired, until the machine's next sign of life.
     struct Silence
--- a/packages/scheduler/src/job.cpp
+++ b/packages/scheduler/src/job.cpp
@@ -94,10 +94,10 @@
     return spec_.intervalMs == 0 || number <= (wall - spec_.firstStartWall) / spec_.intervalMs;
 }
 
-std::size_t Job::maxOpenOccurrences() const
+std::size_t maxOpenOccurrences(const JobSpec &spec)
 {
     int tasks = 0;
-    for (const StepSpec &step : spec_.steps)
+    for (const StepSpec &step : spec.steps)
         tasks += step.taskCount;
     return static_cast<std::size_t>(
             std::clamp(kMaxTasksPerJob / std::max(tasks, 1), 1, kMaxOpenOccurrences));
@@ -111,7 +111,7 @@
     std::vector<std::int64_t> begun;
     if (isTerminal(state()))
         return begun;
-    const std::size_t limit = maxOpenOccurrences();
+    const std::size_t limit = maxOpenOccurrences(spec_);
     while (begunOccurrences_ < occurrenceCount() && occurrences_.size() + unstoredEnds < limit
            && isDue(begunOccurrences_, wall)) {
         Occurrence &occurrence = beginOccurrence(begunOccurrences_);
@@ -311,6 +311,14 @@
     return services;
 }
 
+void Job::compact()
+{
+    occurrences_.clear();
+    spec_.steps = {};
+    remainingCriticalPaths_ = {};
+    dropPayload();
+}
+
 void Job::cancel(Millis steady)
 {
     if (isTerminal(state()))
--- a/packages/scheduler/src/scheduler_jobs.cpp
+++ b/packages/scheduler/src/scheduler_jobs.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr Millis kCompactionPeriodMs = 1'000;
+constexpr Millis kJobMemoryPeriodMs = 250;
+
 const char *stateName(JobState state)
 {
     switch (state) {
@@ -127,7 +130,8 @@
     const Now now = hooks_.clock();
     // The wall clocks of two machines may differ; a submission time in the future gives age 0.
     const Millis age = std::clamp<Millis>(now.wall - spec.submittedWall, 0, settings_.retentionMs);
-    auto owned = std::make_unique<JobEntry>(JobEntry{.job = Job(spec, now.steady - age)});
+    auto owned = std::make_unique<JobEntry>(
+            JobEntry{.job = Job(spec, now.steady - age), .footprint = footprintOf(spec)});
     JobEntry &entry = *owned;
     entry.sequence = nextSequence_++;
     if (progress) {
@@ -257,6 +261,7 @@
 void Scheduler::tick()
 {
     expireEndedJobs();
+    compactEndedJobs();
     for (const std::string &id : std::vector(recurringJobs_.begin(), recurringJobs_.end())) {
         JobEntry &entry = *entryOf(id);
         const std::vector<std::int64_t> begun = beginDueOccurrences(entry);
@@ -276,9 +281,11 @@
     reportWaiting();
 }
 
-void Scheduler::recordEndedJob(const JobEntry &entry)
+void Scheduler::recordEndedJob(JobEntry &entry)
 {
     const std::string &id = entry.job.spec().id;
+    entry.job.dropPayload();
+    uncompactedJobs_.insert(id);
     openJobs_.erase(id);
     recurringJobs_.erase(id);
     perpetualJobs_.erase(id);
@@ -290,11 +297,57 @@
     const Millis now = hooks_.clock().steady;
     while (!endedJobs_.empty() && now - endedJobs_.front().first > settings_.retentionMs) {
         expiredJobs_.push_back(endedJobs_.front().second);
+        uncompactedJobs_.erase(endedJobs_.front().second);
         jobs_.erase(endedJobs_.front().second);
         endedJobs_.pop_front();
     }
 }
 
+// The steps of an ended job are needed as long as a worker may run one of its tasks, also after an
+// order that it executes late.
+void Scheduler::compactEndedJobs()
+{
+    const Millis now = hooks_.clock().steady;
+    if (uncompactedJobs_.empty() || now - compactedAt_ < kCompactionPeriodMs)
+        return;
+    compactedAt_ = now;
+    std::set<std::string> onWorkers;
+    for (const auto &[id, worker] : workers_) {
+        for (const std::set<TaskId> *tasks :
+             {&worker->tasks, &worker->startingTasks, &worker->trialTasks, &worker->inheritedTasks})
+            for (const TaskId &task : *tasks)
+                onWorkers.insert(task.job);
+        for (const auto &[key, run] : worker->unassigned)
+            onWorkers.insert(key.first.job);
+    }
+    std::erase_if(uncompactedJobs_, [&](const std::string &id) {
+        JobEntry &entry = *entryOf(id);
+        if (onWorkers.contains(id) || now - entry.job.endedSteady() < kMaxOrderDelayMs)
+            return false;
+        entry.job.compact();
+        entry.footprint = footprintOf(entry.job.spec());
+        return true;
+    });
+}
+
+const JobMemory &Scheduler::jobMemory() const
+{
+    const Millis now = hooks_.clock().steady;
+    if (jobMemoryAt_ != 0 && now - jobMemoryAt_ < kJobMemoryPeriodMs)
+        return jobMemory_;
+    jobMemoryAt_ = now;
+    jobMemory_ = {};
+    for (const auto &[id, entry] : jobs_) {
+        const JobSpec &spec = entry->job.spec();
+        const std::int64_t bytes = entry->footprint.jobBytes
+                                   + static_cast<std::int64_t>(entry->job.occurrences().size())
+                                             * entry->footprint.occurrenceBytes;
+        jobMemory_.total += bytes;
+        jobMemory_.byHolder[roomHolderOf(spec.account, spec.queue)] += bytes;
+    }
+    return jobMemory_;
+}
+
 std::vector<std::string> Scheduler::takeDirtyJobs()
 {
     std::vector<std::string> taken(dirty_.begin(), dirty_.end());
--- a/tests/hosted/hosted_hostile_job_test.cpp
+++ b/tests/hosted/hosted_hostile_job_test.cpp
@@ -88,6 +88,38 @@
     limited.check();
 }
 
+// Guards against a leader that holds an unbounded number of jobs which cannot start.
+TEST_CASE("jobs that never start do not exhaust a leader")
+{
+    LimitedDeployment limited(kJobBounds);
+    const std::string step = R"({"count":1,"cpu":1000,"requires":"none"})";
+    std::string body = R"({"spec":")" + std::string(4'000, 'x') + R"(","steps":[)" + step;
+    for (int number = 1; number < 150; ++number)
+        body += "," + step;
+    body += "]}";
+    const int accepted = submitJobs(limited.deployment(), "stuck", 400, body);
+    CHECK(accepted > 0);
+    CHECK(accepted < 400);
+    // Callers of the queue whose jobs are small still find room.
+    limited.check();
+}
+
+// Guards against ended jobs that keep the memory of open ones while their state is kept.
+TEST_CASE("cancelled jobs do not exhaust a leader")
+{
+    LimitedDeployment limited(kJobBounds);
+    std::string body = R"({"spec":")" + std::string(4'000, 'x') + R"(","steps":[{"count":1})";
+    for (int number = 1; number < 150; ++number)
+        body += R"(,{"count":60})";
+    body += "]}";
+    for (int job = 0; job < 300; ++job) {
+        const std::string id = "gone" + std::to_string(job);
+        limited.deployment().submitText(0, id, body);
+        limited.deployment().cancel(0, id);
+    }
+    limited.check();
+}
+
 // Guards against dependencies that cost a leader more memory and time than they have bytes.
 TEST_CASE("jobs with many dependencies do not exhaust a leader")
 {
