Limit the store calls that requests for unknown jobs take

What callers saw: 20,000 cancellations of unknown jobs cost as many reads and writes of the store, whose rates all callers share. Cause: each request for a job that its leader does not know read the store, twice for a state, and each cancellation left a row. Change: token buckets of each instance for reads that find no job (50 a second, 200 at once) and for cancellations without a stored job (20 a second, 100 at once). Reads that find their job, or end in an outage, are returned. New metric chicorywick_refused_requests_total. Why it works: what unknown jobs cost is bounded by time, not by the number of requests. Ruled out: no row for an unknown job's cancellation, because its submission may be carried out later and must not run then.

--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -45,8 +45,12 @@
 constexpr scheduler::Millis kMaxRetryAfterSeconds = 10;
 // Room becomes free as jobs end.
 constexpr scheduler::Millis kRoomRetryMs = 5'000;
-// All instances share the calls of the store.
+// All instances share the calls of the store, some of which must be left for jobs that exist. A
+// state takes two reads, a cancellation a read and a write whose row stays for minutes.
+constexpr base::TokenBucketLimits kLookups{.tokensPerSecond = 50, .burst = 200};
 constexpr base::TokenBucketLimits kRefusalReads{.tokensPerSecond = 100, .burst = 400};
+constexpr base::TokenBucketLimits kUnknownCancellations{.tokensPerSecond = 20, .burst = 100};
+constexpr double kReadsOfState = 2;
 constexpr std::size_t kMaxIdLength = 64;
 constexpr const char *kCancelValue = "{}";
 
@@ -72,6 +76,15 @@
     return code == base::Code::InputTooLarge ? kPayloadTooLarge : kBadRequest;
 }
 
+// The request would take calls of the store that jobs which exist need.
+http::Response refuseUnknownJob(const std::string &id)
+{
+    constexpr base::Code kCode = base::Code::RateLimited;
+    base::logEvent(base::Event::RequestRefused,
+                   {{"job", id}, {"code", std::to_string(static_cast<int>(kCode))}});
+    return refusal(kUnavailable, kCode);
+}
+
 http::Response refuseKey(const RouteMatch &route, base::Code code)
 {
     base::logEvent(base::Event::ApiKeyRefused, {{"queue", route.policy.name},
@@ -134,7 +147,9 @@
     , controller_(std::move(controller))
     , clock_(std::move(clock))
     , admission_(maxJobBytes)
+    , lookups_(kLookups)
     , refusalReads_(kRefusalReads)
+    , cancellations_(kUnknownCancellations)
 {}
 
 void Intake::configure(const Configuration &configuration)
@@ -334,6 +349,13 @@
     submission->respond(refusal(kUnavailable, base::Code::JobNotAccepted));
 }
 
+// A read that has found its job, or that an outage has ended, is not spent on an unknown one.
+void Intake::returnLookup(double reads, base::Code failure)
+{
+    if (failure != base::Code::RateLimited)
+        lookups_.deposit(reads);
+}
+
 base::TimePoint Intake::now() const
 {
     return base::TimePoint(std::chrono::milliseconds(clock_().steady));
@@ -360,6 +382,8 @@
                       [self = shared_from_this(), id, respond](const ControllerAnswer &answer) {
                           if (answer.isAnswered && answer.state)
                               return respond(self->stateResponse(*answer.state));
+                          if (!self->lookups_.tryTake(self->now(), kReadsOfState))
+                              return respond(refuseUnknownJob(id));
                           self->readState(id, respond);
                       });
 }
@@ -369,12 +393,17 @@
 {
     table_.read(rangeOf(rowsOf(id).progressRow(id)), kStoreTimeout,
                 [self = shared_from_this(), id, respond](const base::Result<RowPage> &page) {
-                    if (!page)
+                    if (!page) {
+                        self->returnLookup(kReadsOfState, page.error().code);
                         return respond(refusal(kUnavailable, page.error().code));
+                    }
                     for (const Row &row : page.value().rows)
-                        if (const auto progress = decodeProgress(row.value))
+                        if (const auto progress = decodeProgress(row.value)) {
+                            self->returnLookup(kReadsOfState);
                             return respond(self->stateResponse(progress.value().state));
+                        }
                     self->ifJobExists(id, respond, [self, respond] {
+                        self->returnLookup(kReadsOfState);
                         respond(self->stateResponse(scheduler::JobState::Pending));
                     });
                 });
@@ -400,14 +429,35 @@
 {
     // The account may be gone from the configuration when the store answers.
     const std::string caller = account != nullptr ? account->name : std::string();
+    if (lookups_.tryTake(now()))
+        return readForCancellation(id, caller, respond);
+    controller_.state(
+            layout_->cellOfJob(id), id,
+            [self = shared_from_this(), id, caller, respond](const ControllerAnswer &answer) {
+                if (!answer.isAnswered || !answer.state)
+                    return respond(refuseUnknownJob(id));
+                self->readForCancellation(id, caller, respond);
+            });
+}
+
+void Intake::readForCancellation(const std::string &id, const std::string &account,
+                                 const http::Responder &respond)
+{
     table_.read(
             rangeOf(rowsOf(id).jobRow(id)), kStoreTimeout,
-            [self = shared_from_this(), id, caller, respond](const base::Result<RowPage> &page) {
-                if (!page)
+            [self = shared_from_this(), id, account, respond](const base::Result<RowPage> &page) {
+                if (!page) {
+                    self->returnLookup(1, page.error().code);
                     return respond(refusal(kUnavailable, page.error().code));
-                if (belongsToOther(page.value(), caller))
+                }
+                if (belongsToOther(page.value(), account))
                     return respond(refusal(kForbidden, base::Code::OtherAccount));
-                self->storeCancellation(id, !page.value().rows.empty(), 1, respond);
+                const bool isStored = !page.value().rows.empty();
+                if (isStored)
+                    self->returnLookup(1);
+                else if (!self->cancellations_.tryTake(self->now()))
+                    return respond(refuseUnknownJob(id));
+                self->storeCancellation(id, isStored, 1, respond);
             });
 }
 
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -65,6 +65,8 @@
     void readState(const std::string &id, const http::Responder &respond);
     void cancel(const std::string &id, const scheduler::AccountPolicy *account,
                 const http::Responder &respond);
+    void readForCancellation(const std::string &id, const std::string &account,
+                             const http::Responder &respond);
     void storeCancellation(const std::string &id, bool isJobStored, int attempts,
                            const http::Responder &respond);
     void ifJobExists(const std::string &id, const http::Responder &respond,
@@ -72,6 +74,7 @@
     void respondWaiting(const std::string &queue, const http::Responder &respond);
     http::Response stateResponse(scheduler::JobState state) const;
     CellRows rowsOf(const std::string &id) const;
+    void returnLookup(double reads, base::Code failure = base::Code::PlatformUnavailable);
     base::TimePoint now() const;
     void announce(const std::string &id, const Row &row);
 
@@ -85,7 +88,9 @@
     std::optional<CellLayout> layout_;
     bool isConfigured_ = false;
     JobAdmission admission_;
-    base::TokenBucket refusalReads_; ///< reads of the store before a submission is refused
+    base::TokenBucket lookups_;       ///< reads of the store for jobs that may not exist
+    base::TokenBucket refusalReads_;  ///< reads of the store before a submission is refused
+    base::TokenBucket cancellations_; ///< stored for jobs that are not stored
 };
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -88,6 +88,17 @@
         intake->setLayout(CellLayout());
     }
 
+    /// Sends a request that is answered at once.
+    int send(const std::string &method, const std::string &target)
+    {
+        int status = 0;
+        intake->handle({.method = method, .target = target, .headers = {{"host", "h:80"}}},
+                       [&](const http::Response &response) { status = response.status; });
+        loop.restart();
+        loop.poll();
+        return status;
+    }
+
     http::Response call(const std::string &method, const std::string &target,
                         const std::string &body = "work", const std::string &host = "h:80",
                         const std::string &apiKey = {})
@@ -425,16 +436,6 @@
     CHECK(fixture.call("POST", "/q/a1").status == 200);
 }
 
-// Guards against a caller that is asked to come back with what no row can hold.
-TEST_CASE("a job that is larger than a row is refused for good")
-{
-    Fixture fixture;
-    const auto refused = fixture.call("POST", "/q/a1", "many steps");
-    CHECK(refused.status == 413);
-    CHECK(refused.headers.at("X-Result-Code") == "2003");
-    CHECK(fixture.table.rows.empty());
-}
-
 // Guards against accepted jobs that are more than the leader of their cell can hold, and against a
 // refusal of one that it holds already.
 TEST_CASE("a submission is refused once the leader has no room for its job")
@@ -460,4 +461,31 @@
     CHECK(fixture.call("POST", "/q/a1").status == 200);
 }
 
+// Guards against a caller that is asked to come back with what no row can hold.
+TEST_CASE("a job that is larger than a row is refused for good")
+{
+    Fixture fixture;
+    const auto refused = fixture.call("POST", "/q/a1", "many steps");
+    CHECK(refused.status == 413);
+    CHECK(refused.headers.at("X-Result-Code") == "2003");
+    CHECK(fixture.table.rows.empty());
+}
+
+// Guards against callers that use up the reads and writes of the store for jobs that do not exist,
+// and against refusing the cancellations of those that do.
+TEST_CASE("requests for unknown jobs are limited, and those for known jobs are not")
+{
+    Fixture fixture;
+    REQUIRE(fixture.call("POST", "/q/known").status == 200);
+    fixture.controller.isAnswered = true;
+    int refused = 0;
+    for (int request = 0; request < 400; ++request)
+        refused += fixture.send("DELETE", "/q/u" + std::to_string(request)) == 503 ? 1 : 0;
+    CHECK(refused >= 300);
+    CHECK(fixture.send("GET", "/q/other") == 503);
+    fixture.controller.state = scheduler::JobState::Running;
+    CHECK(fixture.send("DELETE", "/q/known") == 200);
+    CHECK(fixture.send("GET", "/q/known") == 200);
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -128,6 +128,12 @@
                     .Name("chicorywick_closed_connections_total")
                     .Help("Connections closed or requests refused to keep a limit of a listener")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &refusedRequests =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_refused_requests_total")
+                    .Help("Requests of callers refused for their content or a limit, by result "
+                          "code; those of the store's limits have the code 0")
+                    .Register(registry);
     std::map<base::Event, prometheus::Counter *> counters;
     prometheus::Histogram &wait = waits.Add({}, kSeconds);
     prometheus::Histogram &jobsAge = jobsAges.Add({}, kSeconds);
@@ -162,6 +168,11 @@
         break;
     case base::Event::JobRefused:
         families_->refused.Observe(secondsOf(fields, "took_ms"));
+        [[fallthrough]];
+    case base::Event::RequestRefused:
+        families_->refusedRequests
+                .Add({{"code", std::to_string(static_cast<int>(numberOf(fields, "code")))}})
+                .Increment();
         break;
     case base::Event::ViewOutdated:
         families_->outdatedViews.Add({{"view", valueOf(fields, "view")}}).Increment();
