Bound the listener for peers and the cost of the metrics page

What callers saw: connections to the listener for other instances could take 40 MB and 2,000 descriptors of a process besides those of callers. Cause: it had the default limits of a server. The metrics page was written anew for each request. Change: settings peer_connections (1,200) and peer_buffer_kib (16,384); the metrics page is kept for 0.2 s. Why it works: all listeners together stay below the descriptors of the smallest machine, and count what they hold.

--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -26,6 +26,8 @@
     std::size_t callerConnections = 2'000; ///< open connections of callers
     /// Memory for requests of callers; by default an eighth of that of the machine, at most 40 MiB.
     std::optional<std::size_t> callerBufferBytes;
+    std::size_t peerConnections = 1'200; ///< open connections of other instances
+    std::size_t peerBufferBytes = 16 * 1024 * 1024;
     /// Memory for the jobs of a cell beyond which further ones are refused; by default a quarter of
     /// that of the machine.
     std::optional<std::int64_t> jobMemoryBytes;
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -47,6 +47,8 @@
 constexpr std::int64_t kMaxCallerBufferBytes = 40 * kBytesPerMib;
 constexpr std::int64_t kCallerBufferShare = 8;
 constexpr std::int64_t kJobMemoryShare = 4;
+// The page takes a millisecond to write, and its readers ask every few seconds.
+constexpr scheduler::Millis kMetricsPageAgeMs = 200;
 constexpr http::ServerLimits kProbeLimits{
         .maxBodyBytes = 4 * 1024, .maxBufferedBytes = 1024 * 1024, .maxConnections = 100};
 
@@ -130,8 +132,9 @@
                     self->applyFromPeers(text);
                 });
         peerServer_ = std::make_unique<http::Server>(
-                loop_, [self = shared_from_this()](const http::Request &request,
-                                                   const http::Responder &respond) {
+                loop_,
+                [self = shared_from_this()](const http::Request &request,
+                                            const http::Responder &respond) {
                     self->exchange_->recordSender(request);
                     if (answerConfigurationQuery(request, self->version(), self->configurationText_,
                                                  respond))
@@ -149,12 +152,14 @@
                         respond(handlePeerQuery(request, [&](int cell) {
                             return self->cells_->controllerOf(cell);
                         }));
-                });
+                },
+                http::ServerLimits{.maxBufferedBytes = settings_.peerBufferBytes,
+                                   .maxConnections = settings_.peerConnections});
         metricsServer_ = std::make_unique<http::Server>(
                 loop_,
                 [self = shared_from_this()](const http::Request &, const http::Responder &respond) {
                     respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                             .body = self->metrics_.text()});
+                             .body = self->metricsPage()});
                 },
                 kProbeLimits);
         for (const auto &[server, endpoint] :
@@ -210,6 +215,16 @@
                 .announce = [this](int cell, const Row &row) { announcer_->announce(cell, row); }};
     }
 
+    const std::string &metricsPage()
+    {
+        const scheduler::Millis now = systemNow().steady;
+        if (metricsPage_.empty() || now - metricsPageAt_ >= kMetricsPageAgeMs) {
+            metricsPage_ = metrics_.text();
+            metricsPageAt_ = now;
+        }
+        return metricsPage_;
+    }
+
     void retryAfterPause(std::function<void()> action)
     {
         auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kRetryPause);
@@ -378,6 +393,8 @@
     std::unique_ptr<http::Server> peerServer_;
     std::unique_ptr<http::Server> metricsServer_;
     const Metrics &metrics_;
+    std::string metricsPage_;
+    scheduler::Millis metricsPageAt_ = 0;
     std::optional<Configuration> configuration_;
     std::string configurationText_; ///< stored form of configuration_
     scheduler::Millis askedPeersAt_ = 0;
