Keep one job's progress from blocking that of all jobs

Cause: failed runs of perpetual tasks, which have no limit of attempts, were all stored; thousands of tasks with one failed run exceed a row as well; and 48 rows of a write could exceed the size of a call. Change: of a perpetual task only the last failed run is kept. Progress that is larger than a row leaves out lost runs: first the only ones of their tasks, then all. Writes are cut by bytes as well as by rows. Evidence: records_test: 8,000 failed tasks fit into a row, with what is done and the task that failed twice. Why it works: every write is one that the store can accept. After a change of leaders, a task whose lost run was left out may get one more attempt.

--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -72,6 +72,10 @@
 base::Result<scheduler::JobSpec> decodeJob(const std::string &text);
 
 std::string encode(const scheduler::JobProgress &progress);
+
+/// @brief Encodes progress in at most a number of bytes if possible, by leaving out failed and
+/// crashed runs: first the only ones of their tasks, then all.
+std::string encodeWithin(const scheduler::JobProgress &progress, std::size_t maxBytes);
 base::Result<scheduler::JobProgress> decodeProgress(const std::string &text);
 
 std::string encode(const std::vector<scheduler::WorkerEntry> &roster);
--- a/packages/entry/src/progress_journal.cpp
+++ b/packages/entry/src/progress_journal.cpp
@@ -21,6 +21,8 @@
 constexpr auto kMaxTimeout = 2000ms;
 // The store accepts 100 entries per call; each row needs two, a condition and a write.
 constexpr std::size_t kRowsPerWrite = 48;
+// The store accepts 1 MB per call, in which a value takes a third more than its bytes.
+constexpr std::size_t kBytesPerWrite = 600'000;
 
 } // namespace
 
@@ -74,7 +76,9 @@
         return retryLater();
     Transaction transaction;
     std::vector<std::string> ids;
-    for (auto item = unwritten_.begin(); item != unwritten_.end() && ids.size() < kRowsPerWrite;) {
+    std::size_t bytes = 0;
+    for (auto item = unwritten_.begin(); item != unwritten_.end() && ids.size() < kRowsPerWrite
+                                         && bytes + kMaxRowBytes <= kBytesPerWrite;) {
         const auto progress = scheduler_.progressOf(*item);
         if (!progress) {
             item = unwritten_.erase(item);
@@ -82,7 +86,8 @@
         }
         const RowKey key = rows_.progressRow(*item);
         transaction.conditions.push_back({.key = key, .version = versions_[*item]});
-        transaction.writes.push_back({.key = key, .value = encode(*progress)});
+        transaction.writes.push_back({.key = key, .value = encodeWithin(*progress, kMaxRowBytes)});
+        bytes += transaction.writes.back().value.size();
         ids.push_back(*item);
         ++item;
     }
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -208,6 +208,26 @@
     return json.dump();
 }
 
+std::string encodeWithin(const scheduler::JobProgress &progress, std::size_t maxBytes)
+{
+    std::string text = encode(progress);
+    if (text.size() <= maxBytes)
+        return text;
+    scheduler::JobProgress reduced = progress;
+    for (scheduler::OccurrenceProgress &open : reduced.open) {
+        std::erase_if(open.failedRuns, [](const auto &item) { return item.second.size() <= 1; });
+        std::erase_if(open.crashes, [](const auto &item) { return item.second.runs.size() <= 1; });
+    }
+    text = encode(reduced);
+    if (text.size() <= maxBytes)
+        return text;
+    for (scheduler::OccurrenceProgress &open : reduced.open) {
+        open.failedRuns.clear();
+        open.crashes.clear();
+    }
+    return encode(reduced);
+}
+
 base::Result<scheduler::JobProgress> decodeProgress(const std::string &text)
 {
     return decodeWith<scheduler::JobProgress>(text, "progress row", [](const Json &json) {
--- a/packages/entry/src/records_test.cpp
+++ b/packages/entry/src/records_test.cpp
@@ -1,4 +1,5 @@
 #include <chicorywick/entry/records.h>
+#include <chicorywick/entry/table.h>
 
 #include <doctest/doctest.h>
 
@@ -53,4 +54,23 @@
     CHECK(former.value().account.empty());
 }
 
+// Guards against progress that no row can hold, which would keep that of all jobs from being
+// stored.
+TEST_CASE("progress is reduced to the size of a row by leaving out lost runs")
+{
+    scheduler::JobProgress progress{.state = scheduler::JobState::Running, .begunOccurrences = 1};
+    scheduler::OccurrenceProgress open{.doneTasks = {{1, 2}}};
+    for (int index = 0; index < 8'000; ++index)
+        open.failedRuns[{0, index}] = {1};
+    open.failedRuns[{0, 9'000}] = {1, 2};
+    progress.open.push_back(open);
+    const std::string text = encodeWithin(progress, kMaxRowBytes);
+    CHECK(text.size() <= kMaxRowBytes);
+    const auto decoded = decodeProgress(text);
+    REQUIRE(decoded);
+    CHECK(decoded.value().open[0].doneTasks == open.doneTasks);
+    CHECK(decoded.value().open[0].failedRuns.size() == 1);
+    CHECK(decoded.value().open[0].failedRuns.at({0, 9'000}).size() == 2);
+}
+
 } // namespace chicorywick::entry
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -200,7 +200,13 @@
     Task *const task = entry.job.task(end.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
-    const bool isNew = task->failedRuns.insert(end.run).second;
+    // Perpetual tasks have no limit of attempts. Their failures would make the stored progress of
+    // the job larger than a row.
+    const bool isPerpetual = stepOf(entry.job, end.task).isPerpetual;
+    const bool isNew = !task->failedRuns.contains(end.run);
+    if (isPerpetual)
+        task->failedRuns.clear();
+    task->failedRuns.insert(end.run);
     if (isNew) {
         markDirty(end.task.job);
         recordTaskResult(worker, false, end.task.job);
