Report slow reads of the store and failed queries for the configuration

Callers got 404, 401 or an older configuration for up to 22 s (CONFIG), and the log could not tell why: it did not say how many bytes a read had brought, how long it took or what was given up with it.

A response now has a Transfer, which counts its bytes and times and can cancel its request; nothing cancels yet. An entry instance logs config.query-failed for each peer that did not answer. Watches take a WatchRequest, which carries the transfer. No decision changes.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -28,6 +28,7 @@
     PlatformUnreachable = 3001,
     PlatformRecovered = 3002,
     CommitOutcomeResolved = 3003,
+    PlatformReadSlow = 3004,
 
     // 4xxx: serving
     RequestRefused = 4001,
@@ -92,6 +93,7 @@
     AnnouncementLost = 7014,
     ApiKeyAmbiguous = 7015,
     ApiKeyRefused = 7016,
+    ConfigQueryFailed = 7017,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -33,6 +33,8 @@
          "a platform service answers again"},
         {Event::CommitOutcomeResolved, Severity::Info, "platform.commit-resolved",
          "the outcome of a commit whose answer was lost is known"},
+        {Event::PlatformReadSlow, Severity::Warning, "platform.read-slow",
+         "an answer of the store took long to transfer, or was given up after a part of it"},
         {Event::RequestRefused, Severity::Warning, "request.refused",
          "a caller's request was refused without running"},
         {Event::RequestOutcomeUnknown, Severity::Warning, "request.unknown",
@@ -133,6 +135,8 @@
          "an API key is listed more than once; it belongs to the first account that lists it"},
         {Event::ApiKeyRefused, Severity::Info, "account.key-refused",
          "a request was refused because of its API key or its account"},
+        {Event::ConfigQueryFailed, Severity::Warning, "config.query-failed",
+         "another entry instance did not send its configuration"},
 });
 
 EventWriter &eventWriter()
--- a/packages/entry/include/chicorywick/entry/metrics.h
+++ b/packages/entry/include/chicorywick/entry/metrics.h
@@ -42,7 +42,7 @@
                   Callback<TransactionResult> done) override;
     void read(const RowRange &range, std::chrono::milliseconds timeout,
               Callback<RowPage> done) override;
-    void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+    void watch(const std::string &table, const WatchRequest &request,
                Callback<RowPage> done) override;
 
 private:
--- a/packages/entry/include/chicorywick/entry/ports.h
+++ b/packages/entry/include/chicorywick/entry/ports.h
@@ -81,8 +81,7 @@
 public:
     virtual ~OperatorPort() = default;
     virtual void load(Callback<OperatorState> done) = 0;
-    virtual void watch(Version after, std::chrono::milliseconds wait,
-                       Callback<OperatorState> done) = 0;
+    virtual void watch(const WatchRequest &request, Callback<OperatorState> done) = 0;
     virtual void reportWave(std::int64_t number, bool isCompleted, Callback<bool> done) = 0;
 
     /// @brief Decodes the stored form of a configuration.
@@ -105,8 +104,7 @@
 public:
     virtual ~DiscoveryPort() = default;
     virtual void load(Callback<WorkerList> done) = 0;
-    virtual void watch(Version after, std::chrono::milliseconds wait,
-                       Callback<WorkerList> done) = 0;
+    virtual void watch(const WatchRequest &request, Callback<WorkerList> done) = 0;
 };
 
 enum class MachineState { Up, Moving, InMaintenance, Down };
--- a/packages/entry/include/chicorywick/entry/table.h
+++ b/packages/entry/include/chicorywick/entry/table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chicorywick/base/result.h>
+#include <chicorywick/http/transfer.h>
 
 #include <chrono>
 #include <cstdint>
@@ -94,6 +95,14 @@
 template <typename T>
 using Callback = std::function<void(base::Result<T>)>;
 
+/// @brief Requests the changes after a version.
+struct WatchRequest
+{
+    Version after = 0;
+    std::chrono::milliseconds wait{0}; ///< for a change if there is none
+    http::TransferPointer transfer;    ///< progress of the answer; may be null
+};
+
 /// @brief The platform's transactional table. Errors: PlatformUnavailable and RateLimited (the call
 /// had no effect), PlatformUnknownOutcome (it may have taken effect, or may still do so),
 /// HistoryUnavailable.
@@ -107,9 +116,8 @@
     virtual void read(const RowRange &range, std::chrono::milliseconds timeout,
                       Callback<RowPage> done) = 0;
 
-    /// @brief Returns the rows of a table that changed after a version, in order, as soon as there
-    /// is one.
-    virtual void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+    /// @brief Returns the changed rows of a table in order, as soon as there is one.
+    virtual void watch(const std::string &table, const WatchRequest &request,
                        Callback<RowPage> done) = 0;
 };
 
--- a/packages/entry/src/configuration_exchange.cpp
+++ b/packages/entry/src/configuration_exchange.cpp
@@ -1,5 +1,7 @@
 #include "configuration_exchange.h"
 
+#include <chicorywick/base/log_event.h>
+
 #include <algorithm>
 #include <charconv>
 #include <chrono>
@@ -57,8 +59,12 @@
                   .target = kQueryPath + std::to_string(version),
                   .headers = {{kSenderHeader, ownAddress_}}},
                  kTimeout,
-                 [self = shared_from_this(), client](const base::Result<http::Response> &response) {
+                 [self = shared_from_this(), client,
+                  chosen](const base::Result<http::Response> &response) {
                      self->isAsking_ = false;
+                     if (!response)
+                         base::logEvent(base::Event::ConfigQueryFailed,
+                                        {{"peer", chosen}, {"reason", response.error().message}});
                      if (response && response.value().status == kOk)
                          self->receive_(response.value().body);
                  });
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -136,9 +136,9 @@
               jobsTiming(settings)))
     , workersWatch_(std::make_shared<ViewWatch<WorkerList>>(
               *ports.loop,
-              [discovery = ports.discovery](Version after, std::chrono::milliseconds wait,
+              [discovery = ports.discovery](const WatchRequest &request,
                                             Callback<WorkerList> done) {
-                  discovery->watch(after, wait, std::move(done));
+                  discovery->watch(request, std::move(done));
               },
               WatchHooks<WorkerList>{
                       .clock = [clock = hooks_.clock] { return clock().steady; },
--- a/packages/entry/src/controller_fixture.h
+++ b/packages/entry/src/controller_fixture.h
@@ -102,10 +102,9 @@
         list.present.push_back(worker());
         std::exchange(held_, {})(std::move(list));
     }
-    void watch(Version /*after*/, std::chrono::milliseconds wait,
-               Callback<WorkerList> done) override
+    void watch(const WatchRequest &request, Callback<WorkerList> done) override
     {
-        if (wait.count() == 0)
+        if (request.wait.count() == 0)
             done(change);
     }
 
@@ -140,9 +139,7 @@
 {
 public:
     void load(Callback<OperatorState> /*done*/) override {}
-    void watch(Version /*after*/, std::chrono::milliseconds /*wait*/,
-               Callback<OperatorState> /*done*/) override
-    {}
+    void watch(const WatchRequest & /*request*/, Callback<OperatorState> /*done*/) override {}
     void reportWave(std::int64_t /*number*/, bool /*isCompleted*/, Callback<bool> /*done*/) override
     {}
     base::Result<Configuration> decode(const std::string & /*configurationText*/) const override
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -10,7 +10,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto kReadTimeout = 2000ms;
-constexpr auto kNoWait = 0ms;
 
 } // namespace
 
@@ -103,7 +102,7 @@
 // be known before tasks start.
 void Controller::Impl::loadNewRows()
 {
-    ports_.table->watch(rows_.jobsTable(), jobsVersion_, kNoWait,
+    ports_.table->watch(rows_.jobsTable(), {.after = jobsVersion_},
                         [self = shared_from_this(),
                          requestedAt = hooks_.clock().steady](const base::Result<RowPage> &page) {
                             if (self->isStopped_)
--- a/packages/entry/src/fake_table.h
+++ b/packages/entry/src/fake_table.h
@@ -60,14 +60,14 @@
         done(std::move(page));
     }
 
-    void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+    void watch(const std::string &table, const WatchRequest &request,
                Callback<RowPage> done) override
     {
         ++watchCalls;
-        if (wait.count() == 0 && !isSilent) {
+        if (request.wait.count() == 0 && !isSilent) {
             RowPage page{.version = version_};
             for (const auto &[key, row] : rows)
-                if (key.table == table && row.version > after)
+                if (key.table == table && row.version > request.after)
                     page.rows.push_back(row);
             std::sort(page.rows.begin(), page.rows.end(), [](const Row &left, const Row &right) {
                 return left.version < right.version;
@@ -79,7 +79,7 @@
             }
             return done(std::move(page));
         }
-        if (wait.count() > 0)
+        if (request.wait.count() > 0)
             watches.insert_or_assign(table, std::move(done));
     }
 
--- a/packages/entry/src/fleet_stand_in.h
+++ b/packages/entry/src/fleet_stand_in.h
@@ -118,15 +118,15 @@
         after(kAnswerMs, [this, done = std::move(done)] { done(listing()); });
     }
 
-    void watch(Version since, std::chrono::milliseconds wait, Callback<WorkerList> done) override
+    void watch(const WatchRequest &request, Callback<WorkerList> done) override
     {
-        const scheduler::Millis until = clock() + wait.count();
-        after(kAnswerMs, [this, since, until, done = std::move(done)] {
+        const scheduler::Millis until = clock() + request.wait.count();
+        after(kAnswerMs, [this, since = request.after, until, done = std::move(done)] {
             if (version_ > since)
                 return done(listing());
             if (clock() >= until)
                 return done(WorkerList{.version = version_});
-            watch(since, std::chrono::milliseconds(until - clock()), done);
+            watch({.after = since, .wait = std::chrono::milliseconds(until - clock())}, done);
         });
     }
 
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -92,6 +92,16 @@
                     .Name("chicorywick_store_call_seconds")
                     .Help("Duration of calls of the platform's store, by call and result")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &slowReads =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_slow_reads_total")
+                    .Help("Answers of the store that took long to transfer, by call and result")
+                    .Register(registry);
+    prometheus::Family<prometheus::Counter> &slowReadBytes =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_slow_read_bytes_total")
+                    .Help("Bytes that these answers have brought, by call and result")
+                    .Register(registry);
     prometheus::Family<prometheus::Counter> &outdatedViews =
             prometheus::BuildCounter()
                     .Name("chicorywick_outdated_views_total")
@@ -174,6 +184,13 @@
                 .Add({{"code", std::to_string(static_cast<int>(numberOf(fields, "code")))}})
                 .Increment();
         break;
+    case base::Event::PlatformReadSlow: {
+        const std::map<std::string, std::string> labels{{"call", valueOf(fields, "call")},
+                                                        {"result", valueOf(fields, "result")}};
+        families_->slowReads.Add(labels).Increment();
+        families_->slowReadBytes.Add(labels).Increment(numberOf(fields, "bytes"));
+        break;
+    }
     case base::Event::ViewOutdated:
         families_->outdatedViews.Add({{"view", valueOf(fields, "view")}}).Increment();
         break;
@@ -243,11 +260,11 @@
     store_.read(range, timeout, instrumented("read", std::move(done)));
 }
 
-void InstrumentedTable::watch(const std::string &table, Version after,
-                              std::chrono::milliseconds wait, Callback<RowPage> done)
+void InstrumentedTable::watch(const std::string &table, const WatchRequest &request,
+                              Callback<RowPage> done)
 {
     // The duration of a watch only shows how long nothing changed; its result is what matters.
-    store_.watch(table, after, wait, instrumented("watch", std::move(done)));
+    store_.watch(table, request, instrumented("watch", std::move(done)));
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/metrics_test.cpp
+++ b/packages/entry/src/metrics_test.cpp
@@ -12,6 +12,8 @@
     metrics.observe(base::Event::JobFinished, {{"state", "completed"}, {"age_ms", "1500"}});
     metrics.observe(base::Event::JobStarted, {{"waited_ms", "20"}, {"jobs_age_ms", "1200"}});
     metrics.observe(base::Event::ViewOutdated, {{"view", "workers"}, {"age_ms", "2501"}});
+    metrics.observe(base::Event::PlatformReadSlow,
+                    {{"call", "watch"}, {"result", "cancelled"}, {"bytes", "4096"}});
     metrics.observe(base::Event::PoolState,
                     {{"cell", "1"}, {"pool", "p"}, {"finite", "3"}, {"waiting_cpu", "1500"}});
     metrics.observe(base::Event::ApiKeyRefused, {{"queue", "q"}, {"code", "4016"}});
@@ -26,6 +28,8 @@
           "chicorywick_job_seconds_sum{state=\"completed\"} 1.5",
           "chicorywick_task_wait_seconds_count 1", "chicorywick_start_jobs_age_seconds_sum 1.2",
           "chicorywick_outdated_views_total{view=\"workers\"} 1",
+          "chicorywick_slow_reads_total{call=\"watch\",result=\"cancelled\"} 1",
+          "chicorywick_slow_read_bytes_total{call=\"watch\",result=\"cancelled\"} 4096",
           "chicorywick_pool_machines{cell=\"1\",pool=\"p\",use=\"finite\"} 3",
           "chicorywick_pool_cpu_cores{cell=\"1\",pool=\"p\",state=\"waiting\"} 1.5",
           "chicorywick_refused_keys_total{code=\"4016\"} 1",
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -274,9 +274,9 @@
     {
         operatorWatch_ = std::make_shared<ViewWatch<OperatorState>>(
                 loop_,
-                [operators = ports_.operators](Version after, std::chrono::milliseconds wait,
+                [operators = ports_.operators](const WatchRequest &request,
                                                Callback<OperatorState> done) {
-                    operators->watch(after, wait, std::move(done));
+                    operators->watch(request, std::move(done));
                 },
                 WatchHooks<OperatorState>{
                         .clock = [] { return systemNow().steady; },
--- a/packages/entry/src/relayed_table.cpp
+++ b/packages/entry/src/relayed_table.cpp
@@ -42,10 +42,10 @@
     store_.read(range, timeout, std::move(done));
 }
 
-void RelayedTable::watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+void RelayedTable::watch(const std::string &table, const WatchRequest &request,
                          Callback<RowPage> done)
 {
-    store_.watch(table, after, wait, std::move(done));
+    store_.watch(table, request, std::move(done));
 }
 
 } // namespace chicorywick::entry
--- a/packages/entry/src/table_watch.h
+++ b/packages/entry/src/table_watch.h
@@ -17,9 +17,9 @@
                WatchTiming timing = {})
         : ViewWatch(
                 loop,
-                [&table, name = std::move(name)](Version after, std::chrono::milliseconds wait,
+                [&table, name = std::move(name)](const WatchRequest &request,
                                                  Callback<RowPage> done) {
-                    table.watch(name, after, wait, std::move(done));
+                    table.watch(name, request, std::move(done));
                 },
                 std::move(hooks), timing)
     {}
--- a/packages/entry/src/view_watch.cpp
+++ b/packages/entry/src/view_watch.cpp
@@ -58,7 +58,7 @@
 void ViewWatch<Page>::send(std::chrono::milliseconds wait)
 {
     ++outstanding_;
-    request_(version_, wait,
+    request_({.after = version_, .wait = wait},
              [self = this->shared_from_this(), round = round_, after = version_,
               requestedAt = hooks_.clock()](const base::Result<Page> &page) {
                  --self->outstanding_;
--- a/packages/entry/src/view_watch.h
+++ b/packages/entry/src/view_watch.h
@@ -42,8 +42,7 @@
 {
 public:
     /// @brief Requests the changes after a version, and waits for one if there is none.
-    using Request =
-            std::function<void(Version after, std::chrono::milliseconds wait, Callback<Page> done)>;
+    using Request = std::function<void(const WatchRequest &request, Callback<Page> done)>;
 
     ViewWatch(boost::asio::io_context &loop, Request request, WatchHooks<Page> hooks,
               WatchTiming timing = {});
--- a/packages/entry/src/watched_table.h
+++ b/packages/entry/src/watched_table.h
@@ -50,18 +50,18 @@
             FakeTable::transact(transaction, std::chrono::milliseconds(1), [](const auto &) {});
     }
 
-    void watch(const std::string &table, Version after, std::chrono::milliseconds wait,
+    void watch(const std::string &table, const WatchRequest &request,
                Callback<RowPage> done) override
     {
         const bool hasChanged = std::any_of(rows.begin(), rows.end(), [&](const auto &item) {
-            return item.first.table == table && item.second.version > after;
+            return item.first.table == table && item.second.version > request.after;
         });
-        if (hasChanged || wait.count() <= 0)
-            return FakeTable::watch(table, after, std::chrono::milliseconds(0), std::move(done));
+        if (hasChanged || request.wait.count() <= 0)
+            return FakeTable::watch(table, {.after = request.after}, std::move(done));
         auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kPoll);
-        timer->async_wait([this, timer, table, after, wait, done](const auto &error) {
+        timer->async_wait([this, timer, table, request, done](const auto &error) {
             if (!error)
-                watch(table, after, wait - kPoll, done);
+                watch(table, {.after = request.after, .wait = request.wait - kPoll}, done);
         });
     }
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -22,8 +22,10 @@
 {
     Request request;
     SteadyTime deadline;
+    RequestOptions options;
     ResponseCallback done;
-    SendPermission permission;
+
+    bool isCancelled() const { return options.transfer && options.transfer->isCancelled(); }
 };
 
 // Uses the concrete executor type, because the default type-erased executor allocates for each
@@ -35,6 +37,8 @@
 // An idle connection is checked for closure by the peer only if it was last used at least this long
 // ago.
 constexpr std::chrono::milliseconds kValidateAfterInactivity{20};
+// Ends a response that never stalls and never ends.
+constexpr std::chrono::seconds kMaxTransferTime{60};
 
 // Serializes into one string, because Beast's message object costs several allocations and a copy
 // of the request.
@@ -105,7 +109,7 @@
 
     void connectAndSend(PendingRequest pending)
     {
-        current_.emplace(std::move(pending));
+        begin(std::move(pending));
         beast::error_code error;
         const Tcp::endpoint remote(asio::ip::make_address(pool_->origin.host, error),
                                    pool_->origin.port);
@@ -130,17 +134,31 @@
 
     void send(PendingRequest pending)
     {
-        current_.emplace(std::move(pending));
+        begin(std::move(pending));
         write();
     }
 
     void close() { stream_.close(); }
 
 private:
+    void begin(PendingRequest pending)
+    {
+        current_.emplace(std::move(pending));
+        if (const TransferPointer &transfer = current_->options.transfer)
+            transfer->abort_ = [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->stream_.cancel();
+            };
+    }
+
     // Most requests fit into the socket's send buffer and need no asynchronous write.
     void write()
     {
-        if (current_->permission && !current_->permission())
+        if (current_->isCancelled())
+            return asio::post(pool_->loop, [self = shared_from_this()] {
+                self->fail(false, "the request was cancelled");
+            });
+        if (current_->options.permission && !current_->options.permission())
             return asio::post(pool_->loop, [self = shared_from_this()] {
                 self->fail(false, "the permission to send has ended");
             });
@@ -164,10 +182,14 @@
 
     void read()
     {
+        hasProgressed_ = false;
         parser_.emplace();
         parser_->body_limit(pool_->limits.maxBodyBytes);
         readMessage(
-                stream_, buffer_, *parser_, [] { return true; },
+                stream_, buffer_, *parser_,
+                [self = shared_from_this(), isFirstWait = true]() mutable {
+                    return std::exchange(isFirstWait, false) || self->recordProgress();
+                },
                 [self = shared_from_this()](beast::error_code error) {
                     if (error)
                         return self->fail(true, error.message());
@@ -175,9 +197,37 @@
                 });
     }
 
+    // Returns false if the request has been cancelled.
+    bool recordProgress()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const RequestOptions &options = current_->options;
+        if (options.stallTimeout.count() > 0) {
+            if (!hasProgressed_)
+                transferEnd_ = now + kMaxTransferTime;
+            stream_.expires_at(std::min(now + options.stallTimeout, transferEnd_));
+        }
+        hasProgressed_ = true;
+        if (const TransferPointer transfer = options.transfer)
+            transfer->recordBytes(parser_->get().body().size(), now);
+        return !current_->isCancelled();
+    }
+
+    // The abort callback does not apply to a later request on this connection.
+    void releaseTransfer()
+    {
+        if (const TransferPointer &transfer = current_->options.transfer)
+            transfer->abort_ = {};
+    }
+
     void finish()
     {
+        releaseTransfer();
         auto message = parser_->release();
+        if (const TransferPointer &transfer = current_->options.transfer) {
+            transfer->onBegin = {};
+            transfer->recordBytes(message.body().size(), std::chrono::steady_clock::now());
+        }
         Response response{.status = static_cast<int>(message.result_int()),
                           .headers = pool_->limits.keepsHeaders ? copyHeaders(message) : Headers(),
                           .body = std::move(message.body())};
@@ -199,6 +249,7 @@
 
     void fail(bool mayHaveRun, const std::string &reason)
     {
+        releaseTransfer();
         stream_.close();
         ResponseCallback done = std::move(current_->done);
         current_.reset();
@@ -226,6 +277,14 @@
                 pool->waiting.pop_front();
                 continue;
             }
+            if (pool->waiting.front().isCancelled()) {
+                asio::post(pool->loop, [done = std::move(pool->waiting.front().done)] {
+                    done(base::makeError(base::Code::UpstreamUnreachable,
+                                         "the request was cancelled"));
+                });
+                pool->waiting.pop_front();
+                continue;
+            }
             std::shared_ptr<Connection> connection;
             while (!connection && !pool->idle.empty()) {
                 connection = std::move(pool->idle.back());
@@ -252,6 +311,8 @@
     std::string encodedRequest_;
     beast::flat_buffer buffer_{maxBufferSize(kMaxHeaderBytes)};
     std::optional<PendingRequest> current_;
+    bool hasProgressed_ = false; ///< a part of the response to current_ has arrived
+    SteadyTime transferEnd_;
     std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
 };
 
@@ -272,16 +333,23 @@
     pool_->waiting.clear();
 }
 
-void Client::send(Request request, std::chrono::milliseconds timeout, ResponseCallback done,
-                  SendPermission permission)
+void Client::send(Request request, RequestOptions options, ResponseCallback done)
 {
+    const SteadyTime deadline = std::chrono::steady_clock::now() + options.timeout;
     pool_->waiting.push_back(PendingRequest{.request = std::move(request),
-                                            .deadline = std::chrono::steady_clock::now() + timeout,
-                                            .done = std::move(done),
-                                            .permission = std::move(permission)});
+                                            .deadline = deadline,
+                                            .options = std::move(options),
+                                            .done = std::move(done)});
     Connection::sendWaiting(pool_);
 }
 
+void Client::send(Request request, std::chrono::milliseconds timeout, ResponseCallback done,
+                  SendPermission permission)
+{
+    send(std::move(request), {.timeout = timeout, .permission = std::move(permission)},
+         std::move(done));
+}
+
 const Endpoint &Client::origin() const
 {
     return pool_->origin;
