Reproduce configurations that come too late, on the code as it stands

The stand-in of the store returned one row for a key that had changed several times, and never dropped its history. The loopback proxy gets a rate for the responses of all its connections together.

--- /dev/null
+++ b/tests/hosted/hosted_large_configuration_test.cpp
@@ -0,0 +1,102 @@
+#include "hosted_deployment.h"
+#include "loopback_proxy.h"
+
+#include <doctest/doctest.h>
+
+namespace chicorywick::hosted {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kExtraRoutes = 1'400;
+constexpr std::size_t kExtraRouteBytes = 200;
+
+/// @brief A configuration with many routes and one account, whose key is the version.
+std::string largeConfiguration(int version)
+{
+    std::string routes = R"({"name":"r","host":"work.example","path_prefix":"/q/","service":"s",)"
+                         R"("max_attempts":2,"stretch":1.6,"target_completion_ms":600})";
+    for (int route = 0; route < kExtraRoutes; ++route) {
+        const std::string name = "extra-" + std::to_string(route);
+        routes += R"(,{"name":")" + name + R"(","path_prefix":"/)" + name + R"(/","host":")"
+                  + std::string(kExtraRouteBytes, 'h') + R"(.example","service":"s"})";
+    }
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
+           + R"(],"services":[{"name":"s"}],"limits":{},"tenants":[{"name":"a","api_keys":["key-)"
+           + std::to_string(version) + R"("]}]})";
+}
+
+/// @brief One entry instance that reaches the store over a link whose rate can be limited.
+struct NarrowLink
+{
+    NarrowLink()
+    {
+        deployment.onLoop([this] {
+            proxy = std::make_unique<LoopbackProxy>(deployment.loop(), deployment.storePort());
+        });
+        deployment.startDaemon(0,
+                               R"({"store":"127.0.0.1:)" + std::to_string(proxy->port()) + "\"}");
+        REQUIRE(deployment.waitUntilReady());
+    }
+    ~NarrowLink()
+    {
+        deployment.onLoop([this] { proxy.reset(); });
+    }
+    NarrowLink(const NarrowLink &) = delete;
+    NarrowLink &operator=(const NarrowLink &) = delete;
+
+    bool isInForce(int version) const
+    {
+        return deployment.submitWithKey(0, "job" + std::to_string(version),
+                                        "key-" + std::to_string(version))
+               == 200;
+    }
+    bool waitUntilInForce(int version) const
+    {
+        return e2e::waitUntil(20s, [&] { return isInForce(version); });
+    }
+    std::size_t responseBytes()
+    {
+        std::size_t bytes = 0;
+        deployment.onLoop([&] { bytes = proxy->responseBytes(); });
+        return bytes;
+    }
+
+    HostedDeployment deployment{1, 1, 9};
+    std::unique_ptr<LoopbackProxy> proxy;
+};
+
+} // namespace
+
+// Guards against reads that are given up and repeated although their answer arrives.
+TEST_CASE("a configuration that takes seconds to transfer takes effect")
+{
+    NarrowLink link;
+    link.deployment.configure(largeConfiguration(2));
+    REQUIRE(link.waitUntilInForce(2));
+    // The configuration takes about 3 s at this rate.
+    link.deployment.onLoop([&] { link.proxy->setResponseRate(160'000); });
+    link.deployment.configure(largeConfiguration(3));
+    CHECK(link.waitUntilInForce(3));
+}
+
+// Guards against an instance that falls further behind with each change while it reads the changes
+// that it has missed.
+TEST_CASE("an instance that missed many large configurations reads only the newest")
+{
+    constexpr int kMissed = 8;
+    NarrowLink link;
+    link.deployment.configure(largeConfiguration(2));
+    REQUIRE(link.waitUntilInForce(2));
+    link.deployment.onLoop([&] { link.proxy->close(); });
+    std::this_thread::sleep_for(3s);
+    for (int version = 3; version <= 2 + kMissed; ++version)
+        link.deployment.configure(largeConfiguration(version));
+    const std::size_t before = link.responseBytes();
+    link.deployment.onLoop([&] { link.proxy->listen(); });
+    CHECK(link.waitUntilInForce(2 + kMissed));
+    CHECK(link.responseBytes() - before < 3 * largeConfiguration(2).size());
+}
+
+} // namespace chicorywick::hosted
--- a/tests/hosted/hosted_store.cpp
+++ b/tests/hosted/hosted_store.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t kPageSize = 500;
+constexpr std::size_t kPageBytes = 1'000'000;
+constexpr std::chrono::seconds kHistory{20};
 
 std::string percentDecode(const std::string &text)
 {
@@ -71,15 +73,24 @@
     notifyWatches();
 }
 
-void HostedStore::write(const Key &key, Row row)
+void HostedStore::write(const Key &key, const Row &row)
 {
-    auto &keys = keysByVersion_[std::get<0>(key)];
-    Row &stored = rows_[key];
-    const auto former = keys.find(stored.version);
-    if (former != keys.end() && former->second.erase(key) > 0 && former->second.empty())
-        keys.erase(former);
-    keys[row.version].insert(key);
-    stored = std::move(row);
+    const std::string &table = std::get<0>(key);
+    dropHistory(table);
+    Change &change = changes_[table][row.version];
+    change.at = std::chrono::steady_clock::now();
+    change.rows.emplace_back(key, row);
+    rows_[key] = row;
+}
+
+void HostedStore::dropHistory(const std::string &table)
+{
+    auto &changes = changes_[table];
+    const auto oldest = std::chrono::steady_clock::now() - kHistory;
+    while (!changes.empty() && changes.begin()->second.at < oldest) {
+        droppedVersions_[table] = changes.begin()->first;
+        changes.erase(changes.begin());
+    }
 }
 
 std::string HostedStore::value(const std::string &table, const std::string &part,
@@ -171,6 +182,8 @@
 {
     const std::string table = query.at("table");
     const std::int64_t after = std::stoll(query.at("after"));
+    if (after < droppedVersions_[table])
+        return respond({.status = 410});
     const json page = changes(table, after);
     if (!page.at("rows").empty() && !faults_.areWatchesStalled)
         return respond(jsonResponse(200, page));
@@ -193,14 +206,19 @@
 {
     json rows = json::array();
     std::int64_t resumeFrom = version_;
-    const auto keys = keysByVersion_.find(table);
-    if (keys != keysByVersion_.end()) {
-        for (auto item = keys->second.upper_bound(after); item != keys->second.end(); ++item) {
-            if (rows.size() >= kPageSize)
+    std::size_t bytes = 0;
+    const auto changesOfTable = changes_.find(table);
+    if (changesOfTable != changes_.end()) {
+        const auto &versions = changesOfTable->second;
+        for (auto item = versions.upper_bound(after); item != versions.end(); ++item) {
+            for (const auto &[key, row] : item->second.rows) {
+                rows.push_back(rowJson(key, row));
+                bytes += row.value.size();
+            }
+            const bool isFull = rows.size() >= kPageSize || bytes >= kPageBytes;
+            resumeFrom = isFull ? item->first : version_;
+            if (isFull)
                 break;
-            for (const Key &key : item->second)
-                rows.push_back(rowJson(key, rows_.at(key)));
-            resumeFrom = rows.size() >= kPageSize ? item->first : version_;
         }
     }
     return {{"rows", rows}, {"row_version", resumeFrom}};
--- a/tests/hosted/hosted_store.h
+++ b/tests/hosted/hosted_store.h
@@ -5,11 +5,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <list>
 #include <map>
-#include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace chicorywick::hosted {
@@ -37,7 +38,8 @@
 };
 
 /// @brief Stand-in for the platform's metadata store with conditional transactions, range reads and
-/// watches.
+/// watches. Like the platform, a watch returns a row for each change, also of the same key, and the
+/// history of changes is dropped after a while.
 ///
 /// Not thread-safe; use it from its event loop only.
 class HostedStore
@@ -63,6 +65,12 @@
         bool isRemoved = false;
     };
     using Key = std::tuple<std::string, std::string, std::string>;
+    /// The rows that one transaction has changed.
+    struct Change
+    {
+        std::chrono::steady_clock::time_point at;
+        std::vector<std::pair<Key, Row>> rows;
+    };
     struct Watch
     {
         std::string table;
@@ -76,7 +84,8 @@
     void transact(const json &body, const http::Responder &respond);
     void read(const std::map<std::string, std::string> &query, const http::Responder &respond);
     void watch(const std::map<std::string, std::string> &query, const http::Responder &respond);
-    void write(const Key &key, Row row);
+    void write(const Key &key, const Row &row);
+    void dropHistory(const std::string &table);
 
     /// @brief The rows of a table that changed after a version, and the version to resume from.
     json changes(const std::string &table, std::int64_t after) const;
@@ -86,7 +95,8 @@
     boost::asio::io_context &loop_;
     http::Server server_;
     std::map<Key, Row> rows_;
-    std::map<std::string, std::map<std::int64_t, std::set<Key>>> keysByVersion_; ///< by table
+    std::map<std::string, std::map<std::int64_t, Change>> changes_; ///< by table and version
+    std::map<std::string, std::int64_t> droppedVersions_;           ///< newest one, by table
     std::list<std::shared_ptr<Watch>> watches_;
     std::int64_t version_ = 0;
     StoreFaults faults_;
--- a/tests/hosted/loopback_proxy.cpp
+++ b/tests/hosted/loopback_proxy.cpp
@@ -1,8 +1,10 @@
 #include "loopback_proxy.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <utility>
@@ -28,9 +30,11 @@
 class LoopbackProxy::Connection : public std::enable_shared_from_this<LoopbackProxy::Connection>
 {
 public:
-    Connection(boost::asio::io_context &loop, tcp::socket caller)
-        : caller_(std::move(caller))
-        , target_(loop)
+    Connection(LoopbackProxy &proxy, tcp::socket caller)
+        : proxy_(proxy)
+        , caller_(std::move(caller))
+        , target_(proxy.loop_)
+        , responseTimer_(proxy.loop_)
     {}
 
     void start(const tcp::endpoint &target)
@@ -51,6 +55,7 @@
         boost::system::error_code ignored;
         caller_.close(ignored);
         target_.close(ignored);
+        responseTimer_.cancel();
     }
 
 private:
@@ -61,10 +66,23 @@
                                                boost::system::error_code error, std::size_t size) {
                                            if (error)
                                                return self->close();
+                                           if (&direction == &self->responses_)
+                                               return self->writeResponse(size);
                                            self->write(direction, size);
                                        });
     }
 
+    // The proxy lives as long as its open connections.
+    void writeResponse(std::size_t size)
+    {
+        responseTimer_.expires_at(proxy_.reserveLink(size));
+        responseTimer_.async_wait(
+                [self = shared_from_this(), size](boost::system::error_code error) {
+                    if (!error)
+                        self->write(self->responses_, size);
+                });
+    }
+
     void write(Direction &direction, std::size_t size)
     {
         boost::asio::async_write(direction.to, boost::asio::buffer(direction.buffer, size),
@@ -76,8 +94,10 @@
                                  });
     }
 
+    LoopbackProxy &proxy_;
     tcp::socket caller_;
     tcp::socket target_;
+    boost::asio::steady_timer responseTimer_;
     Direction requests_{.from = caller_, .to = target_};
     Direction responses_{.from = target_, .to = caller_};
 };
@@ -106,6 +126,19 @@
     acceptor.bind(tcp::endpoint(target_.address(), port));
 }
 
+std::chrono::steady_clock::time_point LoopbackProxy::reserveLink(std::size_t bytes)
+{
+    responseBytes_ += bytes;
+    const auto now = std::chrono::steady_clock::now();
+    if (responseRate_ == 0)
+        return now;
+    const std::chrono::duration<double> passage(static_cast<double>(bytes)
+                                                / static_cast<double>(responseRate_));
+    linkFreeAt_ = std::max(linkFreeAt_, now)
+                  + std::chrono::duration_cast<std::chrono::steady_clock::duration>(passage);
+    return linkFreeAt_;
+}
+
 void LoopbackProxy::close()
 {
     ++generation_;
@@ -133,7 +166,7 @@
             return;
         if (!error) {
             std::erase_if(connections_, [](const auto &item) { return item.expired(); });
-            const auto connection = std::make_shared<Connection>(loop_, std::move(caller));
+            const auto connection = std::make_shared<Connection>(*this, std::move(caller));
             connections_.push_back(connection);
             connection->start(target_);
         }
