Wait for an answer of the store that is arriving

Cause: a read's cost is unknown to the one who repeats it. A watch was repeated 150 ms after its wait, up to four times at once, and each brought the whole configuration over the same link; all of them then reached the total time limit of 1.5 s with most of the answer received. With a change every second this never ended. Even on a sound link each change crossed it twice.

A watch is repeated only while no answer arrives (no part for 300 ms). When an answer begins, the other requests are cancelled, unless another answer still makes progress, which then cancels the newcomer; so at most one answer is transferred. After an answer that may have been cut short, the rest is requested without a wait: an answer of a single large row counted as cut short, and the view stayed old for the wait of a second.

"an answer that has more rows to follow does not make the view current" expected a waiting request for the rest; it now expects the rest itself within the same 10 ms.

Why it works: the bytes on the link per change are now one answer and at most the first parts of its repeats, so the time to get a version is bounded by its size, not by a constant.

--- a/packages/entry/include/chicorywick/entry/table.h
+++ b/packages/entry/include/chicorywick/entry/table.h
@@ -103,9 +103,10 @@
     http::TransferPointer transfer;    ///< progress of the answer; may be null
 };
 
-/// @brief The platform's transactional table. Errors: PlatformUnavailable and RateLimited (the call
-/// had no effect), PlatformUnknownOutcome (it may have taken effect, or may still do so),
-/// HistoryUnavailable.
+/// @brief The platform's transactional table. The time limit of a read applies until its answer
+/// begins; from then on, the answer is given up only if no further part arrives. Errors:
+/// PlatformUnavailable and RateLimited (the call had no effect), PlatformUnknownOutcome (it may have
+/// taken effect, or may still do so), HistoryUnavailable.
 class Table
 {
 public:
--- a/packages/entry/src/table_watch_test.cpp
+++ b/packages/entry/src/table_watch_test.cpp
@@ -126,11 +126,13 @@
 TEST_CASE("an answer that has more rows to follow does not make the view current")
 {
     Fixture fixture;
+    fixture.store("first");
+    fixture.store("rest");
     fixture.watch->resume(0);
     fixture.answer(RowPage{.hasMore = true, .version = 1});
     CHECK(fixture.watch->view().knownUntil() == 0);
-    fixture.run(10ms); // the rest is requested without a pause
-    fixture.answer(RowPage{.version = 2});
+    fixture.run(10ms); // the rest is requested without a pause and without a wait for changes
+    CHECK(fixture.rows == std::vector<std::string>{"rest"});
     CHECK(fixture.age() < 800);
 }
 
--- a/packages/entry/src/view_watch.cpp
+++ b/packages/entry/src/view_watch.cpp
@@ -10,15 +10,23 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds kNoWait = 0ms;
-// An answer takes a few milliseconds beyond the wait. A later one is lost, or its connection is
+// An answer begins a few milliseconds after the wait. A later one is lost, or its connection is
 // silent, which shows only after the time limit of the request.
 constexpr std::chrono::milliseconds kRepeatDelay = 150ms;
+// An answer that has begun and got no further part for this long is no longer waited for.
+constexpr std::chrono::milliseconds kMaxPause = 300ms;
 // A timer that is later than this shows a busy loop, in which the answer may wait to be read.
 constexpr std::chrono::milliseconds kLateTimer = 50ms;
 // Bound the calls while the store does not answer.
-constexpr int kMaxOutstanding = 4;
+constexpr std::size_t kMaxOutstanding = 4;
 constexpr int kMaxDoublings = 2;
 
+bool isArriving(const http::Transfer &transfer)
+{
+    return transfer.hasBegun()
+           && std::chrono::steady_clock::now() - transfer.progressedAt() < kMaxPause;
+}
+
 } // namespace
 
 template <typename Page>
@@ -28,12 +36,14 @@
     , hooks_(std::move(hooks))
     , timing_(timing)
     , timer_(loop)
+    , wait_(timing.wait)
 {}
 
 template <typename Page>
 void ViewWatch<Page>::resume(Version after)
 {
     version_ = after;
+    wait_ = timing_.wait;
     beginRound();
 }
 
@@ -42,67 +52,104 @@
 {
     isStopped_ = true;
     timer_.cancel();
+    cancelAll();
 }
 
 template <typename Page>
 void ViewWatch<Page>::beginRound()
 {
-    ++round_;
+    cancelAll();
     repeats_ = 0;
     hasWaitedForLoop_ = false;
-    runAfter(timing_.wait + kRepeatDelay, &ViewWatch::repeat);
-    send(timing_.wait);
+    runAfter(wait_ + kRepeatDelay, &ViewWatch::repeat);
+    send(wait_);
 }
 
 template <typename Page>
 void ViewWatch<Page>::send(std::chrono::milliseconds wait)
 {
-    ++outstanding_;
-    request_({.after = version_, .wait = wait},
-             [self = this->shared_from_this(), round = round_, after = version_,
-              requestedAt = hooks_.clock()](const base::Result<Page> &page) {
-                 --self->outstanding_;
-                 if (!self->isStopped_)
-                     self->handle(round, after, requestedAt, page);
+    const auto read = std::make_shared<Read>(Read{.requestedAt = hooks_.clock()});
+    reads_.push_back(read);
+    read->transfer->onBegin = [weak = this->weak_from_this(), begun = std::weak_ptr(read)] {
+        const auto self = weak.lock();
+        if (self && !begun.expired())
+            self->keepOneTransfer(begun.lock());
+    };
+    request_({.after = version_, .wait = wait, .transfer = read->transfer},
+             [self = this->shared_from_this(), read](const base::Result<Page> &page) {
+                 if (std::erase(self->reads_, read) > 0)
+                     self->handle(*read, page);
              });
 }
 
-// Answers can overtake each other. Rows of a version that another answer has passed must not be
-// applied: they can be older than those known.
+// Two answers would share the link, and both would take twice as long.
 template <typename Page>
-void ViewWatch<Page>::handle(std::uint64_t round, Version after, scheduler::Millis requestedAt,
-                             const base::Result<Page> &page)
+void ViewWatch<Page>::keepOneTransfer(const ReadPointer &begun)
 {
-    const bool isCurrent = round == round_;
-    if (!page) {
-        if (isCurrent)
-            handleFailure(page.error());
-        return;
-    }
-    const bool isPassed = version_ != after && page.value().version <= version_;
+    const auto isOtherArriving = [&begun](const ReadPointer &read) {
+        return read != begun && isArriving(*read->transfer);
+    };
+    if (std::any_of(reads_.begin(), reads_.end(), isOtherArriving))
+        return cancel(begun);
+    for (const ReadPointer &read : std::vector(reads_))
+        if (read != begun)
+            cancel(read);
+}
+
+template <typename Page>
+void ViewWatch<Page>::cancel(const ReadPointer &read)
+{
+    std::erase(reads_, read);
+    read->transfer->cancel();
+}
+
+template <typename Page>
+void ViewWatch<Page>::cancelAll()
+{
+    for (const ReadPointer &read : std::exchange(reads_, {}))
+        read->transfer->cancel();
+}
+
+template <typename Page>
+bool ViewWatch<Page>::isAnyArriving() const
+{
+    return std::any_of(reads_.begin(), reads_.end(),
+                       [](const ReadPointer &read) { return isArriving(*read->transfer); });
+}
+
+// The requests that an answer has overtaken are cancelled: their rows can be older than those
+// known.
+template <typename Page>
+void ViewWatch<Page>::handle(const Read &read, const base::Result<Page> &page)
+{
+    if (!page)
+        return handleFailure(page.error());
+    cancelAll();
     version_ = std::max(version_, page.value().version);
-    hooks_.onRows(isPassed ? Page() : page.value());
+    hooks_.onRows(page.value());
     if (!page.value().hasMore)
-        view_.recordAnswer(requestedAt, hooks_.clock());
-    if (!isCurrent)
-        return;
-    ++round_;
+        view_.recordAnswer(read.requestedAt, hooks_.clock());
+    // The rest of the changes has been stored already.
+    wait_ = page.value().hasMore ? kNoWait : timing_.wait;
     runAfter(page.value().hasMore ? kNoWait : timing_.pause, &ViewWatch::beginRound);
 }
 
 template <typename Page>
 void ViewWatch<Page>::handleFailure(const base::Error &error)
 {
+    const bool isHistoryLost = error.code == base::Code::HistoryUnavailable;
+    if (!isHistoryLost && isAnyArriving())
+        return;
     view_.recordFailure();
     if (hooks_.onFailure)
         hooks_.onFailure(error);
-    if (error.code != base::Code::HistoryUnavailable) {
+    if (!isHistoryLost) {
         // A repeat that is due earlier stays.
         if (timer_.expiry() > std::chrono::steady_clock::now() + kRepeatDelay)
             runAfter(kRepeatDelay, &ViewWatch::repeat);
         return;
     }
-    ++round_;
+    cancelAll();
     timer_.cancel();
     hooks_.onHistoryLost();
 }
@@ -113,8 +160,10 @@
     const bool isLoopBusy = std::chrono::steady_clock::now() - timer_.expiry() > kLateTimer;
     if (isLoopBusy && !std::exchange(hasWaitedForLoop_, true))
         return runAfter(kRepeatDelay, &ViewWatch::repeat);
+    if (isAnyArriving())
+        return runAfter(kRepeatDelay, &ViewWatch::repeat);
     runAfter(kRepeatDelay * (1 << std::min(repeats_++, kMaxDoublings)), &ViewWatch::repeat);
-    if (outstanding_ < kMaxOutstanding)
+    if (reads_.size() < kMaxOutstanding)
         send(kNoWait);
 }
 
--- a/packages/entry/src/view_watch.h
+++ b/packages/entry/src/view_watch.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace chicorywick::entry {
 
@@ -36,7 +37,8 @@
 };
 
 /// @brief Follows the changes of stored rows, and tells up to when all of them are known. A request
-/// whose answer is late is repeated on another connection.
+/// without a sign of its answer is repeated on another connection; once an answer arrives, the
+/// other requests are cancelled.
 template <typename Page>
 class ViewWatch : public std::enable_shared_from_this<ViewWatch<Page>>
 {
@@ -60,10 +62,20 @@
     const ViewAge &view() const { return view_; }
 
 private:
+    struct Read
+    {
+        scheduler::Millis requestedAt = 0;
+        http::TransferPointer transfer = std::make_shared<http::Transfer>();
+    };
+    using ReadPointer = std::shared_ptr<Read>;
+
     void beginRound();
     void send(std::chrono::milliseconds wait);
-    void handle(std::uint64_t round, Version after, scheduler::Millis requestedAt,
-                const base::Result<Page> &page);
+    void keepOneTransfer(const ReadPointer &begun);
+    void cancel(const ReadPointer &read);
+    void cancelAll();
+    bool isAnyArriving() const;
+    void handle(const Read &read, const base::Result<Page> &page);
     void handleFailure(const base::Error &error);
     void runAfter(std::chrono::milliseconds delay, void (ViewWatch::*action)());
     void repeat();
@@ -74,10 +86,10 @@
     boost::asio::steady_timer timer_;
     ViewAge view_;
     Version version_ = 0;
-    std::uint64_t round_ = 0; ///< increases with each answer
-    int repeats_ = 0;         ///< in this round
+    std::chrono::milliseconds wait_; ///< of the round's first request
+    std::vector<ReadPointer> reads_; ///< of this round, without an answer
+    int repeats_ = 0;                ///< in this round
     bool hasWaitedForLoop_ = false;
-    int outstanding_ = 0; ///< requests without an answer, of all rounds
     std::uint64_t actions_ = 0;
     bool isStopped_ = false;
 };
