Fetch a large configuration from peers, and tell how old it is

Callers of instances that the store rejected got an older configuration for 13 to 20 s (CONFIG) although other instances had the newer one.

Cause: a query had 400 ms for connection and answer, while a transfer over a narrow or busy link takes longer; it then failed each time and cost the peer's link as much as a success. The peer was chosen blindly among those that the store rejected too, and an answer without news told nothing, so an instance could not know whether it lagged.

They tell how long ago the peer's configuration was last known to be the newest, and the instance knows as much from then on. An instance asks while its configuration was last known to be the newest 1.5 s ago (0.5 s while the store rejects it, 3 s while an answer of the store arrives), one peer at a time.

--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -30,7 +30,10 @@
 constexpr scheduler::Millis kStoreUnreachableMs = 2'500;
 // A watch without changes is answered after its wait; the rest is for the way of the answer.
 constexpr scheduler::Millis kConfigurationOverdueMs = 1'500;
-constexpr scheduler::Millis kAskPeersPeriodMs = 500;
+// While the store rejects this instance, peers are asked without waiting for its next answer.
+constexpr scheduler::Millis kPeerConfigurationOverdueMs = 500;
+// An answer of the store that arrives is waited for until then.
+constexpr scheduler::Millis kSlowConfigurationMs = 3'000;
 // The load balancer removes a daemon after two failed probes, one second apart. Requests arrive
 // until then, and on open connections even later.
 constexpr scheduler::Millis kReadinessDrainMs = 2'600;
@@ -127,16 +130,19 @@
                 kProbeLimits);
         exchange_ = std::make_shared<ConfigurationExchange>(
                 loop_, peerAddress_, base::hash64(incarnation_),
-                [self = shared_from_this()](const std::string &text) {
-                    self->applyFromPeers(text);
-                });
+                ConfigurationExchangeHooks{
+                        .clock = [] { return systemNow().steady; },
+                        .onAnswer =
+                                [self = shared_from_this()](const PeerConfiguration &answer) {
+                                    self->applyFromPeers(answer);
+                                }});
         peerServer_ = std::make_unique<http::Server>(
                 loop_,
                 [self = shared_from_this()](const http::Request &request,
                                             const http::Responder &respond) {
                     self->exchange_->recordSender(request);
-                    if (answerConfigurationQuery(request, self->version(), self->configurationText_,
-                                                 respond))
+                    if (answerConfigurationQuery(request, self->sharedConfiguration_,
+                                                 self->configurationAgeMs(), respond))
                         return;
                     if (const auto yieldRequest = parseYieldRequest(request)) {
                         self->cells_->handleYieldRequest(*yieldRequest);
@@ -288,29 +294,45 @@
 
     std::int64_t version() const { return configuration_ ? configuration_->version : 0; }
 
+    /// Time since the configuration in force was last known to be the newest.
+    std::optional<scheduler::Millis> configurationAgeMs() const
+    {
+        const scheduler::Millis knownUntil =
+                std::max(operatorWatch_->view().knownUntil(), knownFromPeersUntil_);
+        if (!configuration_ || knownUntil == 0)
+            return std::nullopt;
+        return systemNow().steady - knownUntil;
+    }
+
     // The store may reject this instance and serve the others, which then know newer versions.
     void askPeersIfOverdue()
     {
-        const scheduler::Millis now = systemNow().steady;
-        const bool isOverdue =
-                isStoreUnreachable_ || now - storeAnsweredAt_ > kConfigurationOverdueMs;
-        if (!isOverdue || now - askedPeersAt_ < kAskPeersPeriodMs)
-            return;
-        askedPeersAt_ = now;
-        exchange_->ask(version(), peers_->leaderAddresses());
+        const auto ageMs = configurationAgeMs();
+        scheduler::Millis limitMs = kConfigurationOverdueMs;
+        if (isStoreUnreachable_)
+            limitMs = kPeerConfigurationOverdueMs;
+        else if (operatorWatch_->isAnyArriving())
+            limitMs = kSlowConfigurationMs;
+        if (!ageMs || *ageMs > limitMs)
+            exchange_->ask(version(), peers_->leaderAddresses());
     }
 
-    void applyFromPeers(const std::string &text)
+    void applyFromPeers(const PeerConfiguration &answer)
     {
-        const auto configuration = ports_.operators->decode(text);
-        if (!configuration)
-            return base::logEvent(base::Event::ConfigRefused,
-                                  {{"reason", configuration.error().message}});
-        if (configuration.value().version <= version())
-            return;
-        base::logEvent(base::Event::ConfigFromPeers,
-                       {{"version", std::to_string(configuration.value().version)}});
-        apply({.configuration = configuration.value(), .configurationText = text});
+        if (answer.text) {
+            const auto configuration = ports_.operators->decode(*answer.text);
+            if (!configuration)
+                return base::logEvent(base::Event::ConfigRefused,
+                                      {{"reason", configuration.error().message}});
+            const std::int64_t newVersion = configuration.value().version;
+            if (newVersion > version())
+                base::logEvent(base::Event::ConfigFromPeers,
+                               {{"version", std::to_string(newVersion)},
+                                {"former", std::to_string(version())},
+                                {"bytes", std::to_string(answer.text->size())}});
+            apply({.configuration = configuration.value(), .configurationText = *answer.text});
+        }
+        knownFromPeersUntil_ = std::max(knownFromPeersUntil_, answer.knownUntil);
     }
 
     void apply(const OperatorState &state)
@@ -323,7 +345,7 @@
         if (!next || (configuration_ && next->version <= configuration_->version))
             return;
         configuration_ = next;
-        configurationText_ = state.configurationText;
+        sharedConfiguration_.set(next->version, state.configurationText);
         intake_->configure(*next);
         cells_->configure(*next);
         base::logEvent(base::Event::ConfigApplied,
@@ -372,8 +394,8 @@
     std::string metricsPage_;
     scheduler::Millis metricsPageAt_ = 0;
     std::optional<Configuration> configuration_;
-    std::string configurationText_; ///< stored form of configuration_
-    scheduler::Millis askedPeersAt_ = 0;
+    SharedConfiguration sharedConfiguration_; ///< configuration_ for peers
+    scheduler::Millis knownFromPeersUntil_ = 0;
     std::map<std::int64_t, WaveRequest> waves_;
     std::shared_ptr<ViewWatch<OperatorState>> operatorWatch_;
     ViewReport operatorReport_{"operators"};
--- a/packages/entry/src/view_watch.h
+++ b/packages/entry/src/view_watch.h
@@ -68,6 +68,9 @@
 
     const ViewAge &view() const { return view_; }
 
+    /// @brief Whether a part of an answer has arrived a moment ago, and more is to come.
+    bool isAnyArriving() const;
+
 private:
     struct Read
     {
@@ -85,7 +88,6 @@
     bool isLargerThanRows(const Read &read) const;
     void cancel(const ReadPointer &read);
     void cancelAll();
-    bool isAnyArriving() const;
     void handle(const Read &read, const base::Result<Page> &page);
     void handleLoaded(const Read &read, const Page &page);
     void handleFailure(const base::Error &error);
