Do not refuse a queue or key for good while the configuration may be old

Callers got 404 for a route, or 401 for a key, that had been added, from an instance that had not received the change (CONFIG): a final answer, although the instance could know that its configuration might be old.

Other requests are answered by the known configuration as before. The refusals are logged (request.refused) and counted by code.

--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -34,6 +34,8 @@
     scheduler::Millis maxLeaseMs = 6'000; ///< longest lease that a worker grants
     /// From an acknowledged cancellation to the last start of a task of its job.
     scheduler::Millis cancelMs = 3'000;
+    /// From an acknowledged change of the configuration until it is in force.
+    scheduler::Millis configurationDelayMs = 2'000;
     scheduler::Millis stopGraceMs = 6'000;         ///< from the stop signal to the forced kill
     scheduler::Millis statusRetentionMs = 120'000; ///< how long ended jobs stay visible
 
--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -85,6 +85,15 @@
     return refusal(kUnavailable, kCode);
 }
 
+// What the configuration lacks may have been added, and other instances may know it.
+http::Response refuseForOldConfiguration(const char *reason)
+{
+    constexpr base::Code kCode = base::Code::ConfigStale;
+    base::logEvent(base::Event::RequestRefused,
+                   {{"reason", reason}, {"code", std::to_string(static_cast<int>(kCode))}});
+    return refusal(kUnavailable, kCode);
+}
+
 http::Response refuseKey(const RouteMatch &route, base::Code code)
 {
     base::logEvent(base::Event::ApiKeyRefused, {{"queue", route.policy.name},
@@ -159,16 +168,27 @@
     isConfigured_ = true;
 }
 
+bool Intake::mayConfigurationBeOld() const
+{
+    return isConfigurationRecent_ && !isConfigurationRecent_();
+}
+
 void Intake::handle(const http::Request &request, http::Responder respond)
 {
     if (!isConfigured_ || !layout_)
         return respond(refusal(kUnavailable, base::Code::ConfigStale));
     const auto route = routes_.match(http::headerOf(request.headers, "host"), request.target);
-    if (!route)
+    if (!route) {
+        if (mayConfigurationBeOld())
+            return respond(refuseForOldConfiguration("unknown queue"));
         return respond(refusal(kNotFound, base::Code::UnknownService));
+    }
     const auto account = accounts_.identify(codec_.apiKey(request.headers), route->allowsAnonymous);
-    if (!account)
+    if (!account) {
+        if (mayConfigurationBeOld())
+            return respond(refuseForOldConfiguration("unknown key"));
         return respond(refuseKey(*route, account.error().code));
+    }
     if (route->rest.empty()) {
         if (request.method != "GET")
             return respond(refusal(kMethodNotAllowed, base::Code::UnknownMethod));
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -44,6 +44,13 @@
 
     void configure(const Configuration &configuration);
 
+    /// @brief Sets whether the configuration is known to be recent enough that a queue or API key
+    /// which it lacks does not exist. Without it, that is always so.
+    void setConfigurationCheck(std::function<bool()> isRecent)
+    {
+        isConfigurationRecent_ = std::move(isRecent);
+    }
+
     /// @brief Sets the cells. Until then no job is accepted, because its owner is not known.
     void setLayout(const CellLayout &layout) { layout_ = layout; }
     void handle(const http::Request &request, http::Responder respond);
@@ -73,6 +80,7 @@
                      const std::function<void()> &exists);
     void respondWaiting(const std::string &queue, const http::Responder &respond);
     http::Response stateResponse(scheduler::JobState state) const;
+    bool mayConfigurationBeOld() const;
     CellRows rowsOf(const std::string &id) const;
     void returnLookup(double reads, base::Code failure = base::Code::PlatformUnavailable);
     base::TimePoint now() const;
@@ -87,6 +95,7 @@
     AccountTable accounts_;
     std::optional<CellLayout> layout_;
     bool isConfigured_ = false;
+    std::function<bool()> isConfigurationRecent_;
     JobAdmission admission_;
     base::TokenBucket lookups_;       ///< reads of the store for jobs that may not exist
     base::TokenBucket refusalReads_;  ///< reads of the store before a submission is refused
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -488,4 +488,26 @@
     CHECK(fixture.send("GET", "/q/known") == 200);
 }
 
+// Guards against a refusal for good of a queue or a key that was added lately.
+TEST_CASE("an unknown queue or key is refused for good only by a recent configuration")
+{
+    Fixture fixture;
+    Configuration configuration{
+            .version = 2, .routes = {{.host = "h", .pathPrefix = "/q/", .policy = {.name = "r"}}}};
+    configuration.accounts = {ClientAccount{.policy = {.name = "a"}, .apiKeys = {"known"}}};
+    fixture.intake->configure(configuration);
+    bool isRecent = true;
+    fixture.intake->setConfigurationCheck([&isRecent] { return isRecent; });
+    CHECK(fixture.call("POST", "/new/1", "work", "h:80", "known").status == 404);
+    CHECK(fixture.call("POST", "/q/1", "work", "h:80", "new").status == 401);
+    isRecent = false;
+    for (const http::Response &response : {fixture.call("POST", "/new/1", "work", "h:80", "known"),
+                                           fixture.call("POST", "/q/1", "work", "h:80", "new")}) {
+        CHECK(response.status == 503);
+        CHECK(http::headerOf(response.headers, "X-Result-Code") == "7004");
+        CHECK(http::headerOf(response.headers, "Retry-After") == "1");
+    }
+    CHECK(fixture.call("POST", "/q/1", "work", "h:80", "known").status == 200);
+}
+
 } // namespace chicorywick::entry
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -176,6 +176,10 @@
                 return bound;
         }
         watchOperatorState();
+        intake_->setConfigurationCheck([self = shared_from_this()] {
+            const auto ageMs = self->configurationAgeMs();
+            return ageMs && *ageMs <= self->settings_.configurationDelayMs;
+        });
         reportViewAge();
         cells_->start([self = shared_from_this()](const CellLayout &layout) {
             self->intake_->setLayout(layout);
