--- a/packages/http/include/chicorywick/http/client.h
+++ b/packages/http/include/chicorywick/http/client.h
@@ -40,6 +40,8 @@
     /// Longest time without a further part of the response, for responses whose size is not known.
     /// Zero: `timeout` limits the whole response.
     std::chrono::milliseconds stallTimeout{0};
+    /// From the first part of the response to its end, if there is a stall timeout.
+    std::chrono::milliseconds transferTimeout{60'000};
     SendPermission permission; ///< may be empty
     TransferPointer transfer;  ///< reports the progress and can cancel the request; may be null
 };
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -37,8 +37,6 @@
 // An idle connection is checked for closure by the peer only if it was last used at least this long
 // ago.
 constexpr std::chrono::milliseconds kValidateAfterInactivity{20};
-// Ends a response that never stalls and never ends.
-constexpr std::chrono::seconds kMaxTransferTime{60};
 
 // Serializes into one string, because Beast's message object costs several allocations and a copy
 // of the request.
@@ -204,7 +202,7 @@
         const RequestOptions &options = current_->options;
         if (options.stallTimeout.count() > 0) {
             if (!hasProgressed_)
-                transferEnd_ = now + kMaxTransferTime;
+                transferEnd_ = now + options.transferTimeout;
             stream_.expires_at(std::min(now + options.stallTimeout, transferEnd_));
         }
         hasProgressed_ = true;
--- a/packages/http/src/transfer_test.cpp
+++ b/packages/http/src/transfer_test.cpp
@@ -54,6 +54,18 @@
     CHECK(!*fixture.result);
 }
 
+// Guards against a request that waits forever for a response without an end.
+TEST_CASE("a response that takes longer than its transfer timeout is given up")
+{
+    Fixture fixture({.parts = 100, .pause = 50ms});
+    RequestOptions options = kProgressLimits;
+    options.transferTimeout = 500ms;
+    fixture.send(options);
+    fixture.loop.run_for(2s);
+    REQUIRE(fixture.result);
+    CHECK(!*fixture.result);
+}
+
 // Guards against a longer wait for a response that never begins.
 TEST_CASE("a response that does not begin is given up at the timeout")
 {
