Export the version of the configuration in force

Nothing showed which instance lagged behind: the versions stood in the log only. chicorywick_configuration_version is compared over the instances; one below the highest lags. The text of config.from-peers no longer says that the platform is unreachable, as a slow answer is a reason too.

metrics_test covers the gauge.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -118,7 +118,7 @@
         {Event::OwnershipTaken, Severity::Info, "ownership.taken",
          "this daemon became the leader and loads the stored jobs"},
         {Event::ConfigFromPeers, Severity::Warning, "config.from-peers",
-         "the configuration came from peers because the platform is unreachable"},
+         "the configuration came from peers because the platform did not answer in time"},
         {Event::LeadershipLost, Severity::Warning, "leadership.lost",
          "this daemon no longer schedules jobs"},
         {Event::LeadershipReady, Severity::Info, "leadership.ready",
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -92,6 +92,11 @@
                     .Name("chicorywick_store_call_seconds")
                     .Help("Duration of calls of the platform's store, by call and result")
                     .Register(registry);
+    prometheus::Family<prometheus::Gauge> &configurationVersions =
+            prometheus::BuildGauge()
+                    .Name("chicorywick_configuration_version")
+                    .Help("Version of the configuration in force")
+                    .Register(registry);
     prometheus::Family<prometheus::Counter> &slowReads =
             prometheus::BuildCounter()
                     .Name("chicorywick_slow_reads_total")
@@ -145,6 +150,7 @@
                           "code; those of the store's limits have the code 0")
                     .Register(registry);
     std::map<base::Event, prometheus::Counter *> counters;
+    prometheus::Gauge &configurationVersion = configurationVersions.Add({});
     prometheus::Histogram &wait = waits.Add({}, kSeconds);
     prometheus::Histogram &jobsAge = jobsAges.Add({}, kSeconds);
     prometheus::Histogram &accepted = submissions.Add({{"outcome", "accepted"}}, kSeconds);
@@ -184,6 +190,9 @@
                 .Add({{"code", std::to_string(static_cast<int>(numberOf(fields, "code")))}})
                 .Increment();
         break;
+    case base::Event::ConfigApplied:
+        families_->configurationVersion.Set(numberOf(fields, "version"));
+        break;
     case base::Event::PlatformReadSlow: {
         const std::map<std::string, std::string> labels{{"call", valueOf(fields, "call")},
                                                         {"result", valueOf(fields, "result")}};
--- a/packages/entry/src/metrics_test.cpp
+++ b/packages/entry/src/metrics_test.cpp
@@ -12,6 +12,7 @@
     metrics.observe(base::Event::JobFinished, {{"state", "completed"}, {"age_ms", "1500"}});
     metrics.observe(base::Event::JobStarted, {{"waited_ms", "20"}, {"jobs_age_ms", "1200"}});
     metrics.observe(base::Event::ViewOutdated, {{"view", "workers"}, {"age_ms", "2501"}});
+    metrics.observe(base::Event::ConfigApplied, {{"version", "42"}});
     metrics.observe(base::Event::PlatformReadSlow,
                     {{"call", "watch"}, {"result", "cancelled"}, {"bytes", "4096"}});
     metrics.observe(base::Event::PoolState,
@@ -28,6 +29,7 @@
           "chicorywick_job_seconds_sum{state=\"completed\"} 1.5",
           "chicorywick_task_wait_seconds_count 1", "chicorywick_start_jobs_age_seconds_sum 1.2",
           "chicorywick_outdated_views_total{view=\"workers\"} 1",
+          "chicorywick_configuration_version 42",
           "chicorywick_slow_reads_total{call=\"watch\",result=\"cancelled\"} 1",
           "chicorywick_slow_read_bytes_total{call=\"watch\",result=\"cancelled\"} 4096",
           "chicorywick_pool_machines{cell=\"1\",pool=\"p\",use=\"finite\"} 3",
