Change large configurations in the soak

It checks by the gauge chicorywick_configuration_version that no instance goes back, and that the newest version is in force everywhere within 11 s (the target of docs/CAPACITY.md) after the faults.

--- a/tests/hosted/hosted_large_configuration_test.cpp
+++ b/tests/hosted/hosted_large_configuration_test.cpp
@@ -1,5 +1,7 @@
 #include "hosted_deployment.h"
+#include "large_configuration.h"
 #include "loopback_proxy.h"
+#include "soak.h"
 
 #include <doctest/doctest.h>
 
@@ -9,24 +11,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr int kExtraRoutes = 1'400;
-constexpr std::size_t kExtraRouteBytes = 200;
-
-/// @brief A configuration with many routes and one account, whose key is the version.
-std::string largeConfiguration(int version)
-{
-    std::string routes = R"({"name":"r","host":"work.example","path_prefix":"/q/","service":"s",)"
-                         R"("max_attempts":2,"stretch":1.6,"target_completion_ms":600})";
-    for (int route = 0; route < kExtraRoutes; ++route) {
-        const std::string name = "extra-" + std::to_string(route);
-        routes += R"(,{"name":")" + name + R"(","path_prefix":"/)" + name + R"(/","host":")"
-                  + std::string(kExtraRouteBytes, 'h') + R"(.example","service":"s"})";
-    }
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
-           + R"(],"services":[{"name":"s"}],"limits":{},"tenants":[{"name":"a","api_keys":["key-)"
-           + std::to_string(version) + R"("]}]})";
-}
-
 /// @brief One entry instance that reaches the store over a link whose rate can be limited.
 struct NarrowLink
 {
@@ -103,4 +87,15 @@
     CHECK(link.responseBytes() - before < 3 * largeConfiguration(2).size());
 }
 
+// Guards against an instance that stays behind, or whose configuration goes back, when cuts, narrow
+// links, kills, pauses and outages of the store overlap with frequent changes. The faults are
+// random with a fixed seed; tools/soak --configurations runs the same for longer.
+TEST_CASE("large configurations reach all instances through overlapping faults")
+{
+    const SoakReport report = runSoak({.seed = 3, .duration = 12s, .changesConfigurations = true});
+    CHECK(report.configurations > 0);
+    for (const std::string &violation : report.violations)
+        FAIL_CHECK(violation);
+}
+
 } // namespace chicorywick::hosted
--- a/tests/hosted/soak.cpp
+++ b/tests/hosted/soak.cpp
@@ -1,5 +1,6 @@
 #include "soak.h"
 
+#include "configuration_soak.h"
 #include "hosted_deployment.h"
 
 #include <chicorywick/base/rng.h>
@@ -56,6 +57,8 @@
         std::ranges::sort(crashingJobsDue_);
         if (plan.accountLimit > 0)
             configureAccount();
+        if (plan.changesConfigurations)
+            configurations_ = std::make_unique<ConfigurationSoak>(deployment_, plan.seed);
     }
 
     SoakReport run()
@@ -71,9 +74,13 @@
             submitJob();
             submitLimitedJobs();
             submitCrashingJob(Clock::now() - start);
+            if (configurations_)
+                configurations_->step(isDown_);
             std::this_thread::sleep_for(kStep);
         }
         endFaults(true);
+        if (configurations_)
+            finishConfigurations();
         awaitCompletion();
         report_.crashes = deployment_.crashes();
         for (std::string &violation : deployment_.violations())
@@ -111,6 +118,16 @@
         }
     }
 
+    void finishConfigurations()
+    {
+        if (!deployment_.waitUntilReady())
+            report_.violations.emplace_back("the daemons did not become ready after the faults");
+        configurations_->finish();
+        report_.configurations = configurations_->stored();
+        for (const std::string &violation : configurations_->violations())
+            report_.violations.push_back(violation);
+    }
+
     void submitJob()
     {
         const int daemon = static_cast<int>(rng_.below(kDaemons));
@@ -169,11 +186,19 @@
         deployment_.daemon(daemon).signal(signal);
         activeFaults_.push_back({until, [this, daemon] {
                                      deployment_.daemon(daemon).waitForExit(10s);
-                                     deployment_.startDaemon(daemon);
+                                     restartDaemon(daemon);
                                      isDown_[static_cast<std::size_t>(daemon)] = false;
                                  }});
     }
 
+    void restartDaemon(int daemon)
+    {
+        if (!configurations_)
+            return deployment_.startDaemon(daemon);
+        configurations_->forget(daemon);
+        deployment_.startDaemon(daemon, configurations_->settings(daemon));
+    }
+
     void pauseDaemon(int daemon, Clock::time_point until)
     {
         if (isDown_[static_cast<std::size_t>(daemon)])
@@ -235,6 +260,7 @@
     int submitted_ = 0;
     int submittedLimited_ = 0;
     base::Rng accountRng_{1}; ///< separate, like crashingRng_
+    std::unique_ptr<ConfigurationSoak> configurations_;
 };
 
 } // namespace
--- a/tests/hosted/soak.h
+++ b/tests/hosted/soak.h
@@ -15,6 +15,8 @@
     int crashingJobs = 0;              ///< jobs that crash each runner that starts them
     /// Tasks of a client account that may run at once, in a fleet of several cells; 0: no account.
     int accountLimit = 0;
+    /// Large configurations are stored all the time, and links to the store are cut and narrowed.
+    bool changesConfigurations = false;
 
     bool operator==(const SoakPlan &) const = default;
 };
@@ -27,6 +29,7 @@
     int acceptedCrashing = 0; ///< accepted jobs that crash their runners; not in accepted
     int crashes = 0;          ///< of runners
     int faults = 0;
+    int configurations = 0; ///< stored during the faults
     std::vector<std::string> violations;
 
     bool operator==(const SoakReport &) const = default;
