--- a/tests/hosted/configuration_soak.cpp
+++ b/tests/hosted/configuration_soak.cpp
@@ -104,10 +104,14 @@
     return version;
 }
 
-void ConfigurationSoak::finish()
+void ConfigurationSoak::restoreLinks()
 {
     for (int daemon = 0; daemon < deployment_.daemonCount(); ++daemon)
         restoreLink(daemon);
+}
+
+void ConfigurationSoak::awaitNewest()
+{
     for (int daemon = 0; daemon < deployment_.daemonCount(); ++daemon)
         if (!e2e::waitUntil(kMaxDelay, [&] { return observeVersion(daemon) == version_; }))
             violations_.push_back("daemon " + std::to_string(daemon) + " has version "
--- a/tests/hosted/configuration_soak.h
+++ b/tests/hosted/configuration_soak.h
@@ -31,8 +31,10 @@
     /// @brief Forgets the version that a daemon had in force, as it has been ended.
     void forget(int daemon) { known_[static_cast<std::size_t>(daemon)] = 0; }
 
-    /// @brief Restores the links, and waits until all daemons have the newest version in force.
-    void finish();
+    void restoreLinks();
+
+    /// @brief Waits until all daemons have the newest version in force.
+    void awaitNewest();
 
     int stored() const { return stored_; }
     const std::vector<std::string> &violations() const { return violations_; }
--- a/tests/hosted/soak.cpp
+++ b/tests/hosted/soak.cpp
@@ -120,9 +120,10 @@
 
     void finishConfigurations()
     {
+        configurations_->restoreLinks();
         if (!deployment_.waitUntilReady())
             report_.violations.emplace_back("the daemons did not become ready after the faults");
-        configurations_->finish();
+        configurations_->awaitNewest();
         report_.configurations = configurations_->stored();
         for (const std::string &violation : configurations_->violations())
             report_.violations.push_back(violation);
