--- a/tests/hosted/configuration_soak.cpp
+++ b/tests/hosted/configuration_soak.cpp
@@ -2,7 +2,7 @@
 
 #include "large_configuration.h"
 
-#include <thread>
+#include <algorithm>
 
 namespace chicorywick::hosted {
 
@@ -19,6 +19,12 @@
 constexpr auto kMaxDelay = 11s;
 const std::string kVersionMetric = "\nchicorywick_configuration_version ";
 
+std::string lastLines(const std::string &text)
+{
+    constexpr std::size_t kMaxBytes = 2'000;
+    return text.substr(text.size() - std::min(text.size(), kMaxBytes));
+}
+
 } // namespace
 
 ConfigurationSoak::ConfigurationSoak(HostedDeployment &deployment, std::uint64_t seed)
@@ -112,11 +118,15 @@
 
 void ConfigurationSoak::awaitNewest()
 {
-    for (int daemon = 0; daemon < deployment_.daemonCount(); ++daemon)
-        if (!e2e::waitUntil(kMaxDelay, [&] { return observeVersion(daemon) == version_; }))
-            violations_.push_back("daemon " + std::to_string(daemon) + " has version "
-                                  + std::to_string(known_[static_cast<std::size_t>(daemon)])
-                                  + " in force instead of " + std::to_string(version_));
+    for (int daemon = 0; daemon < deployment_.daemonCount(); ++daemon) {
+        if (e2e::waitUntil(kMaxDelay, [&] { return observeVersion(daemon) == version_; }))
+            continue;
+        const int known = known_[static_cast<std::size_t>(daemon)];
+        violations_.push_back("daemon " + std::to_string(daemon) + " has version "
+                              + std::to_string(known) + " in force instead of "
+                              + std::to_string(version_) + "; its log ends with\n"
+                              + lastLines(deployment_.daemon(daemon).output()));
+    }
 }
 
 } // namespace chicorywick::hosted
