Keep a closed proxy's connections from using it

A connection of the tests' loopback proxy refers to its proxy. A read that had completed before the proxy was closed and destroyed ran its handler afterwards and reserved the link of an object that was gone; the comment there said that this could not be. Found by reading, not seen in a run. A closed connection no longer asks the proxy. Six cases of hosted_tests that use proxies pass (25 assertions).

--- a/tests/hosted/loopback_proxy.cpp
+++ b/tests/hosted/loopback_proxy.cpp
@@ -53,6 +53,7 @@
     void close()
     {
         boost::system::error_code ignored;
+        isClosed_ = true;
         caller_.close(ignored);
         target_.close(ignored);
         responseTimer_.cancel();
@@ -72,9 +73,11 @@
                                        });
     }
 
-    // The proxy lives as long as its open connections.
+    // A read that completed before close() runs its handler afterwards, when the proxy may be gone.
     void writeResponse(std::size_t size)
     {
+        if (isClosed_)
+            return;
         responseTimer_.expires_at(proxy_.reserveLink(size));
         responseTimer_.async_wait(
                 [self = shared_from_this(), size](boost::system::error_code error) {
@@ -98,6 +101,7 @@
     tcp::socket caller_;
     tcp::socket target_;
     boost::asio::steady_timer responseTimer_;
+    bool isClosed_ = false;
     Direction requests_{.from = caller_, .to = target_};
     Direction responses_{.from = target_, .to = caller_};
 };
