Write a proxy's settings of a daemon in one place

Three tests and soaks wrote the same JSON for a daemon that reaches the store through a proxy. HostedDeployment::storeSettings() has it now. The four cases of hosted_tests that use it pass (20 assertions); no expectation changes.

--- a/tests/hosted/configuration_soak.cpp
+++ b/tests/hosted/configuration_soak.cpp
@@ -51,8 +51,7 @@
 
 std::string ConfigurationSoak::settings(int daemon) const
 {
-    const auto &link = links_[static_cast<std::size_t>(daemon)];
-    return R"({"store":"127.0.0.1:)" + std::to_string(link->port()) + "\"}";
+    return HostedDeployment::storeSettings(links_[static_cast<std::size_t>(daemon)]->port());
 }
 
 void ConfigurationSoak::step(const std::vector<bool> &isDown)
--- a/tests/hosted/hosted_account_test.cpp
+++ b/tests/hosted/hosted_account_test.cpp
@@ -29,7 +29,7 @@
     deployment.onLoop([&] {
         proxy = std::make_unique<LoopbackProxy>(deployment.loop(), deployment.storePort());
     });
-    deployment.startDaemon(1, R"({"store":"127.0.0.1:)" + std::to_string(proxy->port()) + "\"}");
+    deployment.startDaemon(1, HostedDeployment::storeSettings(proxy->port()));
     deployment.configure(configuration(2, R"([{"name":"a","api_keys":["old"]}])"));
     REQUIRE(deployment.waitUntilReady());
     for (int daemon = 0; daemon < 2; ++daemon) {
--- a/tests/hosted/hosted_deployment.h
+++ b/tests/hosted/hosted_deployment.h
@@ -80,6 +80,12 @@
     void configure(const std::string &configuration);
     std::uint16_t storePort() const { return store_.port(); }
 
+    /// @brief Extra settings of a daemon that reaches the store at another port, that of a proxy.
+    static std::string storeSettings(std::uint16_t port)
+    {
+        return R"({"store":"127.0.0.1:)" + std::to_string(port) + "\"}";
+    }
+
     /// @brief Like submit(), with an API key.
     int submitWithKey(int daemon, const std::string &id, const std::string &apiKey) const;
 
--- a/tests/hosted/hosted_large_configuration_test.cpp
+++ b/tests/hosted/hosted_large_configuration_test.cpp
@@ -19,8 +19,7 @@
         deployment.onLoop([this] {
             proxy = std::make_unique<LoopbackProxy>(deployment.loop(), deployment.storePort());
         });
-        deployment.startDaemon(0,
-                               R"({"store":"127.0.0.1:)" + std::to_string(proxy->port()) + "\"}");
+        deployment.startDaemon(0, HostedDeployment::storeSettings(proxy->port()));
         REQUIRE(deployment.waitUntilReady());
     }
     ~NarrowLink()
