Handle answers with all rows and with changes in one place

ViewWatch handled a full read in a copy of the code for changes that differed in three lines. One function does both now, and the other requests are cancelled without a copy of the list. Behaviour is the same: a full read never has more rows to follow, and its version is at least the known one when it is taken.

--- a/packages/entry/src/view_watch.cpp
+++ b/packages/entry/src/view_watch.cpp
@@ -123,9 +123,9 @@
     };
     if (std::any_of(reads_.begin(), reads_.end(), isOtherArriving))
         return cancel(begun);
-    for (const ReadPointer &read : std::vector(reads_))
+    for (const ReadPointer &read : std::exchange(reads_, {begun}))
         if (read != begun)
-            cancel(read);
+            read->transfer->cancel();
 }
 
 template <typename Page>
@@ -156,8 +156,12 @@
 {
     if (!page)
         return handleFailure(page.error());
+    if (read.isLoad && page.value().version < version_)
+        return handleFailure(base::makeError(base::Code::PlatformUnavailable,
+                                             "the answer is older than a former one"));
     if (read.isLoad)
-        return handleLoaded(read, page.value());
+        rowsBytes_ = read.transfer->bytes();
+    isLoading_ = false;
     cancelAll();
     version_ = std::max(version_, page.value().version);
     hooks_.onRows(page.value());
@@ -168,22 +172,6 @@
     runAfter(page.value().hasMore ? kNoWait : timing_.pause, &ViewWatch::beginRound);
 }
 
-template <typename Page>
-void ViewWatch<Page>::handleLoaded(const Read &read, const Page &page)
-{
-    if (page.version < version_)
-        return handleFailure(base::makeError(base::Code::PlatformUnavailable,
-                                             "the answer is older than a former one"));
-    isLoading_ = false;
-    rowsBytes_ = read.transfer->bytes();
-    version_ = page.version;
-    cancelAll();
-    hooks_.onRows(page);
-    view_.recordAnswer(read.requestedAt, hooks_.clock());
-    wait_ = timing_.wait;
-    runAfter(timing_.pause, &ViewWatch::beginRound);
-}
-
 template <typename Page>
 void ViewWatch<Page>::handleFailure(const base::Error &error)
 {
--- a/packages/entry/src/view_watch.h
+++ b/packages/entry/src/view_watch.h
@@ -89,7 +89,6 @@
     void cancel(const ReadPointer &read);
     void cancelAll();
     void handle(const Read &read, const base::Result<Page> &page);
-    void handleLoaded(const Read &read, const Page &page);
     void handleFailure(const base::Error &error);
     void runAfter(std::chrono::milliseconds delay, void (ViewWatch::*action)());
     void repeat();
