Report why a leader's machine orders wait, and until when

Callers of a peaking queue were served too little (SHORT) while machines stood idle in another pool, and no log line said that the leader held back its orders, why, or until when.

machine.orders-held and machine.orders-resumed name the reason (a former leader, a late renewal, an uncertain lease) and the time; chicorywick_machine_orders_held_seconds_total counts it by reason. No decision changes.

--- a/packages/base/include/chicorywick/base/log_event.h
+++ b/packages/base/include/chicorywick/base/log_event.h
@@ -53,6 +53,8 @@
     MachineOrdered = 5011,
     PoolState = 5012,
     MachineTransferred = 5013,
+    MachineOrdersHeld = 5014,
+    MachineOrdersResumed = 5015,
 
     // 6xxx: jobs
     JobAccepted = 6001,
--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/machine_order_hold.h>
 #include <chicorywick/entry/ports.h>
 #include <chicorywick/entry/records.h>
 #include <chicorywick/entry/table.h>
@@ -42,6 +43,8 @@
     std::function<std::vector<CellNeeds>()> otherCells = {};
     /// Time up to which all requested waves are known; empty: up to now.
     std::function<scheduler::Millis()> wavesKnownUntil = {};
+    /// Why no machine orders may be sent, for the log; empty: they always may.
+    std::function<std::optional<MachineOrderHold>()> machineOrderHold = {};
 };
 
 /// @brief Runs the scheduler of one cell during one leadership term. Loads the stored state first,
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/entry/machine_order_hold.h>
 #include <chicorywick/entry/records.h>
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/model.h>
@@ -92,6 +93,9 @@
     /// waits first.
     bool maySendMachineOrders(scheduler::Millis now) const;
 
+    /// @brief Why no machine orders may be sent; none if they may.
+    std::optional<MachineOrderHold> machineOrderHold(scheduler::Millis now) const;
+
     /// @brief The times at which isLeading() and maySendMachineOrders() end without a renewal.
     scheduler::Millis leadingUntil() const { return leaseStart_ + settings_.leaseMs; }
     scheduler::Millis machineOrdersUntil() const
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -426,6 +426,10 @@
                             [self = shared_from_this()] {
                                 return self->wavesKnownUntil_ ? self->wavesKnownUntil_()
                                                               : systemNow().steady;
+                            },
+                    .machineOrderHold =
+                            [self = shared_from_this(), &election] {
+                                return election.machineOrderHold(systemNow().steady);
                             }},
             Cell{.layout = *layout_, .number = cell}, scheduling);
     seat.controller->configure(*configuration_);
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -182,6 +182,7 @@
     , retentionMs_(settings.retentionMs)
     , jobsReport_("jobs", cell_.number, settings.maxJobsAgeMs)
     , workersReport_("workers", cell_.number)
+    , machineOrderReport_(cell_.number)
 {}
 
 void Controller::Impl::start()
@@ -355,6 +356,8 @@
     tickedAt_ = now;
     jobsReport_.update(jobsWatch_->view(), now);
     workersReport_.update(workersWatch_->view(), now);
+    if (hooks_.machineOrderHold)
+        machineOrderReport_.update(hooks_.machineOrderHold(), now);
 }
 
 void Controller::Impl::scheduleTick()
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -5,6 +5,7 @@
 #include "cancellation_index.h"
 #include "machine_inventory.h"
 #include "machine_ledger.h"
+#include "machine_order_report.h"
 #include "pool_balancer.h"
 #include "progress_journal.h"
 #include "roster_journal.h"
@@ -104,6 +105,7 @@
     Version jobsVersion_ = 0;
     ViewReport jobsReport_;
     ViewReport workersReport_;
+    MachineOrderReport machineOrderReport_;
     scheduler::Millis jobsLoadBegunAt_ = 0;
     scheduler::Millis tickedAt_ = 0;
     scheduler::Millis compactedAt_ = 0;
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -160,6 +160,18 @@
            && now - leaseStart_ < settings_.machineOrderWindowMs;
 }
 
+std::optional<MachineOrderHold> LeaderElection::machineOrderHold(scheduler::Millis now) const
+{
+    if (maySendMachineOrders(now))
+        return std::nullopt;
+    if (!isLeading(now))
+        return MachineOrderHold{.reason = MachineOrderHoldReason::NotLeading};
+    if (now < machineOrdersAllowedAt_)
+        return MachineOrderHold{.reason = MachineOrderHoldReason::FormerLeader,
+                                .until = machineOrdersAllowedAt_};
+    return MachineOrderHold{.reason = MachineOrderHoldReason::LateRenewal};
+}
+
 // The delay in which larger machines can claim first. The leader's CPU load grows with the fleet,
 // and memory is the only indicator of a machine's size that a process can read.
 scheduler::Millis LeaderElection::memoryDelay() const
--- a/packages/entry/src/leader_election_test.cpp
+++ b/packages/entry/src/leader_election_test.cpp
@@ -104,6 +104,32 @@
     CHECK(leader.term() == 1);
 }
 
+// Guards against a cell whose machines stay where they are while no log line says why.
+TEST_CASE("a leader tells why its machine orders wait")
+{
+    SharedRow row;
+    LeaderElection first("a#1", "a:1", 0);
+    LeaderElection second("b#1", "b:1", 0);
+    first.observe(0, {}, 0);
+    write(row, first, 0);
+    first.release();
+    CHECK(first.machineOrderHold(0)->reason == MachineOrderHoldReason::NotLeading);
+    write(row, first, 10);
+    second.observe(row.version, row.record, 20);
+    write(row, second, 20);
+    const ElectionSettings settings;
+    CHECK(second.machineOrderHold(30)
+          == MachineOrderHold{.reason = MachineOrderHoldReason::FormerLeader,
+                              .until = 20 + settings.machineOrderGapMs});
+    for (scheduler::Millis now = settings.renewEveryMs; now <= settings.machineOrderGapMs;
+         now += settings.renewEveryMs)
+        write(row, second, now);
+    CHECK(!second.machineOrderHold(20 + settings.machineOrderGapMs));
+    CHECK(second.machineOrderHold(settings.machineOrderGapMs + settings.machineOrderWindowMs)
+                  ->reason
+          == MachineOrderHoldReason::LateRenewal);
+}
+
 // Guards against two leaders at once. Simulates lost answers, failed writes, pauses and restarts of
 // four daemons.
 TEST_CASE("at most one daemon is leader at any time")
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -122,6 +122,11 @@
                     .Name("chicorywick_pool_cpu_cores")
                     .Help("CPU of a pool in a cell that this instance leads, by state")
                     .Register(registry);
+    prometheus::Family<prometheus::Counter> &heldMachineOrders =
+            prometheus::BuildCounter()
+                    .Name("chicorywick_machine_orders_held_seconds_total")
+                    .Help("Time for which a cell's leader sent no machine orders, by reason")
+                    .Register(registry);
     prometheus::Family<prometheus::Counter> &refusedKeys =
             prometheus::BuildCounter()
                     .Name("chicorywick_refused_keys_total")
@@ -214,6 +219,11 @@
                     .Set(numberOf(fields, std::string(state) + "_cpu") / kMillisPerCore);
         break;
     }
+    case base::Event::MachineOrdersResumed:
+        families_->heldMachineOrders
+                .Add({{"cell", valueOf(fields, "cell")}, {"reason", valueOf(fields, "reason")}})
+                .Increment(secondsOf(fields, "held_ms"));
+        break;
     case base::Event::ApiKeyRefused:
         families_->refusedKeys.Add({{"code", valueOf(fields, "code")}}).Increment();
         break;
--- a/packages/entry/src/metrics_test.cpp
+++ b/packages/entry/src/metrics_test.cpp
@@ -17,6 +17,8 @@
                     {{"call", "watch"}, {"result", "cancelled"}, {"bytes", "4096"}});
     metrics.observe(base::Event::PoolState,
                     {{"cell", "1"}, {"pool", "p"}, {"finite", "3"}, {"waiting_cpu", "1500"}});
+    metrics.observe(base::Event::MachineOrdersResumed,
+                    {{"cell", "0"}, {"reason", "former-leader"}, {"held_ms", "2500"}});
     metrics.observe(base::Event::ApiKeyRefused, {{"queue", "q"}, {"code", "4016"}});
     metrics.observe(base::Event::AccountLimited,
                     {{"account", "a"}, {"cell", "0"}, {"period_ms", "1000"}});
@@ -34,6 +36,7 @@
           "chicorywick_slow_read_bytes_total{call=\"watch\",result=\"cancelled\"} 4096",
           "chicorywick_pool_machines{cell=\"1\",pool=\"p\",use=\"finite\"} 3",
           "chicorywick_pool_cpu_cores{cell=\"1\",pool=\"p\",state=\"waiting\"} 1.5",
+          "chicorywick_machine_orders_held_seconds_total{cell=\"0\",reason=\"former-leader\"} 2.5",
           "chicorywick_refused_keys_total{code=\"4016\"} 1",
           "chicorywick_account_limited_seconds_total{account=\"a\",cell=\"0\"} 1",
           "chicorywick_backlog_jobs{service=\"s\",state=\"deferred\"} 4",
