Reserve machines in the leader row before they are ordered

Cause: two leaders' orders for one machine must be 3 s apart, and nothing told a new leader what its predecessor had ordered. The rule is about one machine; the wait was for all.

Change: a leader reserves a machine in its row before it orders it (MachineReservations, ReservingMachines). The row tells later leaders for how long to leave each named machine alone. A successor learns that by claiming the row, whatever ended its predecessor. Machines on their way to a pool are counted from the machine list, as a leader that need not wait may meet moves of its predecessor. Maintenance is planned for reserved machines only, because whether it may end tasks depends on tasks elsewhere. machineOrderGapMs stays; machineOrderWindowMs is gone. Rows of former versions hold all machines.

Why it works: an order can be sent only while a stored row names its machine, and every later row names it until its time is over, so whoever claims the row knows of it.

--- a/packages/base/src/log_event.cpp
+++ b/packages/base/src/log_event.cpp
@@ -72,7 +72,7 @@
         {Event::MachineTransferred, Severity::Info, "machine.transferred",
          "a machine belongs to another cell from now on"},
         {Event::MachineOrdersHeld, Severity::Info, "machine.orders-held",
-         "a leader sends no machine orders for the reason and the time given"},
+         "machine orders of a leader wait for the reason and the time given"},
         {Event::MachineOrdersResumed, Severity::Info, "machine.orders-resumed",
          "the reason no longer holds back machine orders"},
         {Event::JobAccepted, Severity::Info, "job.accepted", "a job is recorded"},
--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -29,22 +29,42 @@
     OperatorPort *operators = nullptr;
 };
 
+/// @brief How a leader may order machines. It reserves a machine in its row first, which tells
+/// later leaders that they must leave the machine alone for a while.
+struct MachineOrderHooks
+{
+    /// Until when earlier leaders' orders for a machine are too recent; empty: they never are.
+    std::function<scheduler::Millis(const std::string &machine)> heldUntil = {};
+
+    /// Asks for a machine; the next write of the row reserves it.
+    std::function<void(const std::string &machine)> reserve = {};
+
+    /// Until when an order that is sent to a machine now is valid; none if it must not be sent.
+    std::function<std::optional<scheduler::OrderValidity>(const std::string &machine)> validity =
+            {};
+
+    std::function<void(const std::string &machine)> recordSent = {};
+    std::function<void(const std::string &machine, MachineOrderStatus status)> recordAnswer = {};
+
+    /// Why orders wait, for the log; empty: they never do.
+    std::function<std::optional<MachineOrderHold>()> hold = {};
+
+    /// @brief Returns true if a machine may be ordered now, and asks for it otherwise.
+    bool reserveIfNeeded(const std::string &machine) const;
+};
+
 struct ControllerHooks
 {
     std::function<scheduler::Now()> clock;
     std::function<bool()> maySendOrders;
-    /// False while a previous leader may have sent a machine order recently.
-    std::function<bool()> maySendMachineOrders;
     /// Until when an order that is allowed now may be sent.
     std::function<scheduler::OrderValidity()> orderValidity;
-    std::function<scheduler::OrderValidity()> machineOrderValidity;
     std::function<void()> onFenced;
     /// Machines that the other cells lack or can lend, of those with a leader; empty: none.
     std::function<std::vector<CellNeeds>()> otherCells = {};
     /// Time up to which all requested waves are known; empty: up to now.
     std::function<scheduler::Millis()> wavesKnownUntil = {};
-    /// Why no machine orders may be sent, for the log; empty: they always may.
-    std::function<std::optional<MachineOrderHold>()> machineOrderHold = {};
+    MachineOrderHooks machineOrders = {};
 };
 
 /// @brief Runs the scheduler of one cell during one leadership term. Loads the stored state first,
@@ -66,6 +86,9 @@
     /// delivers it too, but a watch can stall for a second or more without an error.
     void applyStored(const Row &row);
 
+    /// @brief Sends the machine orders that waited for the row that was just stored.
+    void sendReservedOrders();
+
     /// @brief True once all stored state is loaded; job states are unknown until then.
     bool isLoaded() const;
 
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chicorywick/entry/machine_order_hold.h>
+#include <chicorywick/entry/machine_reservations.h>
 #include <chicorywick/entry/records.h>
 #include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/model.h>
@@ -21,8 +22,7 @@
     scheduler::Millis hedgeMs = 350;            ///< an unanswered write is repeated after this time
     scheduler::Millis workerLeaseMs = 0;        ///< stored for the next leader
     scheduler::Millis machineOrderGapMs = 3000; ///< between two holders' orders for one machine
-    scheduler::Millis machineOrderWindowMs = 800; ///< machine orders stop this long after a renewal
-    std::int64_t memoryMib = 0;                   ///< of this machine; 0: unknown
+    std::int64_t memoryMib = 0;                 ///< of this machine; 0: unknown
     /// Longest delay of a claim by a smaller machine, so that a larger one can claim first. Without
     /// a larger machine the delay adds to the outage, so it is short compared with the lease.
     scheduler::Millis smallMachineDelayMs = 700;
@@ -88,20 +88,21 @@
     /// @brief True while no other daemon can have claimed the row.
     bool isLeading(scheduler::Millis now) const;
 
-    /// @brief True while machine orders may be sent. Two holders' orders for one machine must be
-    /// machineOrderGapMs apart, so orders are sent only shortly after a renewal and a new holder
-    /// waits first.
-    bool maySendMachineOrders(scheduler::Millis now) const;
+    /// @brief The machines that this holder may order, and those that earlier holders may have
+    /// ordered too recently.
+    MachineReservations &reservations() { return reservations_; }
+    const MachineReservations &reservations() const { return reservations_; }
 
-    /// @brief Why no machine orders may be sent; none if they may.
+    /// @brief Until when an order that is sent to a machine now is valid; none if it must not be
+    /// sent.
+    std::optional<scheduler::Millis> machineOrderUntil(const std::string &machine,
+                                                       scheduler::Millis now) const;
+
+    /// @brief Why machine orders wait, if any do.
     std::optional<MachineOrderHold> machineOrderHold(scheduler::Millis now) const;
 
-    /// @brief The times at which isLeading() and maySendMachineOrders() end without a renewal.
+    /// @brief The time at which isLeading() ends without a renewal.
     scheduler::Millis leadingUntil() const { return leaseStart_ + settings_.leaseMs; }
-    scheduler::Millis machineOrdersUntil() const
-    {
-        return leaseStart_ + settings_.machineOrderWindowMs;
-    }
 
     /// @brief True while the row names this daemon, even if its lease may have expired.
     bool holdsRow() const { return holdsRow_; }
@@ -135,15 +136,22 @@
     Version term_ = 0;
     scheduler::Millis previousWorkerLease_ = 0;
     scheduler::Millis leaseStart_ = 0;
-    scheduler::Millis machineOrdersAllowedAt_ = 0;
+    MachineReservations reservations_;
     std::int64_t heartbeat_ = 0; ///< number of the latest write
 
+    struct SentWrite
+    {
+        scheduler::Millis at = 0;
+        std::set<std::string> reserved; ///< machines that were requested
+    };
+
+    MachineReservations inheritedReservations() const;
+    void confirmWrite(std::int64_t heartbeat);
     scheduler::Millis sentAt(std::int64_t heartbeat) const;
     scheduler::Millis memoryDelay() const;
 
-    /// Send times of this daemon's writes, by heartbeat.
-    std::map<std::int64_t, scheduler::Millis> sentTimes_;
-    std::int64_t unansweredHeartbeat_ = 0; ///< of the write in flight; 0: none
+    std::map<std::int64_t, SentWrite> sentWrites_; ///< of this daemon, by heartbeat
+    std::int64_t unansweredHeartbeat_ = 0;         ///< of the write in flight; 0: none
     int heldCells_ = 0;
     scheduler::Millis nextWriteAt_ = 0;
     bool isWatchHealthy_ = true;
--- a/packages/entry/include/chicorywick/entry/machine_order_hold.h
+++ b/packages/entry/include/chicorywick/entry/machine_order_hold.h
@@ -4,10 +4,10 @@
 
 namespace chicorywick::entry {
 
-/// @brief Why a leader sends no machine orders.
+/// @brief Why a leader's machine orders wait.
 enum class MachineOrderHoldReason {
     FormerLeader, ///< may have sent an order recently
-    LateRenewal,  ///< the latest renewal of the leader row is too old
+    Reservation,  ///< the leader row does not reserve the machine yet
     NotLeading,   ///< the lease is uncertain, or the cell is being handed over
 };
 
@@ -15,6 +15,7 @@
 struct MachineOrderHold
 {
     MachineOrderHoldReason reason = MachineOrderHoldReason::NotLeading;
+    int machines = 0;            ///< whose orders wait; 0: all
     scheduler::Millis until = 0; ///< local steady time; 0: unknown
 
     bool operator==(const MachineOrderHold &) const = default;
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -8,6 +8,7 @@
 #include <chicorywick/scheduler/pool_plan.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,16 @@
     bool operator==(const CellNeeds &) const = default;
 };
 
+/// @brief Machines that the writer of a row, or a leader before it, may have ordered recently. The
+/// times tell for how long after the write no other leader may order them.
+struct ReservedMachines
+{
+    std::map<std::string, scheduler::Millis> waitMs; ///< by machine
+    scheduler::Millis waitOfAllMs = 0;               ///< for all machines
+
+    bool operator==(const ReservedMachines &) const = default;
+};
+
 /// @brief The current leader of a cell and the address at which other daemons reach it.
 struct LeaderRecord
 {
@@ -61,6 +72,8 @@
     /// Time until a job submitted now can start, by queue; short ones are left out.
     std::map<std::string, scheduler::Millis> backlogs;
     scheduler::JobMemory jobMemory; ///< without small parts
+    /// None in rows of versions without reservations, whose holders may have ordered any machine.
+    std::optional<ReservedMachines> reservedMachines;
 
     bool operator==(const LeaderRecord &) const = default;
 };
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -278,9 +278,7 @@
         std::swap(order[left - 1], order[rng_.below(left)]);
     for (const int cell : order) {
         applyElection(cell);
-        updateHeldCells();
-        if (auto next = seatOf(cell).election->nextWrite(systemNow().steady))
-            write(cell, std::move(*next));
+        writeIfDue(cell);
     }
     requestYield();
     electionTimer_.expires_after(kElectionPeriod);
@@ -290,6 +288,24 @@
     });
 }
 
+void CellLeadership::writeIfDue(int cell)
+{
+    updateHeldCells();
+    if (auto next = seatOf(cell).election->nextWrite(systemNow().steady))
+        write(cell, std::move(*next));
+}
+
+// One write reserves all machines that are requested in one pass.
+void CellLeadership::requestWrite(int cell)
+{
+    if (std::exchange(seatOf(cell).isWriteRequested, true))
+        return;
+    boost::asio::post(loop_, [self = shared_from_this(), cell] {
+        self->seatOf(cell).isWriteRequested = false;
+        self->writeIfDue(cell);
+    });
+}
+
 void CellLeadership::write(int cell, LeaderWrite write)
 {
     const Controller *const controller = controllerOf(cell);
@@ -311,6 +327,8 @@
                                if (result && result.value().isCommitted) {
                                    election.committed(write, result.value().version, now);
                                    self->applyElection(cell);
+                                   if (election.keepsRow())
+                                       self->writeIfDue(cell); // requested since
                                    return;
                                }
                                election.writeFailed(write, now);
@@ -361,7 +379,9 @@
         && (!seat.election->holdsRow() || seat.election->term() != seat.controllerTerm))
         stopController(cell, "superseded");
     const bool isLeader = seat.election->isLeading(systemNow().steady);
-    if (!seat.controller && isLeader && configuration_ && !isStopping_)
+    if (seat.controller)
+        seat.controller->sendReservedOrders();
+    else if (isLeader && configuration_ && !isStopping_)
         startController(cell);
 }
 
@@ -396,22 +416,11 @@
                             [self = shared_from_this(), &election, isRevoked] {
                                 return !*isRevoked && election.isLeading(systemNow().steady);
                             },
-                    .maySendMachineOrders =
-                            [self = shared_from_this(), &election, isRevoked] {
-                                return !*isRevoked
-                                       && election.maySendMachineOrders(systemNow().steady);
-                            },
                     .orderValidity =
                             [self = shared_from_this(), &election, isRevoked] {
                                 return scheduler::OrderValidity{.until = election.leadingUntil(),
                                                                 .isRevoked = isRevoked};
                             },
-                    .machineOrderValidity =
-                            [self = shared_from_this(), &election, isRevoked] {
-                                return scheduler::OrderValidity{
-                                        .until = election.machineOrdersUntil(),
-                                        .isRevoked = isRevoked};
-                            },
                     // A worker has seen a newer term. The watch of the row reports it soon; until
                     // then, workers that have seen it reject every order.
                     .onFenced =
@@ -427,16 +436,53 @@
                                 return self->wavesKnownUntil_ ? self->wavesKnownUntil_()
                                                               : systemNow().steady;
                             },
-                    .machineOrderHold =
-                            [self = shared_from_this(), &election] {
-                                return election.machineOrderHold(systemNow().steady);
-                            }},
+                    .machineOrders = machineOrderHooks(cell, isRevoked)},
             Cell{.layout = *layout_, .number = cell}, scheduling);
     seat.controller->configure(*configuration_);
     seat.controller->setWaves(waves_);
     seat.controller->start();
 }
 
+MachineOrderHooks CellLeadership::machineOrderHooks(int cell, std::shared_ptr<const bool> isRevoked)
+{
+    LeaderElection &election = *seatOf(cell).election;
+    return {.heldUntil =
+                    [self = shared_from_this(), &election](const std::string &machine) {
+                        return election.reservations().heldUntil(machine);
+                    },
+            .reserve =
+                    [self = shared_from_this(), &election, cell,
+                     isRevoked](const std::string &machine) {
+                        if (*isRevoked)
+                            return;
+                        election.reservations().request(machine);
+                        self->requestWrite(cell);
+                    },
+            .validity =
+                    [self = shared_from_this(), &election, isRevoked](
+                            const std::string &machine) -> std::optional<scheduler::OrderValidity> {
+                const auto until = election.machineOrderUntil(machine, systemNow().steady);
+                if (*isRevoked || !until)
+                    return std::nullopt;
+                return scheduler::OrderValidity{.until = *until, .isRevoked = isRevoked};
+            },
+            .recordSent =
+                    [self = shared_from_this(), &election, isRevoked](const std::string &machine) {
+                        if (!*isRevoked)
+                            election.reservations().recordSent(machine);
+                    },
+            .recordAnswer =
+                    [self = shared_from_this(), &election, isRevoked](const std::string &machine,
+                                                                      MachineOrderStatus status) {
+                        if (!*isRevoked)
+                            election.reservations().recordAnswer(
+                                    machine, status != MachineOrderStatus::Unknown,
+                                    systemNow().steady);
+                    },
+            .hold = [self = shared_from_this(),
+                     &election] { return election.machineOrderHold(systemNow().steady); }};
+}
+
 void CellLeadership::stopController(int cell, const char *reason)
 {
     Seat &seat = seatOf(cell);
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -76,6 +76,7 @@
         std::unique_ptr<Controller> controller;
         Version controllerTerm = 0;
         std::shared_ptr<bool> isRevoked; ///< true: the controller must not send orders any more
+        bool isWriteRequested = false;   ///< before the next election
     };
 
     std::vector<CellNeeds> needsOfOthers(int cell) const;
@@ -84,9 +85,12 @@
     void setWatchHealthy(bool isHealthy);
     void observeRows(const std::vector<Row> &rows);
     void runElections();
+    void writeIfDue(int cell);
+    void requestWrite(int cell);
     void write(int cell, LeaderWrite write);
     void applyElection(int cell);
     void startController(int cell);
+    MachineOrderHooks machineOrderHooks(int cell, std::shared_ptr<const bool> isRevoked);
     void stopController(int cell, const char *reason);
     void updateHeldCells();
     void requestYield();
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -73,6 +73,11 @@
     impl_->applyStored(row);
 }
 
+void Controller::sendReservedOrders()
+{
+    impl_->sendReservedOrders();
+}
+
 bool Controller::isLoaded() const
 {
     return impl_->isLoaded();
@@ -157,14 +162,16 @@
                                       .clock = [clock = hooks_.clock] { return clock().steady; },
                                       .mayWrite = hooks_.maySendOrders,
                                       .onReceived = [this] { addReceivedWorkers(); }}))
-    , inventory_(*ports.machines, hooks_.clock, cell_, ledger_)
-    , waves_(std::make_shared<WaveRunner>(WaveRunnerPorts{.machines = ports.machines,
+    , machines_(std::make_shared<ReservingMachines>(*ports.machines, hooks_.clock,
+                                                    hooks_.machineOrders))
+    , inventory_(*machines_, hooks_.clock, cell_, ledger_, hooks_.machineOrders.heldUntil)
+    , waves_(std::make_shared<WaveRunner>(WaveRunnerPorts{.machines = machines_.get(),
                                                           .operators = ports.operators,
                                                           .table = ports.table},
                                           hooks_, scheduler_, inventory_, cell_, settings.fence,
                                           ledger_))
     , poolBalancer_(std::make_shared<PoolBalancer>(
-              *ports.machines, hooks_, scheduler_, inventory_, settings.fence,
+              *machines_, hooks_, scheduler_, inventory_, settings.fence,
               LendingPorts{.ledger = ledger_,
                            .isInOpenWave =
                                    [waves = waves_](const std::string &machine) {
@@ -200,6 +207,7 @@
     roster_->stop();
     waves_->stop();
     poolBalancer_->stop();
+    machines_->stop();
     quota_->stop();
     if (ledger_)
         ledger_->stop();
@@ -356,8 +364,10 @@
     tickedAt_ = now;
     jobsReport_.update(jobsWatch_->view(), now);
     workersReport_.update(workersWatch_->view(), now);
-    if (hooks_.machineOrderHold)
-        machineOrderReport_.update(hooks_.machineOrderHold(), now);
+    if (hooks_.machineOrders.hold) {
+        const auto slow = machines_->hold();
+        machineOrderReport_.update(slow ? slow : hooks_.machineOrders.hold(), now);
+    }
 }
 
 void Controller::Impl::scheduleTick()
@@ -377,6 +387,7 @@
     scheduler_.tick();
     updateBacklogs();
     roster_->update();
+    machines_->update();
     waves_->tick();
     poolBalancer_->tick();
     quota_->tick();
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -8,6 +8,7 @@
 #include "machine_order_report.h"
 #include "pool_balancer.h"
 #include "progress_journal.h"
+#include "reserving_machines.h"
 #include "roster_journal.h"
 #include "table_watch.h"
 #include "view_report.h"
@@ -34,6 +35,7 @@
     void configure(const Configuration &configuration);
     void setWaves(const std::vector<WaveRequest> &waves) { waves_->setWaves(waves); }
     void applyStored(const Row &row);
+    void sendReservedOrders() { machines_->update(); }
     bool isLoaded() const { return isLoaded_; }
     std::optional<scheduler::JobState> reportedState(const std::string &id) const;
     std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
@@ -85,6 +87,7 @@
     std::shared_ptr<ProgressJournal> journal_;
     std::shared_ptr<RosterJournal> roster_;
     std::shared_ptr<MachineLedger> ledger_; ///< null if there are no other cells
+    std::shared_ptr<ReservingMachines> machines_;
     MachineInventory inventory_;
     std::shared_ptr<WaveRunner> waves_;
     std::shared_ptr<PoolBalancer> poolBalancer_;
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -23,6 +23,8 @@
 // A new holder is not asked to yield for this time: two changes in a row double the time without a
 // leader.
 constexpr scheduler::Millis kMinHolderTenureMs = 2'000;
+// A holder of a version without reservations orders machines this long after a renewal.
+constexpr scheduler::Millis kUnreservedOrdersMs = 800;
 
 } // namespace
 
@@ -55,7 +57,7 @@
         holdsRow_ = true;
         term_ = record.term != 0 ? record.term : version;
     }
-    leaseStart_ = std::max(leaseStart_, sentAt(record.heartbeat));
+    confirmWrite(record.heartbeat);
     if (record.heartbeat == unansweredHeartbeat_)
         unansweredHeartbeat_ = 0;
 }
@@ -85,11 +87,14 @@
                         .waitingJobs = record_.waitingJobs};
     if (holdsRow_) {
         const bool isLeaving = isReleasing_ || isYielding_;
-        if (!isLeaving && now - leaseStart_ < settings_.renewEveryMs)
+        if (!isLeaving && now - leaseStart_ < settings_.renewEveryMs
+            && reservations_.requested().empty())
             return std::nullopt;
         record.term = term_;
-        if (isLeaving)
+        if (isLeaving) {
             record.holder.clear();
+            reservations_.revoke(now);
+        }
     } else {
         const bool isFree = version_ == 0 || record_.holder.empty();
         // A node runs one process, so its previous incarnation has ended.
@@ -103,26 +108,45 @@
         if (isReleasing_ || !isWatchHealthy_ || now - changedAt_ < claimDelay)
             return std::nullopt;
         previousWorkerLease_ = record_.workerLeaseMs;
-        // The previous holder sent its last order at most machineOrderWindowMs after its last
-        // renewal.
-        const scheduler::Millis quietMs =
-                isFree ? 0 : now - changedAt_ - settings_.machineOrderWindowMs;
-        machineOrdersAllowedAt_ =
-                now + settings_.machineOrderGapMs - std::max<scheduler::Millis>(quietMs, 0);
+        reservations_ = inheritedReservations();
     }
+    record.reservedMachines = reservations_.toWrite(now);
     ++heartbeat_;
     unansweredHeartbeat_ = heartbeat_;
-    sentTimes_[heartbeat_] = now;
-    constexpr std::size_t kMaxSentTimes = 32;
-    if (sentTimes_.size() > kMaxSentTimes)
-        sentTimes_.erase(sentTimes_.begin());
+    sentWrites_[heartbeat_] = {.at = now, .reserved = reservations_.requested()};
+    constexpr std::size_t kMaxSentWrites = 32;
+    if (sentWrites_.size() > kMaxSentWrites)
+        sentWrites_.erase(sentWrites_.begin());
     return LeaderWrite{.record = record, .expected = version_};
 }
 
+// The row as it was read last tells which machines its holder, and those before it, may have
+// ordered. A released row ends with the last order of its holder. The holder of an expired lease
+// has reserved machines until the end of that lease.
+MachineReservations LeaderElection::inheritedReservations() const
+{
+    MachineReservations reservations(
+            {.orderMs = settings_.leaseMs, .gapMs = settings_.machineOrderGapMs});
+    const bool isReleased = record_.holder.empty();
+    if (record_.reservedMachines)
+        reservations.inherit(*record_.reservedMachines, changedAt_);
+    else if (version_ != 0)
+        reservations.inheritUnknown(changedAt_ + (isReleased ? 0 : kUnreservedOrdersMs));
+    return reservations;
+}
+
+// The row is stored as it was written with this heartbeat.
+void LeaderElection::confirmWrite(std::int64_t heartbeat)
+{
+    leaseStart_ = std::max(leaseStart_, sentAt(heartbeat));
+    if (const auto sent = sentWrites_.find(heartbeat); sent != sentWrites_.end())
+        reservations_.confirm(sent->second.reserved, sent->second.at);
+}
+
 scheduler::Millis LeaderElection::sentAt(std::int64_t heartbeat) const
 {
-    const auto found = sentTimes_.find(heartbeat);
-    return found != sentTimes_.end() ? found->second : 0;
+    const auto found = sentWrites_.find(heartbeat);
+    return found != sentWrites_.end() ? found->second.at : 0;
 }
 
 void LeaderElection::committed(const LeaderWrite &write, Version version, scheduler::Millis now)
@@ -143,7 +167,7 @@
     if (!holdsRow_)
         term_ = write.record.term != 0 ? write.record.term : version;
     holdsRow_ = true;
-    leaseStart_ = std::max(leaseStart_, sentAt(write.record.heartbeat));
+    confirmWrite(write.record.heartbeat);
 }
 
 void LeaderElection::writeFailed(const LeaderWrite &write, scheduler::Millis now)
@@ -154,22 +178,25 @@
     nextWriteAt_ = now + settings_.retryMs;
 }
 
-bool LeaderElection::maySendMachineOrders(scheduler::Millis now) const
+std::optional<scheduler::Millis> LeaderElection::machineOrderUntil(const std::string &machine,
+                                                                   scheduler::Millis now) const
 {
-    return isLeading(now) && now >= machineOrdersAllowedAt_
-           && now - leaseStart_ < settings_.machineOrderWindowMs;
+    const scheduler::Millis until = std::min(leadingUntil(), reservations_.orderUntil(machine));
+    if (!isLeading(now) || now >= until || reservations_.heldUntil(machine) > now)
+        return std::nullopt;
+    return until;
 }
 
 std::optional<MachineOrderHold> LeaderElection::machineOrderHold(scheduler::Millis now) const
 {
-    if (maySendMachineOrders(now))
-        return std::nullopt;
     if (!isLeading(now))
         return MachineOrderHold{.reason = MachineOrderHoldReason::NotLeading};
-    if (now < machineOrdersAllowedAt_)
-        return MachineOrderHold{.reason = MachineOrderHoldReason::FormerLeader,
-                                .until = machineOrdersAllowedAt_};
-    return MachineOrderHold{.reason = MachineOrderHoldReason::LateRenewal};
+    const scheduler::Millis until = reservations_.lastHeldUntil();
+    if (until <= now)
+        return std::nullopt;
+    return MachineOrderHold{.reason = MachineOrderHoldReason::FormerLeader,
+                            .machines = reservations_.heldMachines(now),
+                            .until = until};
 }
 
 // The delay in which larger machines can claim first. The leader's CPU load grows with the fleet,
--- a/packages/entry/src/machine_inventory.cpp
+++ b/packages/entry/src/machine_inventory.cpp
@@ -16,11 +16,13 @@
 } // namespace
 
 MachineInventory::MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock,
-                                   Cell cell, std::shared_ptr<const MachineLedger> ledger)
+                                   Cell cell, std::shared_ptr<const MachineLedger> ledger,
+                                   std::function<scheduler::Millis(const std::string &)> heldUntil)
     : port_(port)
     , clock_(std::move(clock))
     , cell_(std::move(cell))
     , ledger_(std::move(ledger))
+    , heldUntil_(std::move(heldUntil))
 {}
 
 const std::map<std::string, Machine> &MachineInventory::machines() const
@@ -48,7 +50,8 @@
 
 bool MachineInventory::mayOrder(const std::string &machine) const
 {
-    return !ledger_ || ledger_->mayOrder(machine);
+    return (!ledger_ || ledger_->mayOrder(machine))
+           && (!heldUntil_ || heldUntil_(machine) <= clock_().steady);
 }
 
 void MachineInventory::refresh(scheduler::Millis period)
--- a/packages/entry/src/machine_inventory.h
+++ b/packages/entry/src/machine_inventory.h
@@ -19,8 +19,11 @@
 {
 public:
     /// @param ledger null if there are no other cells
+    /// @param heldUntil until when earlier leaders' orders for a machine are too recent; empty:
+    /// they never are
     MachineInventory(MachinePort &port, std::function<scheduler::Now()> clock, Cell cell,
-                     std::shared_ptr<const MachineLedger> ledger = nullptr);
+                     std::shared_ptr<const MachineLedger> ledger = nullptr,
+                     std::function<scheduler::Millis(const std::string &)> heldUntil = {});
 
     /// @brief Requests a new list if the last request is older than the period.
     void refresh(scheduler::Millis period);
@@ -36,7 +39,8 @@
     /// @brief The fencing token for orders to a machine; the given one is that of the term.
     std::int64_t fenceFor(const std::string &machine, std::int64_t termFence) const;
 
-    /// @brief False while another cell may have sent an order to the machine recently.
+    /// @brief False while another cell, or an earlier leader of this one, may have sent an order to
+    /// the machine recently.
     bool mayOrder(const std::string &machine) const;
 
     /// @brief The worker that runs on a machine, or an empty string.
@@ -56,6 +60,7 @@
     std::function<scheduler::Now()> clock_;
     Cell cell_;
     std::shared_ptr<const MachineLedger> ledger_;
+    std::function<scheduler::Millis(const std::string &)> heldUntil_;
     /// The machines of the cell, as of a snapshot and a revision of the ledger.
     mutable std::map<std::string, Machine> machines_;
     mutable std::pair<std::uint64_t, std::uint64_t> machinesAsOf_;
--- a/packages/entry/src/machine_order_report.cpp
+++ b/packages/entry/src/machine_order_report.cpp
@@ -14,8 +14,8 @@
     switch (reason) {
     case MachineOrderHoldReason::FormerLeader:
         return "former-leader";
-    case MachineOrderHoldReason::LateRenewal:
-        return "late-renewal";
+    case MachineOrderHoldReason::Reservation:
+        return "reservation";
     case MachineOrderHoldReason::NotLeading:
         return "not-leading";
     }
@@ -39,6 +39,7 @@
         base::logEvent(base::Event::MachineOrdersHeld,
                        {{"cell", std::to_string(cell_)},
                         {"reason", nameOf(hold->reason)},
+                        {"machines", hold->machines == 0 ? "all" : std::to_string(hold->machines)},
                         {"wait_ms", hold->until == 0 ? std::string("unknown")
                                                      : std::to_string(std::max<scheduler::Millis>(
                                                              hold->until - now, 0))}});
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -125,7 +125,7 @@
     prometheus::Family<prometheus::Counter> &heldMachineOrders =
             prometheus::BuildCounter()
                     .Name("chicorywick_machine_orders_held_seconds_total")
-                    .Help("Time for which a cell's leader sent no machine orders, by reason")
+                    .Help("Time for which machine orders of a cell waited, by reason")
                     .Register(registry);
     prometheus::Family<prometheus::Counter> &refusedKeys =
             prometheus::BuildCounter()
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -44,7 +44,7 @@
 void PoolBalancer::tick()
 {
     needs_ = {};
-    const bool mayMove = hooks_.maySendMachineOrders() && !sparePool_.empty();
+    const bool mayMove = hooks_.maySendOrders() && !sparePool_.empty();
     if (!mayMove)
         return releaseCordons();
     inventory_.refresh(kListPeriodMs);
@@ -154,7 +154,8 @@
     return !isFormerWorker;
 }
 
-// Machines that move to a pool of this cell, also those that another cell has moved there.
+// Machines that move to a pool of this cell, also those that another cell or an earlier leader has
+// moved there.
 std::map<std::string, int> PoolBalancer::joiningMachines(const Views &views) const
 {
     const scheduler::Millis now = hooks_.clock().steady;
@@ -163,15 +164,19 @@
     for (const auto &[name, move] : moving_)
         if (!move.cell && move.pool != sparePool_ && now - move.orderedAt <= kMoveTimeoutMs)
             ++joining[move.pool];
-    if (!lending_.ledger)
-        return joining;
-    for (const std::string &machine : lending_.ledger->incomingMachines()) {
-        const bool hasJoined = std::any_of(views.begin(), views.end(), [&](const auto &view) {
-            return view.entry.machine == machine && view.isUsable;
-        });
-        if (!hasJoined && !moving_.contains(machine))
-            ++joining[*lending_.ledger->incomingPool(machine)];
-    }
+    std::map<std::string, std::string> movedByOthers; // to a pool, by machine
+    for (const auto &[name, machine] : inventory_.machines())
+        if (machine.state == MachineState::Moving && machine.pool != sparePool_)
+            movedByOthers[name] = machine.pool;
+    if (lending_.ledger)
+        for (const std::string &machine : lending_.ledger->incomingMachines())
+            movedByOthers[machine] = *lending_.ledger->incomingPool(machine);
+    for (const scheduler::WorkerView &view : views)
+        if (view.isUsable)
+            movedByOthers.erase(view.entry.machine);
+    for (const auto &[machine, pool] : movedByOthers)
+        if (!moving_.contains(machine))
+            ++joining[pool];
     return joining;
 }
 
@@ -311,8 +316,7 @@
     Move &move = moving_.at(machine);
     move.sentAt = hooks_.clock().steady;
     move.isAwaitingAnswer = true;
-    machines_.move(machine, move.pool, inventory_.fenceFor(machine, fence_),
-                   hooks_.machineOrderValidity(),
+    machines_.move(machine, move.pool, inventory_.fenceFor(machine, fence_), {},
                    [self = shared_from_this(), machine](MachineOrderStatus status) {
                        if (!self->isStopped_)
                            self->handleAnswer(machine, status);
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -116,6 +116,10 @@
     putUnlessDefault(json, "backlog_ms", record.backlogs, Json::object());
     putUnlessDefault(json, "job_bytes", record.jobMemory.total, 0);
     putUnlessDefault(json, "job_bytes_by", record.jobMemory.byHolder, Json::object());
+    if (record.reservedMachines) {
+        json["reserved"] = record.reservedMachines->waitMs;
+        putUnlessDefault(json, "reserved_all", record.reservedMachines->waitOfAllMs, 0);
+    }
     return json.dump();
 }
 
@@ -143,6 +147,10 @@
         const Json accounts = json.value("accounts", Json::object());
         for (const auto &[account, need] : accounts.items())
             record.accounts[account] = {.demand = need.at(0), .smallest = need.at(1)};
+        if (json.contains("reserved"))
+            record.reservedMachines = {.waitMs = json.at("reserved"),
+                                       .waitOfAllMs =
+                                               json.value("reserved_all", scheduler::Millis{0})};
         return record;
     });
 }
--- a/packages/entry/src/records_test.cpp
+++ b/packages/entry/src/records_test.cpp
@@ -40,6 +40,22 @@
     CHECK(former.value() == std::vector{fresh});
 }
 
+// Guards against a leader that orders machines of its predecessor, or that takes the row of a
+// former version for one without orders.
+TEST_CASE("a leader row tells which machines are reserved")
+{
+    LeaderRecord record{.holder = "a#1", .peerAddress = "a:1"};
+    record.reservedMachines = {.waitMs = {{"m", 2'500}}, .waitOfAllMs = 10};
+    const auto decoded = decodeLeader(encode(record));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == record);
+    record.reservedMachines = ReservedMachines{};
+    CHECK(decodeLeader(encode(record)).value() == record);
+    const auto former = decodeLeader(R"({"holder":"a#1","peer":"a:1","term":1,"beat":1})");
+    REQUIRE(former);
+    CHECK(!former.value().reservedMachines);
+}
+
 // Guards against a new leader that does not learn whose job it runs, and against job rows of former
 // versions that it cannot read.
 TEST_CASE("the account of a job is stored with it")
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -51,7 +51,7 @@
 
 void WaveRunner::tick()
 {
-    if (!hooks_.maySendMachineOrders())
+    if (!hooks_.maySendOrders())
         return;
     const bool isActive = std::any_of(waves_.begin(), waves_.end(),
                                       [](const auto &item) { return !item.second.isCompleted; });
@@ -167,9 +167,15 @@
     for (const std::string &worker : next.cordoned)
         cordon(worker);
     for (const std::string &machine : next.begin) {
-        const auto worker = workers.find(machine);
-        wave.down[machine].worker =
-                worker != workers.end() ? worker->second.entry.id : inventory_.workerOn(machine);
+        const auto found = workers.find(machine);
+        const std::string worker =
+                found != workers.end() ? found->second.entry.id : inventory_.workerOn(machine);
+        // The next pass plans anew: whether tasks may end depends on tasks elsewhere.
+        if (!hooks_.machineOrders.reserveIfNeeded(machine)) {
+            cordon(worker);
+            continue;
+        }
+        wave.down[machine].worker = worker;
         order(wave, machine);
     }
 }
@@ -192,7 +198,7 @@
         const auto candidate = maintenanceCandidate(listed->second, workers,
                                                     unusedPools_.contains(listed->second.pool));
         if (!upkeep.isAwaitingAnswer && now - upkeep.orderedAt >= kOrderRepeatMs && candidate
-            && candidate->tasks == 0)
+            && candidate->tasks == 0 && hooks_.machineOrders.reserveIfNeeded(machine))
             due.push_back(machine);
     }
     for (const std::string &machine : due)
@@ -214,7 +220,7 @@
     upkeep.orderedAt = hooks_.clock().steady;
     upkeep.isAwaitingAnswer = true;
     ports_.machines->maintain(
-            machine, number, inventory_.fenceFor(machine, fence_), hooks_.machineOrderValidity(),
+            machine, number, inventory_.fenceFor(machine, fence_), {},
             [self = shared_from_this(), number, machine](MachineOrderStatus status) {
                 if (!self->isStopped_)
                     self->handleAnswer(self->waves_[number], machine, status);
