Repeat an unanswered renewal later while the store answers slowly

Cause: the store runs the writes of a row one after another. A renewal without an answer was repeated after 350 ms, also where each write takes 400 ms, so the leader sent two writes for each that counted, and the queue of the row grew until the lease ended. After the answer to the first of two writes the leader also waited for that of the repetition, which cannot succeed any more.

Change: a write is repeated after 350 ms or twice the time of the latest answer, whichever is longer, and a stored write settles all that were sent for the same version.

--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -19,7 +19,8 @@
     scheduler::Millis renewEveryMs = 400;
     scheduler::Millis takeoverDelayMs = 200; ///< added to the lease before another daemon claims
     scheduler::Millis retryMs = 200;
-    scheduler::Millis hedgeMs = 350;            ///< an unanswered write is repeated after this time
+    /// An unanswered write is repeated after this time, or twice that of the latest answer.
+    scheduler::Millis hedgeMs = 350;
     scheduler::Millis workerLeaseMs = 0;        ///< stored for the next leader
     scheduler::Millis machineOrderGapMs = 3000; ///< between two holders' orders for one machine
     std::int64_t memoryMib = 0;                 ///< of this machine; 0: unknown
@@ -152,6 +153,7 @@
 
     std::map<std::int64_t, SentWrite> sentWrites_; ///< of this daemon, by heartbeat
     std::int64_t unansweredHeartbeat_ = 0;         ///< of the write in flight; 0: none
+    scheduler::Millis answerMs_ = 0;               ///< time to the latest answer to a write
     int heldCells_ = 0;
     scheduler::Millis nextWriteAt_ = 0;
     bool isWatchHealthy_ = true;
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -58,8 +58,7 @@
         term_ = record.term != 0 ? record.term : version;
     }
     confirmWrite(record.heartbeat);
-    if (record.heartbeat == unansweredHeartbeat_)
-        unansweredHeartbeat_ = 0;
+    unansweredHeartbeat_ = 0; // a repetition expects the former version, so it fails
 }
 
 // After a store outage the claim delay starts again. Otherwise all daemons race for the row, and
@@ -73,8 +72,10 @@
 
 std::optional<LeaderWrite> LeaderElection::nextWrite(scheduler::Millis now)
 {
+    // The store runs the writes of a row one after another, so each repetition delays later ones.
+    const scheduler::Millis hedgeMs = std::max(settings_.hedgeMs, 2 * answerMs_);
     const bool isWaiting =
-            unansweredHeartbeat_ != 0 && now - sentAt(unansweredHeartbeat_) < settings_.hedgeMs;
+            unansweredHeartbeat_ != 0 && now - sentAt(unansweredHeartbeat_) < hedgeMs;
     if (isWaiting || !hasObserved_ || now < nextWriteAt_)
         return std::nullopt;
     LeaderRecord record{.holder = holder_,
@@ -151,7 +152,8 @@
 
 void LeaderElection::committed(const LeaderWrite &write, Version version, scheduler::Millis now)
 {
-    if (write.record.heartbeat == unansweredHeartbeat_)
+    answerMs_ = now - sentAt(write.record.heartbeat);
+    if (write.record.heartbeat == unansweredHeartbeat_ || version > version_)
         unansweredHeartbeat_ = 0;
     // A newer version of the row has already been observed.
     if (version < version_)
--- a/packages/entry/src/leader_election_test.cpp
+++ b/packages/entry/src/leader_election_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <deque>
 #include <memory>
 
 namespace chicorywick::entry {
@@ -274,6 +276,44 @@
     CHECK(small.isLeading(1'500));
 }
 
+// Guards against a leader that overloads a slow store with repeated renewals and so loses its
+// lease.
+TEST_CASE("a leader keeps its lease while the store takes 430 ms for each write")
+{
+    struct Pending
+    {
+        LeaderWrite write;
+        scheduler::Millis doneAt = 0;
+    };
+    constexpr scheduler::Millis kServiceMs = 430;
+    constexpr scheduler::Millis kElectionPeriodMs = 100;
+    LeaderElection leader("a#1", "a:1", 0);
+    leader.observe(0, {}, 0);
+    SharedRow row;
+    write(row, leader, 0);
+    std::deque<Pending> queue; // the store runs the writes of a part one after another
+    for (scheduler::Millis now = 10; now < 20'000; now += 10) {
+        bool isElectionDue = now % kElectionPeriodMs == 0;
+        while (!queue.empty() && queue.front().doneAt <= now) {
+            const LeaderWrite done = queue.front().write;
+            queue.pop_front();
+            isElectionDue = true;
+            if (done.expected == row.version) {
+                row.record = done.record;
+                leader.committed(done, ++row.version, now);
+            } else {
+                leader.writeFailed(done, now);
+            }
+        }
+        if (isElectionDue)
+            if (const auto next = leader.nextWrite(now))
+                queue.push_back({.write = *next,
+                                 .doneAt = std::max(now, queue.empty() ? 0 : queue.back().doneAt)
+                                           + kServiceMs});
+        CHECK(leader.isLeading(now));
+    }
+}
+
 // Guards against a change of leaders at the end of a store outage. On grown Hanbit scale-1 it cost
 // five seconds: a small machine won the race for the row and had to load all state.
 TEST_CASE("after a store outage the holder renews before another daemon claims")
