Read the stored rows of a cell in a few rounds instead of one after another

Cause: a new leader read waves, roster, progress and the 16 parts of the jobs one after another, so its loading took 19 times the latency of the store.

Change: waves, roster and progress are read together, then eight parts of the jobs at a time. The jobs still follow the progress, which says what has run; the watch still begins at the oldest version that was read.

--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -137,7 +137,7 @@
               *ports.loop, *ports.table, rows_.jobsTable(),
               TableWatchHooks{.clock = [clock = hooks_.clock] { return clock().steady; },
                               .onRows = [this](const RowPage &page) { applyJobRows(page.rows); },
-                              .onHistoryLost = [this] { loadJobs(0); }},
+                              .onHistoryLost = [this] { loadJobs(); }},
               jobsTiming(settings)))
     , workersWatch_(std::make_shared<ViewWatch<WorkerList>>(
               *ports.loop,
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -45,13 +45,18 @@
     const scheduler::JobMemory &jobMemory() const { return scheduler_.jobMemory(); }
 
 private:
-    // Loads transferred machines, waves, roster, progress, jobs, rows stored since, and workers, in
-    // this order (controller_loading.cpp).
+    // Loads transferred machines; waves, roster and progress; jobs; rows stored since; and workers,
+    // in this order (controller_loading.cpp).
+    struct JobsLoad;
     void loadMachines();
-    void loadWaves();
-    void loadRoster();
-    void loadProgress();
-    void loadJobs(int part);
+    void loadRows();
+    void loadRange(const RowRange &range, std::function<void(const Row &)> apply,
+                   std::function<void()> done);
+    void applyProgressRow(const Row &row);
+    void loadJobs();
+    void loadNextJobs(const std::shared_ptr<JobsLoad> &load);
+    void loadJobsOf(int part, const std::shared_ptr<JobsLoad> &load);
+    void finishJobs(Version version);
     void loadNewRows();
     void loadWorkers();
     void finishLoading();
--- a/packages/entry/src/controller_loading.cpp
+++ b/packages/entry/src/controller_loading.cpp
@@ -3,6 +3,10 @@
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/records.h>
 
+#include <algorithm>
+#include <optional>
+#include <utility>
+
 namespace chicorywick::entry {
 
 namespace {
@@ -10,94 +14,118 @@
 using namespace std::chrono_literals;
 
 constexpr auto kReadTimeout = 2000ms;
+// Parts of the jobs table that are read at the same time. A slow store takes as long for all of
+// them as for one; the pages of all parts at once would be much for a small machine.
+constexpr int kParallelReads = 8;
 
 } // namespace
 
+// The parts of the jobs table that are still to be read, and the oldest version of those that were.
+struct Controller::Impl::JobsLoad
+{
+    int nextPart = 0;
+    int openParts = 0;
+    std::optional<Version> version;
+};
+
 void Controller::Impl::loadMachines()
 {
     if (!ledger_)
-        return loadWaves();
+        return loadRows();
     ledger_->load([self = shared_from_this()] {
         if (!self->isStopped_)
-            self->loadWaves();
+            self->loadRows();
     });
 }
 
-void Controller::Impl::loadWaves()
+// The jobs need the progress, and nothing else an order.
+void Controller::Impl::loadRows()
 {
-    readAll(*ports_.table, rows_.waveRange(), kReadTimeout,
-            [self = shared_from_this()](const base::Result<RowPage> &page) {
-                if (self->isStopped_)
-                    return;
-                if (!page)
-                    return self->retryAfterPause([self] { self->loadWaves(); });
-                for (const Row &row : page.value().rows)
-                    self->waves_->restore(row);
-                self->loadRoster();
-            });
+    constexpr int kRanges = 3;
+    const auto done = [self = shared_from_this(), open = std::make_shared<int>(kRanges)] {
+        if (--*open == 0)
+            self->loadJobs();
+    };
+    loadRange(
+            rows_.waveRange(), [this](const Row &row) { waves_->restore(row); }, done);
+    loadRange(
+            rows_.rosterRange(), [this](const Row &row) { roster_->applyStored(row); }, done);
+    loadRange(
+            rows_.progressRange(), [this](const Row &row) { applyProgressRow(row); }, done);
 }
 
-void Controller::Impl::loadRoster()
+void Controller::Impl::loadRange(const RowRange &range, std::function<void(const Row &)> apply,
+                                 std::function<void()> done)
 {
-    readAll(*ports_.table, rows_.rosterRange(), kReadTimeout,
-            [self = shared_from_this()](const base::Result<RowPage> &page) {
+    readAll(*ports_.table, range, kReadTimeout,
+            [self = shared_from_this(), range, apply = std::move(apply),
+             done = std::move(done)](const base::Result<RowPage> &page) {
                 if (self->isStopped_)
                     return;
                 if (!page)
-                    return self->retryAfterPause([self] { self->loadRoster(); });
+                    return self->retryAfterPause(
+                            [self, range, apply, done] { self->loadRange(range, apply, done); });
                 for (const Row &row : page.value().rows)
-                    self->roster_->applyStored(row);
-                self->loadProgress();
+                    apply(row);
+                done();
             });
 }
 
-void Controller::Impl::loadProgress()
+void Controller::Impl::applyProgressRow(const Row &row)
 {
-    readAll(*ports_.table, rows_.progressRange(), kReadTimeout,
-            [self = shared_from_this()](const base::Result<RowPage> &page) {
-                if (self->isStopped_)
-                    return;
-                if (!page)
-                    return self->retryAfterPause([self] { self->loadProgress(); });
-                for (const Row &row : page.value().rows) {
-                    const auto progress = decodeProgress(row.value);
-                    self->journal_->applyStored(row.key.key, row.version);
-                    if (progress)
-                        self->loadedProgress_.insert_or_assign(row.key.key, progress.value());
-                    else
-                        base::logEvent(base::Event::PlatformUnreachable,
-                                       {{"call", "load-progress"},
-                                        {"job", row.key.key},
-                                        {"reason", progress.error().message}});
-                }
-                self->loadJobs(0);
-            });
+    const auto progress = decodeProgress(row.value);
+    journal_->applyStored(row.key.key, row.version);
+    if (progress)
+        loadedProgress_.insert_or_assign(row.key.key, progress.value());
+    else
+        base::logEvent(base::Event::PlatformUnreachable, {{"call", "load-progress"},
+                                                          {"job", row.key.key},
+                                                          {"reason", progress.error().message}});
+}
+
+void Controller::Impl::loadJobs()
+{
+    jobsLoadBegunAt_ = hooks_.clock().steady;
+    const auto load = std::make_shared<JobsLoad>();
+    load->openParts = rows_.jobParts();
+    for (int i = 0; i < kParallelReads; ++i)
+        loadNextJobs(load);
+}
+
+void Controller::Impl::loadNextJobs(const std::shared_ptr<JobsLoad> &load)
+{
+    if (load->nextPart < rows_.jobParts())
+        loadJobsOf(load->nextPart++, load);
 }
 
-void Controller::Impl::loadJobs(int part)
+void Controller::Impl::loadJobsOf(int part, const std::shared_ptr<JobsLoad> &load)
 {
-    if (part == 0)
-        jobsLoadBegunAt_ = hooks_.clock().steady;
-    if (part == rows_.jobParts()) {
-        jobsWatch_->recordRead(jobsLoadBegunAt_);
-        if (isLoaded_)
-            return jobsWatch_->resume(jobsVersion_);
-        return loadNewRows();
-    }
     readAll(*ports_.table, {.table = rows_.jobsTable(), .part = rows_.jobPart(part)}, kReadTimeout,
-            [self = shared_from_this(), part](const base::Result<RowPage> &page) {
+            [self = shared_from_this(), part, load](const base::Result<RowPage> &page) {
                 if (self->isStopped_)
                     return;
                 if (!page)
-                    return self->retryAfterPause([self, part] { self->loadJobs(part); });
+                    return self->retryAfterPause(
+                            [self, part, load] { self->loadJobsOf(part, load); });
                 // The watch starts at the oldest version of all reads, so that it misses no row.
                 const Version version = page.value().version;
-                self->jobsVersion_ = part == 0 ? version : std::min(self->jobsVersion_, version);
+                load->version = std::min(load->version.value_or(version), version);
                 self->applyJobRows(page.value().rows);
-                self->loadJobs(part + 1);
+                if (--load->openParts == 0)
+                    return self->finishJobs(*load->version);
+                self->loadNextJobs(load);
             });
 }
 
+void Controller::Impl::finishJobs(Version version)
+{
+    jobsVersion_ = version;
+    jobsWatch_->recordRead(jobsLoadBegunAt_);
+    if (isLoaded_)
+        return jobsWatch_->resume(jobsVersion_);
+    loadNewRows();
+}
+
 // Reading all parts takes seconds on a small machine. A cancellation that was stored meanwhile must
 // be known before tasks start.
 void Controller::Impl::loadNewRows()
--- a/packages/entry/src/fake_table.h
+++ b/packages/entry/src/fake_table.h
@@ -26,6 +26,7 @@
     std::size_t maxWatchRows = 500; ///< in an answer to a watch that does not wait
     bool isSilent = false;          ///< watches are not answered, also those that do not wait
     std::function<void(const RowRange &)> onRead; ///< called before the rows are read
+    bool holdsReads = false;                      ///< until answerReads()
 
     void transact(const Transaction &transaction, std::chrono::milliseconds /*timeout*/,
                   Callback<TransactionResult> done) override
@@ -49,6 +50,25 @@
 
     void read(const RowRange &range, const ReadOptions & /*options*/,
               Callback<RowPage> done) override
+    {
+        if (holdsReads) {
+            heldReads_.push_back(
+                    [this, range, done = std::move(done)] { answerRead(range, done); });
+            return;
+        }
+        answerRead(range, std::move(done));
+    }
+
+    /// @brief Answers all held reads; returns their number.
+    std::size_t answerReads()
+    {
+        const auto held = std::exchange(heldReads_, {});
+        for (const auto &answer : held)
+            answer();
+        return held.size();
+    }
+
+    void answerRead(const RowRange &range, Callback<RowPage> done)
     {
         if (onRead)
             onRead(range);
@@ -100,6 +120,7 @@
         return true;
     }
 
+    std::vector<std::function<void()>> heldReads_;
     Version version_ = 0;
 };
 
