--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -443,7 +443,8 @@
     seat.controller->start();
 }
 
-MachineOrderHooks CellLeadership::machineOrderHooks(int cell, std::shared_ptr<const bool> isRevoked)
+MachineOrderHooks CellLeadership::machineOrderHooks(int cell,
+                                                    const std::shared_ptr<const bool> &isRevoked)
 {
     LeaderElection &election = *seatOf(cell).election;
     return {.heldUntil =
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -90,7 +90,7 @@
     void write(int cell, LeaderWrite write);
     void applyElection(int cell);
     void startController(int cell);
-    MachineOrderHooks machineOrderHooks(int cell, std::shared_ptr<const bool> isRevoked);
+    MachineOrderHooks machineOrderHooks(int cell, const std::shared_ptr<const bool> &isRevoked);
     void stopController(int cell, const char *reason);
     void updateHeldCells();
     void requestYield();
--- a/packages/entry/src/fake_table.h
+++ b/packages/entry/src/fake_table.h
@@ -56,7 +56,7 @@
                     [this, range, done = std::move(done)] { answerRead(range, done); });
             return;
         }
-        answerRead(range, std::move(done));
+        answerRead(range, done);
     }
 
     /// @brief Answers all held reads; returns their number.
@@ -68,7 +68,7 @@
         return held.size();
     }
 
-    void answerRead(const RowRange &range, Callback<RowPage> done)
+    void answerRead(const RowRange &range, const Callback<RowPage> &done)
     {
         if (onRead)
             onRead(range);
