Keep no machines idle for tasks that cannot start yet

Cause: after a change of leaders, tasks that a silent worker of a cut-off zone may run wait until its lease has expired. They counted as demand all the while, so their pool kept machines that nothing could use.

Change: such tasks ask for machines only once a machine that moves now would join after they can start. The scheduler knows the end of each lease; what may start when does not change.

--- a/packages/scheduler/include/chicorywick/scheduler/scheduler.h
+++ b/packages/scheduler/include/chicorywick/scheduler/scheduler.h
@@ -308,6 +308,7 @@
     bool isGangWithinLimit(const JobEntry &entry, const TaskId &id) const;
     void updateHiddenUse();
     std::map<std::string, std::int64_t> withheldCpuMillis() const;
+    std::map<std::string, std::int64_t> uncertainCpuMillis() const;
 
     // Order under load (scheduler_backlog.cpp)
     void recordShare(JobEntry &entry);
@@ -430,6 +431,7 @@
     WorkerList openWorkers(const std::string &service, const Resources &demand);
     void closeFullWorkers(WorkerList &open, const Resources &demand) const;
     void markAllServicesForPlacement();
+    Millis silentUntil(const std::string &service) const;
     bool hasSilentInheritedWorker(const std::string &service);
     bool isStartUncertain(const JobEntry &entry);
     bool mustWait(const JobEntry &entry);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -206,19 +206,23 @@
     });
 }
 
+// Until when an inherited worker that has not replied may run tasks of an earlier leader.
+Millis Scheduler::silentUntil(const std::string &service) const
+{
+    Millis until = 0;
+    for (const Worker *const worker : workersFor(service))
+        if (worker->isInherited && !worker->hasResponded && !worker->isReplaced)
+            until = std::max(until, worker->uncertainUntil);
+    return until;
+}
+
 // Until each inherited worker has replied or its lease has expired, a task without a known worker
 // may still run on an unresponsive one.
 bool Scheduler::hasSilentInheritedWorker(const std::string &service)
 {
     const auto [known, isNew] = hasSilentWorker_.try_emplace(service, false);
-    if (isNew) {
-        const auto &workers = workersFor(service);
-        const Millis now = hooks_.clock().steady;
-        known->second = std::any_of(workers.begin(), workers.end(), [now](const Worker *worker) {
-            return worker->isInherited && !worker->hasResponded && !worker->isReplaced
-                   && now < worker->uncertainUntil;
-        });
-    }
+    if (isNew)
+        known->second = hooks_.clock().steady < silentUntil(service);
     return known->second;
 }
 
--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -319,6 +319,36 @@
             }));
 }
 
+// CPU of the waiting tasks that cannot start soon, as a silent worker may run them: machines that
+// are kept for them stand idle. Those that can start once a machine has moved are not counted.
+std::map<std::string, std::int64_t> Scheduler::uncertainCpuMillis() const
+{
+    constexpr Millis kMoveMs = 1'500;
+    const Millis movedAt = hooks_.clock().steady + kMoveMs;
+    std::map<std::string, Millis> silentUntilByService;
+    for (const auto &[service, workers] : workersByService_)
+        if (const Millis until = silentUntil(service); until > movedAt)
+            silentUntilByService[service] = until;
+    std::map<std::string, std::int64_t> uncertain;
+    if (silentUntilByService.empty())
+        return uncertain;
+    for (const auto &[service, queue] : ready_)
+        for (const auto &[key, step] : queue.steps()) {
+            if (!entryOf(step.job->spec().id)->mayHaveRuns)
+                continue;
+            std::set<std::string> services = step.job->services();
+            services.insert(service);
+            const bool isUncertain =
+                    std::any_of(services.begin(), services.end(), [&](const std::string &name) {
+                        return silentUntilByService.contains(name);
+                    });
+            if (isUncertain)
+                uncertain[service] +=
+                        static_cast<std::int64_t>(step.tasks.size()) * step.demand.cpuMillis;
+        }
+    return uncertain;
+}
+
 std::map<std::string, ServiceLoad> Scheduler::loads() const
 {
     std::map<std::string, ServiceLoad> loads;
@@ -332,11 +362,13 @@
             load.machineCpuMillis = std::max(load.machineCpuMillis, worker->fullCapacity.cpuMillis);
         }
     }
-    const std::map<std::string, std::int64_t> withheld = withheldCpuMillis();
+    std::map<std::string, std::int64_t> withheld = withheldCpuMillis();
+    for (const auto &[service, cpuMillis] : uncertainCpuMillis())
+        withheld[service] += cpuMillis;
     for (const auto &[service, queue] : ready_) {
-        const auto ofAccounts = withheld.find(service);
-        loads[service].waitingCpuMillis =
-                queue.waitingCpuMillis() - (ofAccounts != withheld.end() ? ofAccounts->second : 0);
+        const auto found = withheld.find(service);
+        loads[service].waitingCpuMillis = std::max<std::int64_t>(
+                queue.waitingCpuMillis() - (found != withheld.end() ? found->second : 0), 0);
         const ExtraWorkers extra = extraWorkersFor(service);
         loads[service].extraWorkers = extra.all;
         loads[service].extraWorkersForPerpetual = extra.forPerpetual;
--- a/packages/scheduler/src/scheduler_takeover_test.cpp
+++ b/packages/scheduler/src/scheduler_takeover_test.cpp
@@ -27,6 +27,32 @@
     CHECK(fixture.workers.runningCount() >= 6);
 }
 
+// Guards against machines that stand idle for tasks which cannot start until a lease has expired.
+TEST_CASE("tasks that a silent worker may run ask for machines only shortly before they can start")
+{
+    constexpr Millis kLeaseMs = 4'000;
+    SchedulerFixture fixture;
+    fixture.workers.workMs = 0;
+    fixture.addWorkers(3);
+    const JobSpec spec = fixture.spec("a", {step(40)});
+    fixture.scheduler->addJob(spec, std::nullopt);
+    fixture.run(1'000);
+    const auto roster = fixture.scheduler->roster();
+    fixture.workers.setReachable("w1", false);
+    fixture.previousLeaseMs = kLeaseMs;
+    fixture.startTerm();
+    fixture.scheduler->addInheritedWorkers(roster);
+    fixture.scheduler->addJob(spec, JobProgress{});
+    for (const WorkerEntry &entry : roster)
+        if (entry.id != "w1")
+            fixture.scheduler->upsertWorker(entry);
+    fixture.run(500);
+    const auto waitingCpu = [&fixture] { return fixture.scheduler->loads()["s"].waitingCpuMillis; };
+    CHECK(waitingCpu() == 0);
+    fixture.run(kLeaseMs - 500);
+    CHECK(waitingCpu() > 0);
+}
+
 // Guards against a new leader that removes rows of ended jobs before callers have read them.
 TEST_CASE("a new leader keeps ended jobs for the full retention time")
 {
