Ask for machines as before until workers can have replied to a new leader

The first 500 ms count as before. The test checks the demand in that time too; scheduler test passes.

--- a/packages/scheduler/src/scheduler_queue.cpp
+++ b/packages/scheduler/src/scheduler_queue.cpp
@@ -324,7 +324,12 @@
 std::map<std::string, std::int64_t> Scheduler::uncertainCpuMillis() const
 {
     constexpr Millis kMoveMs = 1'500;
-    const Millis movedAt = hooks_.clock().steady + kMoveMs;
+    // Reachable workers reply to a new leader within this time.
+    constexpr Millis kFirstReplyMs = 500;
+    const Millis now = hooks_.clock().steady;
+    if (now - createdAt_ < kFirstReplyMs)
+        return {};
+    const Millis movedAt = now + kMoveMs;
     std::map<std::string, Millis> silentUntilByService;
     for (const auto &[service, workers] : workersByService_)
         if (const Millis until = silentUntil(service); until > movedAt)
--- a/packages/scheduler/src/scheduler_takeover_test.cpp
+++ b/packages/scheduler/src/scheduler_takeover_test.cpp
@@ -46,10 +46,11 @@
     for (const WorkerEntry &entry : roster)
         if (entry.id != "w1")
             fixture.scheduler->upsertWorker(entry);
-    fixture.run(500);
     const auto waitingCpu = [&fixture] { return fixture.scheduler->loads()["s"].waitingCpuMillis; };
+    CHECK(waitingCpu() > 0);
+    fixture.run(1'000);
     CHECK(waitingCpu() == 0);
-    fixture.run(kLeaseMs - 500);
+    fixture.run(kLeaseMs - 1'000);
     CHECK(waitingCpu() > 0);
 }
 
