Write a submission once while the store answers slowly

Cause: a submission without an answer was written again after 500 ms, whatever the store's answers took. The store runs the writes of a part one after another, so the repetitions delayed all others, which were repeated then.

Change: a further attempt waits for twice the time of the latest answer if that is longer, and its time limit grows likewise. A lost answer of a fast store is repeated after 500 ms as before.

The test failed before (2 writes of one submission). entry_tests: the new case and those of the intake pass.

--- a/packages/entry/src/intake.cpp
+++ b/packages/entry/src/intake.cpp
@@ -299,23 +299,29 @@
 }
 
 // The row is written only if it does not exist, so a parallel second attempt is safe. The second
-// attempt covers a lost answer; the first one keeps its full timeout in case the store is slow.
+// attempt covers a lost answer; the first one keeps its full timeout in case the store is slow. The
+// store runs the writes of a part one after another, so further attempts would make a slow store
+// slower: they wait for longer than its latest answer took.
 void Intake::store(const std::shared_ptr<Submission> &submission)
 {
-    const scheduler::Millis left = submission->answerBy - clock_().steady;
+    const scheduler::Millis sentAt = clock_().steady;
+    const std::chrono::milliseconds left(submission->answerBy - sentAt);
+    const std::chrono::milliseconds usual(2 * answerMs_);
     ++submission->attempts;
     ++submission->outstanding;
     const RowKey key = rowsOf(submission->id).jobRow(submission->id);
     const Transaction transaction{.conditions = {{.key = key, .version = 0}},
                                   .writes = {{.key = key, .value = submission->value}}};
-    table_.transact(
-            transaction, std::clamp(std::chrono::milliseconds(left), kMinTimeout, kMaxTimeout),
-            [self = shared_from_this(), submission](const base::Result<TransactionResult> &result) {
-                --submission->outstanding;
-                if (!submission->isAnswered)
-                    self->handleStored(submission, result);
-            });
-    retryAfter(submission, kHedgeDelay);
+    table_.transact(transaction, std::clamp(left, kMinTimeout, std::max(kMaxTimeout, usual)),
+                    [self = shared_from_this(), submission,
+                     sentAt](const base::Result<TransactionResult> &result) {
+                        if (result)
+                            self->answerMs_ = self->clock_().steady - sentAt;
+                        --submission->outstanding;
+                        if (!submission->isAnswered)
+                            self->handleStored(submission, result);
+                    });
+    retryAfter(submission, std::max<std::chrono::milliseconds>(kHedgeDelay, usual));
 }
 
 void Intake::retryAfter(const std::shared_ptr<Submission> &submission,
--- a/packages/entry/src/intake.h
+++ b/packages/entry/src/intake.h
@@ -97,6 +97,7 @@
     bool isConfigured_ = false;
     std::function<bool()> isConfigurationRecent_;
     JobAdmission admission_;
+    scheduler::Millis answerMs_ = 0;  ///< time to the latest answer to a write of a job
     base::TokenBucket lookups_;       ///< reads of the store for jobs that may not exist
     base::TokenBucket refusalReads_;  ///< reads of the store before a submission is refused
     base::TokenBucket cancellations_; ///< stored for jobs that are not stored
--- a/packages/entry/src/intake_test.cpp
+++ b/packages/entry/src/intake_test.cpp
@@ -2,8 +2,10 @@
 #include "intake.h"
 
 #include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/node.h>
 #include <chicorywick/entry/records.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 namespace chicorywick::entry {
@@ -56,10 +58,38 @@
     }
 };
 
+/// @brief A store that answers transactions after a time.
+class SlowTable : public FakeTable
+{
+public:
+    std::chrono::milliseconds delay{0};
+    int writes = 0;
+
+    explicit SlowTable(boost::asio::io_context &loop)
+        : loop_(loop)
+    {}
+
+    void transact(const Transaction &transaction, std::chrono::milliseconds timeout,
+                  Callback<TransactionResult> done) override
+    {
+        ++writes;
+        if (delay.count() == 0)
+            return FakeTable::transact(transaction, timeout, std::move(done));
+        auto timer = std::make_shared<boost::asio::steady_timer>(loop_, delay);
+        timer->async_wait([this, timer, transaction, timeout, done](const auto & /*error*/) {
+            FakeTable::transact(transaction, timeout, done);
+        });
+    }
+
+private:
+    boost::asio::io_context &loop_;
+};
+
 struct Fixture
 {
     boost::asio::io_context loop;
-    FakeTable table;
+    SlowTable table{loop};
+    bool hasRealClock = false;
     FakeCodec codec;
     ControllerAnswer controller;
     std::optional<int> waiting;
@@ -77,7 +107,10 @@
                             .backlogMs = [this](int, const std::string &) { return backlogMs; },
                             .jobMemory = [this](int) { return jobMemory; },
                             .announce = [this](int, const Row &row) { announced.push_back(row); }},
-            [] { return scheduler::Now{.steady = 1'000, .wall = 1'000}; }, kMaxJobBytes);
+            [this] {
+                return hasRealClock ? systemNow() : scheduler::Now{.steady = 1'000, .wall = 1'000};
+            },
+            kMaxJobBytes);
 
     Fixture()
     {
@@ -117,6 +150,29 @@
 
 } // namespace
 
+// Guards against submissions that are refused because a slow store gets each of them twice.
+TEST_CASE("a submission is written once while the store answers slowly")
+{
+    Fixture fixture;
+    fixture.hasRealClock = true;
+    fixture.table.delay = 600ms;
+    const auto submit = [&fixture](const std::string &id) {
+        fixture.table.writes = 0;
+        int status = 0;
+        fixture.intake->handle({.method = "POST",
+                                .target = "/q/" + id,
+                                .headers = {{"host", "h:80"}},
+                                .body = "work"},
+                               [&](const http::Response &response) { status = response.status; });
+        fixture.loop.restart();
+        fixture.loop.run_for(1'300ms);
+        return status;
+    };
+    CHECK(submit("0123456789abcde0") == 200);
+    CHECK(submit("0123456789abcde1") == 200);
+    CHECK(fixture.table.writes == 1);
+}
+
 // Guards against a duplicate job, or an error response, when a caller retries a submission whose
 // response was lost.
 TEST_CASE("a repeated submission is stored once and receives the same response")
