Hold back only transferred machines that are recent after a change of leaders

In a fleet of several cells a new leader ordered none of the machines that its cell had ever received from others for 3 s, as each entry of the machines table counted as new when it was loaded.

Change: the leader row names the received machines that may not be ordered yet among the reserved ones, and up to which version its holder knew the transfers. A successor holds back these, and those transferred since.

--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -65,6 +65,8 @@
     /// Time up to which all requested waves are known; empty: up to now.
     std::function<scheduler::Millis()> wavesKnownUntil = {};
     MachineOrderHooks machineOrders = {};
+    /// The former leader knew all transfers of machines up to this version.
+    Version transfersSettledUntil = 0;
 };
 
 /// @brief Runs the scheduler of one cell during one leadership term. Loads the stored state first,
@@ -86,6 +88,13 @@
     /// delivers it too, but a watch can stall for a second or more without an error.
     void applyStored(const Row &row);
 
+    /// @brief Machines that other cells have transferred to this one, with the time for which they
+    /// must not be ordered yet.
+    std::map<std::string, scheduler::Millis> heldTransfers() const;
+
+    /// @brief All transfers of machines up to this version are known; 0 before they are loaded.
+    Version transfersKnownUntil() const;
+
     /// @brief Sends the machine orders that waited for the row that was just stored.
     void sendReservedOrders();
 
--- a/packages/entry/include/chicorywick/entry/leader_election.h
+++ b/packages/entry/include/chicorywick/entry/leader_election.h
@@ -94,6 +94,12 @@
     MachineReservations &reservations() { return reservations_; }
     const MachineReservations &reservations() const { return reservations_; }
 
+    /// @brief Records which transferred machines are held, and up to which version transfers are
+    /// known, for the rows to come.
+    void setTransfers(const std::map<std::string, scheduler::Millis> &waitMs, Version knownUntil,
+                      scheduler::Millis now);
+    Version transfersKnownUntil() const { return transfersKnownUntil_; }
+
     /// @brief Until when an order that is sent to a machine now is valid; none if it must not be
     /// sent.
     std::optional<scheduler::Millis> machineOrderUntil(const std::string &machine,
@@ -138,7 +144,8 @@
     scheduler::Millis previousWorkerLease_ = 0;
     scheduler::Millis leaseStart_ = 0;
     MachineReservations reservations_;
-    std::int64_t heartbeat_ = 0; ///< number of the latest write
+    Version transfersKnownUntil_ = 0; ///< by this holder, or the one before it
+    std::int64_t heartbeat_ = 0;      ///< number of the latest write
 
     struct SentWrite
     {
--- a/packages/entry/include/chicorywick/entry/records.h
+++ b/packages/entry/include/chicorywick/entry/records.h
@@ -2,6 +2,7 @@
 
 #include <chicorywick/base/result.h>
 #include <chicorywick/entry/cell_layout.h>
+#include <chicorywick/entry/table.h>
 #include <chicorywick/scheduler/job.h>
 #include <chicorywick/scheduler/job_memory.h>
 #include <chicorywick/scheduler/model.h>
@@ -74,6 +75,8 @@
     scheduler::JobMemory jobMemory; ///< without small parts
     /// None in rows of versions without reservations, whose holders may have ordered any machine.
     std::optional<ReservedMachines> reservedMachines;
+    /// The reserved machines include those that were transferred to the cell up to this version.
+    Version transfersKnownUntil = 0;
 
     bool operator==(const LeaderRecord &) const = default;
 };
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -291,10 +291,19 @@
 void CellLeadership::writeIfDue(int cell)
 {
     updateHeldCells();
+    updateTransfers(cell);
     if (auto next = seatOf(cell).election->nextWrite(systemNow().steady))
         write(cell, std::move(*next));
 }
 
+void CellLeadership::updateTransfers(int cell)
+{
+    const Seat &seat = seatOf(cell);
+    if (seat.controller)
+        seat.election->setTransfers(seat.controller->heldTransfers(),
+                                    seat.controller->transfersKnownUntil(), systemNow().steady);
+}
+
 // One write reserves all machines that are requested in one pass.
 void CellLeadership::requestWrite(int cell)
 {
@@ -436,7 +445,8 @@
                                 return self->wavesKnownUntil_ ? self->wavesKnownUntil_()
                                                               : systemNow().steady;
                             },
-                    .machineOrders = machineOrderHooks(cell, isRevoked)},
+                    .machineOrders = machineOrderHooks(cell, isRevoked),
+                    .transfersSettledUntil = election.transfersKnownUntil()},
             Cell{.layout = *layout_, .number = cell}, scheduling);
     seat.controller->configure(*configuration_);
     seat.controller->setWaves(waves_);
@@ -493,6 +503,7 @@
                                                  {"cell", std::to_string(cell)},
                                                  {"term", std::to_string(seat.controllerTerm)}});
     *seat.isRevoked = true;
+    updateTransfers(cell);
     // The controller may be on the call stack, so it is destroyed in a later loop iteration.
     boost::asio::post(loop_,
                       [controller = std::shared_ptr<Controller>(std::move(seat.controller))] {});
--- a/packages/entry/src/cell_leadership.h
+++ b/packages/entry/src/cell_leadership.h
@@ -86,6 +86,7 @@
     void observeRows(const std::vector<Row> &rows);
     void runElections();
     void writeIfDue(int cell);
+    void updateTransfers(int cell);
     void requestWrite(int cell);
     void write(int cell, LeaderWrite write);
     void applyElection(int cell);
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -73,6 +73,16 @@
     impl_->applyStored(row);
 }
 
+std::map<std::string, scheduler::Millis> Controller::heldTransfers() const
+{
+    return impl_->heldTransfers();
+}
+
+Version Controller::transfersKnownUntil() const
+{
+    return impl_->transfersKnownUntil();
+}
+
 void Controller::sendReservedOrders()
 {
     impl_->sendReservedOrders();
@@ -161,7 +171,8 @@
                               MachineLedgerHooks{
                                       .clock = [clock = hooks_.clock] { return clock().steady; },
                                       .mayWrite = hooks_.maySendOrders,
-                                      .onReceived = [this] { addReceivedWorkers(); }}))
+                                      .onReceived = [this] { addReceivedWorkers(); },
+                                      .settledUntil = hooks_.transfersSettledUntil}))
     , machines_(std::make_shared<ReservingMachines>(*ports.machines, hooks_.clock,
                                                     hooks_.machineOrders))
     , inventory_(*machines_, hooks_.clock, cell_, ledger_, hooks_.machineOrders.heldUntil)
--- a/packages/entry/src/controller_impl.h
+++ b/packages/entry/src/controller_impl.h
@@ -36,6 +36,11 @@
     void setWaves(const std::vector<WaveRequest> &waves) { waves_->setWaves(waves); }
     void applyStored(const Row &row);
     void sendReservedOrders() { machines_->update(); }
+    std::map<std::string, scheduler::Millis> heldTransfers() const
+    {
+        return ledger_ ? ledger_->heldMachines() : std::map<std::string, scheduler::Millis>();
+    }
+    Version transfersKnownUntil() const { return ledger_ ? ledger_->knownVersion() : 0; }
     bool isLoaded() const { return isLoaded_; }
     std::optional<scheduler::JobState> reportedState(const std::string &id) const;
     std::map<std::string, int> waitingJobs() const { return scheduler_.waitingJobs(); }
--- a/packages/entry/src/leader_election.cpp
+++ b/packages/entry/src/leader_election.cpp
@@ -110,8 +110,10 @@
             return std::nullopt;
         previousWorkerLease_ = record_.workerLeaseMs;
         reservations_ = inheritedReservations();
+        transfersKnownUntil_ = record_.transfersKnownUntil;
     }
     record.reservedMachines = reservations_.toWrite(now);
+    record.transfersKnownUntil = transfersKnownUntil_;
     ++heartbeat_;
     unansweredHeartbeat_ = heartbeat_;
     sentWrites_[heartbeat_] = {.at = now, .reserved = reservations_.requested()};
@@ -180,6 +182,13 @@
     nextWriteAt_ = now + settings_.retryMs;
 }
 
+void LeaderElection::setTransfers(const std::map<std::string, scheduler::Millis> &waitMs,
+                                  Version knownUntil, scheduler::Millis now)
+{
+    reservations_.inherit({.waitMs = waitMs}, now);
+    transfersKnownUntil_ = std::max(transfersKnownUntil_, knownUntil);
+}
+
 std::optional<scheduler::Millis> LeaderElection::machineOrderUntil(const std::string &machine,
                                                                    scheduler::Millis now) const
 {
--- a/packages/entry/src/machine_ledger.cpp
+++ b/packages/entry/src/machine_ledger.cpp
@@ -86,7 +86,17 @@
 bool MachineLedger::mayOrder(const std::string &machine) const
 {
     const auto found = entries_.find(machine);
-    return found == entries_.end() || hooks_.clock() - found->second.knownAt >= kOrderGapMs;
+    return found == entries_.end() || hooks_.clock() >= found->second.orderableFrom;
+}
+
+std::map<std::string, scheduler::Millis> MachineLedger::heldMachines() const
+{
+    const scheduler::Millis now = hooks_.clock();
+    std::map<std::string, scheduler::Millis> held;
+    for (const auto &[machine, entry] : entries_)
+        if (entry.transfer.cell == cell_.number && entry.orderableFrom > now)
+            held[machine] = entry.orderableFrom - now;
+    return held;
 }
 
 std::optional<std::string> MachineLedger::incomingPool(const std::string &machine) const
@@ -94,7 +104,7 @@
     const auto found = entries_.find(machine);
     const bool isIncoming = found != entries_.end() && !found->second.wasLoaded
                             && found->second.transfer.cell == cell_.number
-                            && hooks_.clock() - found->second.knownAt < kOrderGapMs;
+                            && hooks_.clock() < found->second.orderableFrom;
     return isIncoming ? std::optional(found->second.transfer.pool) : std::nullopt;
 }
 
@@ -255,9 +265,10 @@
     const auto known = entries_.find(machine);
     if (known != entries_.end() && known->second.version >= version)
         return;
+    const bool isSettled = version <= hooks_.settledUntil;
     entries_[machine] = {.transfer = transfer,
                          .version = version,
-                         .knownAt = hooks_.clock(),
+                         .orderableFrom = isSettled ? 0 : hooks_.clock() + kOrderGapMs,
                          .wasLoaded = static_cast<bool>(loaded_)};
     ++revision_;
     hasReceived_ = hasReceived_ || transfer.cell == cell_.number;
--- a/packages/entry/src/machine_ledger.h
+++ b/packages/entry/src/machine_ledger.h
@@ -26,6 +26,9 @@
     std::function<scheduler::Millis()> clock; ///< steady, includes time in suspend
     std::function<bool()> mayWrite;   ///< false while another leader may have claimed the cell
     std::function<void()> onReceived; ///< machines have joined the own cell
+    /// The former leader knew all transfers up to this version, and has told which machines have
+    /// to be left alone for them.
+    Version settledUntil = 0;
 };
 
 /// @brief Tells which cell owns a machine. A machine belongs to the cell of its rack until its
@@ -55,6 +58,12 @@
     /// @brief False while the former owner of a machine may have sent an order recently.
     bool mayOrder(const std::string &machine) const;
 
+    /// @brief The machines of the own cell that may not be ordered yet, with the time until then.
+    std::map<std::string, scheduler::Millis> heldMachines() const;
+
+    /// @brief All transfers up to this version are known.
+    Version knownVersion() const { return sequence_; }
+
     /// @brief The pool that a machine moves to, if it was transferred to the own cell recently.
     std::optional<std::string> incomingPool(const std::string &machine) const;
     std::vector<std::string> incomingMachines() const;
@@ -81,7 +90,7 @@
     {
         MachineTransfer transfer;
         Version version = 0;
-        scheduler::Millis knownAt = 0;
+        scheduler::Millis orderableFrom = 0; ///< for this cell, if it owns the machine
         bool wasLoaded = false; ///< it was stored before this leader followed the table
     };
     /// A write whose outcome is not known yet.
--- a/packages/entry/src/machine_ledger_test.cpp
+++ b/packages/entry/src/machine_ledger_test.cpp
@@ -18,12 +18,13 @@
 struct Leader
 {
     Leader(boost::asio::io_context &loop, WatchedTable &table, const scheduler::Millis &now,
-           const CellLayout &layout, int cell, std::int64_t term)
+           const CellLayout &layout, int cell, std::int64_t term, Version settledUntil)
         : ledger(std::make_shared<MachineLedger>(
                 loop, table, Cell{.layout = layout, .number = cell}, term,
                 MachineLedgerHooks{.clock = [&now] { return now; },
                                    .mayWrite = [this] { return mayWrite; },
-                                   .onReceived = [] {}}))
+                                   .onReceived = [] {},
+                                   .settledUntil = settledUntil}))
     {
         ledger->load([this] { isLoaded = true; });
     }
@@ -56,9 +57,9 @@
 
 struct Fixture
 {
-    std::unique_ptr<Leader> lead(int cell)
+    std::unique_ptr<Leader> lead(int cell, Version settledUntil = 0)
     {
-        return std::make_unique<Leader>(loop, table, now, layout, cell, ++terms);
+        return std::make_unique<Leader>(loop, table, now, layout, cell, ++terms, settledUntil);
     }
     void run(std::chrono::milliseconds duration = 120ms)
     {
@@ -117,6 +118,29 @@
     CHECK(borrower->ledger->mayOrder("m"));
 }
 
+// Guards against a cell that leaves alone each machine it has ever received, after each change of
+// its leader.
+TEST_CASE("a new leader orders machines that its predecessor received long ago")
+{
+    Fixture fixture;
+    const auto lender = fixture.lead(0);
+    auto former = fixture.lead(1);
+    fixture.run();
+    lender->transfer("old", 1);
+    fixture.run();
+    fixture.now += 10'000;
+    const Version known = former->ledger->knownVersion();
+    CHECK(former->ledger->heldMachines().empty());
+    lender->transfer("new", 1);
+    former.reset();
+    const auto successor = fixture.lead(1, known);
+    fixture.run();
+    CHECK(successor->ledger->mayOrder("old"));
+    CHECK(!successor->ledger->mayOrder("new"));
+    CHECK(successor->ledger->heldMachines().contains("new"));
+    CHECK(successor->ledger->knownVersion() > known);
+}
+
 // Guards against a machine that two cells use because a write of a former leader is carried out
 // after its successor has taken over.
 TEST_CASE("a late transfer of a former leader has no effect once its successor has loaded")
--- a/packages/entry/src/records.cpp
+++ b/packages/entry/src/records.cpp
@@ -120,6 +120,7 @@
         json["reserved"] = record.reservedMachines->waitMs;
         putUnlessDefault(json, "reserved_all", record.reservedMachines->waitOfAllMs, 0);
     }
+    putUnlessDefault(json, "transfers", record.transfersKnownUntil, 0);
     return json.dump();
 }
 
@@ -151,6 +152,7 @@
             record.reservedMachines = {.waitMs = json.at("reserved"),
                                        .waitOfAllMs =
                                                json.value("reserved_all", scheduler::Millis{0})};
+        record.transfersKnownUntil = json.value("transfers", Version{0});
         return record;
     });
 }
--- a/packages/entry/src/records_test.cpp
+++ b/packages/entry/src/records_test.cpp
@@ -46,6 +46,7 @@
 {
     LeaderRecord record{.holder = "a#1", .peerAddress = "a:1"};
     record.reservedMachines = {.waitMs = {{"m", 2'500}}, .waitOfAllMs = 10};
+    record.transfersKnownUntil = 7;
     const auto decoded = decodeLeader(encode(record));
     REQUIRE(decoded);
     CHECK(decoded.value() == record);
