Take the time between two leaders' orders for a machine from the platform

The platform demands a time between the orders of two holders for one machine and tells it in the settings, but 3 s were written in the code twice. On a deployment that demands more, two leaders would have ordered a machine too soon.

--- a/packages/entry/include/chicorywick/entry/controller.h
+++ b/packages/entry/include/chicorywick/entry/controller.h
@@ -49,6 +49,8 @@
     /// Why orders wait, for the log; empty: they never do.
     std::function<std::optional<MachineOrderHold>()> hold = {};
 
+    scheduler::Millis gapMs = 3'000; ///< between two leaders' orders for one machine
+
     /// @brief Returns true if a machine may be ordered now, and asks for it otherwise.
     bool reserveIfNeeded(const std::string &machine) const;
 };
--- a/packages/entry/include/chicorywick/entry/node.h
+++ b/packages/entry/include/chicorywick/entry/node.h
@@ -31,7 +31,8 @@
     /// Memory for the jobs of a cell beyond which further ones are refused; by default a quarter of
     /// that of the machine.
     std::optional<std::int64_t> jobMemoryBytes;
-    scheduler::Millis maxLeaseMs = 6'000; ///< longest lease that a worker grants
+    scheduler::Millis machineOrderGapMs = 3'000; ///< between two leaders' orders for one machine
+    scheduler::Millis maxLeaseMs = 6'000;        ///< longest lease that a worker grants
     /// From an acknowledged cancellation to the last start of a task of its job.
     scheduler::Millis cancelMs = 3'000;
     /// From an acknowledged change of the configuration until it is in force.
--- a/packages/entry/src/cell_leadership.cpp
+++ b/packages/entry/src/cell_leadership.cpp
@@ -79,6 +79,7 @@
                 settings_.name + "#" + incarnation_, address,
                 static_cast<scheduler::Millis>(rng_.below(kMaxClaimJitterMs)),
                 ElectionSettings{.workerLeaseMs = scheduler::SchedulerSettings().leaseMs,
+                                 .machineOrderGapMs = settings_.machineOrderGapMs,
                                  .memoryMib = settings_.memoryMib});
         if (isStopping_)
             seat.election->release();
@@ -491,7 +492,8 @@
                                     systemNow().steady);
                     },
             .hold = [self = shared_from_this(),
-                     &election] { return election.machineOrderHold(systemNow().steady); }};
+                     &election] { return election.machineOrderHold(systemNow().steady); },
+            .gapMs = settings_.machineOrderGapMs};
 }
 
 void CellLeadership::stopController(int cell, const char *reason)
--- a/packages/entry/src/controller.cpp
+++ b/packages/entry/src/controller.cpp
@@ -172,7 +172,8 @@
                                       .clock = [clock = hooks_.clock] { return clock().steady; },
                                       .mayWrite = hooks_.maySendOrders,
                                       .onReceived = [this] { addReceivedWorkers(); },
-                                      .settledUntil = hooks_.transfersSettledUntil}))
+                                      .settledUntil = hooks_.transfersSettledUntil,
+                                      .orderGapMs = hooks_.machineOrders.gapMs}))
     , machines_(std::make_shared<ReservingMachines>(*ports.machines, hooks_.clock,
                                                     hooks_.machineOrders))
     , inventory_(*machines_, hooks_.clock, cell_, ledger_, hooks_.machineOrders.heldUntil)
--- a/packages/entry/src/machine_ledger.cpp
+++ b/packages/entry/src/machine_ledger.cpp
@@ -20,8 +20,6 @@
 // The leaders of all cells write the same row, so their retries are spread.
 constexpr scheduler::Millis kMinRetryPauseMs = 20;
 constexpr std::uint64_t kRetryJitterMs = 60;
-// Two cells' orders for one machine are at least this far apart, like those of two leaders.
-constexpr scheduler::Millis kOrderGapMs = 3'000;
 
 } // namespace
 
@@ -268,7 +266,7 @@
     const bool isSettled = version <= hooks_.settledUntil;
     entries_[machine] = {.transfer = transfer,
                          .version = version,
-                         .orderableFrom = isSettled ? 0 : hooks_.clock() + kOrderGapMs,
+                         .orderableFrom = isSettled ? 0 : hooks_.clock() + hooks_.orderGapMs,
                          .wasLoaded = static_cast<bool>(loaded_)};
     ++revision_;
     hasReceived_ = hasReceived_ || transfer.cell == cell_.number;
--- a/packages/entry/src/machine_ledger.h
+++ b/packages/entry/src/machine_ledger.h
@@ -29,6 +29,7 @@
     /// The former leader knew all transfers up to this version, and has told which machines have
     /// to be left alone for them.
     Version settledUntil = 0;
+    scheduler::Millis orderGapMs = 3'000; ///< between two leaders' orders for one machine
 };
 
 /// @brief Tells which cell owns a machine. A machine belongs to the cell of its rack until its
--- a/packages/entry/src/machine_reservations_test.cpp
+++ b/packages/entry/src/machine_reservations_test.cpp
@@ -241,6 +241,19 @@
     CHECK(reservations.toWrite(1'200).waitMs.at("m") == settings.lateOrderMs + settings.marginMs);
 }
 
+// Guards against orders that are too close where the platform demands more time between them.
+TEST_CASE("the time between two leaders' orders for one machine is a setting")
+{
+    constexpr scheduler::Millis kLongGapMs = 8'000;
+    LeaderElection election("a#1", "a:1", 0, {.machineOrderGapMs = kLongGapMs});
+    election.observe(0, {}, 0);
+    election.committed(*election.nextWrite(0), 1, 0);
+    election.reservations().request("m");
+    election.committed(*election.nextWrite(10), 2, 10);
+    election.release();
+    CHECK(election.nextWrite(20)->record.reservedMachines->waitMs.at("m") >= kLongGapMs);
+}
+
 // Guards against two leaders at one machine while the daemons are upgraded one after the other.
 TEST_CASE("after a leader of a version without reservations all machines are held")
 {
