--- a/packages/entry/include/chicorywick/entry/machine_reservations.h
+++ b/packages/entry/include/chicorywick/entry/machine_reservations.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chicorywick/entry/machine_orders.h>
 #include <chicorywick/entry/records.h>
 #include <chicorywick/scheduler/model.h>
 
@@ -15,8 +16,7 @@
     scheduler::Millis orderMs = 1500; ///< from the send time of the write that stored one
     scheduler::Millis gapMs = 3000;   ///< between two leaders' orders for one machine
     scheduler::Millis marginMs = 200; ///< added for orders that are still on their way
-    scheduler::Millis lateOrderMs =
-            12'000; ///< an order without an answer can take effect this late
+    scheduler::Millis lateOrderMs = kLateOrderMs;
 
     bool operator==(const ReservationSettings &) const = default;
 };
--- a/packages/entry/src/pool_balancer.cpp
+++ b/packages/entry/src/pool_balancer.cpp
@@ -1,8 +1,7 @@
 #include "pool_balancer.h"
 
-#include "machine_orders.h"
-
 #include <chicorywick/base/log_event.h>
+#include <chicorywick/entry/machine_orders.h>
 
 #include <algorithm>
 
--- a/packages/entry/src/wave_runner.cpp
+++ b/packages/entry/src/wave_runner.cpp
@@ -1,9 +1,8 @@
 #include "wave_runner.h"
 
-#include "machine_orders.h"
-
 #include <chicorywick/base/log_event.h>
 #include <chicorywick/entry/layout.h>
+#include <chicorywick/entry/machine_orders.h>
 #include <chicorywick/entry/records.h>
 #include <chicorywick/scheduler/maintenance_plan.h>
 
